--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+SHELL := /bin/bash
+BIN := $(CURDIR)/.bin
+GO_FILES := $(shell find cmd pkg -name '*.go' -not -path '*/aqproto/*')
+
+.PHONY: all build demo test lint generate tools model model-mutants capacity lab bench known-red clean
+
+all: build
+
+build:
+	CGO_ENABLED=1 go build -o $(BIN)/ ./cmd/...
+
+# Starts separate processes, runs services, jobs and requests, kills a scheduler,
+# and ends by itself.
+demo: build
+	_scripts/demo
+
+test:
+	_scripts/check-linking
+	go test -race -count=1 ./...
+
+tools:
+	_scripts/install-tools
+
+generate: tools
+	PATH="$(BIN):$$PATH" buf generate
+	go run ./cmd/acaciaquay-docs docs
+
+lint: tools
+	_scripts/lint
+
+clean:
+	rm -rf $(BIN) .run
--- /dev/null
+++ b/cmd/acaciaquay/cmds/commands.go
@@ -0,0 +1,134 @@
+// Package cmds is the command line of acaciaquay.
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqprocess"
+	"acaciaquay/pkg/aqsettings"
+)
+
+// The exit statuses.
+const (
+	// ExitOK means done.
+	ExitOK = 0
+	// ExitFailed means that the command was understood and did not succeed.
+	ExitFailed = 1
+	// ExitUsage means that the command line or a settings file is wrong.
+	ExitUsage = 2
+	// ExitUnknown means that a change may or may not have taken effect.
+	ExitUnknown = 3
+	// ExitRace means that another change was accepted first.
+	ExitRace = 4
+)
+
+// env is what a command runs in.
+type env struct {
+	out io.Writer
+	err io.Writer
+}
+
+// usageError means that the command line or a settings file is wrong.
+type usageError struct{ error }
+
+// Run runs one command line and returns its exit status.
+func Run(args []string, out, errOut io.Writer) int {
+	e := &env{out: out, err: errOut}
+	app, actions := New(e)
+	app.Terminate(nil)
+	app.UsageWriter(out)
+	app.ErrorWriter(errOut)
+	selected, err := app.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(errOut, "acaciaquay: %v\n", err)
+		return ExitUsage
+	}
+	action, ok := actions[selected]
+	if !ok {
+		return ExitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return exitStatus(action(ctx), errOut)
+}
+
+func exitStatus(err error, errOut io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintf(errOut, "acaciaquay: %v\n", err)
+	var usage usageError
+	var setting *aqsettings.SettingError
+	switch {
+	case errors.As(err, &usage), errors.As(err, &setting):
+		return ExitUsage
+	case isUnknown(err):
+		return ExitUnknown
+	case isRace(err):
+		return ExitRace
+	}
+	return ExitFailed
+}
+
+// action runs one command.
+type action func(ctx context.Context) error
+
+// New returns the command line and what each command does.
+func New(e *env) (*kingpin.Application, map[string]action) {
+	app := kingpin.New("acaciaquay", "Places latency-critical services and batch tasks on the same hosts.")
+	app.HelpFlag.Short('h')
+	actions := map[string]action{}
+	addDaemons(app, e, actions)
+	addCtl(app, e, actions)
+	return app, actions
+}
+
+func addDaemons(app *kingpin.Application, e *env, actions map[string]action) {
+	gateway := app.Command("gateway", "Run a gateway: callers' requests and operators' calls.")
+	gatewayFile := gateway.Flag("settings", "The host's settings file.").Required().String()
+	actions[gateway.FullCommand()] = func(ctx context.Context) error {
+		return withSettings(*gatewayFile, func(s aqsettings.Settings) error {
+			return aqprocess.RunGateway(ctx, s, e.err)
+		})
+	}
+
+	scheduler := app.Command("scheduler", "Run a scheduler: shards of workers and workloads.")
+	schedulerFile := scheduler.Flag("settings", "The host's settings file.").Required().String()
+	actions[scheduler.FullCommand()] = func(ctx context.Context) error {
+		return withSettings(*schedulerFile, func(s aqsettings.Settings) error {
+			return aqprocess.RunScheduler(ctx, s, e.err)
+		})
+	}
+
+	check := app.Command("check-settings", "Check a settings file and say what is wrong with it.")
+	checkFile := check.Arg("file", "The settings file.").Required().String()
+	actions[check.FullCommand()] = func(context.Context) error {
+		return withSettings(*checkFile, func(aqsettings.Settings) error {
+			_, err := fmt.Fprintf(e.out, "%s: ok\n", *checkFile)
+			return err
+		})
+	}
+
+	dev := app.Command("dev", "Run everything in one process with stand-ins of the platform, to try it out.")
+	devFor := dev.Flag("for", "Stop after this time; zero runs until interrupted.").Default("0s").Duration()
+	devWorkers := dev.Flag("workers", "Number of stand-in workers.").Default("6").Int()
+	actions[dev.FullCommand()] = func(ctx context.Context) error {
+		return runDev(ctx, e, *devFor, *devWorkers)
+	}
+}
+
+func withSettings(file string, run func(aqsettings.Settings) error) error {
+	s, err := aqsettings.Load(file)
+	if err != nil {
+		return usageError{err}
+	}
+	return run(s)
+}
--- /dev/null
+++ b/cmd/acaciaquay/cmds/ctl.go
@@ -0,0 +1,294 @@
+package cmds
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	pb "acaciaquay/pkg/aqproto/acaciaquay/v1"
+	"acaciaquay/pkg/aqproto/acaciaquay/v1/acaciaquayv1connect"
+)
+
+// ctl is what the operators' commands share.
+type ctl struct {
+	env      *env
+	gateways *string
+	output   *string
+	timeout  *time.Duration
+}
+
+// The output formats.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// watchPeriod is the time between two prints of a watch.
+const watchPeriod = time.Second
+
+func addCtl(app *kingpin.Application, e *env, actions map[string]action) {
+	root := app.Command("ctl", "Submit, show and cancel work, and change the configuration.")
+	c := &ctl{
+		env: e,
+		gateways: root.Flag("gateway", "Operator addresses of gateways, comma-separated; tried in turn.").
+			Envar("ACACIAQUAY_GATEWAY").Default("127.0.0.1:7322").String(),
+		output:  root.Flag("output", "Output format.").Default(outputTable).Enum(outputTable, outputJSON),
+		timeout: root.Flag("timeout", "Bound of one call.").Default("15s").Duration(),
+	}
+	c.addJob(root, actions)
+	c.addService(root, actions)
+	c.addWatcher(root, actions)
+	c.addConfig(root, actions)
+	c.addTop(root, actions)
+}
+
+// dialTimeout bounds the connection to one gateway.
+const dialTimeout = time.Second
+
+// call runs a call at the first gateway that can be reached. A call that may
+// have arrived is not repeated elsewhere.
+func call[T any](ctx context.Context, c *ctl, run func(context.Context, connect.HTTPClient, string) (T, error)) (T, error) {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	}}
+	var last error
+	var none T
+	for _, gateway := range strings.Split(*c.gateways, ",") {
+		limited, cancel := context.WithTimeout(ctx, *c.timeout)
+		out, err := run(limited, client, "http://"+strings.TrimSpace(gateway))
+		cancel()
+		if err == nil {
+			return out, nil
+		}
+		last = err
+		var dial *net.OpError
+		if !errors.As(err, &dial) || dial.Op != "dial" {
+			break
+		}
+	}
+	return none, last
+}
+
+func workloads(client connect.HTTPClient, url string) acaciaquayv1connect.WorkloadServiceClient {
+	return acaciaquayv1connect.NewWorkloadServiceClient(client, url)
+}
+
+func isUnknown(err error) bool {
+	code := connect.CodeOf(err)
+	return code == connect.CodeUnknown && isConnect(err) || code == connect.CodeDeadlineExceeded
+}
+
+func isRace(err error) bool { return connect.CodeOf(err) == connect.CodeAborted }
+
+func isConnect(err error) bool {
+	var e *connect.Error
+	return errors.As(err, &e)
+}
+
+// sizeFlags are the flags that every kind of workload has.
+type sizeFlags struct {
+	team         *string
+	kind         *string
+	urgency      *string
+	cpu          *float64
+	memory       *int64
+	accelerators *int64
+}
+
+const milliPerCore = 1000
+
+func addSizeFlags(c *kingpin.CmdClause, urgency string) sizeFlags {
+	return sizeFlags{
+		team:         c.Flag("team", "Team that the work belongs to.").Required().String(),
+		kind:         c.Flag("kind", "Sort of task that recurs; the key when absent.").String(),
+		urgency:      c.Flag("urgency", "urgent, normal or background.").Default(urgency).Enum("urgent", "normal", "background"),
+		cpu:          c.Flag("cpu", "Processor cores of one task.").Default("1").Float64(),
+		memory:       c.Flag("memory-mib", "Memory of one task in MiB.").Default("512").Int64(),
+		accelerators: c.Flag("accelerators", "Accelerators of one task.").Default("0").Int64(),
+	}
+}
+
+func (f sizeFlags) size() *pb.Size {
+	return &pb.Size{
+		MilliCpu:     int64(*f.cpu * milliPerCore),
+		MemoryMib:    *f.memory,
+		Accelerators: *f.accelerators,
+	}
+}
+
+func (f sizeFlags) wireUrgency() pb.Urgency {
+	switch *f.urgency {
+	case "urgent":
+		return pb.Urgency_URGENCY_URGENT
+	case "normal":
+		return pb.Urgency_URGENCY_NORMAL
+	}
+	return pb.Urgency_URGENCY_BACKGROUND
+}
+
+func (c *ctl) addJob(root *kingpin.CmdClause, actions map[string]action) {
+	job := root.Command("job", "Batch jobs.")
+	submit := job.Command("submit", "Submit a job. The same key again meets the first submission.")
+	key := submit.Arg("key", "Key of the job.").Required().String()
+	flags := addSizeFlags(submit, "normal")
+	tasks := submit.Flag("tasks", "Number of tasks.").Default("1").Int32()
+	runTime := submit.Flag("run-time", "Declared run time of one task.").Default("10s").Duration()
+	failures := submit.Flag("max-failures", "Failed attempts after which a task is given up.").Default("5").Int32()
+	wait := submit.Flag("wait", "Wait until every task has ended, and show progress.").Bool()
+	actions[submit.FullCommand()] = func(ctx context.Context) error {
+		status, err := call(ctx, c, func(ctx context.Context, h connect.HTTPClient, url string) (*pb.WorkloadStatus, error) {
+			r, err := workloads(h, url).SubmitJob(ctx, connect.NewRequest(&pb.SubmitJobRequest{Job: &pb.Job{
+				Key:         *key,
+				Team:        *flags.team,
+				Kind:        *flags.kind,
+				Urgency:     flags.wireUrgency(),
+				Size:        flags.size(),
+				Tasks:       *tasks,
+				RunMillis:   runTime.Milliseconds(),
+				MaxFailures: *failures,
+			}}))
+			if err != nil {
+				return nil, err
+			}
+			return r.Msg.GetStatus(), nil
+		})
+		if err != nil || !*wait {
+			return c.printed(err, status)
+		}
+		return c.waitFor(ctx, *key)
+	}
+	c.addShared(job, actions, "job")
+}
+
+func (c *ctl) addService(root *kingpin.CmdClause, actions map[string]action) {
+	service := root.Command("service", "Latency-critical services.")
+	create := service.Command("create", "Create a service.")
+	name := create.Arg("name", "Name of the service.").Required().String()
+	flags := addSizeFlags(create, "urgent")
+	instances := create.Flag("instances", "Instances that are kept running.").Default("1").Int32()
+	actions[create.FullCommand()] = func(ctx context.Context) error {
+		status, err := call(ctx, c, func(ctx context.Context, h connect.HTTPClient, url string) (*pb.WorkloadStatus, error) {
+			r, err := workloads(h, url).CreateService(ctx, connect.NewRequest(&pb.CreateServiceRequest{Service: &pb.Service{
+				Name:      *name,
+				Team:      *flags.team,
+				Kind:      *flags.kind,
+				Urgency:   flags.wireUrgency(),
+				Size:      flags.size(),
+				Instances: *instances,
+			}}))
+			if err != nil {
+				return nil, err
+			}
+			return r.Msg.GetStatus(), nil
+		})
+		return c.printed(err, status)
+	}
+	c.addShared(service, actions, "service")
+}
+
+func (c *ctl) addWatcher(root *kingpin.CmdClause, actions map[string]action) {
+	watcher := root.Command("watcher", "Long-running watchers.")
+	create := watcher.Command("create", "Create a watcher.")
+	name := create.Arg("name", "Name of the watcher.").Required().String()
+	flags := addSizeFlags(create, "normal")
+	actions[create.FullCommand()] = func(ctx context.Context) error {
+		status, err := call(ctx, c, func(ctx context.Context, h connect.HTTPClient, url string) (*pb.WorkloadStatus, error) {
+			r, err := workloads(h, url).CreateWatcher(ctx, connect.NewRequest(&pb.CreateWatcherRequest{Watcher: &pb.Watcher{
+				Name:    *name,
+				Team:    *flags.team,
+				Kind:    *flags.kind,
+				Urgency: flags.wireUrgency(),
+				Size:    flags.size(),
+			}}))
+			if err != nil {
+				return nil, err
+			}
+			return r.Msg.GetStatus(), nil
+		})
+		return c.printed(err, status)
+	}
+	c.addShared(watcher, actions, "watcher")
+}
+
+// addShared adds what can be done with every kind of workload.
+func (c *ctl) addShared(parent *kingpin.CmdClause, actions map[string]action, what string) {
+	get := parent.Command("get", "Show one "+what+" with its tasks.")
+	getKey := get.Arg("key", "Key or name.").Required().String()
+	actions[get.FullCommand()] = func(ctx context.Context) error {
+		status, err := c.get(ctx, *getKey)
+		return c.printed(err, status)
+	}
+
+	list := parent.Command("list", "List every "+what+".")
+	team := list.Flag("team", "Only this team's.").String()
+	watch := list.Flag("watch", "Print again until interrupted.").Bool()
+	actions[list.FullCommand()] = func(ctx context.Context) error {
+		return c.repeat(ctx, *watch, func() error { return c.list(ctx, *team, what) })
+	}
+
+	cancel := parent.Command("cancel", "End a "+what+".")
+	cancelKey := cancel.Arg("key", "Key or name.").Required().String()
+	actions[cancel.FullCommand()] = func(ctx context.Context) error {
+		status, err := call(ctx, c, func(ctx context.Context, h connect.HTTPClient, url string) (*pb.WorkloadStatus, error) {
+			r, err := workloads(h, url).CancelWorkload(ctx, connect.NewRequest(&pb.CancelWorkloadRequest{Key: *cancelKey}))
+			if err != nil {
+				return nil, err
+			}
+			return r.Msg.GetStatus(), nil
+		})
+		return c.printed(err, status)
+	}
+}
+
+func (c *ctl) get(ctx context.Context, key string) (*pb.WorkloadStatus, error) {
+	return call(ctx, c, func(ctx context.Context, h connect.HTTPClient, url string) (*pb.WorkloadStatus, error) {
+		r, err := workloads(h, url).GetWorkload(ctx, connect.NewRequest(&pb.GetWorkloadRequest{Key: key}))
+		if err != nil {
+			return nil, err
+		}
+		return r.Msg.GetStatus(), nil
+	})
+}
+
+// repeat runs print once, or each period until ctx ends.
+func (c *ctl) repeat(ctx context.Context, watch bool, print func() error) error {
+	for {
+		if err := print(); err != nil && (!watch || ctx.Err() != nil) {
+			return err
+		}
+		if !watch {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(watchPeriod):
+		}
+	}
+}
+
+// waitFor shows a workload's progress until every task has ended.
+func (c *ctl) waitFor(ctx context.Context, key string) error {
+	for {
+		status, err := c.get(ctx, key)
+		switch {
+		case err != nil && ctx.Err() != nil:
+			return err
+		case err == nil && status.GetDone():
+			return c.printed(nil, status)
+		case err == nil:
+			c.progress(status)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("interrupted while waiting; the job goes on")
+		case <-time.After(watchPeriod):
+		}
+	}
+}
--- /dev/null
+++ b/cmd/acaciaquay/cmds/dev.go
@@ -0,0 +1,97 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqprocess"
+	"acaciaquay/pkg/aqsettings"
+	"acaciaquay/pkg/aqstandin"
+)
+
+// devStore is the address of the stand-in platform of the dev command.
+const devStore = "127.0.0.1:7300"
+
+const devSettings = `[Process]
+Id = dev
+Zone = perth
+[Platform]
+Store = 127.0.0.1:7300
+HostList = 127.0.0.1:7300
+[Shards]
+Count = 2
+Zones = perth
+[Scheduler]
+PeerAddress = 127.0.0.1:7311
+OperatorAddress = 127.0.0.1:7312
+[Gateway]
+CallerAddress = 127.0.0.1:7320
+PeerAddress = 127.0.0.1:7321
+OperatorAddress = 127.0.0.1:7322
+[Log]
+Layers = process
+`
+
+const (
+	devDropAfter  = 10 * time.Second
+	devHeaderWait = 5 * time.Second
+)
+
+// runDev runs the platform's stand-ins, a scheduler and a gateway in this
+// process until ctx ends or the time is over.
+func runDev(ctx context.Context, e *env, runFor time.Duration, workers int) error {
+	s, err := aqsettings.Parse("dev", []byte(devSettings))
+	if err != nil {
+		return err
+	}
+	if runFor > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, runFor)
+		defer cancel()
+	}
+	clock := aqclock.System{}
+	platform := aqstandin.Platform{
+		Store:   aqstandin.NewStore(clock),
+		Listing: aqstandin.NewListing(clock, 0, devDropAfter),
+		Truth:   aqstandin.NewTruth(),
+	}
+	listener, err := net.Listen("tcp", devStore)
+	if err != nil {
+		return errors.Wrap(err, "listen for the stand-in platform")
+	}
+	server := &http.Server{Handler: platform.Handler(), ReadHeaderTimeout: devHeaderWait}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	pool := aqstandin.WorkerPool{
+		Platform: aqstandin.NewRemote(devStore),
+		Address:  "127.0.0.1:7301",
+		Prefix:   "w",
+		Count:    workers,
+		Zones:    []string{"perth"},
+	}
+	go func() { _ = pool.Run(ctx) }()
+	_, _ = fmt.Fprint(e.out, devHelp())
+	failed := make(chan error, 2)
+	go func() { failed <- aqprocess.RunScheduler(ctx, s, e.err) }()
+	go func() { failed <- aqprocess.RunGateway(ctx, s, e.err) }()
+	first := <-failed
+	if first != nil {
+		return first
+	}
+	return <-failed
+}
+
+func devHelp() string {
+	return strings.Join([]string{
+		"callers:   http://127.0.0.1:7320/SERVICE/PATH",
+		"operators: acaciaquay ctl --gateway 127.0.0.1:7322 top",
+		"",
+	}, "\n")
+}
--- /dev/null
+++ b/pkg/aqconfig/config.go
@@ -0,0 +1,166 @@
+// Package aqconfig holds the operators' configuration: one revisioned value in
+// the platform's store, which a process only ever replaces by a higher
+// revision.
+package aqconfig
+
+import (
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"acaciaquay/pkg/aqtype"
+)
+
+// Revision counts accepted changes from one.
+type Revision uint64
+
+// UrgencyShare divides capacity between urgencies.
+type UrgencyShare struct {
+	Urgency aqtype.Urgency
+	Weight  int
+	// FloorPercent of capacity is kept for the urgency in a flood of another.
+	FloorPercent int
+}
+
+// TeamQuota bounds what one team's batch tasks reserve in one shard.
+type TeamQuota struct {
+	Team aqtype.TeamID
+	Size aqtype.Resources
+}
+
+// Configuration is what operators change while the system runs.
+type Configuration struct {
+	Revision Revision
+	// Shares has each urgency once, and the floors sum to at most 100.
+	Shares []UrgencyShare
+	Quotas []TeamQuota
+	// WorkerSharePercent of each worker may be reserved; the rest is the older
+	// scheduler's.
+	WorkerSharePercent int
+	// BatchFloorPercent of the capacity is kept by batch work when services
+	// flood in.
+	BatchFloorPercent int
+	// EvictionsPerMinute bounds evictions in one shard.
+	EvictionsPerMinute int
+}
+
+// Default is the configuration before any change.
+func Default() Configuration {
+	return Configuration{
+		Shares: []UrgencyShare{
+			{
+				Urgency:      aqtype.UrgencyUrgent,
+				Weight:       8,
+				FloorPercent: 40,
+			},
+			{
+				Urgency:      aqtype.UrgencyNormal,
+				Weight:       4,
+				FloorPercent: 20,
+			},
+			{
+				Urgency:      aqtype.UrgencyBackground,
+				Weight:       1,
+				FloorPercent: 10,
+			},
+		},
+		WorkerSharePercent: 100,
+		BatchFloorPercent:  20,
+		EvictionsPerMinute: 30,
+	}
+}
+
+// ErrInvalid means that a configuration cannot be in force.
+var ErrInvalid = errors.New("configuration: invalid")
+
+const (
+	maxWeight   = 1000
+	wholeShare  = 100
+	maxEviction = 10_000
+)
+
+// Validate says what is wrong with a configuration.
+func (c Configuration) Validate() error {
+	if err := c.validateShares(); err != nil {
+		return err
+	}
+	seen := map[aqtype.TeamID]bool{}
+	for _, q := range c.Quotas {
+		if q.Team == "" || seen[q.Team] {
+			return errors.Wrapf(ErrInvalid, "quota of team %q: empty or twice", q.Team)
+		}
+		if q.Size.MilliCPU < 0 || q.Size.Memory < 0 || q.Size.Accelerators < 0 {
+			return errors.Wrapf(ErrInvalid, "quota of team %q is below zero", q.Team)
+		}
+		seen[q.Team] = true
+	}
+	switch {
+	case c.WorkerSharePercent < 0 || c.WorkerSharePercent > wholeShare:
+		return errors.Wrap(ErrInvalid, "worker share must be from 0 to 100 percent")
+	case c.BatchFloorPercent < 0 || c.BatchFloorPercent > wholeShare:
+		return errors.Wrap(ErrInvalid, "batch floor must be from 0 to 100 percent")
+	case c.EvictionsPerMinute < 0 || c.EvictionsPerMinute > maxEviction:
+		return errors.Wrapf(ErrInvalid, "evictions a minute must be from 0 to %d", maxEviction)
+	}
+	return nil
+}
+
+func (c Configuration) validateShares() error {
+	floors := 0
+	seen := map[aqtype.Urgency]bool{}
+	for _, s := range c.Shares {
+		switch {
+		case s.Urgency < aqtype.UrgencyBackground || s.Urgency > aqtype.UrgencyUrgent:
+			return errors.Wrap(ErrInvalid, "a share has no urgency")
+		case seen[s.Urgency]:
+			return errors.Wrapf(ErrInvalid, "two shares for %s", s.Urgency)
+		case s.Weight < 1 || s.Weight > maxWeight:
+			return errors.Wrapf(ErrInvalid, "weight of %s must be from 1 to %d", s.Urgency, maxWeight)
+		case s.FloorPercent < 0 || s.FloorPercent > wholeShare:
+			return errors.Wrapf(ErrInvalid, "floor of %s must be from 0 to 100 percent", s.Urgency)
+		}
+		seen[s.Urgency] = true
+		floors += s.FloorPercent
+	}
+	if len(seen) != len(aqtype.Urgencies) {
+		return errors.Wrap(ErrInvalid, "each urgency needs a share")
+	}
+	if floors > wholeShare {
+		return errors.Wrapf(ErrInvalid, "floors sum to %d percent, which cannot all hold", floors)
+	}
+	return nil
+}
+
+// Share returns the share of an urgency.
+func (c Configuration) Share(u aqtype.Urgency) UrgencyShare {
+	for _, s := range c.Shares {
+		if s.Urgency == u {
+			return s
+		}
+	}
+	return UrgencyShare{Urgency: u, Weight: 1}
+}
+
+// Quota returns a team's quota, or false when it has none.
+func (c Configuration) Quota(team aqtype.TeamID) (aqtype.Resources, bool) {
+	for _, q := range c.Quotas {
+		if q.Team == team {
+			return q.Size, true
+		}
+	}
+	return aqtype.Resources{}, false
+}
+
+// Encode packs a configuration for the store and for peers.
+func (c Configuration) Encode() ([]byte, error) {
+	data, err := msgpack.Marshal(c)
+	return data, errors.Wrap(err, "configuration: encode")
+}
+
+// Decode is the inverse of Encode; it validates what it read.
+func Decode(data []byte) (Configuration, error) {
+	var c Configuration
+	if err := msgpack.Unmarshal(data, &c); err != nil {
+		return c, errors.WithMessage(ErrInvalid, err.Error())
+	}
+	return c, c.Validate()
+}
--- /dev/null
+++ b/pkg/aqconfig/holder.go
@@ -0,0 +1,157 @@
+package aqconfig
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqplatform"
+)
+
+// Key is the configuration's key in the platform's store.
+const Key = "aq/live/config"
+
+// Holder keeps the configuration that is in force in this process.
+type Holder struct {
+	log *aqlog.Logger
+	mu  sync.RWMutex
+	// current's revision never falls.
+	current   Configuration
+	listeners []func(Configuration)
+}
+
+// NewHolder returns a holder with the default configuration in force.
+func NewHolder(log *aqlog.Logger) *Holder {
+	return &Holder{log: log, current: Default()}
+}
+
+// OnChange registers a function that is called with each new configuration.
+func (h *Holder) OnChange(listener func(Configuration)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.listeners = append(h.listeners, listener)
+}
+
+// Current returns the configuration in force.
+func (h *Holder) Current() Configuration {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.current
+}
+
+// Offer puts a configuration in force when its revision is higher than the
+// current one, and reports whether it did.
+func (h *Holder) Offer(c Configuration) bool {
+	h.mu.Lock()
+	if c.Revision <= h.current.Revision {
+		h.mu.Unlock()
+		return false
+	}
+	h.current = c
+	listeners := h.listeners
+	h.mu.Unlock()
+	h.log.Write(aqlog.ConfigInForce, slog.Uint64("Revision", uint64(c.Revision)))
+	for _, listener := range listeners {
+		listener(c)
+	}
+	return true
+}
+
+// OfferEncoded is Offer for a packed configuration.
+func (h *Holder) OfferEncoded(data []byte) bool {
+	c, err := Decode(data)
+	if err != nil {
+		h.log.Write(aqlog.ConfigRefused, aqlog.Err(err))
+		return false
+	}
+	return h.Offer(c)
+}
+
+// The outcomes of a change besides success.
+var (
+	// ErrRace means that another change was accepted first.
+	ErrRace = errors.New("configuration: changed since it was read")
+	// ErrNotAccepted means that the store refused the write.
+	ErrNotAccepted = errors.New("configuration: not accepted, the store refused the write")
+	// ErrInDoubt means that no answer came to the write: it may be accepted.
+	ErrInDoubt = errors.New("configuration: outcome unknown, read it again")
+)
+
+// Changer changes the configuration in the store.
+type Changer struct {
+	Store  aqplatform.Store
+	Holder *Holder
+}
+
+// Change accepts c as the successor of the revision that it carries. It returns
+// the accepted configuration, or with ErrRace the one that was accepted
+// instead.
+func (c Changer) Change(ctx context.Context, wanted Configuration) (Configuration, error) {
+	if err := wanted.Validate(); err != nil {
+		return Configuration{}, err
+	}
+	read := wanted.Revision
+	current, stored, err := c.read(ctx)
+	if err != nil {
+		return Configuration{}, err
+	}
+	if current.Revision != read {
+		return current, ErrRace
+	}
+	wanted.Revision = read + 1
+	data, err := wanted.Encode()
+	if err != nil {
+		return Configuration{}, err
+	}
+	_, err = c.Store.Put(ctx, Key, data, stored, 0)
+	return c.settle(ctx, wanted, data, err)
+}
+
+// settle tells a lost answer from a lost change by reading the value again.
+func (c Changer) settle(ctx context.Context, wanted Configuration, data []byte, err error) (Configuration, error) {
+	switch {
+	case err == nil:
+		c.Holder.Offer(wanted)
+		return wanted, nil
+	case errors.Is(err, aqplatform.ErrRefused):
+		return Configuration{}, ErrNotAccepted
+	}
+	entry, readErr := c.Store.Get(ctx, Key)
+	if readErr != nil {
+		return Configuration{}, ErrInDoubt
+	}
+	if string(entry.Value) == string(data) {
+		c.Holder.Offer(wanted)
+		return wanted, nil
+	}
+	stored, decodeErr := Decode(entry.Value)
+	if decodeErr != nil {
+		return Configuration{}, decodeErr
+	}
+	c.Holder.Offer(stored)
+	if errors.Is(err, aqplatform.ErrConflict) || stored.Revision == wanted.Revision {
+		return stored, ErrRace
+	}
+	return stored, ErrInDoubt
+}
+
+// read returns the stored configuration, which is the default one before any
+// change, with its revision in the store.
+func (c Changer) read(ctx context.Context) (Configuration, aqplatform.Revision, error) {
+	entry, err := c.Store.Get(ctx, Key)
+	switch {
+	case errors.Is(err, aqplatform.ErrNotFound):
+		return Default(), 0, nil
+	case err != nil:
+		return Configuration{}, 0, ErrNotAccepted
+	}
+	current, err := Decode(entry.Value)
+	if err != nil {
+		return Configuration{}, 0, err
+	}
+	c.Holder.Offer(current)
+	return current, entry.Revision, nil
+}
--- /dev/null
+++ b/pkg/aqgateway/admit.go
@@ -0,0 +1,199 @@
+package aqgateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqadmit"
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqconfig"
+	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqroute"
+	"acaciaquay/pkg/aqtype"
+)
+
+// The refusals of admission. The request did not run.
+var (
+	errNoEndpoint = errors.New("gateway: the service has no endpoint")
+	errQueueFull  = errors.New("gateway: too many requests wait")
+	errDeadline   = errors.New("gateway: the deadline cannot be met")
+)
+
+// serviceState is a service as this gateway sees it: its endpoints and the
+// requests that wait for a slot.
+type serviceState struct {
+	clock    aqclock.Clock
+	maxQueue int
+
+	mu    sync.Mutex
+	table *aqroute.Table
+	line  *aqadmit.Line
+	// workTime is the smoothed time that a request holds a slot.
+	workTime time.Duration
+}
+
+// grant is what a waiting request receives: an endpoint or a refusal.
+type grant struct {
+	endpoint *aqroute.Endpoint
+	err      error
+}
+
+func newServiceState(
+	clock aqclock.Clock, config aqconfig.Configuration, random *rand.Rand, zone aqtype.Zone, maxQueue int,
+) *serviceState {
+	return &serviceState{
+		clock:    clock,
+		maxQueue: maxQueue,
+		table:    aqroute.NewTable(random, zone),
+		line:     aqadmit.NewLine(config),
+	}
+}
+
+// update takes a reading of the platform's list.
+func (s *serviceState) update(hosts []aqplatform.EndpointHost) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Update(hosts)
+	s.hand()
+}
+
+func (s *serviceState) setShares(config aqconfig.Configuration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.line.SetShares(config)
+}
+
+// acquire takes a slot at an endpoint, waiting for its turn until the deadline.
+func (s *serviceState) acquire(ctx context.Context, r request, except *aqroute.Endpoint) (*aqroute.Endpoint, error) {
+	s.mu.Lock()
+	if s.line.Len() == 0 {
+		if e := s.table.Pick(s.clock.Now(), except); e != nil {
+			s.mu.Unlock()
+			return e, nil
+		}
+	}
+	ticket, err := s.enter(r)
+	s.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	granted := ticket.Value.(chan grant)
+	select {
+	case g := <-granted:
+		return g.endpoint, g.err
+	case <-s.clock.After(r.deadline.Sub(s.clock.Now())):
+		return s.withdraw(ticket, errDeadline)
+	case <-ctx.Done():
+		return s.withdraw(ticket, ctx.Err())
+	}
+}
+
+// enter queues a request unless it would wait in vain. The lock is held.
+func (s *serviceState) enter(r request) (*aqadmit.Ticket, error) {
+	switch {
+	case s.table.Len() == 0:
+		return nil, errNoEndpoint
+	case s.line.Len() >= s.maxQueue:
+		return nil, errQueueFull
+	case s.clock.Now().Add(s.expectedWait(r.urgency)).After(r.deadline):
+		return nil, errDeadline
+	}
+	ticket := &aqadmit.Ticket{
+		Urgency:  r.urgency,
+		Caller:   r.caller,
+		Deadline: r.deadline,
+		Value:    make(chan grant, 1),
+	}
+	s.line.Push(ticket)
+	return ticket, nil
+}
+
+// expectedWait is how long a new request of an urgency would wait: those of its
+// urgency before it, served at its share of the slots.
+func (s *serviceState) expectedWait(u aqtype.Urgency) time.Duration {
+	slots := s.table.Slots()
+	if slots == 0 {
+		return 0
+	}
+	before := float64(s.line.Waiting(u) + 1)
+	perGrant := float64(s.workTime) / float64(slots)
+	return time.Duration(before * perGrant / s.line.Share(u))
+}
+
+// withdraw takes a request out of the line, or gives back what it was granted
+// in the meantime.
+func (s *serviceState) withdraw(ticket *aqadmit.Ticket, err error) (*aqroute.Endpoint, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.line.Remove(ticket) {
+		return nil, err
+	}
+	if g := <-ticket.Value.(chan grant); g.endpoint != nil {
+		g.endpoint.Abandoned()
+		s.hand()
+	}
+	return nil, err
+}
+
+// hand gives free slots to those whose turn it is. The lock is held.
+func (s *serviceState) hand() {
+	now := s.clock.Now()
+	for s.line.Len() > 0 {
+		e := s.table.Pick(now, nil)
+		if e == nil {
+			return
+		}
+		ticket := s.line.Pop(now, expire)
+		if ticket == nil {
+			e.Abandoned()
+			return
+		}
+		ticket.Value.(chan grant) <- grant{endpoint: e}
+	}
+}
+
+func expire(t *aqadmit.Ticket) { t.Value.(chan grant) <- grant{err: errDeadline} }
+
+// workTimeRate is the part of an error that one request corrects.
+const workTimeRate = 0.05
+
+// succeeded gives a slot back after an answer that took this long.
+func (s *serviceState) succeeded(e *aqroute.Endpoint, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.workTime == 0 {
+		s.workTime = took
+	}
+	s.workTime += time.Duration(workTimeRate * float64(took-s.workTime))
+	e.Succeeded()
+	s.hand()
+}
+
+// failed gives a slot back after a failure and reports whether it was the first
+// in a row.
+func (s *serviceState) failed(e *aqroute.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := e.Failed(s.clock.Now())
+	s.hand()
+	return first
+}
+
+// abandoned gives a slot back that was not used, or whose caller went away.
+func (s *serviceState) abandoned(e *aqroute.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.Abandoned()
+	s.hand()
+}
+
+// sawAnswer notes whether an answer announced the end of its connection.
+func (s *serviceState) sawAnswer(e *aqroute.Endpoint, closing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.SawAnswer(closing)
+}
--- /dev/null
+++ b/pkg/aqgateway/answer.go
@@ -0,0 +1,85 @@
+package aqgateway
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// copyBytes is the buffer that a body is copied through.
+const copyBytes = 32 << 10
+
+// answer passes an endpoint's answer on. A caller that reads too slowly is given
+// up after the same time as an endpoint that sends nothing. An error means that the caller has seen
+// a cut answer: its connection is closed before the announced end.
+func answer(w http.ResponseWriter, r *reply) error {
+	defer r.close()
+	response, guard := r.response, r.guard
+	header := w.Header()
+	dropHopHeaders(response.Header)
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	controller := http.NewResponseController(w)
+	w.WriteHeader(response.StatusCode)
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			_ = controller.SetWriteDeadline(guard.deadline())
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return errors.WithMessage(errCallerGone, writeErr.Error())
+			}
+			guard.feed()
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.WithMessage(errLost, err.Error())
+		}
+	}
+}
+
+// errCallerGone means that the caller's connection ended first.
+var errCallerGone = errors.New("gateway: the caller went away")
+
+// Outcome values of HeaderOutcome.
+const (
+	OutcomeRefused = "refused-not-run"
+	OutcomeUnknown = "unknown"
+)
+
+// refuse answers that the request did not run.
+func refuse(w http.ResponseWriter, status int, reason string, retry time.Duration, detail string) {
+	if retry > 0 {
+		seconds := int64((retry + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	writeOutcome(w, status, OutcomeRefused, reason, detail)
+}
+
+// unknown answers that nobody can say whether the request ran.
+func unknown(w http.ResponseWriter, detail string) {
+	writeOutcome(w, http.StatusGatewayTimeout, OutcomeUnknown, "NoAnswer", detail)
+}
+
+func writeOutcome(w http.ResponseWriter, status int, outcome, reason, detail string) {
+	w.Header().Set(HeaderOutcome, outcome)
+	w.Header().Set(HeaderReason, reason)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(struct {
+		Outcome string
+		Reason  string
+		Detail  string
+	}{
+		Outcome: outcome,
+		Reason:  reason,
+		Detail:  detail,
+	})
+}
--- /dev/null
+++ b/pkg/aqgateway/forward.go
@@ -0,0 +1,189 @@
+package aqgateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqroute"
+)
+
+// The outcomes of one try besides an answer.
+var (
+	// errNotSent means that no byte left for the endpoint.
+	errNotSent = errors.New("gateway: no connection to the endpoint")
+	// errLost means that the request may have reached the endpoint.
+	errLost = errors.New("gateway: connection lost after the request was sent")
+)
+
+// hopHeaders are meant for one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// forwarder sends requests to endpoints, each at most once a call.
+type forwarder struct {
+	transport *http.Transport
+	clock     aqclock.Clock
+	// progress bounds the time without a byte from the endpoint.
+	progress time.Duration
+}
+
+// Bounds of the connections to endpoints.
+const (
+	idlePerEndpoint = 8
+	idleConnTimeout = 4 * time.Second
+	maxHeaderBytes  = 64 << 10
+)
+
+func newForwarder(clock aqclock.Clock, dial, progress time.Duration) *forwarder {
+	return &forwarder{
+		transport: &http.Transport{
+			DialContext:            (&net.Dialer{Timeout: dial}).DialContext,
+			MaxIdleConnsPerHost:    idlePerEndpoint,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		},
+		clock:    clock,
+		progress: progress,
+	}
+}
+
+// onceBody hides from the transport that a body could be read again. With it the
+// transport repeats nothing by itself, not even a request without a body.
+type onceBody struct {
+	io.Reader
+}
+
+// Close implements io.Closer; the server closes the caller's body.
+func (onceBody) Close() error { return nil }
+
+// reply is an endpoint's answer whose body is still to be read.
+type reply struct {
+	response *http.Response
+	guard    *watchdog
+}
+
+// close ends the try, read to its end or not.
+func (r *reply) close() {
+	r.guard.stop()
+	_ = r.response.Body.Close()
+}
+
+// try sends a request once. With errNotSent no byte has left.
+func (f *forwarder) try(
+	ctx context.Context, r *http.Request, identified request, e *aqroute.Endpoint,
+) (*reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	guard := newWatchdog(f.clock, f.progress, cancel)
+	response, err := f.transport.RoundTrip(outgoing(ctx, r, identified, e))
+	if err == nil {
+		guard.feed()
+		return &reply{response: response, guard: guard}, nil
+	}
+	guard.stop()
+	if !connected.Load() {
+		return nil, errors.WithMessage(errNotSent, err.Error())
+	}
+	return nil, errors.WithMessage(errLost, err.Error())
+}
+
+func outgoing(ctx context.Context, r *http.Request, identified request, e *aqroute.Endpoint) *http.Request {
+	out := r.Clone(ctx)
+	out.URL = &url.URL{
+		Scheme:   "http",
+		Host:     e.Address,
+		RawQuery: r.URL.RawQuery,
+	}
+	out.URL.Path, out.URL.RawPath = identified.path, ""
+	if path, err := url.PathUnescape(identified.path); err == nil {
+		out.URL.Path, out.URL.RawPath = path, identified.path
+	}
+	out.Host = r.Host
+	out.RequestURI = ""
+	out.Close = false
+	out.GetBody = nil
+	out.Body = onceBody{Reader: r.Body}
+	dropHopHeaders(out.Header)
+	return out
+}
+
+func dropHopHeaders(h http.Header) {
+	for _, name := range h.Values("Connection") {
+		h.Del(name)
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// watchdog cancels a try when nothing has come from the endpoint for too long,
+// which closes a connection that has gone silent.
+type watchdog struct {
+	mu     sync.Mutex
+	clock  aqclock.Clock
+	limit  time.Duration
+	last   time.Time
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func newWatchdog(clock aqclock.Clock, limit time.Duration, cancel context.CancelFunc) *watchdog {
+	w := &watchdog{
+		clock:  clock,
+		limit:  limit,
+		last:   clock.Now(),
+		cancel: cancel,
+		done:   make(chan struct{}),
+	}
+	go w.run()
+	return w
+}
+
+func (w *watchdog) run() {
+	for {
+		w.mu.Lock()
+		left := w.limit - w.clock.Now().Sub(w.last)
+		w.mu.Unlock()
+		if left <= 0 {
+			w.cancel()
+			return
+		}
+		select {
+		case <-w.done:
+			return
+		case <-w.clock.After(left):
+		}
+	}
+}
+
+// feed notes that a byte has come.
+func (w *watchdog) feed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = w.clock.Now()
+}
+
+// deadline is when the next step of the answer must be done.
+func (w *watchdog) deadline() time.Time { return w.clock.Now().Add(w.limit) }
+
+// stop ends the try's context and the watch.
+func (w *watchdog) stop() {
+	close(w.done)
+	w.cancel()
+}
--- /dev/null
+++ b/pkg/aqgateway/gateway.go
@@ -0,0 +1,260 @@
+package aqgateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqconfig"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqretry"
+	"acaciaquay/pkg/aqroute"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Options configure a gateway.
+type Options struct {
+	Clock    aqclock.Clock
+	Config   *aqconfig.Holder
+	HostList aqplatform.HostList
+	Zone     aqtype.Zone
+	Random   *rand.Rand
+	Log      *aqlog.Logger
+	Metrics  *aqmetric.Set
+	// Timeout bounds every request; callers can only ask for less.
+	Timeout time.Duration
+	// Dial bounds a connection's opening, Progress the time without a byte.
+	Dial     time.Duration
+	Progress time.Duration
+	// MaxQueue bounds the requests that wait for one service.
+	MaxQueue int
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+	// HostPoll is the time between two readings of the host list.
+	HostPoll time.Duration
+	// RetryEarn is the part of a retry that each success earns.
+	RetryEarn float64
+	// RetryBurst is how many retries can be saved up.
+	RetryBurst int
+}
+
+// Gateway serves callers. It implements http.Handler.
+type Gateway struct {
+	options   Options
+	forwarder *forwarder
+	budget    *aqretry.Budget
+
+	mu       sync.Mutex
+	services map[string]*serviceState
+	ready    bool
+}
+
+// New returns a gateway that knows no endpoint yet.
+func New(o Options) *Gateway {
+	g := &Gateway{
+		options:   o,
+		forwarder: newForwarder(o.Clock, o.Dial, o.Progress),
+		budget:    aqretry.NewBudget(o.RetryEarn, o.RetryBurst),
+		services:  map[string]*serviceState{},
+	}
+	o.Config.OnChange(g.setShares)
+	return g
+}
+
+// Run reads the host list until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if hosts, err := g.options.HostList.Hosts(ctx); err == nil {
+			g.SetEndpoints(hosts.Endpoints)
+		}
+		select {
+		case <-ctx.Done():
+		case <-g.options.Clock.After(g.options.HostPoll):
+		}
+	}
+}
+
+// Ready reports whether the host list has been read.
+func (g *Gateway) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ready
+}
+
+// SetEndpoints takes a reading of the platform's list.
+func (g *Gateway) SetEndpoints(hosts []aqplatform.EndpointHost) {
+	byService := map[string][]aqplatform.EndpointHost{}
+	for _, h := range hosts {
+		byService[h.Service] = append(byService[h.Service], h)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ready = true
+	for name := range byService {
+		if g.services[name] == nil {
+			random := rand.New(rand.NewPCG(g.options.Random.Uint64(), g.options.Random.Uint64()))
+			g.services[name] = newServiceState(
+				g.options.Clock, g.options.Config.Current(), random, g.options.Zone, g.options.MaxQueue)
+		}
+	}
+	for name, s := range g.services {
+		s.update(byService[name])
+	}
+}
+
+func (g *Gateway) setShares(c aqconfig.Configuration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.services {
+		s.setShares(c)
+	}
+}
+
+func (g *Gateway) service(name string) *serviceState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.services[name]
+}
+
+// retryAfter is what refused callers are asked to wait.
+const retryAfter = time.Second
+
+// ServeHTTP takes one request through the filters.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	identified, err := identify(r, g.options.Clock.Now(), g.options.Timeout)
+	if err != nil {
+		g.refuse(w, http.StatusBadRequest, aqmetric.RefusedBadRequest, 0, err)
+		return
+	}
+	if r.ContentLength > g.options.MaxBodyBytes {
+		g.refuse(w, http.StatusRequestEntityTooLarge, aqmetric.RefusedTooLarge, 0, errTooLarge)
+		return
+	}
+	service := g.service(identified.service)
+	if service == nil {
+		g.refuse(w, http.StatusNotFound, aqmetric.RefusedNoService, 0, errNoService)
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, g.options.MaxBodyBytes)
+	g.carry(w, r, identified, service)
+}
+
+var (
+	errTooLarge  = errors.New("gateway: the body is too large")
+	errNoService = errors.New("gateway: no such service")
+)
+
+// carry tries endpoints until one answers, the request is refused, or its
+// outcome is unknown.
+func (g *Gateway) carry(w http.ResponseWriter, r *http.Request, identified request, service *serviceState) {
+	ctx, cancel := context.WithTimeout(r.Context(), identified.deadline.Sub(g.options.Clock.Now()))
+	defer cancel()
+	var failed *aqroute.Endpoint
+	for {
+		endpoint, err := service.acquire(ctx, identified, failed)
+		if err != nil {
+			g.refuseAdmission(w, err)
+			return
+		}
+		began := g.options.Clock.Now()
+		got, err := g.forwarder.try(ctx, r, identified, endpoint)
+		if err == nil {
+			g.finish(w, got, service, endpoint, began)
+			return
+		}
+		g.noteFailure(r, service, endpoint, err)
+		if !g.mayRepeat(ctx, r, identified, err) {
+			g.giveUp(w, identified, err)
+			return
+		}
+		failed = endpoint
+	}
+}
+
+func (g *Gateway) finish(
+	w http.ResponseWriter, got *reply, service *serviceState, endpoint *aqroute.Endpoint, began time.Time,
+) {
+	service.sawAnswer(endpoint, got.response.Close)
+	err := answer(w, got)
+	switch {
+	case err == nil:
+		service.succeeded(endpoint, g.options.Clock.Now().Sub(began))
+		g.budget.Earn()
+		g.options.Metrics.Inc(aqmetric.RequestsAnswered)
+		return
+	case errors.Is(err, errCallerGone):
+		service.abandoned(endpoint)
+	default:
+		service.failed(endpoint)
+	}
+	g.options.Metrics.Inc(aqmetric.RequestsUnknown)
+	panic(http.ErrAbortHandler)
+}
+
+func (g *Gateway) noteFailure(r *http.Request, service *serviceState, endpoint *aqroute.Endpoint, err error) {
+	if r.Context().Err() != nil {
+		service.abandoned(endpoint)
+		return
+	}
+	if service.failed(endpoint) {
+		g.options.Log.Write(aqlog.EndpointSuspect, slog.String("Endpoint", endpoint.ID), aqlog.Err(err))
+	}
+}
+
+// mayRepeat reports whether a failed try may be followed by another: it left no
+// trace or the request is idempotent, its body was not read, there is time, and
+// the budget allows it.
+func (g *Gateway) mayRepeat(ctx context.Context, r *http.Request, identified request, err error) bool {
+	notSent := errors.Is(err, errNotSent)
+	bodyless := r.ContentLength == 0
+	repeatable := notSent || (identified.idempotent && bodyless)
+	if ctx.Err() != nil || !repeatable {
+		return false
+	}
+	if !g.budget.Spend() {
+		g.options.Metrics.Retried(aqmetric.RetryBudgetSpent)
+		return false
+	}
+	if notSent {
+		g.options.Metrics.Retried(aqmetric.RetryConnect)
+	} else {
+		g.options.Metrics.Retried(aqmetric.RetryConnectionLost)
+	}
+	return true
+}
+
+func (g *Gateway) giveUp(w http.ResponseWriter, identified request, err error) {
+	if errors.Is(err, errNotSent) {
+		g.refuse(w, http.StatusServiceUnavailable, aqmetric.RefusedConnect, retryAfter, err)
+		return
+	}
+	g.options.Metrics.Inc(aqmetric.RequestsUnknown)
+	g.options.Log.Write(aqlog.RequestUnknown, slog.String("Service", identified.service), aqlog.Err(err))
+	unknown(w, err.Error())
+}
+
+func (g *Gateway) refuseAdmission(w http.ResponseWriter, err error) {
+	reason := aqmetric.RefusedDeadline
+	switch {
+	case errors.Is(err, errNoEndpoint):
+		reason = aqmetric.RefusedNoEndpoint
+	case errors.Is(err, errQueueFull):
+		reason = aqmetric.RefusedQueueFull
+	}
+	g.refuse(w, http.StatusServiceUnavailable, reason, retryAfter, err)
+}
+
+func (g *Gateway) refuse(
+	w http.ResponseWriter, status int, reason aqmetric.RefusalReason, retry time.Duration, err error,
+) {
+	g.options.Metrics.Refused(reason)
+	refuse(w, status, string(reason), retry, err.Error())
+}
--- /dev/null
+++ b/pkg/aqgateway/request.go
@@ -0,0 +1,94 @@
+// Package aqgateway carries callers' requests to endpoints. A request passes
+// through filters, one file each: identify, admit, forward, answer.
+package aqgateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqtype"
+)
+
+// The headers that callers may set.
+const (
+	// HeaderUrgency is urgent, normal or background; normal when absent.
+	HeaderUrgency = "Aq-Urgency"
+	// HeaderCaller names the caller for fairness; the remote host when absent.
+	HeaderCaller = "Aq-Caller"
+	// HeaderTimeout is how many milliseconds the answer is of use for.
+	HeaderTimeout = "Aq-Timeout-Millis"
+	// HeaderIdempotent set to true lets a request be repeated whatever its
+	// method.
+	HeaderIdempotent = "Aq-Idempotent"
+	// HeaderOutcome tells what became of a request that was not answered.
+	HeaderOutcome = "Aq-Outcome"
+	// HeaderReason is the machine-readable reason of a refusal.
+	HeaderReason = "Aq-Reason"
+)
+
+// request is an identified request.
+type request struct {
+	service    string
+	path       string
+	caller     string
+	urgency    aqtype.Urgency
+	deadline   time.Time
+	idempotent bool
+}
+
+// errBadRequest means that the caller's headers or path cannot be understood.
+var errBadRequest = errors.New("gateway: bad request")
+
+// identify reads the service from the path's first part and the rest from the
+// headers.
+func identify(r *http.Request, now time.Time, timeout time.Duration) (request, error) {
+	service, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	if service == "" {
+		return request{}, errors.Wrap(errBadRequest, "the path names no service")
+	}
+	identified := request{
+		service:    service,
+		path:       "/" + rest,
+		caller:     callerOf(r),
+		urgency:    aqtype.UrgencyNormal,
+		idempotent: isIdempotent(r),
+	}
+	if name := r.Header.Get(HeaderUrgency); name != "" {
+		urgency, err := aqtype.ParseUrgency(name)
+		if err != nil {
+			return request{}, errors.Wrap(errBadRequest, err.Error())
+		}
+		identified.urgency = urgency
+	}
+	if text := r.Header.Get(HeaderTimeout); text != "" {
+		millis, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || millis <= 0 {
+			return request{}, errors.Wrapf(errBadRequest, "%s: want milliseconds above zero", HeaderTimeout)
+		}
+		timeout = min(timeout, time.Duration(millis)*time.Millisecond)
+	}
+	identified.deadline = now.Add(timeout)
+	return identified, nil
+}
+
+func callerOf(r *http.Request) string {
+	if caller := r.Header.Get(HeaderCaller); caller != "" {
+		return caller
+	}
+	host, _, _ := strings.Cut(r.RemoteAddr, ":")
+	return host
+}
+
+// isIdempotent reports whether a request may be sent again. Methods that only
+// read may; any other only when the caller says so.
+func isIdempotent(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return r.Header.Get(HeaderIdempotent) == "true"
+}
--- /dev/null
+++ b/pkg/aqmember/lease.go
@@ -0,0 +1,180 @@
+package aqmember
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"acaciaquay/pkg/aqconfig"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqplatform"
+)
+
+// Keys that every process watches: the members and the configuration, with one
+// waiting watch.
+const (
+	livePrefix   = "aq/live/"
+	memberPrefix = "aq/live/member/"
+)
+
+// Registrar keeps this process's lease and its directory in step with the
+// store.
+type Registrar struct {
+	Directory *Directory
+	Store     aqplatform.Store
+	Config    *aqconfig.Holder
+	Log       *aqlog.Logger
+
+	mu       sync.Mutex
+	lease    aqplatform.LeaseID
+	failing  bool
+	seen     aqplatform.Revision
+	resigned bool
+}
+
+// renewalsPerTTL is how many renewals are due within one time to live.
+const renewalsPerTTL = 3
+
+// Run registers and watches until ctx ends.
+func (r *Registrar) Run(ctx context.Context) {
+	var watching sync.WaitGroup
+	watching.Add(1)
+	go func() {
+		defer watching.Done()
+		r.runWatch(ctx)
+	}()
+	for ctx.Err() == nil {
+		r.note(r.Keep(ctx))
+		r.sleep(ctx, r.Directory.limits.TTL/renewalsPerTTL)
+	}
+	watching.Wait()
+}
+
+// Keep renews the lease, or registers when there is none.
+func (r *Registrar) Keep(ctx context.Context) error {
+	r.mu.Lock()
+	lease, resigned := r.lease, r.resigned
+	r.mu.Unlock()
+	if resigned {
+		return nil
+	}
+	if lease == 0 {
+		return r.register(ctx)
+	}
+	err := r.Store.Renew(ctx, lease)
+	if errors.Is(err, aqplatform.ErrNotFound) {
+		r.Log.Write(aqlog.LeaseLost)
+		r.setLease(0)
+		return r.register(ctx)
+	}
+	return err
+}
+
+func (r *Registrar) register(ctx context.Context) error {
+	lease, err := r.Store.Grant(ctx, r.Directory.limits.TTL)
+	if err != nil {
+		return err
+	}
+	value, err := msgpack.Marshal(r.Directory.self)
+	if err != nil {
+		return errors.Wrap(err, "member: encode")
+	}
+	key := memberPrefix + string(r.Directory.self.ID)
+	if _, err := r.Store.Put(ctx, key, value, aqplatform.AnyRevision, lease); err != nil {
+		return err
+	}
+	r.setLease(lease)
+	return nil
+}
+
+func (r *Registrar) setLease(lease aqplatform.LeaseID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease = lease
+}
+
+// Resign ends the lease, so that others take over at once.
+func (r *Registrar) Resign(ctx context.Context) error {
+	r.mu.Lock()
+	lease := r.lease
+	r.resigned = true
+	r.lease = 0
+	r.mu.Unlock()
+	if lease == 0 {
+		return nil
+	}
+	return r.Store.Revoke(ctx, lease)
+}
+
+// note logs the first failure and the first success after failures.
+func (r *Registrar) note(err error) {
+	if err == nil {
+		r.Directory.storeAnswered()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err != nil && !r.failing:
+		r.failing = true
+		r.Log.Write(aqlog.StoreUnavailable, aqlog.Err(err))
+	case err == nil && r.failing:
+		r.failing = false
+		r.Log.Write(aqlog.StoreBack)
+	}
+}
+
+func (r *Registrar) runWatch(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := r.Refresh(ctx); err != nil {
+			r.sleep(ctx, r.Directory.limits.Heartbeat)
+			continue
+		}
+		revision, err := r.Store.Watch(ctx, livePrefix, r.seen, r.Directory.limits.Watch)
+		if err != nil {
+			r.sleep(ctx, r.Directory.limits.Heartbeat)
+			continue
+		}
+		r.seen = revision
+	}
+}
+
+// Refresh reads members and configuration from the store.
+func (r *Registrar) Refresh(ctx context.Context) error {
+	entries, err := r.Store.List(ctx, livePrefix)
+	if err != nil {
+		return err
+	}
+	r.Directory.storeAnswered()
+	var members []Member
+	for _, e := range entries {
+		switch {
+		case e.Key == aqconfig.Key:
+			r.Config.OfferEncoded(e.Value)
+		case strings.HasPrefix(e.Key, memberPrefix):
+			var m Member
+			if err := msgpack.Unmarshal(e.Value, &m); err == nil {
+				members = append(members, m)
+			}
+		}
+	}
+	joined, left := r.Directory.setLeased(members)
+	for _, m := range joined {
+		r.Log.Write(aqlog.MemberJoined, slog.String("Member", string(m.ID)), slog.String("Role", string(m.Role)))
+	}
+	for _, m := range left {
+		r.Log.Write(aqlog.MemberLeft, slog.String("Member", string(m.ID)), slog.String("Role", string(m.Role)))
+	}
+	return nil
+}
+
+func (r *Registrar) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-r.Directory.clock.After(d):
+	}
+}
--- /dev/null
+++ b/pkg/aqmetric/metric.go
@@ -0,0 +1,150 @@
+// Package aqmetric holds the counters and gauges that a process shows. Every
+// refusal and every retry has a reason, and every reason its own counter.
+package aqmetric
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// RefusalReason says why work was turned away without being run.
+type RefusalReason string
+
+// The refusal reasons.
+const (
+	RefusedBadRequest     RefusalReason = "BadRequest"
+	RefusedNoService      RefusalReason = "NoService"
+	RefusedNoEndpoint     RefusalReason = "NoEndpoint"
+	RefusedQueueFull      RefusalReason = "QueueFull"
+	RefusedDeadline       RefusalReason = "DeadlineUnreachable"
+	RefusedConnect        RefusalReason = "ConnectFailed"
+	RefusedStopping       RefusalReason = "Stopping"
+	RefusedTooLarge       RefusalReason = "TooLarge"
+	RefusedNotOwner       RefusalReason = "NotOwner"
+	RefusedNoOwner        RefusalReason = "NoOwner"
+	RefusedKeyConflict    RefusalReason = "KeyConflict"
+	RefusedShardFull      RefusalReason = "ShardFull"
+	RefusedQuota          RefusalReason = "QuotaExceeded"
+	RefusedStoreDown      RefusalReason = "StoreDown"
+	RefusedConfigRace     RefusalReason = "ConfigurationChanged"
+	RefusedConfigInvalid  RefusalReason = "ConfigurationInvalid"
+	RefusedFrameTooLarge  RefusalReason = "FrameTooLarge"
+	RefusedFrameMalformed RefusalReason = "FrameMalformed"
+)
+
+// RefusalReasons lists every refusal reason.
+var RefusalReasons = []RefusalReason{
+	RefusedBadRequest, RefusedNoService, RefusedNoEndpoint, RefusedQueueFull, RefusedDeadline, RefusedConnect,
+	RefusedStopping, RefusedTooLarge, RefusedNotOwner, RefusedNoOwner, RefusedKeyConflict, RefusedShardFull,
+	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedFrameTooLarge,
+	RefusedFrameMalformed,
+}
+
+// RetryReason says why something was tried again.
+type RetryReason string
+
+// The retry reasons.
+const (
+	RetryConnect        RetryReason = "ConnectFailed"
+	RetryConnectionLost RetryReason = "ConnectionLost"
+	RetryEndpointBusy   RetryReason = "EndpointBusy"
+	RetryNotOwner       RetryReason = "NotOwner"
+	RetryPeerLost       RetryReason = "PeerLost"
+	RetryInDoubt        RetryReason = "SegmentInDoubt"
+	RetryStoreDown      RetryReason = "StoreDown"
+	RetryStartRefused   RetryReason = "StartRefused"
+	RetryTaskFailed     RetryReason = "TaskFailed"
+	RetryWorkerLost     RetryReason = "WorkerLost"
+	RetryBudgetSpent    RetryReason = "BudgetSpent"
+)
+
+// RetryReasons lists every retry reason. BudgetSpent counts the retries that
+// were not made because the budget had run out.
+var RetryReasons = []RetryReason{
+	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
+	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
+}
+
+// Count names an ordinary counter.
+type Count string
+
+// The ordinary counters.
+const (
+	RequestsAnswered  Count = "aq_requests_answered_total"
+	RequestsUnknown   Count = "aq_requests_unknown_total"
+	SegmentsCommitted Count = "aq_segments_committed_total"
+	RecordsCommitted  Count = "aq_records_committed_total"
+	TasksStarted      Count = "aq_tasks_started_total"
+	TasksFinished     Count = "aq_tasks_finished_total"
+	TasksEvicted      Count = "aq_tasks_evicted_total"
+	ShardsTaken       Count = "aq_shards_taken_total"
+	ShardsLost        Count = "aq_shards_lost_total"
+	SessionRenewals   Count = "aq_session_renewals_total"
+	PeerCalls         Count = "aq_peer_calls_total"
+)
+
+// Counts lists every ordinary counter.
+var Counts = []Count{
+	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
+	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
+}
+
+// Set holds the metrics of one process.
+type Set struct {
+	set *metrics.Set
+}
+
+// New returns a set in which every known counter exists and is zero, so that a
+// reason that never occurred is seen as zero and not as missing.
+func New() *Set {
+	s := &Set{set: metrics.NewSet()}
+	for _, r := range RefusalReasons {
+		s.set.GetOrCreateCounter(refusalName(r))
+	}
+	for _, r := range RetryReasons {
+		s.set.GetOrCreateCounter(retryName(r))
+	}
+	for _, c := range Counts {
+		s.set.GetOrCreateCounter(string(c))
+	}
+	return s
+}
+
+// Refused counts one refusal.
+func (s *Set) Refused(r RefusalReason) { s.set.GetOrCreateCounter(refusalName(r)).Inc() }
+
+// Retried counts one retry.
+func (s *Set) Retried(r RetryReason) { s.set.GetOrCreateCounter(retryName(r)).Inc() }
+
+// Inc adds one to an ordinary counter.
+func (s *Set) Inc(c Count) { s.Add(c, 1) }
+
+// Add adds n to an ordinary counter.
+func (s *Set) Add(c Count, n int) { s.set.GetOrCreateCounter(string(c)).Add(n) }
+
+// Value reads an ordinary counter.
+func (s *Set) Value(c Count) uint64 { return s.set.GetOrCreateCounter(string(c)).Get() }
+
+// RefusedCount reads the counter of a refusal reason.
+func (s *Set) RefusedCount(r RefusalReason) uint64 {
+	return s.set.GetOrCreateCounter(refusalName(r)).Get()
+}
+
+// RetriedCount reads the counter of a retry reason.
+func (s *Set) RetriedCount(r RetryReason) uint64 {
+	return s.set.GetOrCreateCounter(retryName(r)).Get()
+}
+
+// Gauge registers a value that is computed when it is read.
+func (s *Set) Gauge(name string, read func() float64) { s.set.GetOrCreateGauge(name, read) }
+
+// Write prints every metric in the Prometheus text format.
+func (s *Set) Write(w io.Writer) { s.set.WritePrometheus(w) }
+
+func refusalName(r RefusalReason) string {
+	return fmt.Sprintf("aq_refused_total{reason=%q}", string(r))
+}
+
+func retryName(r RetryReason) string { return fmt.Sprintf("aq_retries_total{reason=%q}", string(r)) }
--- /dev/null
+++ b/pkg/aqpeer/server.go
@@ -0,0 +1,239 @@
+package aqpeer
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+)
+
+// handler answers one method. The answer's body is packed already.
+type handler func(ctx context.Context, body []byte) ([]byte, error)
+
+// maxCallsInProgress bounds the goroutines that peers can make this process
+// start; further calls are refused.
+const maxCallsInProgress = 4096
+
+// serveLimit bounds one call, so that what waits for a store that is down does
+// not pile up.
+const serveLimit = 30 * time.Second
+
+// Server answers peers' calls.
+type Server struct {
+	gnet.BuiltinEventEngine
+	log      *aqlog.Logger
+	metrics  *aqmetric.Set
+	handlers map[Method]handler
+	engine   gnet.Engine
+	booted   chan struct{}
+	calls    sync.WaitGroup
+	slots    chan struct{}
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// NewServer returns a server without handlers.
+func NewServer(log *aqlog.Logger, metrics *aqmetric.Set) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		log:      log,
+		metrics:  metrics,
+		handlers: map[Method]handler{},
+		booted:   make(chan struct{}),
+		slots:    make(chan struct{}, maxCallsInProgress),
+		ctx:      ctx,
+		cancel:   cancel,
+	}
+}
+
+// Handle registers the function that answers a method. It must be called before
+// Start.
+func Handle[In, Out any](s *Server, method Method, serve func(context.Context, In) (Out, error)) {
+	s.handlers[method] = func(ctx context.Context, body []byte) ([]byte, error) {
+		var in In
+		if err := msgpack.Unmarshal(body, &in); err != nil {
+			return nil, Errorf(CodeInvalid, "body of %s: %v", method, err)
+		}
+		out, err := serve(ctx, in)
+		if err != nil {
+			return nil, err
+		}
+		data, err := msgpack.Marshal(out)
+		return data, errors.Wrap(err, "peer: encode answer")
+	}
+}
+
+// Start listens on address, for example 127.0.0.1:7001, and returns once it
+// does.
+func (s *Server) Start(address string) error {
+	failed := make(chan error, 1)
+	go func() {
+		failed <- gnet.Run(s, "tcp://"+address,
+			gnet.WithNumEventLoop(eventLoops),
+			gnet.WithReuseAddr(true),
+			gnet.WithLogger(silentLogger{}),
+		)
+	}()
+	select {
+	case <-s.booted:
+		return nil
+	case err := <-failed:
+		return errors.Wrapf(err, "peer: listen on %s", address)
+	}
+}
+
+// eventLoops is the number of gnet event loops. Handlers run elsewhere, so few
+// are enough.
+const eventLoops = 2
+
+// stopLimit bounds how long Stop waits for calls in progress.
+const stopLimit = 10 * time.Second
+
+// Stop lets the calls in progress end and closes every connection.
+func (s *Server) Stop() {
+	done := make(chan struct{})
+	go func() {
+		s.calls.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(stopLimit):
+	}
+	s.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	_ = s.engine.Stop(ctx)
+}
+
+// OnBoot implements gnet.EventHandler.
+func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
+	s.engine = engine
+	close(s.booted)
+	return gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler: it takes every whole frame.
+func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
+	for {
+		body, err := nextBody(c)
+		if err != nil {
+			return s.refuseFrame(err)
+		}
+		if body == nil {
+			return gnet.None
+		}
+		f, err := decodeFrame(body)
+		if err != nil {
+			return s.refuseFrame(err)
+		}
+		s.dispatch(c, f)
+	}
+}
+
+// nextBody returns a copy of the next whole frame, nil when there is none yet.
+func nextBody(c gnet.Conn) ([]byte, error) {
+	if c.InboundBuffered() < lengthBytes {
+		return nil, nil
+	}
+	prefix, err := c.Peek(lengthBytes)
+	if err != nil {
+		return nil, nil
+	}
+	length, err := frameLength(prefix)
+	if err != nil {
+		return nil, err
+	}
+	if c.InboundBuffered() < lengthBytes+length {
+		return nil, nil
+	}
+	whole, err := c.Next(lengthBytes + length)
+	if err != nil {
+		return nil, ErrFrameMalformed
+	}
+	return append(make([]byte, 0, length), whole[lengthBytes:]...), nil
+}
+
+func (s *Server) refuseFrame(err error) gnet.Action {
+	reason := aqmetric.RefusedFrameMalformed
+	if errors.Is(err, ErrFrameTooLarge) {
+		reason = aqmetric.RefusedFrameTooLarge
+	}
+	s.metrics.Refused(reason)
+	s.log.Write(aqlog.PeerFrameBad, aqlog.Err(err))
+	return gnet.Close
+}
+
+func (s *Server) dispatch(c gnet.Conn, f frame) {
+	s.metrics.Inc(aqmetric.PeerCalls)
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		s.answer(c, frame{
+			Call:   f.Call,
+			Code:   CodeExhausted,
+			Detail: "too many calls in progress",
+		})
+		return
+	}
+	s.calls.Add(1)
+	go func() {
+		defer s.calls.Done()
+		defer func() { <-s.slots }()
+		s.answer(c, s.serve(f))
+	}()
+}
+
+func (s *Server) serve(f frame) frame {
+	serve, ok := s.handlers[f.Method]
+	if !ok {
+		return frame{
+			Call:   f.Call,
+			Code:   CodeInvalid,
+			Detail: "no method " + string(f.Method),
+		}
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, serveLimit)
+	defer cancel()
+	body, err := serve(ctx, f.Body)
+	if err != nil {
+		return frame{
+			Call:   f.Call,
+			Code:   CodeOf(err),
+			Detail: err.Error(),
+		}
+	}
+	return frame{Call: f.Call, Body: body}
+}
+
+func (s *Server) answer(c gnet.Conn, f frame) {
+	data, err := encodeFrame(f)
+	if err != nil {
+		data, err = encodeFrame(frame{
+			Call:   f.Call,
+			Code:   CodeInternal,
+			Detail: err.Error(),
+		})
+	}
+	if err != nil {
+		s.log.Write(aqlog.PeerFrameBad, aqlog.Err(err), slog.String("Direction", "Out"))
+		return
+	}
+	_ = c.AsyncWrite(data, nil)
+}
+
+// silentLogger drops gnet's own log lines: this package logs numbered events.
+type silentLogger struct{}
+
+func (silentLogger) Debugf(string, ...any) {}
+func (silentLogger) Infof(string, ...any)  {}
+func (silentLogger) Warnf(string, ...any)  {}
+func (silentLogger) Errorf(string, ...any) {}
+func (silentLogger) Fatalf(string, ...any) {}
--- /dev/null
+++ b/pkg/aqplacement/probation.go
@@ -0,0 +1,68 @@
+package aqplacement
+
+import "acaciaquay/pkg/aqtype"
+
+// Constants of probation.
+const (
+	// probationKinds is how many kinds must have failed in a row on a worker,
+	// each of which finished elsewhere since, before the worker is to blame.
+	probationKinds = 2
+	// probationFailures is how many failures in a row are needed besides.
+	probationFailures = 3
+)
+
+type failureRun struct {
+	failures  int
+	kinds     map[aqtype.TaskKind]bool
+	probation bool
+}
+
+// Probation tells workers that fail everything from jobs that fail everywhere.
+// It is not safe for concurrent use.
+type Probation struct {
+	workers map[aqtype.WorkerID]*failureRun
+	// healthy holds the kinds whose last end on any worker was a success.
+	healthy map[aqtype.TaskKind]bool
+}
+
+// NewProbation returns a record without failures.
+func NewProbation() *Probation {
+	return &Probation{
+		workers: map[aqtype.WorkerID]*failureRun{},
+		healthy: map[aqtype.TaskKind]bool{},
+	}
+}
+
+// Succeeded notes a success, which ends a worker's probation.
+func (p *Probation) Succeeded(worker aqtype.WorkerID, kind aqtype.TaskKind) {
+	p.healthy[kind] = true
+	delete(p.workers, worker)
+}
+
+// Failed notes a failure and reports whether it put the worker on probation.
+func (p *Probation) Failed(worker aqtype.WorkerID, kind aqtype.TaskKind) bool {
+	run := p.workers[worker]
+	if run == nil {
+		run = &failureRun{kinds: map[aqtype.TaskKind]bool{}}
+		p.workers[worker] = run
+	}
+	run.failures++
+	run.kinds[kind] = true
+	if run.probation || run.failures < probationFailures {
+		return false
+	}
+	healthyKinds := 0
+	for k := range run.kinds {
+		if p.healthy[k] {
+			healthyKinds++
+		}
+	}
+	run.probation = healthyKinds >= 1 || len(run.kinds) >= probationKinds
+	return run.probation
+}
+
+// On reports whether a worker is on probation.
+func (p *Probation) On(worker aqtype.WorkerID) bool {
+	run := p.workers[worker]
+	return run != nil && run.probation
+}
--- /dev/null
+++ b/pkg/aqplacement/sizes.go
@@ -0,0 +1,83 @@
+package aqplacement
+
+import (
+	"time"
+
+	"acaciaquay/pkg/aqtype"
+)
+
+// Constants of the size model.
+const (
+	// sizeMemory is the part of the old peak that survives a lower report.
+	sizeMemory = 0.98
+	// sizeHeadroom is reserved above the learned peak.
+	sizeHeadroom = 1.15
+	// minSizeReports is how many reports outweigh the declared size.
+	minSizeReports = 8
+	// runTimeRate is the part of an error that one finished run corrects.
+	runTimeRate = 0.2
+)
+
+type sizeEstimate struct {
+	milliCPU float64
+	memory   float64
+	reports  int
+}
+
+// Sizes learns what tasks of a kind use and how long they run. It is not safe
+// for concurrent use.
+type Sizes struct {
+	sizes    map[aqtype.TaskKind]sizeEstimate
+	runTimes map[aqtype.TaskKind]time.Duration
+}
+
+// NewSizes returns a model that believes every declared size.
+func NewSizes() *Sizes {
+	return &Sizes{
+		sizes:    map[aqtype.TaskKind]sizeEstimate{},
+		runTimes: map[aqtype.TaskKind]time.Duration{},
+	}
+}
+
+// ObserveUsage takes one report of a task's usage. The estimate follows a rise
+// at once and a fall slowly.
+func (s *Sizes) ObserveUsage(kind aqtype.TaskKind, usage aqtype.Resources) {
+	e := s.sizes[kind]
+	e.milliCPU = max(float64(usage.MilliCPU), e.milliCPU*sizeMemory)
+	e.memory = max(float64(usage.Memory), e.memory*sizeMemory)
+	e.reports++
+	s.sizes[kind] = e
+}
+
+// Reservation returns what to reserve for a task that declares this size: the
+// learned peak with headroom, or the declared size until enough was seen.
+// Accelerators are reserved as declared, since they are not shared.
+func (s *Sizes) Reservation(kind aqtype.TaskKind, declared aqtype.Resources) aqtype.Resources {
+	e, ok := s.sizes[kind]
+	if !ok || e.reports < minSizeReports {
+		return declared
+	}
+	return aqtype.Resources{
+		MilliCPU:     max(1, aqtype.MilliCPU(e.milliCPU*sizeHeadroom)),
+		Memory:       max(1, aqtype.MebiBytes(e.memory*sizeHeadroom)),
+		Accelerators: declared.Accelerators,
+	}
+}
+
+// ObserveRunTime takes the run time of a finished task.
+func (s *Sizes) ObserveRunTime(kind aqtype.TaskKind, ran time.Duration) {
+	old, ok := s.runTimes[kind]
+	if !ok {
+		s.runTimes[kind] = ran
+		return
+	}
+	s.runTimes[kind] = old + time.Duration(runTimeRate*float64(ran-old))
+}
+
+// RunTime returns how long tasks of this kind are expected to run.
+func (s *Sizes) RunTime(kind aqtype.TaskKind, declared time.Duration) time.Duration {
+	if learned, ok := s.runTimes[kind]; ok {
+		return learned
+	}
+	return declared
+}
--- /dev/null
+++ b/pkg/aqplatform/http.go
@@ -0,0 +1,285 @@
+package aqplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Paths and the refusal header of the platform's HTTP protocol.
+const (
+	PathGet     = "/kv/get"
+	PathList    = "/kv/list"
+	PathPut     = "/kv/put"
+	PathDelete  = "/kv/delete"
+	PathWatch   = "/kv/watch"
+	PathGrant   = "/lease/grant"
+	PathRenew   = "/lease/renew"
+	PathRevoke  = "/lease/revoke"
+	PathHosts   = "/hosts"
+	PathOpen    = "/worker/open"
+	PathExtend  = "/worker/renew"
+	PathCommand = "/worker/command"
+
+	RefusalHeader = "X-Platform-Refusal"
+)
+
+// refusals are the errors that travel by name in RefusalHeader.
+var refusals = []struct {
+	name string
+	err  error
+}{
+	{name: "Conflict", err: ErrConflict},
+	{name: "NotFound", err: ErrNotFound},
+	{name: "Refused", err: ErrRefused},
+	{name: "StaleEpoch", err: ErrStaleEpoch},
+	{name: "NoSession", err: ErrNoSession},
+	{name: "StaleNumber", err: ErrStaleNumber},
+}
+
+// RefusalName returns the wire name of one of this package's errors, empty when
+// the error has none.
+func RefusalName(err error) string {
+	for _, r := range refusals {
+		if errors.Is(err, r.err) {
+			return r.name
+		}
+	}
+	return ""
+}
+
+func refusalError(name string) error {
+	for _, r := range refusals {
+		if r.name == name {
+			return r.err
+		}
+	}
+	return nil
+}
+
+// Wire bodies of the store's calls.
+type (
+	// KeyBody is the body of get, list, put and delete.
+	KeyBody struct {
+		Key    string
+		Value  []byte
+		Expect Revision
+		Lease  LeaseID
+	}
+	// EntriesBody is the answer of list.
+	EntriesBody struct {
+		Entries []Entry
+	}
+	// RevisionBody is the answer of put and watch.
+	RevisionBody struct {
+		Revision Revision
+	}
+	// LeaseBody is the body of the lease calls and the answer of grant.
+	LeaseBody struct {
+		Lease LeaseID
+		TTL   time.Duration
+	}
+	// WatchBody is the body of watch.
+	WatchBody struct {
+		Prefix string
+		After  Revision
+		Wait   time.Duration
+	}
+)
+
+const (
+	maxAnswerBytes  = 16 << 20
+	idleConnections = 4
+	idleTimeout     = 60 * time.Second
+)
+
+// caller posts JSON bodies and turns the answers into this package's errors.
+type caller struct {
+	client  *http.Client
+	unknown error
+}
+
+func newCaller(timeout time.Duration, unknown error) caller {
+	return caller{
+		client: &http.Client{
+			Timeout: timeout,
+			Transport: &http.Transport{
+				DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+				MaxIdleConnsPerHost: idleConnections,
+				IdleConnTimeout:     idleTimeout,
+			},
+		},
+		unknown: unknown,
+	}
+}
+
+func (c caller) post(ctx context.Context, url string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode platform call")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build platform call")
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return errors.WithMessage(c.unknown, err.Error())
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return errors.WithMessage(c.unknown, err.Error())
+	}
+	if response.StatusCode != http.StatusOK {
+		if refusal := refusalError(response.Header.Get(RefusalHeader)); refusal != nil {
+			return refusal
+		}
+		return errors.WithMessage(c.unknown, response.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return errors.WithMessage(c.unknown, err.Error())
+	}
+	return nil
+}
+
+// HTTPStore reaches the platform's store over HTTP.
+type HTTPStore struct {
+	base  string
+	call  caller
+	watch caller
+}
+
+// NewHTTPStore returns a store at address. The first timeout bounds each call,
+// the second a waiting watch.
+func NewHTTPStore(address string, timeout, watchTimeout time.Duration) *HTTPStore {
+	return &HTTPStore{
+		base:  "http://" + address,
+		call:  newCaller(timeout, ErrUnknown),
+		watch: newCaller(watchTimeout, ErrUnknown),
+	}
+}
+
+// Get implements Store.
+func (s *HTTPStore) Get(ctx context.Context, key string) (Entry, error) {
+	var entry Entry
+	err := s.call.post(ctx, s.base+PathGet, KeyBody{Key: key}, &entry)
+	return entry, err
+}
+
+// List implements Store.
+func (s *HTTPStore) List(ctx context.Context, prefix string) ([]Entry, error) {
+	var entries EntriesBody
+	err := s.call.post(ctx, s.base+PathList, KeyBody{Key: prefix}, &entries)
+	return entries.Entries, err
+}
+
+// Put implements Store.
+func (s *HTTPStore) Put(
+	ctx context.Context, key string, value []byte, expect Revision, lease LeaseID,
+) (Revision, error) {
+	var answer RevisionBody
+	body := KeyBody{
+		Key:    key,
+		Value:  value,
+		Expect: expect,
+		Lease:  lease,
+	}
+	err := s.call.post(ctx, s.base+PathPut, body, &answer)
+	return answer.Revision, err
+}
+
+// Delete implements Store.
+func (s *HTTPStore) Delete(ctx context.Context, key string, expect Revision) error {
+	return s.call.post(ctx, s.base+PathDelete, KeyBody{Key: key, Expect: expect}, nil)
+}
+
+// Grant implements Store.
+func (s *HTTPStore) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var answer LeaseBody
+	err := s.call.post(ctx, s.base+PathGrant, LeaseBody{TTL: ttl}, &answer)
+	return answer.Lease, err
+}
+
+// Renew implements Store.
+func (s *HTTPStore) Renew(ctx context.Context, lease LeaseID) error {
+	return s.call.post(ctx, s.base+PathRenew, LeaseBody{Lease: lease}, nil)
+}
+
+// Revoke implements Store.
+func (s *HTTPStore) Revoke(ctx context.Context, lease LeaseID) error {
+	return s.call.post(ctx, s.base+PathRevoke, LeaseBody{Lease: lease}, nil)
+}
+
+// Watch implements Store.
+func (s *HTTPStore) Watch(
+	ctx context.Context, prefix string, after Revision, wait time.Duration,
+) (Revision, error) {
+	var answer RevisionBody
+	body := WatchBody{
+		Prefix: prefix,
+		After:  after,
+		Wait:   wait,
+	}
+	err := s.watch.post(ctx, s.base+PathWatch, body, &answer)
+	return answer.Revision, err
+}
+
+// HTTPHostList reads the platform's list of hosts over HTTP.
+type HTTPHostList struct {
+	base string
+	call caller
+}
+
+// NewHTTPHostList returns a list at address.
+func NewHTTPHostList(address string, timeout time.Duration) *HTTPHostList {
+	return &HTTPHostList{base: "http://" + address, call: newCaller(timeout, ErrUnknown)}
+}
+
+// Hosts implements HostList.
+func (l *HTTPHostList) Hosts(ctx context.Context) (Hosts, error) {
+	var hosts Hosts
+	err := l.call.post(ctx, l.base+PathHosts, struct{}{}, &hosts)
+	return hosts, err
+}
+
+// HTTPWorkers reaches workers over HTTP.
+type HTTPWorkers struct {
+	call caller
+}
+
+// NewHTTPWorkers returns a client; timeout bounds each call and must be longer
+// than the renewal's wait.
+func NewHTTPWorkers(timeout time.Duration) *HTTPWorkers {
+	return &HTTPWorkers{call: newCaller(timeout, ErrWorkerUnknown)}
+}
+
+// Open implements Workers.
+func (w *HTTPWorkers) Open(ctx context.Context, address string, r OpenRequest) (SessionAnswer, error) {
+	var answer SessionAnswer
+	err := w.call.post(ctx, "http://"+address+PathOpen, r, &answer)
+	return answer, err
+}
+
+// Renew implements Workers.
+func (w *HTTPWorkers) Renew(ctx context.Context, address string, r RenewRequest) (SessionAnswer, error) {
+	var answer SessionAnswer
+	err := w.call.post(ctx, "http://"+address+PathExtend, r, &answer)
+	return answer, err
+}
+
+// Command implements Workers.
+func (w *HTTPWorkers) Command(ctx context.Context, address string, r CommandRequest) (CommandAnswer, error) {
+	var answer CommandAnswer
+	err := w.call.post(ctx, "http://"+address+PathCommand, r, &answer)
+	return answer, err
+}
--- /dev/null
+++ b/pkg/aqprocess/gateway.go
@@ -0,0 +1,98 @@
+package aqprocess
+
+import (
+	"context"
+	"io"
+
+	"acaciaquay/pkg/aqapi"
+	"acaciaquay/pkg/aqconfig"
+	"acaciaquay/pkg/aqgateway"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmember"
+	"acaciaquay/pkg/aqrouter"
+	"acaciaquay/pkg/aqsettings"
+)
+
+const wholePercent = 100
+
+// RunGateway runs a gateway until ctx ends, and then finishes the requests in
+// progress.
+func RunGateway(ctx context.Context, s aqsettings.Settings, logs io.Writer) error {
+	b, err := newBase(s, aqmember.RoleGateway, s.Gateway.PeerAddress, logs)
+	if err != nil {
+		return err
+	}
+	gateway := aqgateway.New(b.gatewayOptions())
+	mux := b.operatorMux(gateway.Ready)
+	b.apiServer().Register(mux)
+	callers := newHTTPServer(s.Gateway.CallerAddress, gateway)
+	operators := newHTTPServer(s.Gateway.OperatorAddress, mux)
+	if err := b.server.Start(s.Gateway.PeerAddress); err != nil {
+		return err
+	}
+	if err := serve(callers, operators); err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	membership := b.runMembership(running)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		gateway.Run(running)
+	}()
+	b.log.Write(aqlog.ProcessStarted)
+	<-ctx.Done()
+	stopped := b.stopping()
+	limited, cancelLimit := context.WithTimeout(running, s.Gateway.DrainTimeout)
+	b.leave(limited)
+	_ = callers.Shutdown(limited)
+	_ = operators.Shutdown(limited)
+	cancelLimit()
+	cancel()
+	<-done
+	membership.Wait()
+	b.close()
+	stopped()
+	return nil
+}
+
+func (b *base) gatewayOptions() aqgateway.Options {
+	s := b.settings
+	return aqgateway.Options{
+		Clock:        b.clock,
+		Config:       b.config,
+		HostList:     b.hostList,
+		Zone:         s.Process.Zone,
+		Random:       seeded(string(s.Process.ID)),
+		Log:          b.log,
+		Metrics:      b.metrics,
+		Timeout:      s.Gateway.RequestTimeout,
+		Dial:         s.Gateway.DialTimeout,
+		Progress:     s.Gateway.ProgressTimeout,
+		MaxQueue:     s.Gateway.MaxQueue,
+		MaxBodyBytes: int64(s.Gateway.MaxBodyBytes),
+		HostPoll:     s.Platform.HostPoll,
+		RetryEarn:    float64(s.Gateway.RetryEarnPercent) / wholePercent,
+		RetryBurst:   s.Gateway.RetryBurst,
+	}
+}
+
+func (b *base) apiServer() *aqapi.Server {
+	return &aqapi.Server{
+		Router: &aqrouter.Router{
+			Directory: b.directory,
+			Peers:     b.peers,
+			Clock:     b.clock,
+			Metrics:   b.metrics,
+			Shards:    b.settings.Shards.Count,
+			Pause:     b.settings.Peers.Heartbeat,
+		},
+		Changer: aqconfig.Changer{
+			Store:  b.store,
+			Holder: b.config,
+		},
+		Directory: b.directory,
+		Metrics:   b.metrics,
+		Timeout:   b.settings.Gateway.OperatorTimeout,
+	}
+}
--- /dev/null
+++ b/pkg/aqprocess/scheduler.go
@@ -0,0 +1,95 @@
+package aqprocess
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmember"
+	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqscheduler"
+	"acaciaquay/pkg/aqsession"
+	"acaciaquay/pkg/aqsettings"
+)
+
+func listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// leaveLimit bounds a scheduler's hand-over at a planned stop.
+const leaveLimit = 15 * time.Second
+
+// RunScheduler runs a scheduler until ctx ends, and then hands its shards over.
+func RunScheduler(ctx context.Context, s aqsettings.Settings, logs io.Writer) error {
+	b, err := newBase(s, aqmember.RoleScheduler, s.Scheduler.PeerAddress, logs)
+	if err != nil {
+		return err
+	}
+	daemon := aqscheduler.NewDaemon(b.schedulerOptions())
+	daemon.Register(b.server)
+	b.heart.Claims = daemon.Claims
+	if err := b.server.Start(s.Scheduler.PeerAddress); err != nil {
+		return err
+	}
+	operators := newHTTPServer(s.Scheduler.OperatorAddress, b.operatorMux(func() bool { return true }))
+	if err := serve(operators); err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	membership := b.runMembership(running)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		daemon.Run(running)
+	}()
+	b.log.Write(aqlog.ProcessStarted)
+	<-ctx.Done()
+	stopped := b.stopping()
+	limited, cancelLimit := context.WithTimeout(running, leaveLimit)
+	daemon.Leave(limited)
+	b.leave(limited)
+	cancelLimit()
+	cancel()
+	<-done
+	membership.Wait()
+	b.close()
+	_ = operators.Close()
+	stopped()
+	return nil
+}
+
+func (b *base) schedulerOptions() aqscheduler.DaemonOptions {
+	s := b.settings
+	return aqscheduler.DaemonOptions{
+		Self:      b.directory.Self().ID,
+		Shards:    s.Shards.Count,
+		Zones:     s.Shards.Zones,
+		Store:     b.store,
+		Workers:   aqplatform.NewHTTPWorkers(s.Session.Wait + s.Platform.CallTimeout),
+		HostList:  b.hostList,
+		Clock:     b.clock,
+		Config:    b.config,
+		Directory: b.directory,
+		Limits: aqscheduler.Limits{
+			Session: aqsession.Limits{
+				TTL:          s.Session.TTL,
+				ProofLimit:   s.Session.ProofLimit,
+				Wait:         s.Session.Wait,
+				Pause:        s.Session.Pause,
+				Reopen:       s.Session.Reopen,
+				DriftPercent: s.Session.DriftPercent,
+			},
+			CommitInterval: s.Scheduler.CommitInterval,
+			PlanInterval:   s.Scheduler.PlanInterval,
+			Stall:          s.Scheduler.Stall,
+			Retention:      s.Scheduler.Retention,
+			MaxWorkloads:   s.Scheduler.MaxWorkloads,
+		},
+		HostPoll: s.Platform.HostPoll,
+		Settle:   s.Scheduler.Settle,
+		Greeting: s.Peers.Silence,
+		Retry:    s.Scheduler.StoreRetry,
+		Log:      b.log,
+		Metrics:  b.metrics,
+	}
+}
--- /dev/null
+++ b/pkg/aqrouter/router.go
@@ -0,0 +1,177 @@
+// Package aqrouter finds the scheduler that owns a shard and repeats calls that
+// met the wrong one. Every call it carries is idempotent by its key.
+package aqrouter
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqmember"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqscheduler"
+	"acaciaquay/pkg/aqshard"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Router calls the owners of shards.
+type Router struct {
+	Directory *aqmember.Directory
+	Peers     aqmember.Caller
+	Clock     aqclock.Clock
+	Metrics   *aqmetric.Set
+	Shards    int
+	// Pause is the wait before a call is repeated.
+	Pause time.Duration
+}
+
+// ErrNoOwner means that nobody is known to own the shard; the call did not run.
+var ErrNoOwner = aqpeer.Errorf(aqpeer.CodeExhausted, "no scheduler owns the shard now; not run")
+
+// call repeats a call until it is answered or ctx ends. sent says whether an
+// unanswered try may have taken effect.
+func (r *Router) call(ctx context.Context, shard aqtype.ShardID, method aqpeer.Method, in, out any) error {
+	inDoubt := false
+	for {
+		err := r.try(ctx, shard, method, in, out)
+		if err == nil {
+			return nil
+		}
+		if !r.retryable(err) {
+			return err
+		}
+		inDoubt = inDoubt || errors.Is(err, aqpeer.ErrNoAnswer) || aqpeer.CodeOf(err) == aqpeer.CodeUnknown
+		select {
+		case <-ctx.Done():
+			if inDoubt {
+				return aqpeer.Errorf(aqpeer.CodeUnknown, "shard %d: %v", shard, err)
+			}
+			return err
+		case <-r.Clock.After(r.Pause):
+		}
+	}
+}
+
+func (r *Router) try(ctx context.Context, shard aqtype.ShardID, method aqpeer.Method, in, out any) error {
+	owner, epoch := r.Directory.Owner(shard)
+	ok := epoch > 0
+	if !ok {
+		owner, ok = r.Directory.Preferred(shard)
+	}
+	if !ok || owner.Role != aqmember.RoleScheduler {
+		return ErrNoOwner
+	}
+	return r.Peers.Call(ctx, owner.PeerAddress, method, in, out)
+}
+
+func (r *Router) retryable(err error) bool {
+	switch {
+	case errors.Is(err, aqpeer.ErrNotSent), errors.Is(err, aqpeer.ErrNoAnswer):
+		r.Metrics.Retried(aqmetric.RetryPeerLost)
+		return true
+	case errors.Is(err, ErrNoOwner):
+		r.Metrics.Retried(aqmetric.RetryNotOwner)
+		return true
+	}
+	code := aqpeer.CodeOf(err)
+	if code != aqpeer.CodeNotOwner && code != aqpeer.CodeUnknown {
+		return false
+	}
+	r.Metrics.Retried(aqmetric.RetryNotOwner)
+	return true
+}
+
+// Submit submits a workload to its home shard.
+func (r *Router) Submit(ctx context.Context, spec aqtype.Spec) (aqscheduler.Status, error) {
+	shard := aqtype.HomeShard(spec.Base().Key, r.Shards)
+	var status aqscheduler.Status
+	err := r.call(ctx, shard, aqscheduler.MethodSubmit, aqscheduler.SubmitRequest{
+		Shard: shard,
+		Spec:  aqshard.WrapSpec(spec),
+	}, &status)
+	return status, err
+}
+
+// Get shows a workload.
+func (r *Router) Get(ctx context.Context, key aqtype.WorkloadKey) (aqscheduler.Status, error) {
+	return r.byKey(ctx, aqscheduler.MethodGet, key)
+}
+
+// Cancel ends a workload.
+func (r *Router) Cancel(ctx context.Context, key aqtype.WorkloadKey) (aqscheduler.Status, error) {
+	return r.byKey(ctx, aqscheduler.MethodCancel, key)
+}
+
+func (r *Router) byKey(
+	ctx context.Context, method aqpeer.Method, key aqtype.WorkloadKey,
+) (aqscheduler.Status, error) {
+	shard := aqtype.HomeShard(key, r.Shards)
+	var status aqscheduler.Status
+	err := r.call(ctx, shard, method, aqscheduler.KeyRequest{Shard: shard, Key: key}, &status)
+	return status, err
+}
+
+// List shows the workloads of a team over all shards, and the shards that did
+// not answer.
+func (r *Router) List(ctx context.Context, team aqtype.TeamID) ([]aqscheduler.Status, []aqtype.ShardID) {
+	answers, missing := gather(r.Shards, func(shard aqtype.ShardID) (aqscheduler.ListAnswer, error) {
+		var answer aqscheduler.ListAnswer
+		err := r.call(ctx, shard, aqscheduler.MethodList, aqscheduler.ListRequest{Shard: shard, Team: team}, &answer)
+		return answer, err
+	})
+	var all []aqscheduler.Status
+	for _, answer := range answers {
+		all = append(all, answer.Statuses...)
+	}
+	sort.Slice(all, func(i, j int) bool { return specKey(all[i]) < specKey(all[j]) })
+	return all, missing
+}
+
+// Top sums up every shard.
+func (r *Router) Top(ctx context.Context) ([]aqscheduler.ShardTop, []aqtype.ShardID) {
+	tops, missing := gather(r.Shards, func(shard aqtype.ShardID) (aqscheduler.ShardTop, error) {
+		var top aqscheduler.ShardTop
+		err := r.call(ctx, shard, aqscheduler.MethodTop, aqscheduler.TopRequest{Shard: shard}, &top)
+		return top, err
+	})
+	sort.Slice(tops, func(i, j int) bool { return tops[i].Shard < tops[j].Shard })
+	return tops, missing
+}
+
+func specKey(s aqscheduler.Status) aqtype.WorkloadKey {
+	spec, err := s.Spec.Unwrap()
+	if err != nil {
+		return ""
+	}
+	return spec.Base().Key
+}
+
+// gather asks every shard at once.
+func gather[T any](shards int, ask func(aqtype.ShardID) (T, error)) ([]T, []aqtype.ShardID) {
+	var mu sync.Mutex
+	var answers []T
+	var missing []aqtype.ShardID
+	var asking sync.WaitGroup
+	for shard := range aqtype.ShardID(shards) {
+		asking.Add(1)
+		go func() {
+			defer asking.Done()
+			answer, err := ask(shard)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing = append(missing, shard)
+				return
+			}
+			answers = append(answers, answer)
+		}()
+	}
+	asking.Wait()
+	sort.Slice(missing, func(i, j int) bool { return missing[i] < missing[j] })
+	return answers, missing
+}
--- /dev/null
+++ b/pkg/aqscheduler/api.go
@@ -0,0 +1,75 @@
+package aqscheduler
+
+import (
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqshard"
+	"acaciaquay/pkg/aqtype"
+)
+
+// The schedulers' methods.
+const (
+	MethodSubmit aqpeer.Method = "Submit"
+	MethodGet    aqpeer.Method = "Get"
+	MethodList   aqpeer.Method = "List"
+	MethodCancel aqpeer.Method = "Cancel"
+	MethodTop    aqpeer.Method = "Top"
+)
+
+// SubmitRequest submits a workload to its home shard.
+type SubmitRequest struct {
+	Shard aqtype.ShardID
+	Spec  aqshard.SpecWire
+}
+
+// KeyRequest names a workload of a shard.
+type KeyRequest struct {
+	Shard aqtype.ShardID
+	Key   aqtype.WorkloadKey
+}
+
+// ListRequest asks for the workloads of a team in a shard.
+type ListRequest struct {
+	Shard aqtype.ShardID
+	Team  aqtype.TeamID
+}
+
+// ListAnswer holds the workloads of one shard.
+type ListAnswer struct {
+	Statuses []Status
+}
+
+// TopRequest asks for the sums of a shard.
+type TopRequest struct {
+	Shard aqtype.ShardID
+}
+
+// Status is what is committed of a workload.
+type Status struct {
+	Spec  aqshard.SpecWire
+	Shard aqtype.ShardID
+	Tasks []TaskStatus
+	Done  bool
+}
+
+// TaskStatus is what is committed of a task.
+type TaskStatus struct {
+	Index   int
+	State   aqshard.TaskState
+	Attempt aqtype.Attempt
+	Worker  aqtype.WorkerID
+	// Reason says why the task waits or ended, empty when there is nothing to
+	// say.
+	Reason string
+}
+
+// ShardTop sums a shard up.
+type ShardTop struct {
+	Shard    aqtype.ShardID
+	Owner    aqtype.HostID
+	Epoch    aqtype.Epoch
+	Workers  int
+	Queued   int
+	Running  int
+	Reserved aqtype.Resources
+	Capacity aqtype.Resources
+}
--- /dev/null
+++ b/pkg/aqsession/keeper.go
@@ -0,0 +1,354 @@
+// Package aqsession keeps the owner's session on one worker: it opens it,
+// renews it by one message for all tasks, and sends numbered commands.
+//
+// The timing rules bound how long a deposed owner can keep tasks alive. A
+// renewal is sent only while the last proof of ownership is younger than the
+// proof limit, the clock is read after the previous answer and right before the
+// send, and one renewal is outstanding at a time with the single-use token of
+// the answer before it.
+package aqsession
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Owner is told what the session learns. Its methods must not block.
+type Owner interface {
+	// Proof returns when the last call that proved ownership was sent.
+	Proof() time.Time
+	// Opened reports a new session with every run on the worker. Starts decided
+	// before it are never sent.
+	Opened(worker aqtype.WorkerID, serial Serial, runs []aqplatform.TaskRun)
+	// Changed reports runs that changed.
+	Changed(worker aqtype.WorkerID, runs []aqplatform.TaskRun)
+	// Refused reports starts for which the worker had no room.
+	Refused(worker aqtype.WorkerID, runs []aqplatform.RunID)
+	// Closed reports that the session is not usable now.
+	Closed(worker aqtype.WorkerID, err error)
+}
+
+// Serial numbers the sessions that a process opens; none is used twice. A start
+// carries the serial of the session under which it was decided.
+type Serial uint64
+
+var lastSerial atomic.Uint64
+
+// Limits are the timing rules of a session.
+type Limits struct {
+	// TTL is how long the worker keeps the tasks without a renewal (T).
+	TTL time.Duration
+	// ProofLimit is how long renewals go on without a new proof (D).
+	ProofLimit time.Duration
+	// Wait is how long the worker holds a renewal that has no news.
+	Wait time.Duration
+	// Pause is the least time between two renewals.
+	Pause time.Duration
+	// Reopen is the pause before a failed open is tried again.
+	Reopen time.Duration
+	// DriftPercent bounds how much faster one clock runs than another.
+	DriftPercent int
+}
+
+// LapseAfter is how long after the last renewal could be sent every session of
+// that owner has ended: one TTL for a renewal under way, one for its effect.
+func (l Limits) LapseAfter() time.Duration {
+	return l.withDrift(2 * l.TTL)
+}
+
+// ReassignAfter is how long a new owner that cannot reach a worker waits after
+// its own epoch's commit before it may take the worker's tasks for stopped.
+func (l Limits) ReassignAfter() time.Duration {
+	return l.withDrift(l.ProofLimit + 2*l.TTL)
+}
+
+func (l Limits) withDrift(d time.Duration) time.Duration {
+	return d + d*time.Duration(l.DriftPercent)/100
+}
+
+// Options configure a keeper.
+type Options struct {
+	Workers aqplatform.Workers
+	Clock   aqclock.Clock
+	Owner   Owner
+	Limits  Limits
+	Worker  aqtype.WorkerID
+	Address string
+	Shard   aqtype.ShardID
+	Epoch   aqtype.Epoch
+}
+
+// ErrNoProof means that ownership was not proved recently enough to send.
+var ErrNoProof = errors.New("session: ownership not proved within the limit")
+
+// Orders are what the owner wants done on the worker.
+type Orders struct {
+	// Serial is the session under which the starts were decided.
+	Serial Serial
+	Starts []aqplatform.StartOrder
+	Stops  []aqplatform.StopOrder
+	Forget []aqplatform.RunID
+}
+
+// Keeper holds the session on one worker.
+type Keeper struct {
+	options Options
+
+	mu sync.Mutex
+	// serial is that of the last session opened, zero before the first.
+	serial  Serial
+	session aqplatform.SessionID
+	token   aqplatform.SessionToken
+	version uint64
+	// number is the last command number used or barred in this epoch.
+	number uint64
+	open   bool
+	outbox Orders
+	wake   chan struct{}
+	// answered is when the last renewal or open was answered; renewals sent
+	// later than that are at most one.
+	answered time.Time
+}
+
+// New returns a keeper that has no session yet.
+func New(o Options) *Keeper {
+	return &Keeper{
+		options: o,
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// Run keeps the session until ctx ends. It returns after the last call has.
+func (k *Keeper) Run(ctx context.Context) {
+	var commands sync.WaitGroup
+	commands.Add(1)
+	go func() {
+		defer commands.Done()
+		k.runCommands(ctx)
+	}()
+	for ctx.Err() == nil {
+		err := k.Step(ctx)
+		if err == nil {
+			k.sleep(ctx, k.options.Limits.Pause)
+			continue
+		}
+		k.fail(ctx, err)
+		k.sleep(ctx, k.options.Limits.Reopen)
+	}
+	commands.Wait()
+}
+
+// Step opens the session when there is none and renews it otherwise.
+func (k *Keeper) Step(ctx context.Context) error {
+	k.mu.Lock()
+	open := k.open
+	k.mu.Unlock()
+	if open {
+		return k.renew(ctx)
+	}
+	return k.openSession(ctx)
+}
+
+func (k *Keeper) mayRenew() error {
+	proved := k.options.Owner.Proof()
+	if k.options.Clock.Now().Sub(proved) >= k.options.Limits.ProofLimit {
+		return ErrNoProof
+	}
+	return nil
+}
+
+func (k *Keeper) openSession(ctx context.Context) error {
+	k.mu.Lock()
+	k.number++
+	request := aqplatform.OpenRequest{
+		Worker: k.options.Worker,
+		Shard:  k.options.Shard,
+		Epoch:  k.options.Epoch,
+		TTL:    k.options.Limits.TTL,
+		Number: k.number,
+	}
+	k.mu.Unlock()
+	if err := k.mayRenew(); err != nil {
+		return err
+	}
+	answer, err := k.options.Workers.Open(ctx, k.options.Address, request)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.serial = Serial(lastSerial.Add(1))
+	k.number = max(k.number, answer.Number)
+	k.open = true
+	k.session = answer.Session
+	k.outbox = Orders{Serial: k.serial}
+	k.note(answer)
+	serial := k.serial
+	k.mu.Unlock()
+	k.options.Owner.Opened(k.options.Worker, serial, answer.Runs)
+	return nil
+}
+
+// note keeps what the next renewal needs. The lock is held.
+func (k *Keeper) note(answer aqplatform.SessionAnswer) {
+	k.token = answer.Token
+	k.version = answer.Version
+	k.answered = k.options.Clock.Now()
+}
+
+func (k *Keeper) renew(ctx context.Context) error {
+	k.mu.Lock()
+	request := aqplatform.RenewRequest{
+		Worker:  k.options.Worker,
+		Session: k.session,
+		Epoch:   k.options.Epoch,
+		Token:   k.token,
+		Version: k.version,
+		Wait:    k.options.Limits.Wait,
+	}
+	k.mu.Unlock()
+	if err := k.mayRenew(); err != nil {
+		return err
+	}
+	answer, err := k.options.Workers.Renew(ctx, k.options.Address, request)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.note(answer)
+	k.mu.Unlock()
+	if len(answer.Runs) > 0 {
+		k.options.Owner.Changed(k.options.Worker, answer.Runs)
+	}
+	return nil
+}
+
+func (k *Keeper) fail(ctx context.Context, err error) {
+	k.mu.Lock()
+	k.open = false
+	k.outbox = Orders{}
+	k.mu.Unlock()
+	if ctx.Err() == nil {
+		k.options.Owner.Closed(k.options.Worker, err)
+	}
+}
+
+// Answered returns when the worker last answered, the zero time before that.
+func (k *Keeper) Answered() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.answered
+}
+
+// Serial returns the serial of the last session opened.
+func (k *Keeper) Serial() Serial {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.serial
+}
+
+// Send queues orders. Starts of an earlier session are dropped: the owner
+// learns from Opened that they did not run.
+func (k *Keeper) Send(o Orders) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.open {
+		return
+	}
+	if o.Serial == k.serial {
+		k.outbox.Starts = append(k.outbox.Starts, o.Starts...)
+	}
+	k.outbox.Stops = append(k.outbox.Stops, o.Stops...)
+	k.outbox.Forget = append(k.outbox.Forget, o.Forget...)
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) runCommands(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+		}
+		for ctx.Err() == nil && k.Flush(ctx) {
+			k.sleep(ctx, k.options.Limits.Reopen)
+		}
+	}
+}
+
+// Flush sends the queued orders as one command. It reports true when the
+// outcome is unknown and the orders are to be sent again under a new number.
+func (k *Keeper) Flush(ctx context.Context) bool {
+	k.mu.Lock()
+	orders := k.outbox
+	if !k.open || orders.empty() {
+		k.mu.Unlock()
+		return false
+	}
+	k.number++
+	request := aqplatform.CommandRequest{
+		Worker:  k.options.Worker,
+		Session: k.session,
+		Epoch:   k.options.Epoch,
+		Number:  k.number,
+		Starts:  orders.Starts,
+		Stops:   orders.Stops,
+		Forget:  orders.Forget,
+	}
+	k.mu.Unlock()
+	answer, err := k.options.Workers.Command(ctx, k.options.Address, request)
+	if err == nil {
+		k.sent(orders)
+		if len(answer.NoRoom) > 0 {
+			k.options.Owner.Refused(k.options.Worker, answer.NoRoom)
+		}
+		return false
+	}
+	unknown := !errors.Is(err, aqplatform.ErrNoSession) && !errors.Is(err, aqplatform.ErrStaleEpoch)
+	if !unknown {
+		k.closeSession(orders.Serial)
+	}
+	return unknown
+}
+
+// sent removes the orders that have been carried out; others may have been
+// queued behind them meanwhile.
+func (k *Keeper) sent(done Orders) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.outbox.Serial != done.Serial || !k.open {
+		return
+	}
+	k.outbox.Starts = k.outbox.Starts[len(done.Starts):]
+	k.outbox.Stops = k.outbox.Stops[len(done.Stops):]
+	k.outbox.Forget = k.outbox.Forget[len(done.Forget):]
+}
+
+func (k *Keeper) closeSession(serial Serial) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.serial == serial {
+		k.open = false
+	}
+}
+
+func (o Orders) empty() bool {
+	return len(o.Starts) == 0 && len(o.Stops) == 0 && len(o.Forget) == 0
+}
+
+func (k *Keeper) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-k.options.Clock.After(d):
+	}
+}
--- /dev/null
+++ b/pkg/aqshard/record.go
@@ -0,0 +1,188 @@
+// Package aqshard is the state of one shard: its workloads, their tasks, and
+// the reservations of its workers. The state changes only by applying records,
+// so that a journal of records rebuilds it.
+package aqshard
+
+import (
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"acaciaquay/pkg/aqtype"
+)
+
+// Record is one decision. It is sealed by the types of this file.
+type Record interface {
+	isRecord()
+}
+
+// Accepted adds a workload with all its tasks queued.
+type Accepted struct {
+	Spec aqtype.Spec
+	// AtMillis is the wall clock in milliseconds, shown to operators only.
+	AtMillis int64
+}
+
+// Started places the next attempt of a queued task on a worker.
+type Started struct {
+	Task    aqtype.TaskID
+	Attempt aqtype.Attempt
+	Worker  aqtype.WorkerID
+	// Size is what is reserved, which may differ from what was declared.
+	Size aqtype.Resources
+}
+
+// Stopping decides that a running attempt is to be stopped. Its reservation
+// stays until the attempt has ended.
+type Stopping struct {
+	Task    aqtype.TaskID
+	Attempt aqtype.Attempt
+	Why     StopReason
+}
+
+// Ended says how an attempt ended. It frees the reservation.
+type Ended struct {
+	Task       aqtype.TaskID
+	Attempt    aqtype.Attempt
+	Outcome    Outcome
+	Checkpoint aqtype.CheckpointID
+}
+
+// Cancelled ends the queued tasks of a workload and marks the running ones to
+// be stopped.
+type Cancelled struct {
+	Workload aqtype.WorkloadKey
+}
+
+// Pruned forgets a workload whose tasks have all ended.
+type Pruned struct {
+	Workload aqtype.WorkloadKey
+}
+
+func (Accepted) isRecord()  {}
+func (Started) isRecord()   {}
+func (Stopping) isRecord()  {}
+func (Ended) isRecord()     {}
+func (Cancelled) isRecord() {}
+func (Pruned) isRecord()    {}
+
+// StopReason says why an attempt is stopped.
+type StopReason int
+
+// The stop reasons.
+const (
+	StopEvict StopReason = iota + 1
+	StopCancel
+)
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// OutcomeFinished is success.
+	OutcomeFinished Outcome = iota + 1
+	// OutcomeFailed counts against the workload's failures.
+	OutcomeFailed
+	// OutcomeStopped follows a stop.
+	OutcomeStopped
+	// OutcomeLost means that the worker can no longer be running the attempt.
+	OutcomeLost
+	// OutcomeNotRun means that the worker refused the start.
+	OutcomeNotRun
+)
+
+// envelope carries one record on the wire; exactly one field is set.
+type envelope struct {
+	Accepted  *acceptedWire `msgpack:",omitempty"`
+	Started   *Started      `msgpack:",omitempty"`
+	Stopping  *Stopping     `msgpack:",omitempty"`
+	Ended     *Ended        `msgpack:",omitempty"`
+	Cancelled *Cancelled    `msgpack:",omitempty"`
+	Pruned    *Pruned       `msgpack:",omitempty"`
+}
+
+type acceptedWire struct {
+	Spec     SpecWire
+	AtMillis int64
+}
+
+// SpecWire carries a workload's description; exactly one field is set.
+type SpecWire struct {
+	Service *aqtype.Service `msgpack:",omitempty"`
+	Job     *aqtype.Job     `msgpack:",omitempty"`
+	Watcher *aqtype.Watcher `msgpack:",omitempty"`
+}
+
+// ErrRecord means that a record or description is not one of the known kinds.
+var ErrRecord = errors.New("shard: unknown record")
+
+// WrapSpec prepares a description for the wire.
+func WrapSpec(spec aqtype.Spec) SpecWire {
+	switch s := spec.(type) {
+	case aqtype.Service:
+		return SpecWire{Service: &s}
+	case aqtype.Job:
+		return SpecWire{Job: &s}
+	case aqtype.Watcher:
+		return SpecWire{Watcher: &s}
+	}
+	return SpecWire{}
+}
+
+// Unwrap is the inverse of WrapSpec.
+func (w SpecWire) Unwrap() (aqtype.Spec, error) {
+	switch {
+	case w.Service != nil:
+		return *w.Service, nil
+	case w.Job != nil:
+		return *w.Job, nil
+	case w.Watcher != nil:
+		return *w.Watcher, nil
+	}
+	return nil, ErrRecord
+}
+
+// EncodeRecord packs a record for the journal.
+func EncodeRecord(record Record) ([]byte, error) {
+	var e envelope
+	switch r := record.(type) {
+	case Accepted:
+		e.Accepted = &acceptedWire{Spec: WrapSpec(r.Spec), AtMillis: r.AtMillis}
+	case Started:
+		e.Started = &r
+	case Stopping:
+		e.Stopping = &r
+	case Ended:
+		e.Ended = &r
+	case Cancelled:
+		e.Cancelled = &r
+	case Pruned:
+		e.Pruned = &r
+	}
+	data, err := msgpack.Marshal(e)
+	return data, errors.Wrap(err, "shard: encode record")
+}
+
+// DecodeRecord is the inverse of EncodeRecord.
+func DecodeRecord(data []byte) (Record, error) {
+	var e envelope
+	if err := msgpack.Unmarshal(data, &e); err != nil {
+		return nil, errors.Wrap(err, "shard: decode record")
+	}
+	switch {
+	case e.Accepted != nil:
+		spec, err := e.Accepted.Spec.Unwrap()
+		return Accepted{Spec: spec, AtMillis: e.Accepted.AtMillis}, err
+	case e.Started != nil:
+		return *e.Started, nil
+	case e.Stopping != nil:
+		return *e.Stopping, nil
+	case e.Ended != nil:
+		return *e.Ended, nil
+	case e.Cancelled != nil:
+		return *e.Cancelled, nil
+	case e.Pruned != nil:
+		return *e.Pruned, nil
+	}
+	return nil, ErrRecord
+}
--- /dev/null
+++ b/pkg/aqshard/snapshot.go
@@ -0,0 +1,91 @@
+package aqshard
+
+import (
+	"sort"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"acaciaquay/pkg/aqtype"
+)
+
+type workloadWire struct {
+	Spec      SpecWire
+	Tasks     []Task
+	AtMillis  int64
+	Cancelled bool
+}
+
+// Encode packs the whole state. Equal states give equal bytes.
+func (s *State) Encode() ([]byte, error) {
+	wires := make([]workloadWire, 0, len(s.workloads))
+	for _, w := range s.workloads {
+		wires = append(wires, workloadWire{
+			Spec:      WrapSpec(w.Spec),
+			Tasks:     w.Tasks,
+			AtMillis:  w.AtMillis,
+			Cancelled: w.Cancelled,
+		})
+	}
+	sort.Slice(wires, func(i, j int) bool { return wireKey(wires[i]) < wireKey(wires[j]) })
+	data, err := msgpack.Marshal(wires)
+	return data, errors.Wrap(err, "shard: encode state")
+}
+
+func wireKey(w workloadWire) aqtype.WorkloadKey {
+	spec, err := w.Spec.Unwrap()
+	if err != nil {
+		return ""
+	}
+	return spec.Base().Key
+}
+
+// Decode is the inverse of Encode. Nil data is an empty state.
+func Decode(data []byte) (*State, error) {
+	s := NewState()
+	if data == nil {
+		return s, nil
+	}
+	var wires []workloadWire
+	if err := msgpack.Unmarshal(data, &wires); err != nil {
+		return nil, errors.Wrap(err, "shard: decode state")
+	}
+	for _, wire := range wires {
+		spec, err := wire.Spec.Unwrap()
+		if err != nil {
+			return nil, err
+		}
+		s.restore(&Workload{
+			Spec:      spec,
+			Tasks:     wire.Tasks,
+			AtMillis:  wire.AtMillis,
+			Cancelled: wire.Cancelled,
+		})
+	}
+	return s, nil
+}
+
+// restore adds a workload and derives the indexes from its tasks.
+func (s *State) restore(w *Workload) {
+	key := w.Spec.Base().Key
+	s.workloads[key] = w
+	for i := range w.Tasks {
+		t := &w.Tasks[i]
+		id := aqtype.TaskID{Workload: key, Index: i}
+		switch {
+		case t.State == TaskQueued:
+			s.queued[id] = struct{}{}
+		case t.HoldsReservation():
+			s.reserve(id, w, t)
+		}
+	}
+}
+
+// Clone returns an independent copy.
+func (s *State) Clone() (*State, error) {
+	data, err := s.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return Decode(data)
+}
--- /dev/null
+++ b/pkg/aqshard/state.go
@@ -0,0 +1,323 @@
+package aqshard
+
+import (
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqtype"
+)
+
+// TaskState is where a task stands.
+type TaskState int
+
+// The states of a task.
+const (
+	TaskQueued TaskState = iota + 1
+	TaskRunning
+	TaskStopping
+	TaskFinished
+	TaskGivenUp
+	TaskCancelled
+)
+
+// Task is one task of a workload.
+type Task struct {
+	State TaskState
+	// Attempt is the last attempt that was started. It only grows.
+	Attempt aqtype.Attempt
+	// Worker and Size are those of the last attempt. While the task runs or
+	// stops, Size is part of the worker's reservation.
+	Worker aqtype.WorkerID
+	Size   aqtype.Resources
+	// Checkpoint is what the next attempt resumes from. It is used up by the
+	// attempt that starts from it.
+	Checkpoint aqtype.CheckpointID
+	Why        StopReason
+	Failures   int
+	Evictions  int
+}
+
+// HoldsReservation reports whether the task counts against its worker.
+func (t Task) HoldsReservation() bool {
+	return t.State == TaskRunning || t.State == TaskStopping
+}
+
+// HasEnded reports whether the task will not run again.
+func (t Task) HasEnded() bool {
+	return t.State == TaskFinished || t.State == TaskGivenUp || t.State == TaskCancelled
+}
+
+// Workload is a workload with its tasks.
+type Workload struct {
+	Spec     aqtype.Spec
+	Tasks    []Task
+	AtMillis int64
+	// Cancelled is set once and never cleared.
+	Cancelled bool
+}
+
+// Done reports whether no task will run again.
+func (w *Workload) Done() bool {
+	for _, t := range w.Tasks {
+		if !t.HasEnded() {
+			return false
+		}
+	}
+	return true
+}
+
+// State is one shard's state. It is not safe for concurrent use: its owner
+// guards it with the shard's lock.
+type State struct {
+	workloads map[aqtype.WorkloadKey]*Workload
+	// reserved is the sum of the sizes of the tasks that hold a reservation on
+	// each worker.
+	reserved map[aqtype.WorkerID]aqtype.Resources
+	// placed lists the tasks that hold a reservation on each worker.
+	placed map[aqtype.WorkerID]map[aqtype.TaskID]struct{}
+	// queued holds exactly the tasks in state TaskQueued.
+	queued map[aqtype.TaskID]struct{}
+	// teams is what each team's batch tasks have reserved.
+	teams map[aqtype.TeamID]aqtype.Resources
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{
+		workloads: map[aqtype.WorkloadKey]*Workload{},
+		reserved:  map[aqtype.WorkerID]aqtype.Resources{},
+		placed:    map[aqtype.WorkerID]map[aqtype.TaskID]struct{}{},
+		queued:    map[aqtype.TaskID]struct{}{},
+		teams:     map[aqtype.TeamID]aqtype.Resources{},
+	}
+}
+
+// Workload returns the workload with this key, nil when there is none.
+func (s *State) Workload(key aqtype.WorkloadKey) *Workload { return s.workloads[key] }
+
+// Workloads calls visit for each workload, in no order, until it returns false.
+func (s *State) Workloads(visit func(aqtype.WorkloadKey, *Workload) bool) {
+	for key, w := range s.workloads {
+		if !visit(key, w) {
+			return
+		}
+	}
+}
+
+// WorkloadCount returns the number of workloads.
+func (s *State) WorkloadCount() int { return len(s.workloads) }
+
+// Task returns a task and its workload, or nil when there is none.
+func (s *State) Task(id aqtype.TaskID) (*Workload, *Task) {
+	w := s.workloads[id.Workload]
+	if w == nil || id.Index < 0 || id.Index >= len(w.Tasks) {
+		return nil, nil
+	}
+	return w, &w.Tasks[id.Index]
+}
+
+// Queued calls visit for each queued task, in no order.
+func (s *State) Queued(visit func(aqtype.TaskID)) {
+	for id := range s.queued {
+		visit(id)
+	}
+}
+
+// QueuedCount returns the number of queued tasks.
+func (s *State) QueuedCount() int { return len(s.queued) }
+
+// Reserved returns what is reserved on a worker.
+func (s *State) Reserved(worker aqtype.WorkerID) aqtype.Resources { return s.reserved[worker] }
+
+// TeamReserved returns what a team's batch tasks have reserved.
+func (s *State) TeamReserved(team aqtype.TeamID) aqtype.Resources { return s.teams[team] }
+
+// Placed returns the tasks that hold a reservation on a worker.
+func (s *State) Placed(worker aqtype.WorkerID) []aqtype.TaskID {
+	ids := make([]aqtype.TaskID, 0, len(s.placed[worker]))
+	for id := range s.placed[worker] {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Workers returns the workers on which something is reserved.
+func (s *State) Workers() []aqtype.WorkerID {
+	ids := make([]aqtype.WorkerID, 0, len(s.placed))
+	for id := range s.placed {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// PlacedCount returns the number of tasks that hold a reservation.
+func (s *State) PlacedCount() int {
+	count := 0
+	for _, tasks := range s.placed {
+		count += len(tasks)
+	}
+	return count
+}
+
+// ErrInvalid means that a record does not fit the state. The state is then
+// unchanged.
+var ErrInvalid = errors.New("shard: record does not fit the state")
+
+// Apply changes the state by one record.
+func (s *State) Apply(record Record) error {
+	switch r := record.(type) {
+	case Accepted:
+		return s.accept(r)
+	case Started:
+		return s.start(r)
+	case Stopping:
+		return s.stop(r)
+	case Ended:
+		return s.end(r)
+	case Cancelled:
+		return s.cancel(r)
+	case Pruned:
+		return s.prune(r)
+	}
+	return ErrRecord
+}
+
+func (s *State) accept(r Accepted) error {
+	key := r.Spec.Base().Key
+	if s.workloads[key] != nil {
+		return errors.Wrapf(ErrInvalid, "workload %s exists", key)
+	}
+	w := &Workload{
+		Spec:     r.Spec,
+		Tasks:    make([]Task, r.Spec.TaskCount()),
+		AtMillis: r.AtMillis,
+	}
+	s.workloads[key] = w
+	for i := range w.Tasks {
+		w.Tasks[i].State = TaskQueued
+		s.queued[aqtype.TaskID{Workload: key, Index: i}] = struct{}{}
+	}
+	return nil
+}
+
+func (s *State) start(r Started) error {
+	w, t := s.Task(r.Task)
+	if t == nil || t.State != TaskQueued || r.Attempt != t.Attempt+1 {
+		return errors.Wrapf(ErrInvalid, "start of %s attempt %d", r.Task, r.Attempt)
+	}
+	t.State = TaskRunning
+	t.Attempt = r.Attempt
+	t.Worker = r.Worker
+	t.Size = r.Size
+	t.Why = 0
+	delete(s.queued, r.Task)
+	s.reserve(r.Task, w, t)
+	return nil
+}
+
+func (s *State) stop(r Stopping) error {
+	_, t := s.Task(r.Task)
+	if t == nil || t.State != TaskRunning || t.Attempt != r.Attempt {
+		return errors.Wrapf(ErrInvalid, "stop of %s attempt %d", r.Task, r.Attempt)
+	}
+	t.State = TaskStopping
+	t.Why = r.Why
+	return nil
+}
+
+func (s *State) end(r Ended) error {
+	w, t := s.Task(r.Task)
+	if t == nil || !t.HoldsReservation() || t.Attempt != r.Attempt {
+		return errors.Wrapf(ErrInvalid, "end of %s attempt %d", r.Task, r.Attempt)
+	}
+	s.release(r.Task, w, t)
+	evicted := t.State == TaskStopping && t.Why == StopEvict
+	started := r.Outcome != OutcomeNotRun
+	if started {
+		t.Checkpoint = r.Checkpoint
+	}
+	if evicted && r.Outcome == OutcomeStopped {
+		t.Evictions++
+	}
+	if r.Outcome == OutcomeFailed {
+		t.Failures++
+	}
+	t.State = nextState(w, t, r.Outcome)
+	t.Why = 0
+	if t.State == TaskQueued {
+		s.queued[r.Task] = struct{}{}
+	}
+	return nil
+}
+
+// nextState decides where a task goes after an attempt has ended.
+func nextState(w *Workload, t *Task, outcome Outcome) TaskState {
+	job, isJob := w.Spec.(aqtype.Job)
+	switch {
+	case outcome == OutcomeFinished && isJob:
+		return TaskFinished
+	case w.Cancelled:
+		return TaskCancelled
+	case outcome == OutcomeFailed && isJob && t.Failures >= job.MaxFailures:
+		return TaskGivenUp
+	}
+	return TaskQueued
+}
+
+func (s *State) cancel(r Cancelled) error {
+	w := s.workloads[r.Workload]
+	if w == nil {
+		return errors.Wrapf(ErrInvalid, "cancel of unknown workload %s", r.Workload)
+	}
+	w.Cancelled = true
+	for i := range w.Tasks {
+		t := &w.Tasks[i]
+		if t.State == TaskQueued {
+			t.State = TaskCancelled
+			delete(s.queued, aqtype.TaskID{Workload: r.Workload, Index: i})
+		}
+		if t.State == TaskRunning {
+			t.State = TaskStopping
+			t.Why = StopCancel
+		}
+	}
+	return nil
+}
+
+func (s *State) prune(r Pruned) error {
+	w := s.workloads[r.Workload]
+	if w == nil || !w.Done() {
+		return errors.Wrapf(ErrInvalid, "prune of workload %s", r.Workload)
+	}
+	delete(s.workloads, r.Workload)
+	return nil
+}
+
+func (s *State) reserve(id aqtype.TaskID, w *Workload, t *Task) {
+	s.reserved[t.Worker] = s.reserved[t.Worker].Add(t.Size)
+	if s.placed[t.Worker] == nil {
+		s.placed[t.Worker] = map[aqtype.TaskID]struct{}{}
+	}
+	s.placed[t.Worker][id] = struct{}{}
+	s.chargeTeam(w, t.Size)
+}
+
+func (s *State) release(id aqtype.TaskID, w *Workload, t *Task) {
+	s.reserved[t.Worker] = s.reserved[t.Worker].Sub(t.Size)
+	delete(s.placed[t.Worker], id)
+	if len(s.placed[t.Worker]) == 0 {
+		delete(s.placed, t.Worker)
+		delete(s.reserved, t.Worker)
+	}
+	s.chargeTeam(w, aqtype.Resources{}.Sub(t.Size))
+}
+
+func (s *State) chargeTeam(w *Workload, size aqtype.Resources) {
+	if aqtype.IsLatencyCritical(w.Spec) {
+		return
+	}
+	team := w.Spec.Base().Team
+	s.teams[team] = s.teams[team].Add(size)
+	if s.teams[team] == (aqtype.Resources{}) {
+		delete(s.teams, team)
+	}
+}
--- /dev/null
+++ b/pkg/aqstandin/caller.go
@@ -0,0 +1,140 @@
+package aqstandin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// CallerOutcome is what a caller saw of one request.
+type CallerOutcome int
+
+// The outcomes that a caller can tell apart.
+const (
+	CallerAnswered CallerOutcome = iota + 1
+	CallerRefused
+	CallerUnknown
+	// CallerWrong is another request's answer or an altered one that looked
+	// whole. It must never occur.
+	CallerWrong
+)
+
+// CallerCounts counts outcomes.
+type CallerCounts struct {
+	Answered int
+	Refused  int
+	Unknown  int
+	Wrong    int
+}
+
+// Add counts one outcome.
+func (c *CallerCounts) Add(o CallerOutcome) {
+	switch o {
+	case CallerAnswered:
+		c.Answered++
+	case CallerRefused:
+		c.Refused++
+	case CallerUnknown:
+		c.Unknown++
+	case CallerWrong:
+		c.Wrong++
+	}
+}
+
+// CallerRequest is one request of a caller.
+type CallerRequest struct {
+	Service string
+	ID      string
+	// Once makes it a request that must run at most once.
+	Once    bool
+	Work    time.Duration
+	Size    int
+	Urgency string
+	Name    string
+	Timeout time.Duration
+}
+
+// Caller sends requests to gateways in turn, as a balancer would, and goes on
+// with the next gateway when one cannot be reached.
+type Caller struct {
+	gateways []string
+	client   *http.Client
+	next     atomic.Uint64
+}
+
+const callerIdle = 256
+
+// NewCaller returns a caller of these gateways.
+func NewCaller(gateways []string) *Caller {
+	return &Caller{
+		gateways: gateways,
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callerIdle}},
+	}
+}
+
+// Call sends one request and says what became of it.
+func (c *Caller) Call(ctx context.Context, r CallerRequest) CallerOutcome {
+	gateway := c.gateways[c.next.Add(1)%uint64(len(c.gateways))]
+	request, err := c.request(ctx, gateway, r)
+	if err != nil {
+		return CallerRefused
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return failedOutcome(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	switch {
+	case err != nil:
+		return CallerUnknown
+	case response.Header.Get("Aq-Outcome") == "refused-not-run":
+		return CallerRefused
+	case response.StatusCode != http.StatusOK:
+		return CallerUnknown
+	case CheckAnswer(r.ID, response.Header, body) != "":
+		return CallerWrong
+	}
+	return CallerAnswered
+}
+
+// failedOutcome tells a connection that was never made from one that broke.
+func failedOutcome(err error) CallerOutcome {
+	if strings.Contains(err.Error(), "connection refused") {
+		return CallerRefused
+	}
+	return CallerUnknown
+}
+
+func (c *Caller) request(ctx context.Context, gateway string, r CallerRequest) (*http.Request, error) {
+	method := http.MethodGet
+	var body io.Reader
+	if r.Once {
+		method = http.MethodPost
+		body = strings.NewReader("order " + r.ID)
+	}
+	url := fmt.Sprintf("http://%s/%s/run?work=%s&size=%d", gateway, r.Service, r.Work, max(r.Size, 1))
+	request, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	request.Header.Set(HeaderRequestID, r.ID)
+	if r.Once {
+		request.Header.Set(HeaderOnce, r.ID)
+	}
+	if r.Urgency != "" {
+		request.Header.Set("Aq-Urgency", r.Urgency)
+	}
+	if r.Name != "" {
+		request.Header.Set("Aq-Caller", r.Name)
+	}
+	if r.Timeout > 0 {
+		request.Header.Set("Aq-Timeout-Millis", fmt.Sprint(r.Timeout.Milliseconds()))
+	}
+	return request, nil
+}
--- /dev/null
+++ b/pkg/aqstandin/endpoint.go
@@ -0,0 +1,194 @@
+package aqstandin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Headers that callers and endpoints of the tests use.
+const (
+	// HeaderOnce carries the key of a request that must run at most once.
+	HeaderOnce = "Idempotency-Key"
+	// HeaderBodyHash carries the SHA-256 of the answer's body.
+	HeaderBodyHash = "X-Body-Hash"
+	// HeaderRequestID is echoed, so that a caller knows its own answer.
+	HeaderRequestID = "X-Request-Id"
+)
+
+// DefaultSlots is how many requests an endpoint works on side by side.
+const DefaultSlots = 8
+
+// Endpoint is one instance of a service. It works on as many requests as it has
+// slots; the others wait.
+type Endpoint struct {
+	id      string
+	slots   chan struct{}
+	witness Witness
+}
+
+// NewEndpoint returns an endpoint handler.
+func NewEndpoint(id string, slots int, witness Witness) *Endpoint {
+	return &Endpoint{
+		id:      id,
+		slots:   make(chan struct{}, slots),
+		witness: witness,
+	}
+}
+
+// ServeHTTP works for as long as the query's "work" says and answers with
+// "size" bytes that depend on the request's id.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case e.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-e.slots }()
+	_, _ = io.Copy(io.Discard, r.Body)
+	key := ""
+	if r.Method != http.MethodGet {
+		key = r.Header.Get(HeaderOnce)
+	}
+	e.witness.SawRequest(key)
+	if work, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
+		time.Sleep(work)
+	}
+	size, err := strconv.Atoi(r.URL.Query().Get("size"))
+	if err != nil {
+		size = 64
+	}
+	id := r.Header.Get(HeaderRequestID)
+	body := answerBody(id, size)
+	sum := sha256.Sum256(body)
+	w.Header().Set(HeaderBodyHash, hex.EncodeToString(sum[:]))
+	w.Header().Set(HeaderRequestID, id)
+	w.Header().Set("X-Endpoint", e.id)
+	_, _ = w.Write(body)
+}
+
+func answerBody(id string, size int) []byte {
+	line := fmt.Sprintf("answer to %s\n", id)
+	return []byte(strings.Repeat(line, size/len(line)+1)[:size])
+}
+
+// CheckAnswer reports what is wrong with an answer: another request's, cut, or
+// altered. An empty string means nothing.
+func CheckAnswer(id string, header http.Header, body []byte) string {
+	sum := sha256.Sum256(body)
+	switch {
+	case header.Get(HeaderRequestID) != id:
+		return "answer of another request"
+	case header.Get(HeaderBodyHash) != hex.EncodeToString(sum[:]):
+		return "body cut or altered"
+	}
+	return ""
+}
+
+type openEndpoint struct {
+	server *http.Server
+	host   aqplatform.EndpointHost
+}
+
+// EndpointOpener opens an HTTP endpoint for each service task and keeps the
+// platform's list in step. It implements Endpoints.
+type EndpointOpener struct {
+	mu      sync.Mutex
+	host    string
+	zone    aqtype.Zone
+	witness Witness
+	list    EndpointList
+	open    map[aqplatform.RunID]openEndpoint
+}
+
+// EndpointList is the part of the platform's list that endpoints appear in.
+type EndpointList interface {
+	PutEndpoint(h aqplatform.EndpointHost)
+	RemoveEndpoint(id string)
+}
+
+// NewEndpointOpener opens endpoints on host.
+func NewEndpointOpener(host string, zone aqtype.Zone, witness Witness, list EndpointList) *EndpointOpener {
+	return &EndpointOpener{
+		host:    host,
+		zone:    zone,
+		witness: witness,
+		list:    list,
+		open:    map[aqplatform.RunID]openEndpoint{},
+	}
+}
+
+// Open implements Endpoints.
+func (o *EndpointOpener) Open(_ aqtype.WorkerID, run aqplatform.RunID, service string) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(o.host, "0"))
+	if err != nil {
+		return
+	}
+	host := aqplatform.EndpointHost{
+		ID:      fmt.Sprintf("%s#%d", run.Task, run.Attempt),
+		Service: service,
+		Address: listener.Addr().String(),
+		Zone:    o.zone,
+		State:   aqplatform.HostLive,
+		Slots:   DefaultSlots,
+	}
+	server := &http.Server{
+		Handler:           NewEndpoint(host.ID, host.Slots, o.witness),
+		ReadHeaderTimeout: remoteTimeout,
+	}
+	go func() { _ = server.Serve(listener) }()
+	o.mu.Lock()
+	o.open[run] = openEndpoint{server: server, host: host}
+	o.mu.Unlock()
+	go o.list.PutEndpoint(host)
+}
+
+// leaveNotice is how long an endpoint goes on after it was listed as leaving.
+const (
+	leaveNotice = 3 * time.Second
+	drainLimit  = 30 * time.Second
+)
+
+// Close implements Endpoints.
+func (o *EndpointOpener) Close(run aqplatform.RunID, done func()) {
+	o.mu.Lock()
+	e, ok := o.open[run]
+	delete(o.open, run)
+	o.mu.Unlock()
+	if !ok {
+		go done()
+		return
+	}
+	e.host.State = aqplatform.HostLeaving
+	go func() {
+		o.list.PutEndpoint(e.host)
+		time.Sleep(leaveNotice)
+		ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+		defer cancel()
+		_ = e.server.Shutdown(ctx)
+		o.list.RemoveEndpoint(e.host.ID)
+		done()
+	}()
+}
+
+// PutEndpoint implements EndpointList.
+func (r *Remote) PutEndpoint(h aqplatform.EndpointHost) { _ = r.Post(PathPutEndpoint, h, nil) }
+
+// RemoveEndpoint implements EndpointList.
+func (r *Remote) RemoveEndpoint(id string) {
+	_ = r.Post(PathRemoveEndpoint, aqplatform.EndpointHost{ID: id}, nil)
+}
+
+// PutWorker lists a worker, which counts as its heartbeat.
+func (r *Remote) PutWorker(h aqplatform.WorkerHost) error { return r.Post(PathPutWorker, h, nil) }
--- /dev/null
+++ b/pkg/aqstandin/fleet.go
@@ -0,0 +1,205 @@
+package aqstandin
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Fleet reaches workers in the same process by id. It implements
+// aqplatform.Workers; the address is not used.
+type Fleet struct {
+	mu      sync.Mutex
+	workers map[aqtype.WorkerID]*Worker
+}
+
+// NewFleet returns a fleet of these workers.
+func NewFleet(workers ...*Worker) *Fleet {
+	f := &Fleet{workers: map[aqtype.WorkerID]*Worker{}}
+	for _, w := range workers {
+		f.workers[w.host.ID] = w
+	}
+	return f
+}
+
+func (f *Fleet) worker(id aqtype.WorkerID) (*Worker, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, ok := f.workers[id]
+	if !ok {
+		return nil, aqplatform.ErrWorkerUnknown
+	}
+	return w, nil
+}
+
+// Tick moves every worker's time.
+func (f *Fleet) Tick() {
+	f.mu.Lock()
+	workers := make([]*Worker, 0, len(f.workers))
+	for _, w := range f.workers {
+		workers = append(workers, w)
+	}
+	f.mu.Unlock()
+	sort.Slice(workers, func(i, j int) bool { return workers[i].host.ID < workers[j].host.ID })
+	for _, w := range workers {
+		w.Tick()
+	}
+}
+
+// Open implements aqplatform.Workers.
+func (f *Fleet) Open(
+	ctx context.Context, _ string, r aqplatform.OpenRequest,
+) (aqplatform.SessionAnswer, error) {
+	w, err := f.worker(r.Worker)
+	if err != nil {
+		return aqplatform.SessionAnswer{}, err
+	}
+	return w.Open(ctx, r)
+}
+
+// Renew implements aqplatform.Workers.
+func (f *Fleet) Renew(
+	ctx context.Context, _ string, r aqplatform.RenewRequest,
+) (aqplatform.SessionAnswer, error) {
+	w, err := f.worker(r.Worker)
+	if err != nil {
+		return aqplatform.SessionAnswer{}, err
+	}
+	return w.Renew(ctx, r)
+}
+
+// Command implements aqplatform.Workers.
+func (f *Fleet) Command(
+	ctx context.Context, _ string, r aqplatform.CommandRequest,
+) (aqplatform.CommandAnswer, error) {
+	w, err := f.worker(r.Worker)
+	if err != nil {
+		return aqplatform.CommandAnswer{}, err
+	}
+	return w.Command(ctx, r)
+}
+
+type listed[T any] struct {
+	host T
+	at   time.Time
+}
+
+// Listing is the platform's list of hosts. What is put becomes visible after
+// the lag.
+type Listing struct {
+	mu        sync.Mutex
+	clock     aqclock.Clock
+	lag       time.Duration
+	workers   map[aqtype.WorkerID]listed[aqplatform.WorkerHost]
+	beats     map[aqtype.WorkerID]time.Time
+	dropAfter time.Duration
+	dropped   map[aqtype.WorkerID]bool
+	endpoints map[string][]listed[aqplatform.EndpointHost]
+}
+
+// NewListing returns an empty list. A worker that does not beat for dropAfter
+// is dropped; zero means never.
+func NewListing(clock aqclock.Clock, lag, dropAfter time.Duration) *Listing {
+	return &Listing{
+		clock:     clock,
+		lag:       lag,
+		workers:   map[aqtype.WorkerID]listed[aqplatform.WorkerHost]{},
+		beats:     map[aqtype.WorkerID]time.Time{},
+		dropAfter: dropAfter,
+		dropped:   map[aqtype.WorkerID]bool{},
+		endpoints: map[string][]listed[aqplatform.EndpointHost]{},
+	}
+}
+
+// PutWorker lists a worker and counts as its heartbeat.
+func (l *Listing) PutWorker(h aqplatform.WorkerHost) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.beats[h.ID] = l.clock.Now()
+	if known, ok := l.workers[h.ID]; ok && known.host == h {
+		return
+	}
+	delete(l.dropped, h.ID)
+	l.workers[h.ID] = listed[aqplatform.WorkerHost]{host: h, at: l.clock.Now().Add(l.lag)}
+}
+
+// DropWorker declares a worker stopped for good.
+func (l *Listing) DropWorker(id aqtype.WorkerID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop(id)
+}
+
+func (l *Listing) drop(id aqtype.WorkerID) {
+	delete(l.workers, id)
+	delete(l.beats, id)
+	l.dropped[id] = true
+}
+
+// PutEndpoint lists an endpoint or changes its state.
+func (l *Listing) PutEndpoint(h aqplatform.EndpointHost) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry := listed[aqplatform.EndpointHost]{host: h, at: l.clock.Now().Add(l.lag)}
+	l.endpoints[h.ID] = append(l.endpoints[h.ID], entry)
+}
+
+// RemoveEndpoint takes an endpoint off the list.
+func (l *Listing) RemoveEndpoint(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.endpoints, id)
+}
+
+// Hosts implements aqplatform.HostList.
+func (l *Listing) Hosts(context.Context) (aqplatform.Hosts, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	l.sweep(now)
+	var hosts aqplatform.Hosts
+	for _, w := range l.workers {
+		if !w.at.After(now) {
+			hosts.Workers = append(hosts.Workers, w.host)
+		}
+	}
+	for id := range l.dropped {
+		hosts.Dropped = append(hosts.Dropped, id)
+	}
+	for _, versions := range l.endpoints {
+		if e, ok := visible(versions, now); ok {
+			hosts.Endpoints = append(hosts.Endpoints, e)
+		}
+	}
+	sort.Slice(hosts.Workers, func(i, j int) bool { return hosts.Workers[i].ID < hosts.Workers[j].ID })
+	sort.Slice(hosts.Dropped, func(i, j int) bool { return hosts.Dropped[i] < hosts.Dropped[j] })
+	sort.Slice(hosts.Endpoints, func(i, j int) bool { return hosts.Endpoints[i].ID < hosts.Endpoints[j].ID })
+	return hosts, nil
+}
+
+func (l *Listing) sweep(now time.Time) {
+	if l.dropAfter == 0 {
+		return
+	}
+	for id, beat := range l.beats {
+		if now.Sub(beat) > l.dropAfter {
+			l.drop(id)
+		}
+	}
+}
+
+func visible(
+	versions []listed[aqplatform.EndpointHost], now time.Time,
+) (aqplatform.EndpointHost, bool) {
+	for i := len(versions) - 1; i >= 0; i-- {
+		if !versions[i].at.After(now) {
+			return versions[i].host, true
+		}
+	}
+	return aqplatform.EndpointHost{}, false
+}
--- /dev/null
+++ b/pkg/aqstandin/http.go
@@ -0,0 +1,184 @@
+package aqstandin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"acaciaquay/pkg/aqplatform"
+)
+
+// Paths of the stand-in's own switches and reports. The product does not know
+// them.
+const (
+	PathFaults         = "/standin/faults"
+	PathCounts         = "/standin/counts"
+	PathTruth          = "/standin/truth"
+	PathSawRun         = "/standin/run"
+	PathSawRequest     = "/standin/request"
+	PathPutWorker      = "/standin/worker"
+	PathPutEndpoint    = "/standin/endpoint"
+	PathRemoveEndpoint = "/standin/endpoint/remove"
+)
+
+// handle registers a JSON call whose body is In and whose answer is Out.
+func handle[In, Out any](mux *http.ServeMux, path string, serve func(context.Context, In) (Out, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(io.LimitReader(r.Body, 2*aqplatform.MaxValueBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		var in In
+		if err := json.Unmarshal(body, &in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		out, err := serve(r.Context(), in)
+		if err != nil {
+			writeRefusal(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(out)
+	})
+}
+
+// writeRefusal answers with the refusal's name. An unknown outcome breaks the
+// connection, as a lost answer does.
+func writeRefusal(w http.ResponseWriter, err error) {
+	name := aqplatform.RefusalName(err)
+	if name == "" {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(aqplatform.RefusalHeader, name)
+	http.Error(w, err.Error(), http.StatusConflict)
+}
+
+// Platform bundles what the platform process serves.
+type Platform struct {
+	Store   *Store
+	Listing *Listing
+	Truth   *Truth
+}
+
+// Handler serves the platform's calls and the stand-in's switches.
+func (p Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	p.handleStore(mux)
+	p.handleListing(mux)
+	p.handleTruth(mux)
+	return mux
+}
+
+func (p Platform) handleStore(mux *http.ServeMux) {
+	handle(mux, aqplatform.PathGet, func(ctx context.Context, b aqplatform.KeyBody) (aqplatform.Entry, error) {
+		return p.Store.Get(ctx, b.Key)
+	})
+	handle(mux, aqplatform.PathList, func(ctx context.Context, b aqplatform.KeyBody) (aqplatform.EntriesBody, error) {
+		entries, err := p.Store.List(ctx, b.Key)
+		return aqplatform.EntriesBody{Entries: entries}, err
+	})
+	handle(mux, aqplatform.PathPut, func(ctx context.Context, b aqplatform.KeyBody) (aqplatform.RevisionBody, error) {
+		revision, err := p.Store.Put(ctx, b.Key, b.Value, b.Expect, b.Lease)
+		return aqplatform.RevisionBody{Revision: revision}, err
+	})
+	handle(mux, aqplatform.PathDelete, func(ctx context.Context, b aqplatform.KeyBody) (struct{}, error) {
+		return struct{}{}, p.Store.Delete(ctx, b.Key, b.Expect)
+	})
+	handle(mux, aqplatform.PathWatch, func(ctx context.Context, b aqplatform.WatchBody) (aqplatform.RevisionBody, error) {
+		revision, err := p.Store.Watch(ctx, b.Prefix, b.After, b.Wait)
+		return aqplatform.RevisionBody{Revision: revision}, err
+	})
+	handle(mux, aqplatform.PathGrant, func(ctx context.Context, b aqplatform.LeaseBody) (aqplatform.LeaseBody, error) {
+		lease, err := p.Store.Grant(ctx, b.TTL)
+		return aqplatform.LeaseBody{Lease: lease}, err
+	})
+	handle(mux, aqplatform.PathRenew, func(ctx context.Context, b aqplatform.LeaseBody) (struct{}, error) {
+		return struct{}{}, p.Store.Renew(ctx, b.Lease)
+	})
+	handle(mux, aqplatform.PathRevoke, func(ctx context.Context, b aqplatform.LeaseBody) (struct{}, error) {
+		return struct{}{}, p.Store.Revoke(ctx, b.Lease)
+	})
+	handle(mux, PathFaults, func(_ context.Context, f Faults) (struct{}, error) {
+		p.Store.SetFaults(f)
+		return struct{}{}, nil
+	})
+	handle(mux, PathCounts, func(context.Context, struct{}) (CallCounts, error) {
+		return p.Store.Counts(), nil
+	})
+}
+
+func (p Platform) handleListing(mux *http.ServeMux) {
+	handle(mux, aqplatform.PathHosts, func(ctx context.Context, _ struct{}) (aqplatform.Hosts, error) {
+		return p.Listing.Hosts(ctx)
+	})
+	handle(mux, PathPutWorker, func(_ context.Context, h aqplatform.WorkerHost) (struct{}, error) {
+		p.Listing.PutWorker(h)
+		return struct{}{}, nil
+	})
+	handle(mux, PathPutEndpoint, func(_ context.Context, h aqplatform.EndpointHost) (struct{}, error) {
+		p.Listing.PutEndpoint(h)
+		return struct{}{}, nil
+	})
+	handle(mux, PathRemoveEndpoint, func(_ context.Context, h aqplatform.EndpointHost) (struct{}, error) {
+		p.Listing.RemoveEndpoint(h.ID)
+		return struct{}{}, nil
+	})
+}
+
+func (p Platform) handleTruth(mux *http.ServeMux) {
+	handle(mux, PathTruth, func(context.Context, struct{}) (TruthReport, error) {
+		return p.Truth.Report(), nil
+	})
+	handle(mux, PathSawRun, func(_ context.Context, e RunEvent) (struct{}, error) {
+		p.Truth.SawRun(e)
+		return struct{}{}, nil
+	})
+	handle(mux, PathSawRequest, func(_ context.Context, key string) (struct{}, error) {
+		p.Truth.SawRequest(key)
+		return struct{}{}, nil
+	})
+}
+
+// WorkerHandler serves the calls of every worker in the fleet.
+func (f *Fleet) WorkerHandler() http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, aqplatform.PathOpen, func(ctx context.Context, r aqplatform.OpenRequest) (aqplatform.SessionAnswer, error) {
+		return f.Open(ctx, "", r)
+	})
+	handle(mux, aqplatform.PathExtend, func(ctx context.Context, r aqplatform.RenewRequest) (aqplatform.SessionAnswer, error) {
+		return f.Renew(ctx, "", r)
+	})
+	handle(mux, aqplatform.PathCommand, func(ctx context.Context, r aqplatform.CommandRequest) (aqplatform.CommandAnswer, error) {
+		return f.Command(ctx, "", r)
+	})
+	return mux
+}
+
+// Remote reaches the platform stand-in's switches from another process. It
+// implements Witness.
+type Remote struct {
+	base   string
+	client *http.Client
+}
+
+const remoteTimeout = 5 * time.Second
+
+// NewRemote returns a client of the platform stand-in at address.
+func NewRemote(address string) *Remote {
+	return &Remote{base: "http://" + address, client: &http.Client{Timeout: remoteTimeout}}
+}
+
+// Post makes one call of the stand-in.
+func (r *Remote) Post(path string, in, out any) error {
+	return postJSON(r.client, r.base+path, in, out)
+}
+
+// SawRun implements Witness.
+func (r *Remote) SawRun(e RunEvent) { _ = r.Post(PathSawRun, e, nil) }
+
+// SawRequest implements Witness.
+func (r *Remote) SawRequest(key string) { _ = r.Post(PathSawRequest, key, nil) }
--- /dev/null
+++ b/pkg/aqstandin/pool.go
@@ -0,0 +1,99 @@
+package aqstandin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqtype"
+)
+
+// WorkerPool runs several workers in one process and lists them.
+type WorkerPool struct {
+	Platform *Remote
+	Address  string
+	// Prefix begins every worker's id.
+	Prefix string
+	Count  int
+	// Zones are given to the workers in turn.
+	Zones []string
+}
+
+// Periods of a worker pool and the size of its workers.
+const (
+	poolTick         = 20 * time.Millisecond
+	poolBeat         = 500 * time.Millisecond
+	workerMilliCPU   = 64_000
+	workerMemory     = 250 * 1024
+	workerGPUs       = 2
+	workersPerRack   = 6
+	poolHeaderWait   = 5 * time.Second
+	poolShutdownWait = 2 * time.Second
+)
+
+// Run serves the workers until ctx ends.
+func (p WorkerPool) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", p.Address)
+	if err != nil {
+		return errors.Wrap(err, "stand-in: listen for workers")
+	}
+	hosts := p.hosts()
+	workers := make([]*Worker, 0, len(hosts))
+	for _, h := range hosts {
+		opener := NewEndpointOpener("127.0.0.1", h.Zone, p.Platform, p.Platform)
+		workers = append(workers, NewWorker(aqclock.System{}, h, p.Platform, opener))
+	}
+	fleet := NewFleet(workers...)
+	server := &http.Server{Handler: fleet.WorkerHandler(), ReadHeaderTimeout: poolHeaderWait}
+	go func() { _ = server.Serve(listener) }()
+	p.tend(ctx, fleet, hosts)
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), poolShutdownWait)
+	defer cancel()
+	_ = server.Shutdown(closing)
+	return nil
+}
+
+func (p WorkerPool) hosts() []aqplatform.WorkerHost {
+	hosts := make([]aqplatform.WorkerHost, 0, p.Count)
+	for i := range p.Count {
+		hosts = append(hosts, aqplatform.WorkerHost{
+			ID:      aqtype.WorkerID(fmt.Sprintf("%s%03d", p.Prefix, i)),
+			Address: p.Address,
+			Zone:    aqtype.Zone(p.Zones[i%len(p.Zones)]),
+			Rack:    aqtype.Rack(fmt.Sprintf("%s-rack%d", p.Prefix, i/workersPerRack)),
+			State:   aqplatform.HostLive,
+			Capacity: aqtype.Resources{
+				MilliCPU:     workerMilliCPU,
+				Memory:       workerMemory,
+				Accelerators: workerGPUs,
+			},
+		})
+	}
+	return hosts
+}
+
+// tend moves the workers' time and tells the platform that they live.
+func (p WorkerPool) tend(ctx context.Context, fleet *Fleet, hosts []aqplatform.WorkerHost) {
+	tick := time.NewTicker(poolTick)
+	defer tick.Stop()
+	beat := time.NewTicker(poolBeat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			fleet.Tick()
+		case <-beat.C:
+			for _, h := range hosts {
+				_ = p.Platform.PutWorker(h)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/aqstandin/truth.go
@@ -0,0 +1,151 @@
+package aqstandin
+
+import (
+	"sync"
+
+	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Truth is what really ran, as workers and endpoints count it. The product
+// never reads it.
+type Truth struct {
+	mu       sync.Mutex
+	running  map[aqtype.TaskID]aqtype.WorkerID
+	finished map[aqtype.TaskID]int
+	resumed  map[aqtype.CheckpointID]int
+	requests map[string]int
+	report   TruthReport
+}
+
+// TruthReport sums the truth up.
+type TruthReport struct {
+	Starts   int
+	Finishes int
+	// DistinctFinished counts tasks that finished at least once.
+	DistinctFinished int
+	// Doubled counts starts of a task that ran elsewhere or had finished, and
+	// checkpoints that were resumed twice.
+	Doubled int
+	// OverCommitted counts starts beyond a worker's capacity.
+	OverCommitted int
+	// Interrupted counts runs that ended without finishing.
+	Interrupted     int
+	RequestsRun     int
+	RequestsDoubled int
+}
+
+// NewTruth returns an empty record.
+func NewTruth() *Truth {
+	return &Truth{
+		running:  map[aqtype.TaskID]aqtype.WorkerID{},
+		finished: map[aqtype.TaskID]int{},
+		resumed:  map[aqtype.CheckpointID]int{},
+		requests: map[string]int{},
+	}
+}
+
+// RunEvent is one thing that happened to a run on a worker.
+type RunEvent struct {
+	Kind       RunEventKind
+	Worker     aqtype.WorkerID
+	Run        aqplatform.RunID
+	Checkpoint aqtype.CheckpointID
+	// Beyond is set on a start that exceeds the worker's capacity.
+	Beyond bool
+}
+
+// RunEventKind is the kind of a RunEvent.
+type RunEventKind int
+
+// The kinds of RunEvent.
+const (
+	RunBegan RunEventKind = iota + 1
+	RunDone
+	RunCut
+)
+
+// Witness receives what happens on workers and endpoints.
+type Witness interface {
+	SawRun(e RunEvent)
+	SawRequest(key string)
+}
+
+// SawRun implements Witness.
+func (t *Truth) SawRun(e RunEvent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch e.Kind {
+	case RunBegan:
+		t.began(e)
+	case RunDone:
+		delete(t.running, e.Run.Task)
+		t.report.Finishes++
+		if t.finished[e.Run.Task] == 0 {
+			t.report.DistinctFinished++
+		}
+		t.finished[e.Run.Task]++
+	case RunCut:
+		delete(t.running, e.Run.Task)
+		t.report.Interrupted++
+	}
+}
+
+func (t *Truth) began(e RunEvent) {
+	t.report.Starts++
+	_, elsewhere := t.running[e.Run.Task]
+	if elsewhere || t.finished[e.Run.Task] > 0 {
+		t.report.Doubled++
+	}
+	if e.Beyond {
+		t.report.OverCommitted++
+	}
+	if e.Checkpoint != "" {
+		t.resumed[e.Checkpoint]++
+		if t.resumed[e.Checkpoint] > 1 {
+			t.report.Doubled++
+		}
+	}
+	t.running[e.Run.Task] = e.Worker
+}
+
+// SawRequest implements Witness. An empty key is an idempotent request.
+func (t *Truth) SawRequest(key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.report.RequestsRun++
+	if key == "" {
+		return
+	}
+	t.requests[key]++
+	if t.requests[key] > 1 {
+		t.report.RequestsDoubled++
+	}
+}
+
+// Report returns the sums so far.
+func (t *Truth) Report() TruthReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.report
+}
+
+// FinishedTasks returns how often each task of a workload finished.
+func (t *Truth) FinishedTasks(key aqtype.WorkloadKey) map[aqtype.TaskID]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := map[aqtype.TaskID]int{}
+	for task, n := range t.finished {
+		if task.Workload == key {
+			found[task] = n
+		}
+	}
+	return found
+}
+
+// RunningTasks returns how many tasks run now.
+func (t *Truth) RunningTasks() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.running)
+}
--- /dev/null
+++ b/pkg/aqtype/resources.go
@@ -0,0 +1,62 @@
+package aqtype
+
+import "fmt"
+
+// MilliCPU counts thousandths of a processor core.
+type MilliCPU int64
+
+// MebiBytes counts memory in units of 2^20 bytes.
+type MebiBytes int64
+
+// Resources is an amount of each resource a host has or a task reserves.
+type Resources struct {
+	MilliCPU     MilliCPU
+	Memory       MebiBytes
+	Accelerators int64
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{
+		MilliCPU:     r.MilliCPU + o.MilliCPU,
+		Memory:       r.Memory + o.Memory,
+		Accelerators: r.Accelerators + o.Accelerators,
+	}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{
+		MilliCPU:     r.MilliCPU - o.MilliCPU,
+		Memory:       r.Memory - o.Memory,
+		Accelerators: r.Accelerators - o.Accelerators,
+	}
+}
+
+// Fits reports whether r is within o in every resource.
+func (r Resources) Fits(o Resources) bool {
+	return r.MilliCPU <= o.MilliCPU && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
+}
+
+// Percent returns p hundredths of r, rounded down.
+func (r Resources) Percent(p int) Resources {
+	return Resources{
+		MilliCPU:     r.MilliCPU * MilliCPU(p) / 100,
+		Memory:       r.Memory * MebiBytes(p) / 100,
+		Accelerators: r.Accelerators * int64(p) / 100,
+	}
+}
+
+// Max returns the larger of r and o in every resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		MilliCPU:     max(r.MilliCPU, o.MilliCPU),
+		Memory:       max(r.Memory, o.Memory),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+	}
+}
+
+// String renders the amount for logs and tables.
+func (r Resources) String() string {
+	return fmt.Sprintf("%dm/%dMi/%d", r.MilliCPU, r.Memory, r.Accelerators)
+}
