--- a/pkg/aqjournal/log.go
+++ b/pkg/aqjournal/log.go
@@ -140,11 +140,20 @@
 	return segments, nil
 }
 
-// Claim commits a first segment under the next epoch. ErrDeposed means that
-// another writer was faster and the journal must be read again.
+// Claim tries once to commit a first segment under the next epoch. ErrDeposed
+// means that another writer was faster, and ErrInterrupted that the outcome is
+// not known; in both cases the journal must be read again.
 func (l *Log) Claim(ctx context.Context) (aqtype.Epoch, error) {
 	l.epoch++
-	return l.epoch, l.Append(ctx, nil)
+	write, err := l.Begin(nil, false)
+	if err != nil {
+		return 0, err
+	}
+	settled, err := write.Try(ctx)
+	if !settled {
+		return 0, ErrInterrupted
+	}
+	return l.epoch, err
 }
 
 // Epoch returns the epoch under which this log writes.
@@ -171,8 +180,27 @@
 }
 
 func (l *Log) write(ctx context.Context, records [][]byte, released bool) error {
+	write, err := l.Begin(records, released)
+	if err != nil {
+		return err
+	}
+	return write.Settle(ctx)
+}
+
+// Write is one segment on its way. While it is not settled, nothing else may be
+// written by its log.
+type Write struct {
+	log     *Log
+	segment Segment
+	value   []byte
+	// first is when the first try was sent, zero before that.
+	first time.Time
+}
+
+// Begin prepares the records as the next segment.
+func (l *Log) Begin(records [][]byte, released bool) (*Write, error) {
 	if l.last-l.snapshotThrough >= RingSlots {
-		return errors.WithMessage(ErrTooLarge, "the ring is full without a snapshot")
+		return nil, errors.WithMessage(ErrTooLarge, "the ring is full without a snapshot")
 	}
 	segment := Segment{
 		Number:   l.last + 1,
@@ -184,44 +212,56 @@
 	}
 	value, err := encode(segment)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if len(value) > aqplatform.MaxValueBytes {
-		return ErrTooLarge
+		return nil, ErrTooLarge
 	}
-	return l.settle(ctx, segment, value)
+	return &Write{
+		log:     l,
+		segment: segment,
+		value:   value,
+	}, nil
 }
 
-// settle writes the same segment at the same revision until its fate is known.
-// Repeating it is safe: at most one of the writes can take effect, and each of
-// them carries the same decision.
-func (l *Log) settle(ctx context.Context, segment Segment, value []byte) error {
-	slot := segment.Number % RingSlots
-	key := slotKey(l.options.Shard, segment.Number)
-	first := l.options.Clock.Now()
+// Settle tries until the segment's fate is known.
+func (w *Write) Settle(ctx context.Context) error {
 	for {
-		sent := l.options.Clock.Now()
-		revision, err := l.options.Store.Put(ctx, key, value, l.slots[slot], 0)
-		switch {
-		case err == nil:
-			l.committed(segment, revision, sent)
-			return nil
-		case errors.Is(err, aqplatform.ErrConflict):
-			settled, err := l.resolve(ctx, segment, key, first)
-			if settled {
-				return err
-			}
-		case errors.Is(err, aqplatform.ErrRefused):
-			l.options.Observer.Waiting()
-		default:
-			l.options.Observer.InDoubt(segment.Number)
+		settled, err := w.Try(ctx)
+		if settled {
+			return err
 		}
-		if err := l.pause(ctx); err != nil {
+		if err := w.log.pause(ctx); err != nil {
 			return err
 		}
 	}
 }
 
+// Try writes the segment at the revision that its slot had when the log last
+// saw it, and reports whether its fate is known. Repeating it is safe: at most
+// one of the tries can take effect, and each carries the same decision.
+func (w *Write) Try(ctx context.Context) (bool, error) {
+	l := w.log
+	sent := l.options.Clock.Now()
+	if w.first.IsZero() {
+		w.first = sent
+	}
+	key := slotKey(l.options.Shard, w.segment.Number)
+	revision, err := l.options.Store.Put(ctx, key, w.value, l.slots[w.segment.Number%RingSlots], 0)
+	switch {
+	case err == nil:
+		l.committed(w.segment, revision, sent)
+		return true, nil
+	case errors.Is(err, aqplatform.ErrConflict):
+		return l.resolve(ctx, w.segment, key, w.first)
+	case errors.Is(err, aqplatform.ErrRefused):
+		l.options.Observer.Waiting()
+	default:
+		l.options.Observer.InDoubt(w.segment.Number)
+	}
+	return false, nil
+}
+
 func (l *Log) committed(segment Segment, revision aqplatform.Revision, sent time.Time) {
 	l.slots[segment.Number%RingSlots] = revision
 	l.last = segment.Number
--- a/pkg/aqplacement/victims.go
+++ b/pkg/aqplacement/victims.go
@@ -100,10 +100,7 @@
 	if ca, cb := evictionCost(a), evictionCost(b); ca != cb {
 		return ca < cb
 	}
-	if a.Task.Workload != b.Task.Workload {
-		return a.Task.Workload < b.Task.Workload
-	}
-	return a.Task.Index < b.Task.Index
+	return a.Task.Less(b.Task)
 }
 
 func evictionCost(r Resident) time.Duration {
--- a/pkg/aqscheduler/commit.go
+++ b/pkg/aqscheduler/commit.go
@@ -120,23 +120,59 @@
 // CommitOnce writes the waiting decisions as one segment and acts on them. It
 // reports whether the shard goes on.
 func (s *Shard) CommitOnce(ctx context.Context) bool {
-	b := s.takeBatch()
-	if b == nil {
-		return true
+	for {
+		settled, alive := s.CommitStep(ctx)
+		if settled {
+			return alive
+		}
+		s.pause(ctx)
+		if ctx.Err() != nil {
+			s.settle(aqjournal.ErrInterrupted)
+			return false
+		}
 	}
-	encoded, err := encodeAll(b.records)
-	if err == nil {
-		err = s.log.Append(ctx, encoded)
+}
+
+// CommitStep makes one try at the segment under way, which it begins when
+// decisions wait. It reports whether no segment is in doubt afterwards and
+// whether the shard goes on.
+func (s *Shard) CommitStep(ctx context.Context) (settled, alive bool) {
+	if s.write == nil {
+		b := s.takeBatch()
+		if b == nil {
+			return true, s.Err() == nil
+		}
+		if err := s.begin(b); err != nil {
+			s.settle(err)
+			return true, false
+		}
 	}
-	s.settle(b, err)
-	close(b.done)
-	if err != nil {
-		return false
+	settled, err := s.write.Try(ctx)
+	if !settled {
+		return false, true
 	}
-	if s.log.SnapshotDue() {
+	s.settle(err)
+	if err == nil && s.log.SnapshotDue() {
 		s.writeSnapshot(ctx)
 	}
-	return true
+	return true, s.Err() == nil
+}
+
+func (s *Shard) begin(b *batch) error {
+	encoded, err := encodeAll(b.records)
+	if err != nil {
+		return err
+	}
+	s.write, err = s.log.Begin(encoded, false)
+	return err
+}
+
+// pause waits before the next try, also while the shard is being released.
+func (s *Shard) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-s.options.Clock.After(s.options.Journal.RetryWait):
+	}
 }
 
 func (s *Shard) takeBatch() *batch {
@@ -164,11 +200,16 @@
 	return encoded, nil
 }
 
-func (s *Shard) settle(b *batch, err error) {
+// settle ends the write under way: with a nil error its decisions are committed
+// and acted on, with any other the shard is lost.
+func (s *Shard) settle(err error) {
+	s.write = nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b.err = err
+	b := s.flight
 	s.flight = nil
+	b.err = err
+	defer close(b.done)
 	if err != nil {
 		s.lose(err)
 		return
--- a/pkg/aqscheduler/plan.go
+++ b/pkg/aqscheduler/plan.go
@@ -152,7 +152,7 @@
 	}
 	d := w.Demand
 	workload, _ := s.planned.Task(d.Task)
-	d.Size = s.sizes.Reservation(d.Kind, workload.Spec.Base().Size)
+	d.Size = r.reservation(d.Kind, workload.Spec.Base().Size)
 	switch {
 	case len(r.candidates) == 0:
 		return r.wait(d, reasonNoWorkers)
@@ -174,6 +174,17 @@
 	return aqplacement.Placed
 }
 
+// reservation is the learned size of a kind. What was learned must not make a
+// task impossible whose declared size would fit: kinds are learned from tasks of
+// different sizes, with headroom.
+func (r *round) reservation(kind aqtype.TaskKind, declared aqtype.Resources) aqtype.Resources {
+	learned := r.shard.sizes.Reservation(kind, declared)
+	if !declared.Fits(r.largest) {
+		return learned
+	}
+	return learned.Min(r.largest)
+}
+
 func (r *round) wait(d aqplacement.Demand, reason string) aqplacement.Verdict {
 	r.shard.reasons[d.Task] = reason
 	return aqplacement.NoRoom
--- a/pkg/aqscheduler/shard.go
+++ b/pkg/aqscheduler/shard.go
@@ -58,7 +58,10 @@
 // Shard is one shard in its owner's hands.
 type Shard struct {
 	options Options
-	log     *aqjournal.Log
+	// log and write belong to the goroutine that commits. write is the segment
+	// under way, nil when there is none.
+	log   *aqjournal.Log
+	write *aqjournal.Write
 
 	mu sync.Mutex
 	// planned is committed with every decision made since: those in flight and
@@ -210,7 +213,9 @@
 		stopped:    make(chan struct{}),
 		ran:        make(chan struct{}),
 	}
-	s.planned.Queued(func(id aqtype.TaskID) { s.enqueue(id, time.Time{}) })
+	for _, id := range s.planned.Queued() {
+		s.enqueue(id, time.Time{})
+	}
 	o.Metrics.Inc(aqmetric.ShardsTaken)
 	o.Log.Write(aqlog.ShardTaken, slog.Int("Shard", int(o.ID)), slog.Uint64("Epoch", uint64(log.Epoch())))
 	return s, nil
--- /dev/null
+++ b/pkg/aqscheduler/shard_test.go
@@ -0,0 +1,55 @@
+package aqscheduler
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"acaciaquay/pkg/aqtype"
+)
+
+// TestMain fixes the seed of the property tests, so that their verdict is the
+// same every time; the command line can set another.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1500", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// rounds runs whole rounds of one owner, a second each.
+func rounds(w *world, o *owner, n int) {
+	for range n {
+		w.advance(time.Second)
+		o.turn()
+	}
+}
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	w := newWorld(1)
+	o := w.takeOver()
+	o.submit(testJob("job", 1, 4000, 6*time.Second, aqtype.UrgencyUrgent))
+	o.commit()
+	last := w.takeOver()
+	rounds(w, last, 12)
+	if found := w.unfinished(last.shard); found != "" {
+		t.Fatal(found)
+	}
+}
+
+// A kind that was learned from large tasks, with headroom, must not make a task
+// impossible that fits as declared. Seen in TestShardUnderFaults.
+func TestLearnedSizeNeverMakesTaskImpossible(t *testing.T) {
+	w := newWorld(1)
+	o := w.takeOver()
+	o.submit(testJob("large", 12, 4000, time.Second, aqtype.UrgencyNormal))
+	rounds(w, o, 40)
+	o.submit(testJob("small", 1, 1000, time.Second, aqtype.UrgencyNormal))
+	rounds(w, o, 10)
+	if found := w.unfinished(o.shard); found != "" {
+		t.Fatal(found)
+	}
+}
--- a/pkg/aqscheduler/workers.go
+++ b/pkg/aqscheduler/workers.go
@@ -95,33 +95,37 @@
 	}
 }
 
-// giveUpWorkers ends the tasks of workers that are certainly stopped: the
-// platform dropped them, or every session that could still be renewed has
-// lapsed. The lock is held.
+// giveUpWorkers ends the tasks of workers that are certainly stopped. When the
+// platform has dropped a host, that is all its tasks. When only every session
+// that could still be renewed has lapsed, it is the endless ones: a job's task
+// may have finished there before, and would be done twice, so it waits for the
+// worker's word or the platform's. The lock is held.
 func (s *Shard) giveUpWorkers(now time.Time) {
 	for _, id := range s.planned.Workers() {
-		if w := s.workers[id]; w != nil && w.serial != 0 && !w.gone {
+		w := s.workers[id]
+		gone := w != nil && w.gone
+		if !gone && ((w != nil && w.serial != 0) || !s.lapsed(w, now)) {
 			continue
 		}
-		if !s.certainlyStopped(id, now) {
-			continue
-		}
-		s.options.Log.Write(aqlog.WorkerGone, s.shardAttr(), slog.String("Worker", string(id)))
+		ended := 0
 		for _, task := range s.planned.Placed(id) {
-			s.endAttempt(task, aqshard.OutcomeLost, "")
+			workload, _ := s.planned.Task(task)
+			if _, isJob := workload.Spec.(aqtype.Job); gone || !isJob {
+				s.endAttempt(task, aqshard.OutcomeLost, "")
+				ended++
+			}
+		}
+		if ended > 0 {
+			s.options.Log.Write(aqlog.WorkerGone, s.shardAttr(), slog.String("Worker", string(id)))
 		}
 	}
 }
 
-// certainlyStopped reports whether no task of this shard can still run on a
-// worker without a session. The former owner's renewals are over one proof
+// lapsed reports whether no task of this shard can still run on a worker without
+// a session. The former owner's renewals are over one proof
 // limit and two times to live after this owner's epoch was committed; this
 // owner's own are over two times to live after the worker last answered it.
-func (s *Shard) certainlyStopped(id aqtype.WorkerID, now time.Time) bool {
-	w := s.workers[id]
-	if w != nil && w.gone {
-		return true
-	}
+func (s *Shard) lapsed(w *worker, now time.Time) bool {
 	limits := s.options.Limits.Session
 	if now.Sub(s.epochAt) < limits.ReassignAfter() {
 		return false
--- a/pkg/aqshard/state.go
+++ b/pkg/aqshard/state.go
@@ -1,6 +1,8 @@
 package aqshard
 
 import (
+	"sort"
+
 	"github.com/pkg/errors"
 
 	"acaciaquay/pkg/aqtype"
@@ -115,11 +117,20 @@
 	return w, &w.Tasks[id.Index]
 }
 
-// Queued calls visit for each queued task, in no order.
-func (s *State) Queued(visit func(aqtype.TaskID)) {
+// Queued returns the queued tasks, those of the oldest workload first.
+func (s *State) Queued() []aqtype.TaskID {
+	ids := make([]aqtype.TaskID, 0, len(s.queued))
 	for id := range s.queued {
-		visit(id)
+		ids = append(ids, id)
 	}
+	sort.Slice(ids, func(i, j int) bool {
+		a, b := s.workloads[ids[i].Workload], s.workloads[ids[j].Workload]
+		if a.AtMillis != b.AtMillis {
+			return a.AtMillis < b.AtMillis
+		}
+		return ids[i].Less(ids[j])
+	})
+	return ids
 }
 
 // QueuedCount returns the number of queued tasks.
@@ -131,21 +142,23 @@
 // TeamReserved returns what a team's batch tasks have reserved.
 func (s *State) TeamReserved(team aqtype.TeamID) aqtype.Resources { return s.teams[team] }
 
-// Placed returns the tasks that hold a reservation on a worker.
+// Placed returns the tasks that hold a reservation on a worker, in order.
 func (s *State) Placed(worker aqtype.WorkerID) []aqtype.TaskID {
 	ids := make([]aqtype.TaskID, 0, len(s.placed[worker]))
 	for id := range s.placed[worker] {
 		ids = append(ids, id)
 	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i].Less(ids[j]) })
 	return ids
 }
 
-// Workers returns the workers on which something is reserved.
+// Workers returns the workers on which something is reserved, in order.
 func (s *State) Workers() []aqtype.WorkerID {
 	ids := make([]aqtype.WorkerID, 0, len(s.placed))
 	for id := range s.placed {
 		ids = append(ids, id)
 	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
 	return ids
 }
 
--- /dev/null
+++ b/pkg/aqstandin/network.go
@@ -0,0 +1,142 @@
+package aqstandin
+
+import (
+	"context"
+
+	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Fate is what the network does to one call.
+type Fate int
+
+// The fates of a call.
+const (
+	// FateDelivered delivers the call and its answer.
+	FateDelivered Fate = iota
+	// FateAnswerLost delivers the call and drops the answer.
+	FateAnswerLost
+	// FateDropped drops the call.
+	FateDropped
+	// FateDelayed delivers the call at the next Release, long after its sender
+	// has given up.
+	FateDelayed
+)
+
+// Network stands between one sender and the platform and gives each call the
+// fate that Next returns. It is used by one goroutine.
+type Network struct {
+	// Next decides about one call.
+	Next    func() Fate
+	delayed []func()
+}
+
+// WorkerNetwork is a Network towards workers. It implements aqplatform.Workers.
+type WorkerNetwork struct {
+	*Network
+	Workers aqplatform.Workers
+}
+
+// StoreNetwork is a Network towards the store. It implements aqplatform.Store;
+// store leases and watches are passed on as they are.
+type StoreNetwork struct {
+	*Network
+	aqplatform.Store
+}
+
+// Release delivers the calls that were delayed, in the order that pick chooses
+// them.
+func (n *Network) Release(pick func(left int) int) {
+	for len(n.delayed) > 0 {
+		i := pick(len(n.delayed))
+		deliver := n.delayed[i]
+		n.delayed = append(n.delayed[:i], n.delayed[i+1:]...)
+		deliver()
+	}
+}
+
+// Delayed returns the number of calls that wait for Release.
+func (n *Network) Delayed() int { return len(n.delayed) }
+
+// carry gives a call its fate.
+func carry[T any](n *Network, lost error, call func() (T, error)) (T, error) {
+	var none T
+	switch n.Next() {
+	case FateAnswerLost:
+		_, _ = call()
+		return none, lost
+	case FateDropped:
+		return none, lost
+	case FateDelayed:
+		n.delayed = append(n.delayed, func() { _, _ = call() })
+		return none, lost
+	case FateDelivered:
+	}
+	return call()
+}
+
+// Open implements aqplatform.Workers.
+func (n WorkerNetwork) Open(
+	ctx context.Context, address string, r aqplatform.OpenRequest,
+) (aqplatform.SessionAnswer, error) {
+	return carry(n.Network, aqplatform.ErrWorkerUnknown, func() (aqplatform.SessionAnswer, error) {
+		return n.Workers.Open(ctx, address, r)
+	})
+}
+
+// Renew implements aqplatform.Workers.
+func (n WorkerNetwork) Renew(
+	ctx context.Context, address string, r aqplatform.RenewRequest,
+) (aqplatform.SessionAnswer, error) {
+	return carry(n.Network, aqplatform.ErrWorkerUnknown, func() (aqplatform.SessionAnswer, error) {
+		return n.Workers.Renew(ctx, address, r)
+	})
+}
+
+// Command implements aqplatform.Workers.
+func (n WorkerNetwork) Command(
+	ctx context.Context, address string, r aqplatform.CommandRequest,
+) (aqplatform.CommandAnswer, error) {
+	return carry(n.Network, aqplatform.ErrWorkerUnknown, func() (aqplatform.CommandAnswer, error) {
+		return n.Workers.Command(ctx, address, r)
+	})
+}
+
+// Get implements aqplatform.Store.
+func (n StoreNetwork) Get(ctx context.Context, key string) (aqplatform.Entry, error) {
+	return carry(n.Network, aqplatform.ErrUnknown, func() (aqplatform.Entry, error) { return n.Store.Get(ctx, key) })
+}
+
+// List implements aqplatform.Store.
+func (n StoreNetwork) List(ctx context.Context, prefix string) ([]aqplatform.Entry, error) {
+	return carry(n.Network, aqplatform.ErrUnknown, func() ([]aqplatform.Entry, error) { return n.Store.List(ctx, prefix) })
+}
+
+// Put implements aqplatform.Store.
+func (n StoreNetwork) Put(
+	ctx context.Context, key string, value []byte, expect aqplatform.Revision, lease aqplatform.LeaseID,
+) (aqplatform.Revision, error) {
+	return carry(n.Network, aqplatform.ErrUnknown, func() (aqplatform.Revision, error) {
+		return n.Store.Put(ctx, key, value, expect, lease)
+	})
+}
+
+// Delete implements aqplatform.Store.
+func (n StoreNetwork) Delete(ctx context.Context, key string, expect aqplatform.Revision) error {
+	_, err := carry(n.Network, aqplatform.ErrUnknown, func() (struct{}, error) {
+		return struct{}{}, n.Store.Delete(ctx, key, expect)
+	})
+	return err
+}
+
+// TestHost returns a listed worker of the users' usual size.
+func TestHost(id string, capacity aqtype.Resources) aqplatform.WorkerHost {
+	return aqplatform.WorkerHost{
+		ID:       aqtype.WorkerID(id),
+		Address:  id,
+		Zone:     "perth",
+		Rack:     "rack0",
+		State:    aqplatform.HostLive,
+		Capacity: capacity,
+	}
+}
--- a/pkg/aqstandin/truth.go
+++ b/pkg/aqstandin/truth.go
@@ -13,6 +13,7 @@
 	mu       sync.Mutex
 	running  map[aqtype.TaskID]aqtype.WorkerID
 	finished map[aqtype.TaskID]int
+	voided   map[aqtype.TaskID]bool
 	resumed  map[aqtype.CheckpointID]int
 	requests map[string]int
 	report   TruthReport
@@ -40,6 +41,7 @@
 	return &Truth{
 		running:  map[aqtype.TaskID]aqtype.WorkerID{},
 		finished: map[aqtype.TaskID]int{},
+		voided:   map[aqtype.TaskID]bool{},
 		resumed:  map[aqtype.CheckpointID]int{},
 		requests: map[string]int{},
 	}
@@ -63,6 +65,9 @@
 	RunBegan RunEventKind = iota + 1
 	RunDone
 	RunCut
+	// RunVoid says that the record of a finish went with its host: unless the
+	// owner knew of it, the task is rightly done again.
+	RunVoid
 )
 
 // Witness receives what happens on workers and endpoints.
@@ -85,6 +90,8 @@
 			t.report.DistinctFinished++
 		}
 		t.finished[e.Run.Task]++
+	case RunVoid:
+		t.voided[e.Run.Task] = true
 	case RunCut:
 		delete(t.running, e.Run.Task)
 		t.report.Interrupted++
@@ -93,6 +100,10 @@
 
 func (t *Truth) began(e RunEvent) {
 	t.report.Starts++
+	if t.voided[e.Run.Task] {
+		t.finished[e.Run.Task] = 0
+		delete(t.voided, e.Run.Task)
+	}
 	_, elsewhere := t.running[e.Run.Task]
 	if elsewhere || t.finished[e.Run.Task] > 0 {
 		t.report.Doubled++
--- a/pkg/aqtype/ids.go
+++ b/pkg/aqtype/ids.go
@@ -53,6 +53,14 @@
 	return fmt.Sprintf("%s/%d", t.Workload, t.Index)
 }
 
+// Less orders tasks by workload, then by index.
+func (t TaskID) Less(o TaskID) bool {
+	if t.Workload != o.Workload {
+		return t.Workload < o.Workload
+	}
+	return t.Index < o.Index
+}
+
 // HomeShard is the shard that keeps the workload with this key. The same key
 // always has the same home, which is what makes a submission idempotent.
 func HomeShard(key WorkloadKey, shards int) ShardID {
--- a/pkg/aqtype/resources.go
+++ b/pkg/aqtype/resources.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// Min returns the smaller of r and o in every resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{
+		MilliCPU:     min(r.MilliCPU, o.MilliCPU),
+		Memory:       min(r.Memory, o.Memory),
+		Accelerators: min(r.Accelerators, o.Accelerators),
+	}
+}
+
 // String renders the amount for logs and tables.
 func (r Resources) String() string {
 	return fmt.Sprintf("%dm/%dMi/%d", r.MilliCPU, r.Memory, r.Accelerators)
