--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,14 @@
 lint: tools
 	_scripts/lint
 
+# Regenerates docs/capacity.csv and prints the fitted lines (about 4 minutes).
+capacity: build
+	_scripts/capacity
+
+# Placement under interference, against baselines of our own.
+lab: build
+	go run ./cmd/acaciaquay-lab
+
 clean:
 	rm -rf $(BIN) .run
 
--- a/cmd/acaciaquay/cmds/commands.go
+++ b/cmd/acaciaquay/cmds/commands.go
@@ -2,6 +2,7 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -132,3 +133,21 @@
 	}
 	return run(s)
 }
+
+const usageIndent = 2
+
+// Usage renders the help of every command.
+func Usage() string {
+	var out bytes.Buffer
+	app, _ := New(&env{out: &out, err: &out})
+	app.Terminate(nil)
+	app.UsageWriter(&out)
+	parsed, err := app.ParseContext(nil)
+	if err == nil {
+		err = app.UsageForContextWithTemplate(parsed, usageIndent, kingpin.LongHelpTemplate)
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return out.String()
+}
--- a/pkg/aqapi/conversions.go
+++ b/pkg/aqapi/conversions.go
@@ -124,7 +124,7 @@
 
 func stateToWire(s aqshard.TaskState) pb.TaskState {
 	switch s {
-	case aqshard.TaskQueued:
+	case aqshard.TaskQueued, aqshard.TaskOffered, aqshard.TaskReturned:
 		return pb.TaskState_TASK_STATE_QUEUED
 	case aqshard.TaskRunning:
 		return pb.TaskState_TASK_STATE_RUNNING
--- /dev/null
+++ b/pkg/aqdocs/pages.go
@@ -0,0 +1,83 @@
+// Package aqdocs renders the pages that are generated from the code.
+package aqdocs
+
+import (
+	"fmt"
+	"strings"
+
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqsettings"
+)
+
+const generated = "This page is generated from the code by `make generate`.\n\n"
+
+// Pages returns the text of each generated page by its file name below docs.
+func Pages(usage string) map[string]string {
+	return map[string]string{
+		"EVENTS.md":         events(),
+		"METRICS.md":        metrics(),
+		"SETTINGS.md":       settings(),
+		"cli/acaciaquay.md": "# Command line\n\n" + generated + "```\n" + usage + "```\n\n" + exitStatuses,
+	}
+}
+
+const exitStatuses = `## Exit statuses
+
+| status | meaning |
+|---|---|
+| 0 | done |
+| 1 | understood and not done |
+| 2 | the command line or a settings file is wrong |
+| 3 | a change may or may not have taken effect |
+| 4 | another change was accepted first |
+`
+
+func events() string {
+	var b strings.Builder
+	b.WriteString("# Log events\n\n" + generated)
+	b.WriteString("| event | layer | level | message | meaning |\n|---|---|---|---|---|\n")
+	for _, e := range aqlog.Events {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s |\n", e.Number, e.Layer, e.Level, e.Message, e.Meaning)
+	}
+	return b.String()
+}
+
+func metrics() string {
+	var b strings.Builder
+	b.WriteString("# Metrics\n\n" + generated)
+	b.WriteString("Every process shows them on its operators' port under `/metrics`.\n\n")
+	b.WriteString("## Refusals: `aq_refused_total{reason=...}`\n\nWhat was refused did not run.\n\n")
+	for _, r := range aqmetric.RefusalReasons {
+		fmt.Fprintf(&b, "- `%s`\n", r)
+	}
+	b.WriteString("\n## Retries: `aq_retries_total{reason=...}`\n\n")
+	for _, r := range aqmetric.RetryReasons {
+		fmt.Fprintf(&b, "- `%s`\n", r)
+	}
+	b.WriteString("\n## Counters\n\n")
+	for _, c := range aqmetric.Counts {
+		fmt.Fprintf(&b, "- `%s`\n", c)
+	}
+	return b.String()
+}
+
+func settings() string {
+	var b strings.Builder
+	b.WriteString("# Settings\n\n" + generated)
+	b.WriteString("One INI file serves both daemons of a host. A key that is not listed here, a wrong unit, a missing\n")
+	b.WriteString("address or a value out of range is refused with file, section, key and reason, exit status 2.\n")
+	section := ""
+	for _, f := range aqsettings.Fields {
+		if f.Section != section {
+			section = f.Section
+			fmt.Fprintf(&b, "\n## [%s]\n\n| key | unit | default | range | meaning |\n|---|---|---|---|---|\n", section)
+		}
+		fallback := f.Default
+		if f.Required {
+			fallback = "required"
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s |\n", f.Key, f.Unit, fallback, f.Range, f.Doc)
+	}
+	return b.String()
+}
--- a/pkg/aqgateway/gateway_test.go
+++ b/pkg/aqgateway/gateway_test.go
@@ -152,7 +152,8 @@
 
 func (e *rawEndpoint) address() string { return e.listener.Addr().String() }
 
-func writeAnswer(conn net.Conn, body string) {
+func writeAnswer(conn net.Conn) {
+	const body = "whole"
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
@@ -171,7 +172,7 @@
 		t.Run(test.method, func(t *testing.T) {
 			e := newRawEndpoint(t, func(conn net.Conn, nth int) bool {
 				if nth == 0 {
-					writeAnswer(conn, "whole")
+					writeAnswer(conn)
 				}
 				return nth == 0
 			})
@@ -242,7 +243,7 @@
 	})
 	defer close(quiet)
 	answering := newRawEndpoint(t, func(conn net.Conn, _ int) bool {
-		writeAnswer(conn, "whole")
+		writeAnswer(conn)
 		return true
 	})
 	h := newHarness(t, endpointAt("a", silent.address()))
@@ -269,11 +270,11 @@
 	leaving := newRawEndpoint(t, func(conn net.Conn, _ int) bool {
 		entered <- struct{}{}
 		<-release
-		writeAnswer(conn, "whole")
+		writeAnswer(conn)
 		return true
 	})
 	staying := newRawEndpoint(t, func(conn net.Conn, _ int) bool {
-		writeAnswer(conn, "whole")
+		writeAnswer(conn)
 		return true
 	})
 	h := newHarness(t, endpointAt("a", leaving.address()))
@@ -350,7 +351,7 @@
 	e := newRawEndpoint(t, func(conn net.Conn, _ int) bool {
 		running.Add(1)
 		<-release
-		writeAnswer(conn, "whole")
+		writeAnswer(conn)
 		return true
 	})
 	h := newHarness(t, endpointAt("a", e.address()))
--- /dev/null
+++ b/pkg/aqlab/place.go
@@ -0,0 +1,142 @@
+package aqlab
+
+import (
+	"time"
+
+	"acaciaquay/pkg/aqplacement"
+	"acaciaquay/pkg/aqtype"
+)
+
+func (l *lab) policy() aqplacement.Policy {
+	switch l.arm {
+	case ArmFirstFit:
+		return aqplacement.FirstFit{}
+	case ArmSpread:
+		return aqplacement.Spread{}
+	case ArmOracle:
+		return aqplacement.Interfering{Model: l.truth}
+	case ArmLearned:
+	}
+	return aqplacement.Interfering{Model: l.pairs}
+}
+
+// reservation is what an arm reserves: the baselines believe the declaration,
+// the oracle knows the use, and the learned arm asks the size model.
+func (l *lab) reservation(t *task) aqtype.Resources {
+	switch l.arm {
+	case ArmFirstFit, ArmSpread:
+		return t.kind.declared
+	case ArmOracle:
+		return t.kind.used
+	case ArmLearned:
+	}
+	return l.sizes.Reservation(t.kind.kind, t.kind.declared).Min(workerSize)
+}
+
+func (l *lab) candidates() []aqplacement.Candidate {
+	all := make([]aqplacement.Candidate, 0, l.site.Workers)
+	for w := range l.site.Workers {
+		c := aqplacement.Candidate{
+			Worker:   l.workerID(w),
+			Capacity: workerSize,
+			Free:     workerSize,
+		}
+		for _, t := range l.running[w] {
+			c.Free = c.Free.Sub(t.reserved)
+			c.Residents = append(c.Residents, l.resident(t))
+		}
+		if !(aqtype.Resources{}).Fits(c.Free) {
+			l.result.OverCommitted++
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+func (l *lab) resident(t *task) aqplacement.Resident {
+	return aqplacement.Resident{
+		Task:            t.id,
+		Kind:            t.kind.kind,
+		Urgency:         t.kind.urgency,
+		LatencyCritical: t.kind.latencyCritical,
+		Size:            t.reserved,
+		Ran:             l.now.Sub(t.begun),
+		Evictions:       t.evictions,
+	}
+}
+
+func (l *lab) placeOne(t *task, candidates []aqplacement.Candidate) bool {
+	d := aqplacement.Demand{
+		Task:            t.id,
+		Kind:            t.kind.kind,
+		Urgency:         t.kind.urgency,
+		LatencyCritical: t.kind.latencyCritical,
+		Size:            l.reservation(t),
+	}
+	index, ok := aqplacement.Choose(l.policy(), d, candidates)
+	if !ok && t.kind.latencyCritical {
+		index, ok = l.evictFor(d, candidates)
+	}
+	if !ok {
+		return false
+	}
+	t.reserved = d.Size
+	t.worker = index
+	t.begun = l.now
+	l.running[index] = append(l.running[index], t)
+	candidates[index].Free = candidates[index].Free.Sub(d.Size)
+	candidates[index].Residents = append(candidates[index].Residents, l.resident(t))
+	l.noteNeighbours(index)
+	if t.kind.latencyCritical && l.measured() {
+		_ = l.waits.RecordValue(max(1, int64(l.now.Sub(t.since)/time.Microsecond)))
+	}
+	return true
+}
+
+// evictFor stops the cheapest victims. They resume from a checkpoint, so what is
+// lost is the time since the last one.
+func (l *lab) evictFor(d aqplacement.Demand, candidates []aqplacement.Candidate) (int, bool) {
+	e, ok := aqplacement.ChooseVictims(d, candidates, false, aqtype.Resources{})
+	if !ok {
+		return 0, false
+	}
+	c := &candidates[e.Candidate]
+	for _, victim := range e.Victims {
+		l.evict(e.Candidate, victim)
+		for i, r := range c.Residents {
+			if r.Task == victim {
+				c.Free = c.Free.Add(r.Size)
+				c.Residents = append(c.Residents[:i:i], c.Residents[i+1:]...)
+				break
+			}
+		}
+	}
+	return e.Candidate, true
+}
+
+// checkpointCost is the work that one eviction costs: saving, and starting
+// again.
+const checkpointCost = time.Minute
+
+func (l *lab) evict(w int, id aqtype.TaskID) {
+	for i, t := range l.running[w] {
+		if t.id != id {
+			continue
+		}
+		l.running[w] = append(l.running[w][:i:i], l.running[w][i+1:]...)
+		t.evictions++
+		t.left += checkpointCost
+		l.requeued = append(l.requeued, t)
+		if l.measured() {
+			l.result.Evictions++
+			l.result.LostWork += checkpointCost
+		}
+		return
+	}
+}
+
+func (l *lab) evictedNow() []*task {
+	evicted := l.requeued
+	l.requeued = nil
+	return evicted
+}
--- /dev/null
+++ b/pkg/aqlab/truth.go
@@ -0,0 +1,122 @@
+// Package aqlab feeds the real placement code with seeded workloads on a
+// simulated clock and measures what comes of its decisions. It feeds the
+// interfaces of pkg/aqplacement and simulates neither network nor processes.
+package aqlab
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"acaciaquay/pkg/aqplacement"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Site is a user's fleet.
+type Site struct {
+	Name    string
+	Workers int
+	PerRack int
+}
+
+// Sites are the users' sizes of today.
+var Sites = []Site{
+	{
+		Name:    "swan",
+		Workers: 50,
+		PerRack: 6,
+	},
+	{
+		Name:    "ireti",
+		Workers: 70,
+		PerRack: 11,
+	},
+}
+
+// Size of a worker.
+var workerSize = aqtype.Resources{
+	MilliCPU:     64_000,
+	Memory:       250 * 1024,
+	Accelerators: 2,
+}
+
+// taskType is one kind of task with what the decision code cannot see.
+type taskType struct {
+	kind            aqtype.TaskKind
+	latencyCritical bool
+	urgency         aqtype.Urgency
+	declared        aqtype.Resources
+	// used is what a task really uses at its peak.
+	used    aqtype.Resources
+	runTime time.Duration
+}
+
+// hidden is the interference between kinds that the decision code has to learn.
+type hidden struct {
+	pairs map[aqplacement.Pair]float64
+}
+
+// Slowdown implements aqplacement.Interference for the oracle.
+func (h hidden) Slowdown(victim, neighbour aqtype.TaskKind) float64 {
+	return h.pairs[aqplacement.Pair{Victim: victim, Neighbour: neighbour}]
+}
+
+// Bounds of the random truth.
+const (
+	services    = 4
+	batchKinds  = 6
+	wrongFactor = 8.0
+	noisyShare  = 0.25
+)
+
+// newTypes draws the kinds of one run. Declared sizes are wrong by up to
+// wrongFactor in either direction.
+func newTypes(r *rand.Rand) ([]taskType, hidden) {
+	var types []taskType
+	for i := range services {
+		types = append(types, newType(r, i, true))
+	}
+	for i := range batchKinds {
+		types = append(types, newType(r, i, false))
+	}
+	truth := hidden{pairs: map[aqplacement.Pair]float64{}}
+	for _, victim := range types {
+		for _, neighbour := range types {
+			slowdown := r.Float64() * 0.02
+			if !neighbour.latencyCritical && r.Float64() < noisyShare {
+				slowdown = 0.05 + r.Float64()*0.35
+			}
+			truth.pairs[aqplacement.Pair{Victim: victim.kind, Neighbour: neighbour.kind}] = slowdown
+		}
+	}
+	return types, truth
+}
+
+func newType(r *rand.Rand, number int, latencyCritical bool) taskType {
+	cores := 2 + r.Float64()*6
+	used := aqtype.Resources{
+		MilliCPU: aqtype.MilliCPU(cores * 1000),
+		Memory:   aqtype.MebiBytes(cores * (1 + r.Float64()*3) * 1024),
+	}
+	wrong := 1 + r.Float64()*(wrongFactor-1)
+	if r.Float64() < 0.3 {
+		wrong = 1 / wrong
+	}
+	t := taskType{
+		latencyCritical: latencyCritical,
+		used:            used,
+		declared: aqtype.Resources{
+			MilliCPU: min(workerSize.MilliCPU, aqtype.MilliCPU(float64(used.MilliCPU)*wrong)),
+			Memory:   min(workerSize.Memory, aqtype.MebiBytes(float64(used.Memory)*wrong)),
+		},
+		runTime: time.Duration(2+r.IntN(18)) * time.Minute,
+		urgency: aqtype.UrgencyBackground,
+	}
+	t.kind = aqtype.TaskKind("batch" + string(rune('a'+number)))
+	if latencyCritical {
+		t.kind = aqtype.TaskKind("service" + string(rune('a'+number)))
+		t.urgency = aqtype.UrgencyUrgent
+	} else if number%3 == 0 {
+		t.urgency = aqtype.UrgencyNormal
+	}
+	return t
+}
--- a/pkg/aqmember/member.go
+++ b/pkg/aqmember/member.go
@@ -36,6 +36,10 @@
 type Claim struct {
 	Shard aqtype.ShardID
 	Epoch aqtype.Epoch
+	// Free is the room that the shard has for tasks of others, Largest the most
+	// of it on one worker.
+	Free    aqtype.Resources
+	Largest aqtype.Resources
 }
 
 // report is what is known of a member from its heartbeats.
@@ -166,7 +170,7 @@
 		return false
 	}
 	for i := range a {
-		if a[i] != b[i] {
+		if a[i].Shard != b[i].Shard || a[i].Epoch != b[i].Epoch {
 			return false
 		}
 	}
@@ -261,6 +265,28 @@
 	return owner, epoch
 }
 
+// Claims lists the best claim to each shard that other members make.
+func (d *Directory) Claims() []Claim {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	best := map[aqtype.ShardID]Claim{}
+	for id, r := range d.reports {
+		if !d.counts(id) {
+			continue
+		}
+		for _, c := range r.claims {
+			if c.Epoch > best[c.Shard].Epoch {
+				best[c.Shard] = c
+			}
+		}
+	}
+	claims := make([]Claim, 0, len(best))
+	for _, c := range best {
+		claims = append(claims, c)
+	}
+	return claims
+}
+
 // ProcessRevision is a member with the configuration revision it last reported.
 type ProcessRevision struct {
 	Member   Member
--- a/pkg/aqplacement/queue.go
+++ b/pkg/aqplacement/queue.go
@@ -10,6 +10,8 @@
 // Waiting is a queued task with what decides its turn.
 type Waiting struct {
 	Demand Demand
+	// Since is when the task began to wait.
+	Since time.Time
 	// NotBefore delays a task after failures.
 	NotBefore time.Time
 }
--- a/pkg/aqplacement/sizes.go
+++ b/pkg/aqplacement/sizes.go
@@ -11,7 +11,7 @@
 	// sizeMemory is the part of the old peak that survives a lower report.
 	sizeMemory = 0.98
 	// sizeHeadroom is reserved above the learned peak.
-	sizeHeadroom = 1.15
+	sizeHeadroom = 1.05
 	// minSizeReports is how many reports outweigh the declared size.
 	minSizeReports = 8
 	// runTimeRate is the part of an error that one finished run corrects.
--- a/pkg/aqplatform/http.go
+++ b/pkg/aqplatform/http.go
@@ -96,7 +96,9 @@
 const (
 	maxAnswerBytes  = 16 << 20
 	idleConnections = 4
-	idleTimeout     = 60 * time.Second
+	// connectionBuffer is small because there is a connection for each worker.
+	connectionBuffer = 1 << 10
+	idleTimeout      = 60 * time.Second
 )
 
 // caller posts JSON bodies and turns the answers into this package's errors.
@@ -113,6 +115,8 @@
 				DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 				MaxIdleConnsPerHost: idleConnections,
 				IdleConnTimeout:     idleTimeout,
+				ReadBufferSize:      connectionBuffer,
+				WriteBufferSize:     connectionBuffer,
 			},
 		},
 		unknown: unknown,
--- a/pkg/aqprocess/scheduler.go
+++ b/pkg/aqprocess/scheduler.go
@@ -70,6 +70,7 @@
 		Clock:     b.clock,
 		Config:    b.config,
 		Directory: b.directory,
+		Peers:     b.peers,
 		Limits: aqscheduler.Limits{
 			Session: aqsession.Limits{
 				TTL:          s.Session.TTL,
--- a/pkg/aqscheduler/act.go
+++ b/pkg/aqscheduler/act.go
@@ -25,7 +25,24 @@
 		s.countEnd(r)
 	case aqshard.Cancelled:
 		s.sendStops(r.Workload)
-	case aqshard.Pruned:
+	case aqshard.Reported:
+		s.acknowledge(r)
+	case aqshard.Pruned, aqshard.Offered, aqshard.Taken, aqshard.Returned, aqshard.Forgotten:
+	}
+}
+
+// acknowledge lets the shard that a task was handed on to forget it.
+func (s *Shard) acknowledge(r aqshard.Reported) {
+	w, t := s.committed.Task(r.Task)
+	s.acks[t.To] = append(s.acks[t.To], Ack{Task: r.Task, Sequence: r.Sequence})
+	s.noteDone(r.Task.Workload, w)
+}
+
+// noteDone begins the retention of a workload whose tasks have all ended. One of
+// another shard is that shard's to keep.
+func (s *Shard) noteDone(key aqtype.WorkloadKey, w *aqshard.Workload) {
+	if w.Done() && !w.Guest {
+		s.ended[key] = s.options.Clock.Now()
 	}
 }
 
@@ -110,7 +127,5 @@
 	if t.State == aqshard.TaskGivenUp {
 		s.options.Log.Write(aqlog.TaskGivenUp, slog.String("Task", r.Task.String()))
 	}
-	if w.Done() {
-		s.ended[r.Task.Workload] = s.options.Clock.Now()
-	}
+	s.noteDone(r.Task.Workload, w)
 }
--- a/pkg/aqscheduler/daemon.go
+++ b/pkg/aqscheduler/daemon.go
@@ -31,6 +31,7 @@
 	Clock     aqclock.Clock
 	Config    *aqconfig.Holder
 	Directory *aqmember.Directory
+	Peers     aqmember.Caller
 	Limits    Limits
 	// HostPoll is the time between two readings of the host list.
 	HostPoll time.Duration
@@ -57,6 +58,7 @@
 	unsettled map[aqtype.ShardID]time.Time
 	taking    map[aqtype.ShardID]bool
 	hosts     aqplatform.Hosts
+	ownRooms  []Room
 	leaving   bool
 	work      sync.WaitGroup
 }
@@ -86,6 +88,7 @@
 	aqpeer.Handle(server, MethodList, d.list)
 	aqpeer.Handle(server, MethodCancel, d.cancel)
 	aqpeer.Handle(server, MethodTop, d.top)
+	aqpeer.Handle(server, MethodHandOn, d.handOn)
 }
 
 // balancePeriod bounds how long a change of membership goes unnoticed.
@@ -104,6 +107,7 @@
 	for ctx.Err() == nil {
 		changed := d.options.Directory.Changed()
 		d.balance(ctx)
+		d.readRooms()
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -280,14 +284,15 @@
 				shard:   int(id),
 			},
 		},
-		Workers:   o.Workers,
-		Clock:     o.Clock,
-		Config:    o.Config,
-		Limits:    o.Limits,
-		Policy:    interferingPolicy,
-		Log:       o.Log,
-		Metrics:   o.Metrics,
-		RunKeeper: func(k *aqsession.Keeper) func() { return runKeeper(ctx, k) },
+		Workers:    o.Workers,
+		Clock:      o.Clock,
+		Config:     o.Config,
+		Limits:     o.Limits,
+		Policy:     interferingPolicy,
+		Neighbours: d,
+		Log:        o.Log,
+		Metrics:    o.Metrics,
+		RunKeeper:  func(k *aqsession.Keeper) func() { return runKeeper(ctx, k) },
 	}
 }
 
@@ -357,14 +362,84 @@
 func (d *Daemon) Claims() []aqmember.Claim {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	rooms := make(map[aqtype.ShardID]Room, len(d.ownRooms))
+	for _, room := range d.ownRooms {
+		rooms[room.Shard] = room
+	}
 	claims := make([]aqmember.Claim, 0, len(d.shards))
 	for id, h := range d.shards {
-		claims = append(claims, aqmember.Claim{Shard: id, Epoch: h.shard.Epoch()})
+		room := rooms[id]
+		claims = append(claims, aqmember.Claim{
+			Shard:   id,
+			Epoch:   h.shard.Epoch(),
+			Free:    room.Free,
+			Largest: room.Largest,
+		})
 	}
 	sort.Slice(claims, func(i, j int) bool { return claims[i].Shard < claims[j].Shard })
 	return claims
 }
 
+// Rooms implements Neighbours: the shards of this process and of others.
+func (d *Daemon) Rooms() []Room {
+	var rooms []Room
+	for _, c := range d.options.Directory.Claims() {
+		rooms = append(rooms, Room{
+			Shard:   c.Shard,
+			Free:    c.Free,
+			Largest: c.Largest,
+		})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append(rooms, d.ownRooms...)
+}
+
+// readRooms refreshes the rooms of this process's shards. Shards read each
+// other's rooms from here, because they must not take each other's locks.
+func (d *Daemon) readRooms() {
+	d.mu.Lock()
+	shards := make([]*Shard, 0, len(d.shards))
+	for _, h := range d.shards {
+		shards = append(shards, h.shard)
+	}
+	d.mu.Unlock()
+	rooms := make([]Room, 0, len(shards))
+	for _, s := range shards {
+		rooms = append(rooms, s.Room())
+	}
+	d.mu.Lock()
+	d.ownRooms = rooms
+	d.mu.Unlock()
+}
+
+// HandOn implements Neighbours.
+func (d *Daemon) HandOn(ctx context.Context, to aqtype.ShardID, r HandOnRequest) (HandOnAnswer, error) {
+	if d.held(to) != nil {
+		return d.handOn(ctx, r)
+	}
+	owner, epoch := d.options.Directory.Owner(to)
+	if epoch == 0 {
+		return HandOnAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "nobody owns shard %d", to)
+	}
+	var answer HandOnAnswer
+	err := d.options.Peers.Call(ctx, owner.PeerAddress, MethodHandOn, r, &answer)
+	return answer, err
+}
+
+func (d *Daemon) handOn(ctx context.Context, r HandOnRequest) (HandOnAnswer, error) {
+	shard, err := d.owned(r.To)
+	if err != nil {
+		return HandOnAnswer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOnLimit)
+	defer cancel()
+	return shard.HandOn(ctx, r)
+}
+
+// handOnLimit bounds one call between shards.
+const handOnLimit = 5 * time.Second
+
 func (d *Daemon) owned(id aqtype.ShardID) (*Shard, error) {
 	if shard := d.held(id); shard != nil {
 		return shard, nil
--- /dev/null
+++ b/pkg/aqscheduler/handon_rapid_test.go
@@ -0,0 +1,256 @@
+package aqscheduler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqstandin"
+	"acaciaquay/pkg/aqtype"
+)
+
+// pair is a home shard without workers and another shard that has them.
+type pair struct {
+	home  *world
+	other *world
+	link  *link
+}
+
+// link carries calls from the home shard to the other, with the fate of each
+// drawn by the test.
+type link struct {
+	other   *world
+	fate    func() aqstandin.Fate
+	choose  func(n int) int
+	delayed []HandOnRequest
+}
+
+func newPair() *pair {
+	p := &pair{home: newWorld(0), other: newWorld(2)}
+	p.home.clock, p.home.store, p.home.truth = p.other.clock, p.other.store, p.other.truth
+	p.other.shard = 1
+	p.link = &link{
+		other:  p.other,
+		fate:   func() aqstandin.Fate { return aqstandin.FateDelivered },
+		choose: func(int) int { return 0 },
+	}
+	p.home.neighbours = p.link
+	return p
+}
+
+func (l *link) alive() []*owner {
+	var alive []*owner
+	for _, o := range l.other.owners {
+		if o.alive() {
+			alive = append(alive, o)
+		}
+	}
+	return alive
+}
+
+// Rooms implements Neighbours.
+func (l *link) Rooms() []Room {
+	alive := l.alive()
+	if len(alive) == 0 {
+		return nil
+	}
+	return []Room{alive[l.choose(len(alive))].shard.Room()}
+}
+
+// HandOn implements Neighbours.
+func (l *link) HandOn(_ context.Context, _ aqtype.ShardID, r HandOnRequest) (HandOnAnswer, error) {
+	fate := l.fate()
+	if fate == aqstandin.FateDelayed {
+		l.delayed = append(l.delayed, r)
+	}
+	if fate == aqstandin.FateDelayed || fate == aqstandin.FateDropped {
+		return HandOnAnswer{}, aqpeer.ErrNoAnswer
+	}
+	answer, err := l.deliver(r)
+	if fate == aqstandin.FateAnswerLost {
+		return HandOnAnswer{}, aqpeer.ErrNoAnswer
+	}
+	return answer, err
+}
+
+// deliver gives a request to an owner of the other shard, which may be deposed,
+// and lets it commit a few times.
+func (l *link) deliver(r HandOnRequest) (HandOnAnswer, error) {
+	alive := l.alive()
+	if len(alive) == 0 {
+		return HandOnAnswer{}, aqpeer.ErrNotSent
+	}
+	o := alive[l.choose(len(alive))]
+	o.shard.mu.Lock()
+	o.shard.receive(r)
+	waiting := o.shard.lastBatch()
+	o.shard.mu.Unlock()
+	for range 3 {
+		if waiting == nil || o.shard.Err() != nil {
+			break
+		}
+		o.commit()
+		select {
+		case <-waiting.done:
+			waiting = nil
+		default:
+		}
+	}
+	if waiting != nil || o.shard.Err() != nil {
+		return HandOnAnswer{}, aqpeer.ErrNoAnswer
+	}
+	return o.shard.handOnAnswer(r.From), nil
+}
+
+type pairMachine struct {
+	*pair
+	t      *rapid.T
+	jobs   int
+	faulty bool
+}
+
+func newPairMachine(t *rapid.T) *pairMachine {
+	m := &pairMachine{pair: newPair(), t: t}
+	m.home.fate, m.other.fate, m.link.fate = m.nextFate, m.nextFate, m.nextFate
+	m.link.choose = func(n int) int { return rapid.IntRange(0, n-1).Draw(m.t, "owner") }
+	m.home.takeOver()
+	m.other.takeOver()
+	return m
+}
+
+func (m *pairMachine) nextFate() aqstandin.Fate {
+	if !m.faulty {
+		return aqstandin.FateDelivered
+	}
+	return aqstandin.Fate(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2, 3}).Draw(m.t, "fate"))
+}
+
+func (m *pairMachine) side(t *rapid.T) *world {
+	if rapid.Bool().Draw(t, "home") {
+		return m.home
+	}
+	return m.other
+}
+
+func aliveOf(t *rapid.T, w *world) *owner {
+	var alive []*owner
+	for _, o := range w.owners {
+		if o.alive() {
+			alive = append(alive, o)
+		}
+	}
+	if len(alive) == 0 {
+		t.Skip("nobody owns the shard")
+	}
+	return alive[rapid.IntRange(0, len(alive)-1).Draw(t, "owner")]
+}
+
+func (m *pairMachine) Submit(t *rapid.T) {
+	if m.jobs >= 8 {
+		t.Skip("enough jobs")
+	}
+	m.jobs++
+	aliveOf(t, m.home).submit(testJob(fmt.Sprintf("job%d", m.jobs), rapid.IntRange(1, 3).Draw(t, "tasks"),
+		aqtype.MilliCPU(rapid.IntRange(1, 4).Draw(t, "cores")*1000),
+		time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds"))*time.Second, aqtype.UrgencyNormal))
+}
+
+func (m *pairMachine) Cancel(t *rapid.T) {
+	if m.jobs == 0 {
+		t.Skip("no jobs")
+	}
+	aliveOf(t, m.home).cancel(aqtype.WorkloadKey(fmt.Sprintf("job%d", rapid.IntRange(1, m.jobs).Draw(t, "job"))))
+}
+
+func (m *pairMachine) Turn(t *rapid.T)   { aliveOf(t, m.side(t)).turn() }
+func (m *pairMachine) Commit(t *rapid.T) { aliveOf(t, m.side(t)).commit() }
+func (m *pairMachine) HandOn(t *rapid.T) { aliveOf(t, m.home).shard.HandOnOnce(t.Context()) }
+
+func (m *pairMachine) TakeOver(t *rapid.T) {
+	w := m.side(t)
+	if len(w.owners) >= 4 {
+		t.Skip("enough owners")
+	}
+	w.takeOver()
+}
+
+// Late delivers a call that was sent long ago.
+func (m *pairMachine) Late(t *rapid.T) {
+	if len(m.link.delayed) == 0 {
+		t.Skip("nothing delayed")
+	}
+	i := rapid.IntRange(0, len(m.link.delayed)-1).Draw(t, "call")
+	r := m.link.delayed[i]
+	m.link.delayed = append(m.link.delayed[:i:i], m.link.delayed[i+1:]...)
+	_, _ = m.link.deliver(r)
+}
+
+func (m *pairMachine) Faults(t *rapid.T) { m.faulty = rapid.Bool().Draw(t, "faulty") }
+
+func (m *pairMachine) Advance(t *rapid.T) {
+	m.other.advance(time.Duration(rapid.IntRange(100, 6000).Draw(t, "millis")) * time.Millisecond)
+}
+
+func (m *pairMachine) Check(t *rapid.T) {
+	if found := m.other.problem(); found != "" {
+		t.Fatal(found)
+	}
+}
+
+func (m *pairMachine) heal(t *rapid.T) {
+	m.faulty = false
+	home, other := m.home.takeOver(), m.other.takeOver()
+	if home == nil || other == nil {
+		t.Fatal("a healthy store refused a takeover")
+	}
+	for range 300 {
+		m.other.advance(time.Second)
+		home.turn()
+		other.turn()
+		home.shard.HandOnOnce(context.Background())
+		if m.home.unfinished(home.shard) == "" {
+			break
+		}
+	}
+	m.Check(t)
+	if found := m.home.unfinished(home.shard); found != "" {
+		t.Fatal(found)
+	}
+}
+
+// TestHandOnUnderFaults checks that a task that is handed on to another shard
+// runs once and is never lost, whatever happens to calls and owners.
+func TestHandOnUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newPairMachine(t)
+		t.Repeat(rapid.StateMachineActions(m))
+		m.heal(t)
+	})
+}
+
+// The shard that a task was handed on to forgets it only when its home has
+// committed the end, and then does forget it.
+func TestHandedOnTaskIsForgotten(t *testing.T) {
+	p := newPair()
+	home, other := p.home.takeOver(), p.other.takeOver()
+	home.submit(testJob("job", 3, 1000, 2*time.Second, aqtype.UrgencyNormal))
+	for range 30 {
+		p.other.advance(time.Second)
+		home.turn()
+		other.turn()
+		home.shard.HandOnOnce(context.Background())
+	}
+	if found := p.home.unfinished(home.shard); found != "" {
+		t.Fatal(found)
+	}
+	if left := other.shard.committed.WorkloadCount(); left != 0 {
+		t.Fatalf("%d workloads of another shard are kept", left)
+	}
+	if got := p.other.truth.Report(); got.Starts != 3 || got.Finishes != 3 {
+		t.Fatalf("the workers saw %+v", got)
+	}
+}
--- a/pkg/aqscheduler/plan.go
+++ b/pkg/aqscheduler/plan.go
@@ -47,6 +47,9 @@
 	// largest is the componentwise largest capacity of any listed worker.
 	largest aqtype.Resources
 	starts  int
+	// rooms are read once a round, when a task is first to be handed on.
+	rooms     []Room
+	roomsRead bool
 }
 
 // Plan runs one placement round: it gives up workers that are certainly
@@ -155,18 +158,18 @@
 	d.Size = r.reservation(d.Kind, workload.Spec.Base().Size)
 	switch {
 	case len(r.candidates) == 0:
-		return r.wait(d, reasonNoWorkers)
+		return r.passOn(w, d, reasonNoWorkers)
 	case !d.Size.Fits(r.largest):
-		return r.wait(d, reasonImpossible)
+		return r.passOn(w, d, reasonImpossible)
 	case r.overQuota(d):
 		r.wait(d, reasonQuota)
 		return aqplacement.HoldTeam
 	case r.overFloor(d):
-		return r.wait(d, reasonFloor)
+		return r.passOn(w, d, reasonFloor)
 	}
 	index, ok := aqplacement.Choose(r.policy, d, r.visible(d.Task))
 	if !ok {
-		return r.makeRoom(d)
+		return r.makeRoom(w, d)
 	}
 	if !r.start(d, index) {
 		return aqplacement.NoRoom
@@ -293,12 +296,16 @@
 	return order
 }
 
-// makeRoom stops the cheapest victims for a task that found no room.
-func (r *round) makeRoom(d aqplacement.Demand) aqplacement.Verdict {
+// makeRoom hands a task that found no room on, or stops the cheapest victims for
+// it.
+func (r *round) makeRoom(w aqplacement.Waiting, d aqplacement.Demand) aqplacement.Verdict {
 	s := r.shard
 	if _, pending := s.earmarks[d.Task]; pending {
 		return r.wait(d, reasonEvicting)
 	}
+	if verdict := r.passOn(w, d, reasonNoRoom); verdict == aqplacement.Placed || r.now.Sub(w.Since) < offerAfter {
+		return verdict
+	}
 	allowed, bounded := r.evictable(d)
 	eviction, ok := aqplacement.ChooseVictims(d, r.visible(d.Task), bounded, allowed)
 	if !ok || !s.budget.take(len(eviction.Victims), r.config.EvictionsPerMinute, r.now) {
@@ -385,6 +392,7 @@
 			LatencyCritical: aqtype.IsLatencyCritical(w.Spec),
 			Size:            base.Size,
 		},
+		Since:     s.options.Clock.Now(),
 		NotBefore: notBefore,
 	})
 }
--- a/pkg/aqscheduler/shard.go
+++ b/pkg/aqscheduler/shard.go
@@ -48,8 +48,10 @@
 	Config  *aqconfig.Holder
 	Limits  Limits
 	Policy  func(*aqplacement.Pairs) aqplacement.Policy
-	Log     *aqlog.Logger
-	Metrics *aqmetric.Set
+	// Neighbours are the other shards, to which tasks are handed on.
+	Neighbours Neighbours
+	Log        *aqlog.Logger
+	Metrics    *aqmetric.Set
 	// RunKeeper runs a worker's session until the returned function is called,
 	// which waits for the last call to end.
 	RunKeeper func(*aqsession.Keeper) (stop func())
@@ -91,6 +93,10 @@
 	earmarks map[aqtype.TaskID]earmark
 	ended    map[aqtype.WorkloadKey]time.Time
 	budget   evictionBudget
+	// takenUpTo is the last offer that each shard is known to have taken, acks
+	// are ends to be forgotten there. Both may be lost: they are learnt again.
+	takenUpTo map[aqtype.ShardID]uint64
+	acks      map[aqtype.ShardID][]Ack
 
 	pairs     *aqplacement.Pairs
 	sizes     *aqplacement.Sizes
@@ -203,6 +209,8 @@
 		reasons:    map[aqtype.TaskID]string{},
 		earmarks:   map[aqtype.TaskID]earmark{},
 		ended:      map[aqtype.WorkloadKey]time.Time{},
+		takenUpTo:  map[aqtype.ShardID]uint64{},
+		acks:       map[aqtype.ShardID][]Ack{},
 		pairs:      aqplacement.NewPairs(),
 		sizes:      aqplacement.NewSizes(),
 		history:    aqplacement.NewHistory(),
@@ -216,6 +224,12 @@
 	for _, id := range s.planned.Queued() {
 		s.enqueue(id, time.Time{})
 	}
+	state.Workloads(func(key aqtype.WorkloadKey, w *aqshard.Workload) bool {
+		if w.Done() && !w.Guest {
+			s.ended[key] = o.Clock.Now()
+		}
+		return true
+	})
 	o.Metrics.Inc(aqmetric.ShardsTaken)
 	o.Log.Write(aqlog.ShardTaken, slog.Int("Shard", int(o.ID)), slog.Uint64("Epoch", uint64(log.Epoch())))
 	return s, nil
@@ -242,11 +256,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var planning sync.WaitGroup
-	planning.Add(1)
+	planning.Add(2)
 	go func() {
 		defer planning.Done()
 		s.runPlan(ctx)
 	}()
+	go func() {
+		defer planning.Done()
+		s.runHandOn(ctx)
+	}()
 	s.runCommit(ctx)
 	cancel()
 	planning.Wait()
--- a/pkg/aqscheduler/shard_test.go
+++ b/pkg/aqscheduler/shard_test.go
@@ -53,3 +53,45 @@
 		t.Fatal(found)
 	}
 }
+
+// A deposed owner that has not noticed must not reach the worker's tasks: it does
+// not know those that were started since, and would stop them.
+func TestDeposedOwnerCannotStopTasks(t *testing.T) {
+	w := newWorld(1)
+	deposed := w.takeOver()
+	deposed.turn()
+	owner := w.takeOver()
+	owner.turn()
+	owner.submit(testJob("job", 1, 1000, 20*time.Second, aqtype.UrgencyNormal))
+	rounds(w, owner, 3)
+	for range 3 {
+		deposed.sessions()
+		rounds(w, owner, 3)
+	}
+	rounds(w, owner, 30)
+	if found := w.unfinished(owner.shard); found != "" {
+		t.Fatal(found)
+	}
+	if r := w.truth.Report(); r.Starts != 1 || r.Interrupted != 0 {
+		t.Fatalf("the worker saw %+v", r)
+	}
+}
+
+// An owner that has nothing to commit notices a higher epoch all the same: the
+// worker's refusal makes it prove its ownership. Seen in the first demo, where an
+// idle deposed owner kept two shards from being taken.
+func TestIdleDeposedOwnerNotices(t *testing.T) {
+	w := newWorld(1)
+	idle := w.takeOver()
+	idle.turn()
+	w.takeOver().turn()
+	idle.sessions()
+	select {
+	case <-idle.shard.wakeProve:
+	default:
+		t.Fatal("the worker's refusal raised no doubt")
+	}
+	if idle.shard.ProveOnce(t.Context()) || idle.alive() {
+		t.Fatal("a deposed owner proved its ownership")
+	}
+}
--- a/pkg/aqscheduler/submit.go
+++ b/pkg/aqscheduler/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -41,7 +42,7 @@
 		s.options.Metrics.Refused(aqmetric.RefusedNotOwner)
 		return aqpeer.Errorf(aqpeer.CodeNotOwner, "shard %d", s.options.ID)
 	}
-	if w := s.planned.Workload(spec.Base().Key); w != nil {
+	if w := s.planned.Workload(spec.Base().Key); w != nil && !w.Guest {
 		if w.Spec == spec {
 			return nil
 		}
@@ -74,16 +75,14 @@
 		return Status{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "shard %d", s.options.ID)
 	}
 	w := s.planned.Workload(key)
-	if w == nil {
+	if w == nil || w.Guest {
 		s.mu.Unlock()
 		return Status{}, aqpeer.Errorf(aqpeer.CodeNotFound, "workload %s", key)
 	}
 	if !w.Cancelled {
 		s.decide(aqshard.Cancelled{Workload: key})
 		s.dequeue(key, len(w.Tasks))
-		if w.Done() {
-			s.ended[key] = s.options.Clock.Now()
-		}
+		s.noteDone(key, w)
 	}
 	waiting := s.lastBatch()
 	s.mu.Unlock()
@@ -110,7 +109,7 @@
 		return Status{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "shard %d", s.options.ID)
 	}
 	w := s.committed.Workload(key)
-	if w == nil {
+	if w == nil || w.Guest {
 		return Status{}, aqpeer.Errorf(aqpeer.CodeNotFound, "workload %s", key)
 	}
 	return s.status(key, w), nil
@@ -123,7 +122,7 @@
 	defer s.mu.Unlock()
 	var all []Status
 	s.committed.Workloads(func(key aqtype.WorkloadKey, w *aqshard.Workload) bool {
-		if team == "" || w.Spec.Base().Team == team {
+		if !w.Guest && (team == "" || w.Spec.Base().Team == team) {
 			all = append(all, s.status(key, w))
 		}
 		return true
@@ -144,12 +143,19 @@
 			State:   t.State,
 			Attempt: t.Attempt,
 			Worker:  t.Worker,
-			Reason:  s.reasons[aqtype.TaskID{Workload: key, Index: i}],
+			Reason:  s.reason(aqtype.TaskID{Workload: key, Index: i}, t),
 		})
 	}
 	return status
 }
 
+func (s *Shard) reason(id aqtype.TaskID, t aqshard.Task) string {
+	if t.State == aqshard.TaskOffered {
+		return fmt.Sprintf("handed on to shard %d", t.To)
+	}
+	return s.reasons[id]
+}
+
 // Top sums the shard up.
 func (s *Shard) Top() ShardTop {
 	s.mu.Lock()
--- a/pkg/aqscheduler/world_test.go
+++ b/pkg/aqscheduler/world_test.go
@@ -12,6 +12,7 @@
 	"acaciaquay/pkg/aqjournal"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqpeer"
 	"acaciaquay/pkg/aqplacement"
 	"acaciaquay/pkg/aqplatform"
 	"acaciaquay/pkg/aqsession"
@@ -54,6 +55,18 @@
 	acked   map[aqtype.WorkloadKey]aqtype.Spec
 	refused map[aqtype.WorkloadKey]bool
 	config  *aqconfig.Holder
+	shard   aqtype.ShardID
+	// neighbours are the other shards; alone has none.
+	neighbours Neighbours
+}
+
+// alone is a shard without others.
+type alone struct{}
+
+func (alone) Rooms() []Room { return nil }
+
+func (alone) HandOn(context.Context, aqtype.ShardID, HandOnRequest) (HandOnAnswer, error) {
+	return HandOnAnswer{}, aqpeer.ErrNotSent
 }
 
 // owner is one process that took the shard.
@@ -80,6 +93,8 @@
 		acked:   map[aqtype.WorkloadKey]aqtype.Spec{},
 		refused: map[aqtype.WorkloadKey]bool{},
 		config:  aqconfig.NewHolder(aqlog.Discard()),
+
+		neighbours: alone{},
 	}
 	w.store = aqstandin.NewStore(w.clock)
 	for i := range workers {
@@ -120,8 +135,9 @@
 	metrics := aqmetric.New()
 	log, _ := aqlog.New(io.Discard, o.name, "")
 	return Options{
-		ID: 0,
+		ID: w.shard,
 		Journal: aqjournal.Options{
+			Shard:  w.shard,
 			Store:  aqstandin.StoreNetwork{Network: o.network, Store: w.store},
 			Clock:  w.clock,
 			Writer: aqtype.HostID(o.name),
@@ -141,8 +157,9 @@
 		Policy: func(*aqplacement.Pairs) aqplacement.Policy {
 			return aqplacement.Spread{}
 		},
-		Log:     log,
-		Metrics: metrics,
+		Neighbours: w.neighbours,
+		Log:        log,
+		Metrics:    metrics,
 		RunKeeper: func(k *aqsession.Keeper) func() {
 			o.keepers[k] = true
 			return func() {}
--- a/pkg/aqsession/keeper.go
+++ b/pkg/aqsession/keeper.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"acaciaquay/pkg/aqclock"
@@ -102,8 +103,10 @@
 	// number is the last command number used or barred in this epoch.
 	number uint64
 	open   bool
-	outbox Orders
-	wake   chan struct{}
+	// renewed is set once the open session has been renewed.
+	renewed bool
+	outbox  Orders
+	wake    chan struct{}
 	// answered is when the last renewal or open was answered; renewals sent
 	// later than that are at most one.
 	answered time.Time
@@ -180,6 +183,7 @@
 	k.serial = Serial(lastSerial.Add(1))
 	k.number = max(k.number, answer.Number)
 	k.open = true
+	k.renewed = false
 	k.session = answer.Session
 	k.outbox = Orders{Serial: k.serial}
 	k.note(answer)
@@ -196,6 +200,22 @@
 	k.answered = k.options.Clock.Now()
 }
 
+// wait is how long the worker may hold the next renewal. The first one after an
+// open is shorter by a part that depends on the worker, so that the sessions
+// that a takeover opens at once are not renewed at once ever after.
+func (k *Keeper) wait() time.Duration {
+	whole := k.options.Limits.Wait
+	if k.renewed {
+		return whole
+	}
+	k.renewed = true
+	part := xxhash.Sum64String(string(k.options.Worker)) % phases
+	return whole * time.Duration(part) / phases
+}
+
+// phases is the number of different first waits.
+const phases = 64
+
 func (k *Keeper) renew(ctx context.Context) error {
 	k.mu.Lock()
 	request := aqplatform.RenewRequest{
@@ -204,7 +224,7 @@
 		Epoch:   k.options.Epoch,
 		Token:   k.token,
 		Version: k.version,
-		Wait:    k.options.Limits.Wait,
+		Wait:    k.wait(),
 	}
 	k.mu.Unlock()
 	if err := k.mayRenew(); err != nil {
--- a/pkg/aqsession/keeper_test.go
+++ b/pkg/aqsession/keeper_test.go
@@ -40,22 +40,23 @@
 func (*owner) Closed(aqtype.WorkerID, error)               {}
 
 type bench struct {
-	clock  *aqclock.Fake
-	truth  *aqstandin.Truth
-	worker *aqstandin.Worker
-	fate   aqstandin.Fate
-	owner  *owner
-	keeper *aqsession.Keeper
+	clock   *aqclock.Fake
+	truth   *aqstandin.Truth
+	worker  *aqstandin.Worker
+	fate    aqstandin.Fate
+	network *aqstandin.Network
+	owner   *owner
+	keeper  *aqsession.Keeper
 }
 
 func newBench() *bench {
 	b := &bench{clock: aqclock.NewFake(), truth: aqstandin.NewTruth()}
 	host := aqstandin.TestHost("w0", size)
 	b.worker = aqstandin.NewWorker(b.clock, host, b.truth, nil)
-	network := &aqstandin.Network{Next: func() aqstandin.Fate { return b.fate }}
+	b.network = &aqstandin.Network{Next: func() aqstandin.Fate { return b.fate }}
 	b.owner = &owner{proof: b.clock.Now()}
 	b.keeper = aqsession.New(aqsession.Options{
-		Workers: aqstandin.WorkerNetwork{Network: network, Workers: aqstandin.NewFleet(b.worker)},
+		Workers: aqstandin.WorkerNetwork{Network: b.network, Workers: aqstandin.NewFleet(b.worker)},
 		Clock:   b.clock,
 		Owner:   b.owner,
 		Limits:  aqsession.Limits{TTL: 4 * time.Second, ProofLimit: 10 * time.Second},
@@ -100,6 +101,30 @@
 	}
 }
 
+// A command that arrives long after it was repeated, and after its run has ended
+// and been forgotten, starts nothing.
+func TestDelayedCommandStartsNothing(t *testing.T) {
+	b := newBench()
+	b.step(t)
+	run := aqplatform.RunID{Task: aqtype.TaskID{Workload: "job"}, Attempt: 1}
+	b.keeper.Send(aqsession.Orders{
+		Serial: b.owner.serial,
+		Starts: []aqplatform.StartOrder{{Run: run, Size: size}},
+	})
+	b.fate = aqstandin.FateDelayed
+	b.keeper.Flush(context.Background())
+	b.fate = aqstandin.FateDelivered
+	b.keeper.Flush(context.Background())
+	b.clock.Advance(time.Second)
+	b.step(t)
+	b.keeper.Send(aqsession.Orders{Forget: []aqplatform.RunID{run}})
+	b.keeper.Flush(context.Background())
+	b.network.Release(func(int) int { return 0 })
+	if r := b.truth.Report(); r.Starts != 1 || r.Finishes != 1 {
+		t.Fatalf("the worker saw %+v", r)
+	}
+}
+
 // Renewals end with the proof of ownership, and the worker then stops the tasks.
 func TestRenewalsEndWithTheProof(t *testing.T) {
 	b := newBench()
--- a/pkg/aqshard/record.go
+++ b/pkg/aqshard/record.go
@@ -58,6 +58,60 @@
 	Workload aqtype.WorkloadKey
 }
 
+// Offered hands a queued task on to another shard, which decides about it until
+// it reports its end or returns it.
+type Offered struct {
+	Task aqtype.TaskID
+	To   aqtype.ShardID
+	// Sequence is one more than that of the offer before to the same shard.
+	Sequence uint64
+}
+
+// Taken takes a task that another shard, its home, has offered.
+type Taken struct {
+	From     aqtype.ShardID
+	Sequence uint64
+	Spec     aqtype.Spec
+	Index    int
+	Progress Progress
+	// Cancelled is set when the workload was cancelled before.
+	Cancelled bool
+}
+
+// Progress is what goes with a task from shard to shard.
+type Progress struct {
+	Attempt    aqtype.Attempt
+	Checkpoint aqtype.CheckpointID
+	Failures   int
+	Evictions  int
+	Worker     aqtype.WorkerID
+}
+
+// Returned gives a queued task of another shard back.
+type Returned struct {
+	Task aqtype.TaskID
+}
+
+// Reported ends an offer at the task's home.
+type Reported struct {
+	Task     aqtype.TaskID
+	Sequence uint64
+	// State is how the task ended there, or TaskReturned.
+	State    TaskState
+	Progress Progress
+}
+
+// Forgotten drops a task of another shard whose end that shard has committed.
+type Forgotten struct {
+	Task     aqtype.TaskID
+	Sequence uint64
+}
+
+func (Offered) isRecord()   {}
+func (Taken) isRecord()     {}
+func (Returned) isRecord()  {}
+func (Reported) isRecord()  {}
+func (Forgotten) isRecord() {}
 func (Accepted) isRecord()  {}
 func (Started) isRecord()   {}
 func (Stopping) isRecord()  {}
@@ -99,6 +153,20 @@
 	Ended     *Ended        `msgpack:",omitempty"`
 	Cancelled *Cancelled    `msgpack:",omitempty"`
 	Pruned    *Pruned       `msgpack:",omitempty"`
+	Offered   *Offered      `msgpack:",omitempty"`
+	Taken     *takenWire    `msgpack:",omitempty"`
+	Returned  *Returned     `msgpack:",omitempty"`
+	Reported  *Reported     `msgpack:",omitempty"`
+	Forgotten *Forgotten    `msgpack:",omitempty"`
+}
+
+type takenWire struct {
+	From      aqtype.ShardID
+	Sequence  uint64
+	Spec      SpecWire
+	Index     int
+	Progress  Progress
+	Cancelled bool
 }
 
 type acceptedWire struct {
@@ -158,6 +226,23 @@
 		e.Cancelled = &r
 	case Pruned:
 		e.Pruned = &r
+	case Offered:
+		e.Offered = &r
+	case Taken:
+		e.Taken = &takenWire{
+			From:      r.From,
+			Sequence:  r.Sequence,
+			Spec:      WrapSpec(r.Spec),
+			Index:     r.Index,
+			Progress:  r.Progress,
+			Cancelled: r.Cancelled,
+		}
+	case Returned:
+		e.Returned = &r
+	case Reported:
+		e.Reported = &r
+	case Forgotten:
+		e.Forgotten = &r
 	}
 	data, err := msgpack.Marshal(e)
 	return data, errors.Wrap(err, "shard: encode record")
@@ -184,5 +269,29 @@
 	case e.Pruned != nil:
 		return *e.Pruned, nil
 	}
+	return decodeHandOn(e)
+}
+
+func decodeHandOn(e envelope) (Record, error) {
+	switch {
+	case e.Offered != nil:
+		return *e.Offered, nil
+	case e.Taken != nil:
+		spec, err := e.Taken.Spec.Unwrap()
+		return Taken{
+			From:      e.Taken.From,
+			Sequence:  e.Taken.Sequence,
+			Spec:      spec,
+			Index:     e.Taken.Index,
+			Progress:  e.Taken.Progress,
+			Cancelled: e.Taken.Cancelled,
+		}, err
+	case e.Returned != nil:
+		return *e.Returned, nil
+	case e.Reported != nil:
+		return *e.Reported, nil
+	case e.Forgotten != nil:
+		return *e.Forgotten, nil
+	}
 	return nil, ErrRecord
 }
--- a/pkg/aqshard/snapshot.go
+++ b/pkg/aqshard/snapshot.go
@@ -14,6 +14,20 @@
 	Tasks     []Task
 	AtMillis  int64
 	Cancelled bool
+	Guest     bool           `msgpack:",omitempty"`
+	Home      aqtype.ShardID `msgpack:",omitempty"`
+}
+
+// cursorWire is the last offer made to and taken from a shard.
+type cursorWire struct {
+	Shard   aqtype.ShardID
+	Offered uint64
+	Taken   uint64
+}
+
+type stateWire struct {
+	Workloads []workloadWire
+	Cursors   []cursorWire
 }
 
 // Encode packs the whole state. Equal states give equal bytes.
@@ -25,13 +39,34 @@
 			Tasks:     w.Tasks,
 			AtMillis:  w.AtMillis,
 			Cancelled: w.Cancelled,
+			Guest:     w.Guest,
+			Home:      w.Home,
 		})
 	}
 	sort.Slice(wires, func(i, j int) bool { return wireKey(wires[i]) < wireKey(wires[j]) })
-	data, err := msgpack.Marshal(wires)
+	data, err := msgpack.Marshal(stateWire{Workloads: wires, Cursors: s.cursors()})
 	return data, errors.Wrap(err, "shard: encode state")
 }
 
+func (s *State) cursors() []cursorWire {
+	byShard := map[aqtype.ShardID]cursorWire{}
+	for shard, sequence := range s.offered {
+		byShard[shard] = cursorWire{Shard: shard, Offered: sequence}
+	}
+	for shard, sequence := range s.taken {
+		c := byShard[shard]
+		c.Shard = shard
+		c.Taken = sequence
+		byShard[shard] = c
+	}
+	cursors := make([]cursorWire, 0, len(byShard))
+	for _, c := range byShard {
+		cursors = append(cursors, c)
+	}
+	sort.Slice(cursors, func(i, j int) bool { return cursors[i].Shard < cursors[j].Shard })
+	return cursors
+}
+
 func wireKey(w workloadWire) aqtype.WorkloadKey {
 	spec, err := w.Spec.Unwrap()
 	if err != nil {
@@ -46,11 +81,15 @@
 	if data == nil {
 		return s, nil
 	}
-	var wires []workloadWire
-	if err := msgpack.Unmarshal(data, &wires); err != nil {
+	var whole stateWire
+	if err := msgpack.Unmarshal(data, &whole); err != nil {
 		return nil, errors.Wrap(err, "shard: decode state")
 	}
-	for _, wire := range wires {
+	for _, c := range whole.Cursors {
+		s.offered[c.Shard] = c.Offered
+		s.taken[c.Shard] = c.Taken
+	}
+	for _, wire := range whole.Workloads {
 		spec, err := wire.Spec.Unwrap()
 		if err != nil {
 			return nil, err
@@ -60,6 +99,8 @@
 			Tasks:     wire.Tasks,
 			AtMillis:  wire.AtMillis,
 			Cancelled: wire.Cancelled,
+			Guest:     wire.Guest,
+			Home:      wire.Home,
 		})
 	}
 	return s, nil
@@ -75,6 +116,8 @@
 		switch {
 		case t.State == TaskQueued:
 			s.queued[id] = struct{}{}
+		case t.State == TaskOffered:
+			s.noteAway(id, t)
 		case t.HoldsReservation():
 			s.reserve(id, w, t)
 		}
--- a/pkg/aqshard/state.go
+++ b/pkg/aqshard/state.go
@@ -19,6 +19,10 @@
 	TaskFinished
 	TaskGivenUp
 	TaskCancelled
+	// TaskOffered is a task that its home has handed on to another shard.
+	TaskOffered
+	// TaskReturned is a task that another shard's home is to take back.
+	TaskReturned
 )
 
 // Task is one task of a workload.
@@ -36,6 +40,10 @@
 	Why        StopReason
 	Failures   int
 	Evictions  int
+	// To and Sequence name the offer under which the task was handed on. At the
+	// shard that took it, Sequence is that of the offer.
+	To       aqtype.ShardID
+	Sequence uint64
 }
 
 // HoldsReservation reports whether the task counts against its worker.
@@ -43,9 +51,34 @@
 	return t.State == TaskRunning || t.State == TaskStopping
 }
 
-// HasEnded reports whether the task will not run again.
+// HasEnded reports whether the task will not run again in this shard. The zero
+// state is that of a task of another shard that is not here.
 func (t Task) HasEnded() bool {
-	return t.State == TaskFinished || t.State == TaskGivenUp || t.State == TaskCancelled
+	switch t.State {
+	case TaskFinished, TaskGivenUp, TaskCancelled, TaskReturned, 0:
+		return true
+	case TaskQueued, TaskRunning, TaskStopping, TaskOffered:
+	}
+	return false
+}
+
+// progress is what goes with the task to another shard.
+func (t Task) progress() Progress {
+	return Progress{
+		Attempt:    t.Attempt,
+		Checkpoint: t.Checkpoint,
+		Failures:   t.Failures,
+		Evictions:  t.Evictions,
+		Worker:     t.Worker,
+	}
+}
+
+func (t *Task) takeProgress(p Progress) {
+	t.Attempt = p.Attempt
+	t.Checkpoint = p.Checkpoint
+	t.Failures = p.Failures
+	t.Evictions = p.Evictions
+	t.Worker = p.Worker
 }
 
 // Workload is a workload with its tasks.
@@ -55,6 +88,10 @@
 	AtMillis int64
 	// Cancelled is set once and never cleared.
 	Cancelled bool
+	// Guest is set in a shard that is not the workload's home, and Home names
+	// that one. Tasks that are not here have the zero state.
+	Guest bool
+	Home  aqtype.ShardID
 }
 
 // Done reports whether no task will run again.
@@ -80,6 +117,12 @@
 	queued map[aqtype.TaskID]struct{}
 	// teams is what each team's batch tasks have reserved.
 	teams map[aqtype.TeamID]aqtype.Resources
+	// offered is the last offer made to each shard, taken the last one taken
+	// from each. They only grow.
+	offered map[aqtype.ShardID]uint64
+	taken   map[aqtype.ShardID]uint64
+	// away holds exactly the tasks in state TaskOffered, by shard and sequence.
+	away map[aqtype.ShardID]map[uint64]aqtype.TaskID
 }
 
 // NewState returns an empty state.
@@ -90,6 +133,9 @@
 		placed:    map[aqtype.WorkerID]map[aqtype.TaskID]struct{}{},
 		queued:    map[aqtype.TaskID]struct{}{},
 		teams:     map[aqtype.TeamID]aqtype.Resources{},
+		offered:   map[aqtype.ShardID]uint64{},
+		taken:     map[aqtype.ShardID]uint64{},
+		away:      map[aqtype.ShardID]map[uint64]aqtype.TaskID{},
 	}
 }
 
@@ -190,6 +236,16 @@
 		return s.cancel(r)
 	case Pruned:
 		return s.prune(r)
+	case Offered:
+		return s.offer(r)
+	case Taken:
+		return s.take(r)
+	case Returned:
+		return s.giveBack(r)
+	case Reported:
+		return s.report(r)
+	case Forgotten:
+		return s.forget(r)
 	}
 	return ErrRecord
 }
@@ -298,7 +354,7 @@
 
 func (s *State) prune(r Pruned) error {
 	w := s.workloads[r.Workload]
-	if w == nil || !w.Done() {
+	if w == nil || w.Guest || !w.Done() {
 		return errors.Wrapf(ErrInvalid, "prune of workload %s", r.Workload)
 	}
 	delete(s.workloads, r.Workload)
