--- /dev/null
+++ b/pkg/aqadmit/line_test.go
@@ -0,0 +1,82 @@
+package aqadmit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"acaciaquay/pkg/aqadmit"
+	"acaciaquay/pkg/aqconfig"
+	"acaciaquay/pkg/aqtype"
+)
+
+var (
+	start = time.Unix(0, 0)
+	later = start.Add(time.Hour)
+)
+
+func push(l *aqadmit.Line, u aqtype.Urgency, caller string, n int) {
+	for range n {
+		l.Push(&aqadmit.Ticket{
+			Urgency:  u,
+			Caller:   caller,
+			Deadline: later,
+		})
+	}
+}
+
+// In a flood of one urgency every other keeps at least its floor of the grants,
+// in both directions.
+func TestFloorsHoldInAFlood(t *testing.T) {
+	config := aqconfig.Default()
+	for _, flooding := range aqtype.Urgencies {
+		l := aqadmit.NewLine(config)
+		const grants = 1000
+		for _, u := range aqtype.Urgencies {
+			push(l, u, "a", grants)
+		}
+		push(l, flooding, "flood", 9*grants)
+		got := map[aqtype.Urgency]int{}
+		for range grants {
+			got[l.Pop(start, func(*aqadmit.Ticket) {}).Urgency]++
+		}
+		for _, u := range aqtype.Urgencies {
+			if floor := config.Share(u).FloorPercent * grants / 100; got[u] < floor {
+				t.Errorf("flood of %s: %s got %d of %d grants, floor %d", flooding, u, got[u], grants, floor)
+			}
+		}
+	}
+}
+
+// One caller with many requests does not hold the others of its urgency up.
+func TestCallersOfOneUrgencyTakeTurns(t *testing.T) {
+	l := aqadmit.NewLine(aqconfig.Default())
+	push(l, aqtype.UrgencyNormal, "many", 1000)
+	push(l, aqtype.UrgencyNormal, "few", 10)
+	few := 0
+	for range 20 {
+		if l.Pop(start, func(*aqadmit.Ticket) {}).Caller == "few" {
+			few++
+		}
+	}
+	if few != 10 {
+		t.Fatalf("the caller with few requests got %d of 20 grants", few)
+	}
+}
+
+func TestExpiredTicketsArePassedOver(t *testing.T) {
+	l := aqadmit.NewLine(aqconfig.Default())
+	push(l, aqtype.UrgencyUrgent, "a", 3)
+	expired := 0
+	if l.Pop(later, func(*aqadmit.Ticket) { expired++ }) != nil || expired != 3 || l.Len() != 0 {
+		t.Fatalf("%d expired, %d left", expired, l.Len())
+	}
+}
+
+func ExampleLine() {
+	l := aqadmit.NewLine(aqconfig.Default())
+	push(l, aqtype.UrgencyBackground, "press", 2)
+	push(l, aqtype.UrgencyUrgent, "counter", 1)
+	fmt.Println(l.Pop(start, func(*aqadmit.Ticket) {}).Caller, l.Len())
+	// Output: counter 2
+}
--- /dev/null
+++ b/pkg/aqconfig/config_test.go
@@ -0,0 +1,186 @@
+package aqconfig
+
+import (
+	"context"
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqstandin"
+	"acaciaquay/pkg/aqtype"
+)
+
+// TestMain fixes the seed of the property tests; the command line can set
+// another.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestValidate(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*Configuration)
+		valid  bool
+	}{
+		{name: "default", change: func(*Configuration) {}, valid: true},
+		{name: "floors above 100", change: func(c *Configuration) { c.Shares[0].FloorPercent = 90 }},
+		{name: "weight zero", change: func(c *Configuration) { c.Shares[0].Weight = 0 }},
+		{name: "urgency twice", change: func(c *Configuration) { c.Shares[0].Urgency = c.Shares[1].Urgency }},
+		{name: "urgency missing", change: func(c *Configuration) { c.Shares = c.Shares[1:] }},
+		{name: "share above 100", change: func(c *Configuration) { c.WorkerSharePercent = 101 }},
+		{name: "quota without team", change: func(c *Configuration) { c.Quotas = []TeamQuota{{}} }},
+		{
+			name: "quota twice",
+			change: func(c *Configuration) {
+				c.Quotas = []TeamQuota{{Team: aqtype.TeamID("a")}, {Team: aqtype.TeamID("a")}}
+			},
+		},
+	} {
+		c := Default()
+		test.change(&c)
+		if err := c.Validate(); (err == nil) != test.valid {
+			t.Errorf("%s: %v", test.name, err)
+		}
+	}
+}
+
+// site is a store with processes that hold configurations.
+type site struct {
+	store     *aqstandin.Store
+	network   *aqstandin.Network
+	processes []*process
+	fate      aqstandin.Fate
+}
+
+// process keeps the history of what was in force in it.
+type process struct {
+	holder  *Holder
+	history []Revision
+}
+
+func newSite(processes int) *site {
+	s := &site{store: aqstandin.NewStore(aqclock.NewFake())}
+	s.network = &aqstandin.Network{Next: func() aqstandin.Fate { return s.fate }}
+	for range processes {
+		s.processes = append(s.processes, newProcess())
+	}
+	return s
+}
+
+func newProcess() *process {
+	p := &process{holder: NewHolder(aqlog.Discard())}
+	p.holder.OnChange(func(c Configuration) { p.history = append(p.history, c.Revision) })
+	return p
+}
+
+func (s *site) changer(p *process) Changer {
+	return Changer{
+		Store:  aqstandin.StoreNetwork{Network: s.network, Store: s.store},
+		Holder: p.holder,
+	}
+}
+
+// Two operators who read the same revision: one change is accepted, and the
+// loser is told which.
+func TestLoserOfARaceIsTold(t *testing.T) {
+	s := newSite(2)
+	first, second := Default(), Default()
+	first.EvictionsPerMinute = 1
+	second.EvictionsPerMinute = 2
+	if _, err := s.changer(s.processes[0]).Change(t.Context(), first); err != nil {
+		t.Fatal(err)
+	}
+	winner, err := s.changer(s.processes[1]).Change(t.Context(), second)
+	if !errors.Is(err, ErrRace) || winner.EvictionsPerMinute != 1 || winner.Revision != 1 {
+		t.Fatalf("loser got %v, %+v", err, winner)
+	}
+}
+
+// Every kind of lost call during a change is told from a change that lost.
+func TestLostAnswerIsToldFromLostChange(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults aqstandin.Faults
+		err    error
+	}{
+		{name: "answer lost", faults: aqstandin.Faults{LoseAnswers: 1}},
+		{name: "write lost", faults: aqstandin.Faults{DropWrites: 1}, err: ErrInDoubt},
+		{name: "outage", faults: aqstandin.Faults{Outage: true}, err: ErrNotAccepted},
+	} {
+		s := newSite(1)
+		if _, err := s.changer(s.processes[0]).Change(t.Context(), Default()); err != nil {
+			t.Fatal(err)
+		}
+		wanted := s.processes[0].holder.Current()
+		wanted.EvictionsPerMinute++
+		s.store.SetFaults(test.faults)
+		_, err := s.changer(s.processes[0]).Change(t.Context(), wanted)
+		if !errors.Is(err, test.err) {
+			t.Errorf("%s: got %v, want %v", test.name, err, test.err)
+		}
+	}
+}
+
+// TestNeverReverts lets operators race through lost calls while processes read,
+// learn from each other and restart: in no process's history does a revision
+// fall, and each accepted change is a successor of the one that was read.
+func TestNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite(3)
+		accepted := map[Revision]int{}
+		pick := func(label string) *process {
+			return s.processes[rapid.IntRange(0, len(s.processes)-1).Draw(t, label)]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				p := pick("process")
+				wanted := p.holder.Current()
+				wanted.EvictionsPerMinute = rapid.IntRange(0, 1000).Draw(t, "value")
+				got, err := s.changer(p).Change(context.Background(), wanted)
+				if err == nil {
+					accepted[got.Revision] = got.EvictionsPerMinute
+				}
+			},
+			"fate": func(t *rapid.T) {
+				s.fate = aqstandin.Fate(rapid.IntRange(0, 3).Draw(t, "fate"))
+			},
+			"release": func(t *rapid.T) {
+				s.network.Release(func(left int) int { return rapid.IntRange(0, left-1).Draw(t, "call") })
+			},
+			"read": func(t *rapid.T) {
+				p := pick("reader")
+				if e, err := s.store.Get(context.Background(), Key); err == nil {
+					p.holder.OfferEncoded(e.Value)
+				}
+			},
+			"gossip": func(t *rapid.T) { pick("to").holder.Offer(pick("from").holder.Current()) },
+			"": func(t *rapid.T) {
+				for _, p := range s.processes {
+					for i := 1; i < len(p.history); i++ {
+						if p.history[i] <= p.history[i-1] {
+							t.Fatalf("revision fell: %v", p.history)
+						}
+					}
+					c := p.holder.Current()
+					if value, known := accepted[c.Revision]; known && value != c.EvictionsPerMinute {
+						t.Fatalf("revision %d was accepted as %d and is in force as %d",
+							c.Revision, value, c.EvictionsPerMinute)
+					}
+				}
+			},
+		})
+	})
+}
+
+var _ aqplatform.Store = aqstandin.StoreNetwork{}
--- a/pkg/aqlab/place.go
+++ b/pkg/aqlab/place.go
@@ -60,6 +60,7 @@
 		Urgency:         t.kind.urgency,
 		LatencyCritical: t.kind.latencyCritical,
 		Size:            t.reserved,
+		Full:            t.full,
 		Ran:             l.now.Sub(t.begun),
 		Evictions:       t.evictions,
 	}
@@ -74,6 +75,9 @@
 		Size:            l.reservation(t),
 	}
 	index, ok := aqplacement.Choose(l.policy(), d, candidates)
+	if !ok && t.kind.latencyCritical && l.throttles() {
+		index, ok = l.throttleFor(d, candidates)
+	}
 	if !ok && t.kind.latencyCritical {
 		index, ok = l.evictFor(d, candidates)
 	}
@@ -81,6 +85,7 @@
 		return false
 	}
 	t.reserved = d.Size
+	t.full = d.Size
 	t.worker = index
 	t.begun = l.now
 	l.running[index] = append(l.running[index], t)
@@ -93,6 +98,39 @@
 	return true
 }
 
+// throttles reports whether an arm throttles before it evicts; the baselines do
+// not.
+func (l *lab) throttles() bool { return l.arm == ArmLearned || l.arm == ArmOracle }
+
+func (l *lab) throttleFor(d aqplacement.Demand, candidates []aqplacement.Candidate) (int, bool) {
+	throttle, ok := aqplacement.ChooseThrottle(d, candidates)
+	if !ok {
+		return 0, false
+	}
+	l.resize(throttle.Candidate, &candidates[throttle.Candidate], throttle.Resizes)
+	return throttle.Candidate, true
+}
+
+// restore gives free processors back to throttled tasks.
+func (l *lab) restore(candidates []aqplacement.Candidate) {
+	for w := range candidates {
+		l.resize(w, &candidates[w], aqplacement.Restore(candidates[w]))
+	}
+}
+
+func (l *lab) resize(w int, c *aqplacement.Candidate, resizes []aqplacement.Resize) {
+	for _, r := range resizes {
+		for i, t := range l.running[w] {
+			if t.id != r.Task {
+				continue
+			}
+			c.Free = c.Free.Add(t.reserved).Sub(r.Size)
+			t.reserved = r.Size
+			c.Residents[i].Size = r.Size
+		}
+	}
+}
+
 // evictFor stops the cheapest victims. They resume from a checkpoint, so what is
 // lost is the time since the last one.
 func (l *lab) evictFor(d aqplacement.Demand, candidates []aqplacement.Candidate) (int, bool) {
--- a/pkg/aqlab/run.go
+++ b/pkg/aqlab/run.go
@@ -66,6 +66,7 @@
 	id        aqtype.TaskID
 	kind      *taskType
 	reserved  aqtype.Resources
+	full      aqtype.Resources
 	worker    int
 	since     time.Time
 	begun     time.Time
@@ -173,7 +174,7 @@
 				kept = append(kept, t)
 				continue
 			}
-			t.left -= time.Duration(float64(step) / slowdown)
+			t.left -= time.Duration(float64(step) / slowdown * t.speed())
 			if t.left > 0 {
 				kept = append(kept, t)
 				continue
@@ -191,6 +192,11 @@
 	}
 }
 
+// speed is the part of its processors that a throttled task has.
+func (t *task) speed() float64 {
+	return float64(t.reserved.MilliCPU) / float64(t.full.MilliCPU)
+}
+
 // pressure is how far a worker's real use passes its processors.
 func (l *lab) pressure(w int) float64 {
 	var used aqtype.Resources
@@ -325,6 +331,7 @@
 		return l.waiting[i].kind.urgency > l.waiting[j].kind.urgency
 	})
 	candidates := l.candidates()
+	l.restore(candidates)
 	blocked := map[aqtype.TaskKind]bool{}
 	left := l.waiting[:0:0]
 	for _, t := range l.waiting {
--- /dev/null
+++ b/pkg/aqplacement/placement_test.go
@@ -0,0 +1,183 @@
+package aqplacement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"acaciaquay/pkg/aqplacement"
+	"acaciaquay/pkg/aqtype"
+)
+
+func cores(n int64) aqtype.Resources {
+	return aqtype.Resources{
+		MilliCPU: aqtype.MilliCPU(n * 1000),
+		Memory:   aqtype.MebiBytes(n * 1024),
+	}
+}
+
+func resident(name string, u aqtype.Urgency, size int64, ran time.Duration) aqplacement.Resident {
+	return aqplacement.Resident{
+		Task:    aqtype.TaskID{Workload: aqtype.WorkloadKey(name)},
+		Kind:    aqtype.TaskKind(name),
+		Urgency: u,
+		Size:    cores(size),
+		Full:    cores(size),
+		Ran:     ran,
+	}
+}
+
+func candidate(free int64, residents ...aqplacement.Resident) aqplacement.Candidate {
+	return aqplacement.Candidate{
+		Capacity:  cores(64),
+		Free:      cores(free),
+		Residents: residents,
+	}
+}
+
+func urgent(size int64) aqplacement.Demand {
+	return aqplacement.Demand{
+		Kind:    "render",
+		Urgency: aqtype.UrgencyUrgent,
+		Size:    cores(size),
+	}
+}
+
+func TestVictims(t *testing.T) {
+	late, fresh := time.Hour, time.Minute
+	for _, test := range []struct {
+		name       string
+		candidates []aqplacement.Candidate
+		victim     aqtype.WorkloadKey
+	}{
+		{
+			name: "the least lost work",
+			candidates: []aqplacement.Candidate{
+				candidate(0, resident("long", aqtype.UrgencyBackground, 8, late)),
+				candidate(0, resident("short", aqtype.UrgencyBackground, 8, fresh)),
+			},
+			victim: "short",
+		},
+		{
+			name: "the least urgent first",
+			candidates: []aqplacement.Candidate{
+				candidate(0, resident("normal", aqtype.UrgencyNormal, 8, fresh),
+					resident("background", aqtype.UrgencyBackground, 8, late)),
+			},
+			victim: "background",
+		},
+		{
+			name:       "none that is as urgent",
+			candidates: []aqplacement.Candidate{candidate(0, resident("urgent", aqtype.UrgencyUrgent, 8, fresh))},
+		},
+	} {
+		got, ok := aqplacement.ChooseVictims(urgent(8), test.candidates, false, aqtype.Resources{})
+		if ok != (test.victim != "") || (ok && got.Victims[0].Workload != test.victim) {
+			t.Errorf("%s: got %+v", test.name, got)
+		}
+	}
+}
+
+func TestThrottleTakesHalfAtMostAndRestores(t *testing.T) {
+	c := candidate(0, resident("a", aqtype.UrgencyBackground, 8, 0), resident("b", aqtype.UrgencyNormal, 8, 0))
+	c.Free.Memory = 1 << 20
+	throttle, ok := aqplacement.ChooseThrottle(urgent(6), []aqplacement.Candidate{c})
+	if !ok || len(throttle.Resizes) != 2 {
+		t.Fatalf("got %+v, %v", throttle, ok)
+	}
+	if a := throttle.Resizes[0]; a.Task.Workload != "a" || a.Size.MilliCPU != 4000 {
+		t.Fatalf("the less urgent task has %+v", a)
+	}
+	if _, ok := aqplacement.ChooseThrottle(urgent(9), []aqplacement.Candidate{c}); ok {
+		t.Fatal("more than half was taken")
+	}
+	for i, r := range throttle.Resizes {
+		c.Residents[i].Size = r.Size
+	}
+	c.Free.MilliCPU = 6000
+	if back := aqplacement.Restore(c); len(back) != 2 || back[0].Size.MilliCPU != 8000 || back[1].Size.MilliCPU != 8000 {
+		t.Fatalf("restored %+v", back)
+	}
+}
+
+func TestPairsLearnWhoSlowsWhom(t *testing.T) {
+	pairs := aqplacement.NewPairs()
+	pairs.SetNow(time.Unix(1_700_000_000, 0))
+	for range 200 {
+		pairs.Observe("service", []aqtype.TaskKind{"loud", "quiet"}, 0.3)
+		pairs.Observe("service", []aqtype.TaskKind{"quiet"}, 0)
+	}
+	loud, quiet := pairs.Slowdown("service", "loud"), pairs.Slowdown("service", "quiet")
+	if loud < 0.25 || quiet > 0.05 {
+		t.Fatalf("loud %.2f, quiet %.2f", loud, quiet)
+	}
+	policy := aqplacement.Interfering{Model: pairs}
+	d := aqplacement.Demand{Kind: "service", LatencyCritical: true, Urgency: aqtype.UrgencyUrgent, Size: cores(2)}
+	index, ok := aqplacement.Choose(policy, d, []aqplacement.Candidate{
+		candidate(50, resident("loud", aqtype.UrgencyBackground, 8, 0)),
+		candidate(50, resident("quiet", aqtype.UrgencyBackground, 8, 0)),
+	})
+	if !ok || index != 1 {
+		t.Fatalf("the service was put at %d, %v", index, ok)
+	}
+}
+
+// A worker that fails everything is told from a job that fails everywhere.
+func TestProbation(t *testing.T) {
+	p := aqplacement.NewProbation()
+	p.Succeeded("good", "sound")
+	for range 5 {
+		p.Failed("good", "broken")
+	}
+	if p.On("good") {
+		t.Fatal("a worker is blamed for a job that fails everywhere")
+	}
+	for range 3 {
+		p.Failed("bad", "sound")
+	}
+	if !p.On("bad") {
+		t.Fatal("a worker that fails sound work is not blamed")
+	}
+	p.Succeeded("bad", "sound")
+	if p.On("bad") {
+		t.Fatal("a success does not end probation")
+	}
+}
+
+func waiting(team, key string, index int) aqplacement.Waiting {
+	return aqplacement.Waiting{Demand: aqplacement.Demand{
+		Task:    aqtype.TaskID{Workload: aqtype.WorkloadKey(key), Index: index},
+		Team:    aqtype.TeamID(team),
+		Urgency: aqtype.UrgencyNormal,
+		Size:    cores(1),
+	}}
+}
+
+// Teams take turns, and a workload that finds no room holds no other up.
+func TestQueueIsFairByTeam(t *testing.T) {
+	q := aqplacement.NewQueue()
+	for i := range 100 {
+		q.Push(waiting("many", "large", i))
+	}
+	q.Push(waiting("many", "small", 0))
+	q.Push(waiting("few", "other", 0))
+	var placed []aqtype.WorkloadKey
+	q.Offer(time.Unix(0, 0), 10, func(w aqplacement.Waiting) aqplacement.Verdict {
+		if w.Demand.Task.Workload == "large" {
+			return aqplacement.NoRoom
+		}
+		placed = append(placed, w.Demand.Task.Workload)
+		return aqplacement.Placed
+	})
+	if len(placed) != 2 || q.Len() != 100 {
+		t.Fatalf("placed %v, %d wait", placed, q.Len())
+	}
+}
+
+func ExampleChoose() {
+	index, ok := aqplacement.Choose(aqplacement.Spread{}, urgent(2), []aqplacement.Candidate{
+		candidate(4), candidate(32), candidate(1),
+	})
+	fmt.Println(index, ok)
+	// Output: 1 true
+}
--- a/pkg/aqplacement/policy.go
+++ b/pkg/aqplacement/policy.go
@@ -27,6 +27,8 @@
 	Urgency         aqtype.Urgency
 	LatencyCritical bool
 	Size            aqtype.Resources
+	// Full is what the task reserves when it is not throttled.
+	Full aqtype.Resources
 	// Ran is how long the current attempt has run.
 	Ran       time.Duration
 	Evictions int
--- a/pkg/aqplatform/http.go
+++ b/pkg/aqplatform/http.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -238,10 +239,15 @@
 	return answer.Revision, err
 }
 
-// HTTPHostList reads the platform's list of hosts over HTTP.
+// HTTPHostList reads the platform's list of hosts over HTTP. It names the
+// version that it has, so that an unchanged list is not sent again.
 type HTTPHostList struct {
 	base string
 	call caller
+
+	mu    sync.Mutex
+	tag   string
+	hosts Hosts
 }
 
 // NewHTTPHostList returns a list at address.
@@ -251,9 +257,37 @@
 
 // Hosts implements HostList.
 func (l *HTTPHostList) Hosts(ctx context.Context) (Hosts, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.base+PathHosts, http.NoBody)
+	if err != nil {
+		return Hosts{}, errors.Wrap(err, "build platform call")
+	}
+	if l.tag != "" {
+		request.Header.Set("If-None-Match", l.tag)
+	}
+	response, err := l.call.client.Do(request)
+	if err != nil {
+		return Hosts{}, errors.WithMessage(ErrUnknown, err.Error())
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusNotModified:
+		return l.hosts, nil
+	case http.StatusOK:
+		return l.take(response)
+	}
+	return Hosts{}, errors.WithMessage(ErrUnknown, response.Status)
+}
+
+func (l *HTTPHostList) take(response *http.Response) (Hosts, error) {
 	var hosts Hosts
-	err := l.call.post(ctx, l.base+PathHosts, struct{}{}, &hosts)
-	return hosts, err
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&hosts); err != nil {
+		return Hosts{}, errors.WithMessage(ErrUnknown, err.Error())
+	}
+	l.hosts = hosts
+	l.tag = response.Header.Get("ETag")
+	return hosts, nil
 }
 
 // HTTPWorkers reaches workers over HTTP.
--- a/pkg/aqplatform/worker.go
+++ b/pkg/aqplatform/worker.go
@@ -111,6 +111,13 @@
 	Checkpoint bool
 }
 
+// ThrottleOrder bounds the processors of one attempt. A worker carries throttles
+// out before the starts of the same command.
+type ThrottleOrder struct {
+	Run      RunID
+	MilliCPU aqtype.MilliCPU
+}
+
 // CommandRequest carries orders to a worker under a live session.
 type CommandRequest struct {
 	Worker  aqtype.WorkerID
@@ -118,9 +125,10 @@
 	Epoch   aqtype.Epoch
 	// Number grows with each command of an epoch. The worker refuses a number
 	// that is not above the last, so a delayed command can start nothing.
-	Number uint64
-	Starts []StartOrder
-	Stops  []StopOrder
+	Number    uint64
+	Throttles []ThrottleOrder
+	Starts    []StartOrder
+	Stops     []StopOrder
 	// Forget names ended runs whose end the owner has committed.
 	Forget []RunID
 }
--- a/pkg/aqscheduler/act.go
+++ b/pkg/aqscheduler/act.go
@@ -25,6 +25,8 @@
 		s.countEnd(r)
 	case aqshard.Cancelled:
 		s.sendStops(r.Workload)
+	case aqshard.Resized:
+		s.sendThrottle(r.Task, r.Attempt)
 	case aqshard.Reported:
 		s.acknowledge(r)
 	case aqshard.Pruned, aqshard.Offered, aqshard.Taken, aqshard.Returned, aqshard.Forgotten:
@@ -72,6 +74,24 @@
 	}
 }
 
+// sendThrottle orders the processors that an attempt is committed to have.
+func (s *Shard) sendThrottle(id aqtype.TaskID, attempt aqtype.Attempt) {
+	_, t := s.committed.Task(id)
+	if t == nil || t.State != aqshard.TaskRunning || t.Attempt != attempt {
+		return
+	}
+	if w := s.workers[t.Worker]; w != nil && w.keeper != nil {
+		w.keeper.Send(aqsession.Orders{
+			Throttles: []aqplatform.ThrottleOrder{
+				{
+					Run:      aqplatform.RunID{Task: id, Attempt: attempt},
+					MilliCPU: t.Size.MilliCPU,
+				},
+			},
+		})
+	}
+}
+
 // sendStop orders the stop of an attempt that is committed as stopping. Only an
 // evicted task resumes, so only it saves a checkpoint.
 func (s *Shard) sendStop(id aqtype.TaskID, attempt aqtype.Attempt) {
--- a/pkg/aqscheduler/plan.go
+++ b/pkg/aqscheduler/plan.go
@@ -64,7 +64,10 @@
 	s.giveUpWorkers(now)
 	s.prune(now)
 	s.expireEarmarks(now)
-	if s.queue.Len() == 0 || s.stalled() || len(s.open.records) >= maxUncommitted {
+	if s.stalled() || len(s.open.records) >= maxUncommitted {
+		return
+	}
+	if s.queue.Len() == 0 && !s.throttled {
 		return
 	}
 	s.pairs.SetNow(now)
@@ -76,6 +79,22 @@
 	}
 	r.collect()
 	s.queue.Offer(now, maxRefusedPerRound, r.place)
+	if s.throttled && s.queue.Len() == 0 {
+		r.restore()
+	}
+	s.throttled = r.anyThrottled()
+}
+
+// anyThrottled reports whether a task has less than its full size.
+func (r *round) anyThrottled() bool {
+	for _, c := range r.candidates {
+		for _, resident := range c.Residents {
+			if resident.Size != resident.Full {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (s *Shard) expireEarmarks(now time.Time) {
@@ -136,6 +155,7 @@
 			Urgency:         base.Urgency,
 			LatencyCritical: aqtype.IsLatencyCritical(w.Spec),
 			Size:            t.Size,
+			Full:            t.Full,
 			Evictions:       t.Evictions,
 			Stopping:        t.State == aqshard.TaskStopping,
 		}
@@ -269,6 +289,7 @@
 		Urgency:         d.Urgency,
 		LatencyCritical: d.LatencyCritical,
 		Size:            d.Size,
+		Full:            d.Size,
 		Evictions:       task.Evictions,
 	})
 	s.noteNeighbours(c.Worker, r.now)
@@ -303,6 +324,9 @@
 	if _, pending := s.earmarks[d.Task]; pending {
 		return r.wait(d, reasonEvicting)
 	}
+	if index, ok := r.throttle(d); ok && r.start(d, index) {
+		return aqplacement.Placed
+	}
 	if verdict := r.passOn(w, d, reasonNoRoom); verdict == aqplacement.Placed || r.now.Sub(w.Since) < offerAfter {
 		return verdict
 	}
@@ -332,6 +356,44 @@
 	return r.wait(d, reasonEvicting)
 }
 
+// throttle makes room by taking processors from tasks that the demand outranks.
+func (r *round) throttle(d aqplacement.Demand) (int, bool) {
+	throttle, ok := aqplacement.ChooseThrottle(d, r.visible(d.Task))
+	if !ok {
+		return 0, false
+	}
+	r.resize(&r.candidates[throttle.Candidate], throttle.Resizes)
+	return throttle.Candidate, true
+}
+
+// resize decides on new sizes of running tasks and keeps the candidate in step.
+func (r *round) resize(c *aqplacement.Candidate, resizes []aqplacement.Resize) {
+	for _, change := range resizes {
+		_, t := r.shard.planned.Task(change.Task)
+		before := t.Size
+		if !r.shard.decide(aqshard.Resized{
+			Task:    change.Task,
+			Attempt: t.Attempt,
+			Size:    change.Size,
+		}) {
+			continue
+		}
+		c.Free = c.Free.Add(before).Sub(change.Size)
+		for i := range c.Residents {
+			if c.Residents[i].Task == change.Task {
+				c.Residents[i].Size = change.Size
+			}
+		}
+	}
+}
+
+// restore gives processors back to throttled tasks, once nothing waits for them.
+func (r *round) restore() {
+	for i := range r.candidates {
+		r.resize(&r.candidates[i], aqplacement.Restore(r.candidates[i]))
+	}
+}
+
 // evictable is how much batch work a service may displace: what batch work
 // holds above its floor.
 func (r *round) evictable(d aqplacement.Demand) (aqtype.Resources, bool) {
--- a/pkg/aqscheduler/shard.go
+++ b/pkg/aqscheduler/shard.go
@@ -93,6 +93,9 @@
 	earmarks map[aqtype.TaskID]earmark
 	ended    map[aqtype.WorkloadKey]time.Time
 	budget   evictionBudget
+	// throttled is set while a usable worker may have a throttled task. A new
+	// owner looks once.
+	throttled bool
 	// takenUpTo is the last offer that each shard is known to have taken, acks
 	// are ends to be forgotten there. Both may be lost: they are learnt again.
 	takenUpTo map[aqtype.ShardID]uint64
@@ -209,6 +212,7 @@
 		reasons:    map[aqtype.TaskID]string{},
 		earmarks:   map[aqtype.TaskID]earmark{},
 		ended:      map[aqtype.WorkloadKey]time.Time{},
+		throttled:  true,
 		takenUpTo:  map[aqtype.ShardID]uint64{},
 		acks:       map[aqtype.ShardID][]Ack{},
 		pairs:      aqplacement.NewPairs(),
--- a/pkg/aqsession/orders.go
+++ b/pkg/aqsession/orders.go
@@ -5,14 +5,15 @@
 // Orders are what the owner wants done on the worker.
 type Orders struct {
 	// Serial is the session under which the starts were decided.
-	Serial Serial
-	Starts []aqplatform.StartOrder
-	Stops  []aqplatform.StopOrder
-	Forget []aqplatform.RunID
+	Serial    Serial
+	Throttles []aqplatform.ThrottleOrder
+	Starts    []aqplatform.StartOrder
+	Stops     []aqplatform.StopOrder
+	Forget    []aqplatform.RunID
 }
 
 func (o Orders) empty() bool {
-	return len(o.Starts) == 0 && len(o.Stops) == 0 && len(o.Forget) == 0
+	return len(o.Throttles) == 0 && len(o.Starts) == 0 && len(o.Stops) == 0 && len(o.Forget) == 0
 }
 
 // forget adds runs to be forgotten. A start of such a run whose answer was lost
@@ -26,6 +27,29 @@
 	o.Forget = append(o.Forget, runs...)
 }
 
+// throttle adds throttles. A later one replaces an earlier one of its run.
+func (o *Orders) throttle(orders []aqplatform.ThrottleOrder) {
+	o.Throttles = append(without(o.Throttles, orders, throttleRun), orders...)
+}
+
+// throttled removes throttles that were carried out, but not newer ones of the
+// same runs.
+func (o *Orders) throttled(done []aqplatform.ThrottleOrder) {
+	carried := make(map[aqplatform.ThrottleOrder]bool, len(done))
+	for _, d := range done {
+		carried[d] = true
+	}
+	kept := make([]aqplatform.ThrottleOrder, 0, len(o.Throttles))
+	for _, t := range o.Throttles {
+		if !carried[t] {
+			kept = append(kept, t)
+		}
+	}
+	o.Throttles = kept
+}
+
+func throttleRun(o aqplatform.ThrottleOrder) aqplatform.RunID { return o.Run }
+
 func startRun(o aqplatform.StartOrder) aqplatform.RunID { return o.Run }
 
 func stopRun(o aqplatform.StopOrder) aqplatform.RunID { return o.Run }
--- a/pkg/aqshard/record.go
+++ b/pkg/aqshard/record.go
@@ -107,6 +107,15 @@
 	Sequence uint64
 }
 
+// Resized changes what a running attempt reserves: it is throttled, or gets back
+// what it had.
+type Resized struct {
+	Task    aqtype.TaskID
+	Attempt aqtype.Attempt
+	Size    aqtype.Resources
+}
+
+func (Resized) isRecord()   {}
 func (Offered) isRecord()   {}
 func (Taken) isRecord()     {}
 func (Returned) isRecord()  {}
@@ -158,6 +167,7 @@
 	Returned  *Returned     `msgpack:",omitempty"`
 	Reported  *Reported     `msgpack:",omitempty"`
 	Forgotten *Forgotten    `msgpack:",omitempty"`
+	Resized   *Resized      `msgpack:",omitempty"`
 }
 
 type takenWire struct {
@@ -226,6 +236,8 @@
 		e.Cancelled = &r
 	case Pruned:
 		e.Pruned = &r
+	case Resized:
+		e.Resized = &r
 	case Offered:
 		e.Offered = &r
 	case Taken:
@@ -268,6 +280,8 @@
 		return *e.Cancelled, nil
 	case e.Pruned != nil:
 		return *e.Pruned, nil
+	case e.Resized != nil:
+		return *e.Resized, nil
 	}
 	return decodeHandOn(e)
 }
--- a/pkg/aqshard/state.go
+++ b/pkg/aqshard/state.go
@@ -34,6 +34,9 @@
 	// stops, Size is part of the worker's reservation.
 	Worker aqtype.WorkerID
 	Size   aqtype.Resources
+	// Full is what the attempt reserves when it is not throttled; Size is never
+	// more.
+	Full aqtype.Resources
 	// Checkpoint is what the next attempt resumes from. It is used up by the
 	// attempt that starts from it.
 	Checkpoint aqtype.CheckpointID
@@ -236,6 +239,8 @@
 		return s.cancel(r)
 	case Pruned:
 		return s.prune(r)
+	case Resized:
+		return s.resize(r)
 	case Offered:
 		return s.offer(r)
 	case Taken:
@@ -277,12 +282,24 @@
 	t.Attempt = r.Attempt
 	t.Worker = r.Worker
 	t.Size = r.Size
+	t.Full = r.Size
 	t.Why = 0
 	delete(s.queued, r.Task)
 	s.reserve(r.Task, w, t)
 	return nil
 }
 
+func (s *State) resize(r Resized) error {
+	w, t := s.Task(r.Task)
+	if t == nil || t.State != TaskRunning || t.Attempt != r.Attempt || !r.Size.Fits(t.Full) {
+		return errors.Wrapf(ErrInvalid, "resize of %s attempt %d", r.Task, r.Attempt)
+	}
+	s.release(r.Task, w, t)
+	t.Size = r.Size
+	s.reserve(r.Task, w, t)
+	return nil
+}
+
 func (s *State) stop(r Stopping) error {
 	_, t := s.Task(r.Task)
 	if t == nil || t.State != TaskRunning || t.Attempt != r.Attempt {
--- a/pkg/aqstandin/http.go
+++ b/pkg/aqstandin/http.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"acaciaquay/pkg/aqplatform"
 )
 
@@ -112,9 +115,7 @@
 }
 
 func (p Platform) handleListing(mux *http.ServeMux) {
-	handle(mux, aqplatform.PathHosts, func(ctx context.Context, _ struct{}) (aqplatform.Hosts, error) {
-		return p.Listing.Hosts(ctx)
-	})
+	mux.HandleFunc("GET "+aqplatform.PathHosts, p.serveHosts)
 	handle(mux, PathPutWorker, func(_ context.Context, h aqplatform.WorkerHost) (struct{}, error) {
 		p.Listing.PutWorker(h)
 		return struct{}{}, nil
@@ -129,6 +130,27 @@
 	})
 }
 
+// serveHosts answers with the list, or that it has not changed.
+func (p Platform) serveHosts(w http.ResponseWriter, r *http.Request) {
+	hosts, err := p.Listing.Hosts(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	body, err := json.Marshal(hosts)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("\"%x\"", xxhash.Sum64(body))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
 func (p Platform) handleTruth(mux *http.ServeMux) {
 	handle(mux, PathTruth, func(context.Context, struct{}) (TruthReport, error) {
 		return p.Truth.Report(), nil
--- a/pkg/aqstandin/worker.go
+++ b/pkg/aqstandin/worker.go
@@ -27,9 +27,11 @@
 	state    aqplatform.RunState
 	began    time.Time
 	progress time.Duration
-	saved    aqtype.CheckpointID
-	closing  bool
-	changed  uint64
+	// full is the processors that the run was started with.
+	full    aqtype.MilliCPU
+	saved   aqtype.CheckpointID
+	closing bool
+	changed uint64
 }
 
 type session struct {
@@ -250,6 +252,9 @@
 		return aqplatform.CommandAnswer{}, aqplatform.ErrStaleNumber
 	}
 	w.session.number = r.Number
+	for _, t := range r.Throttles {
+		w.throttle(t)
+	}
 	for _, id := range r.Forget {
 		if known, ok := w.runs[id]; ok && known.state != aqplatform.RunRunning {
 			delete(w.runs, id)
@@ -281,6 +286,7 @@
 		state:    aqplatform.RunRunning,
 		began:    w.clock.Now(),
 		progress: checkpointProgress(order.Checkpoint),
+		full:     order.Size.MilliCPU,
 	}
 	w.witness.SawRun(RunEvent{
 		Kind:       RunBegan,
@@ -295,6 +301,23 @@
 	return true
 }
 
+// throttle bounds a run's processors; its progress slows down in proportion.
+func (w *Worker) throttle(order aqplatform.ThrottleOrder) {
+	r, ok := w.runs[order.Run]
+	if !ok || r.state != aqplatform.RunRunning {
+		return
+	}
+	now := w.clock.Now()
+	r.progress = r.progressAt(now)
+	r.began = now
+	r.order.Size.MilliCPU = order.MilliCPU
+}
+
+func (r *run) progressAt(now time.Time) time.Duration {
+	speed := float64(r.order.Size.MilliCPU) / float64(max(r.full, 1))
+	return r.progress + time.Duration(float64(now.Sub(r.began))*speed)
+}
+
 func (w *Worker) used() aqtype.Resources {
 	var used aqtype.Resources
 	for _, r := range w.runs {
@@ -318,7 +341,7 @@
 		return
 	}
 	if order.Checkpoint {
-		r.saved = newCheckpoint(order.Run, r.progress+w.clock.Now().Sub(r.began))
+		r.saved = newCheckpoint(order.Run, r.progressAt(w.clock.Now()))
 	}
 	if r.order.Serves == "" || w.endpoints == nil {
 		w.end(order.Run, r, aqplatform.RunStopped)
@@ -367,11 +390,10 @@
 		if r.state != aqplatform.RunRunning {
 			continue
 		}
-		elapsed := now.Sub(r.began)
 		switch {
-		case w.failAll && elapsed >= failAfter:
+		case w.failAll && now.Sub(r.began) >= failAfter:
 			w.end(id, r, aqplatform.RunFailed)
-		case !r.order.Endless && r.progress+elapsed >= r.order.RunTime:
+		case !r.order.Endless && r.progressAt(now) >= r.order.RunTime:
 			w.end(id, r, aqplatform.RunFinished)
 		}
 	}
