Throttles reach the worker with the start; hand-on tests sharpened; docs

A throttle now bounds a start of its own command.

The check of the hand-on tests took a task that its home had offered for ended; a mutant that acknowledged ends before commit went unnoticed. It counts as not ended now, and two tests take the two mechanisms of handing on one by one.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(CURDIR)/.bin
 GO_FILES := $(shell find cmd pkg -name '*.go' -not -path '*/aqproto/*')
 
-.PHONY: all build demo test lint generate tools model model-mutants capacity lab bench known-red clean
+.PHONY: all build demo test lint generate tools model model-mutants capacity lab bench-requests known-red clean
 
 all: build
 
@@ -33,6 +33,9 @@
 	_scripts/capacity
 
 # Placement under interference, against baselines of our own.
+bench-requests:
+	go run ./cmd/acaciaquay-bench
+
 lab: build
 	go run ./cmd/acaciaquay-lab
 
--- a/cmd/acaciaquay-lab/main.go
+++ b/cmd/acaciaquay-lab/main.go
@@ -43,10 +43,10 @@
 
 func print(results []aqlab.Result) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "SITE\tSEED\tARM\tP50\tP99\tP99.9\tBATCH/H\tEVICTIONS\tLOST WORK\tOVERLOADED\tURGENT WAIT P99\tOVER-COMMITTED")
+	_, _ = fmt.Fprintln(w, "SITE\tSEED\tARM\tP50\tP99\tP99.9\tTASKS/H\tCORE-H/H\tEVICTIONS\tLOST WORK\tOVERLOADED\tURGENT WAIT P99\tOVER-COMMITTED")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%.0f\t%d\t%s\t%.1f%%\t%s\t%d\n",
-			r.Site, r.Seed, r.Arm, round(r.P50), round(r.P99), round(r.P999), r.BatchHour, r.Evictions, r.LostWork,
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%.0f\t%.0f\t%d\t%s\t%.1f%%\t%s\t%d\n",
+			r.Site, r.Seed, r.Arm, round(r.P50), round(r.P99), round(r.P999), r.BatchHour, r.WorkHour, r.Evictions, r.LostWork,
 			100*r.Overloaded, r.UrgentWait.Round(time.Second), r.OverCommitted)
 	}
 	if err := w.Flush(); err != nil {
@@ -66,10 +66,10 @@
 		return err
 	}
 	defer func() { _ = f.Close() }()
-	_, _ = fmt.Fprintln(f, "Site,Seed,Arm,P50Micros,P99Micros,P999Micros,BatchPerHour,Evictions,LostWorkSeconds,OverloadedPercent,UrgentWaitP99Seconds,OverCommitted")
+	_, _ = fmt.Fprintln(f, "Site,Seed,Arm,P50Micros,P99Micros,P999Micros,BatchPerHour,CoreHoursPerHour,Evictions,LostWorkSeconds,OverloadedPercent,UrgentWaitP99Seconds,OverCommitted")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(f, "%s,%d,%s,%d,%d,%d,%.1f,%d,%.0f,%.2f,%.0f,%d\n",
-			r.Site, r.Seed, r.Arm, r.P50.Microseconds(), r.P99.Microseconds(), r.P999.Microseconds(), r.BatchHour,
+		_, _ = fmt.Fprintf(f, "%s,%d,%s,%d,%d,%d,%.1f,%.1f,%d,%.0f,%.2f,%.0f,%d\n",
+			r.Site, r.Seed, r.Arm, r.P50.Microseconds(), r.P99.Microseconds(), r.P999.Microseconds(), r.BatchHour, r.WorkHour,
 			r.Evictions, r.LostWork.Seconds(), 100*r.Overloaded, r.UrgentWait.Seconds(), r.OverCommitted)
 	}
 	return nil
--- /dev/null
+++ b/pkg/aqbench/load.go
@@ -0,0 +1,124 @@
+package aqbench
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"acaciaquay/pkg/aqstandin"
+)
+
+// Stream is one kind of load: requests at random times at a mean rate,
+// whatever becomes of those before.
+type Stream struct {
+	Urgency string
+	Rate    float64
+	Timeout time.Duration
+	// HotShare of the requests go to the first gateway, the rest to all alike.
+	HotShare float64
+}
+
+// Outcome is what became of a stream.
+type Outcome struct {
+	Sent     int
+	Answered int
+	P50      time.Duration
+	P99      time.Duration
+	P999     time.Duration
+}
+
+type requestPlan struct {
+	gateway int
+	work    time.Duration
+	urgency string
+	caller  string
+	timeout time.Duration
+}
+
+// The work of a request: most are short, some are long.
+const (
+	shortWork = 50 * time.Millisecond
+	longWork  = 550 * time.Millisecond
+	longShare = 0.1
+	// meanWork is that of the mix.
+	meanWork = 100 * time.Millisecond
+	callers  = 20
+)
+
+// Capacity is how many requests a second the site's endpoints can work on.
+func (s *Site) Capacity() float64 {
+	return float64(s.Endpoints*aqstandin.DefaultSlots) / meanWork.Seconds()
+}
+
+const (
+	histogramMax    = int64(time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// Run sends the streams side by side for a while and returns an outcome each.
+func (s *Site) Run(length time.Duration, seed uint64, streams ...Stream) []Outcome {
+	outcomes := make([]Outcome, len(streams))
+	var running sync.WaitGroup
+	for i, stream := range streams {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			outcomes[i] = s.runStream(length, rand.New(rand.NewPCG(seed, uint64(i))), stream)
+		}()
+	}
+	running.Wait()
+	return outcomes
+}
+
+func (s *Site) runStream(length time.Duration, random *rand.Rand, stream Stream) Outcome {
+	var mu sync.Mutex
+	var outcome Outcome
+	latency := hdrhistogram.New(1, histogramMax, histogramDigits)
+	var requests sync.WaitGroup
+	next := time.Now()
+	end := next.Add(length)
+	for next.Before(end) {
+		next = next.Add(time.Duration(random.ExpFloat64() / stream.Rate * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		plan := s.plan(random, stream)
+		outcome.Sent++
+		requests.Add(1)
+		go func() {
+			defer requests.Done()
+			began := time.Now()
+			answered := s.send(context.Background(), plan)
+			took := time.Since(began)
+			mu.Lock()
+			defer mu.Unlock()
+			if answered {
+				outcome.Answered++
+				_ = latency.RecordValue(took.Microseconds())
+			}
+		}()
+	}
+	requests.Wait()
+	outcome.P50 = time.Duration(latency.ValueAtQuantile(50)) * time.Microsecond
+	outcome.P99 = time.Duration(latency.ValueAtQuantile(99)) * time.Microsecond
+	outcome.P999 = time.Duration(latency.ValueAtQuantile(99.9)) * time.Microsecond
+	return outcome
+}
+
+func (s *Site) plan(random *rand.Rand, stream Stream) requestPlan {
+	plan := requestPlan{
+		gateway: random.IntN(len(s.gateways)),
+		work:    shortWork,
+		urgency: stream.Urgency,
+		caller:  string(rune('a' + random.IntN(callers))),
+		timeout: stream.Timeout,
+	}
+	if random.Float64() < stream.HotShare {
+		plan.gateway = 0
+	}
+	if random.Float64() < longShare {
+		plan.work = longWork
+	}
+	return plan
+}
--- a/pkg/aqconfig/config_test.go
+++ b/pkg/aqconfig/config_test.go
@@ -158,14 +158,14 @@
 			"release": func(t *rapid.T) {
 				s.network.Release(func(left int) int { return rapid.IntRange(0, left-1).Draw(t, "call") })
 			},
-			"read": func(t *rapid.T) {
+			"read": func(*rapid.T) {
 				p := pick("reader")
 				if e, err := s.store.Get(context.Background(), Key); err == nil {
 					p.holder.OfferEncoded(e.Value)
 				}
 			},
-			"gossip": func(t *rapid.T) { pick("to").holder.Offer(pick("from").holder.Current()) },
-			"": func(t *rapid.T) {
+			"gossip": func(*rapid.T) { pick("to").holder.Offer(pick("from").holder.Current()) },
+			"": func(*rapid.T) {
 				for _, p := range s.processes {
 					for i := 1; i < len(p.history); i++ {
 						if p.history[i] <= p.history[i-1] {
--- a/pkg/aqlab/run.go
+++ b/pkg/aqlab/run.go
@@ -44,13 +44,17 @@
 
 // Result is what one run measured.
 type Result struct {
-	Site      string
-	Arm       Arm
-	Seed      uint64
-	P50       time.Duration
-	P99       time.Duration
-	P999      time.Duration
+	Site string
+	Arm  Arm
+	Seed uint64
+	P50  time.Duration
+	P99  time.Duration
+	P999 time.Duration
+	// BatchHour is the batch tasks that finished an hour, WorkHour their real
+	// core-hours. Tasks differ by a factor of 30 in work, and a mix of kinds
+	// changes the first without changing the second.
 	BatchHour float64
+	WorkHour  float64
 	Evictions int
 	// LostWork is the run time that evictions threw away beyond checkpoints.
 	LostWork time.Duration
@@ -96,6 +100,7 @@
 	waits    *hdrhistogram.Histogram
 	result   Result
 	done     int
+	work     float64
 	over     int
 	samples  int
 }
@@ -107,6 +112,14 @@
 
 // Run runs one arm on one site with one seed.
 func Run(site Site, arm Arm, seed uint64) Result {
+	l := newLab(site, arm, seed)
+	for l.now.Sub(l.start) < runFor {
+		l.step()
+	}
+	return l.finish()
+}
+
+func newLab(site Site, arm Arm, seed uint64) *lab {
 	random := rand.New(rand.NewPCG(seed, 7))
 	types, truth := newTypes(random)
 	l := &lab{
@@ -129,15 +142,13 @@
 		},
 	}
 	l.now = l.start
-	for l.now.Sub(l.start) < runFor {
-		l.step()
-	}
-	return l.finish()
+	return l
 }
 
 func (l *lab) finish() Result {
 	hours := (runFor - warmUp).Hours()
 	l.result.BatchHour = float64(l.done) / hours
+	l.result.WorkHour = l.work / hours
 	l.result.P50 = time.Duration(l.latency.ValueAtQuantile(50)) * time.Microsecond
 	l.result.P99 = time.Duration(l.latency.ValueAtQuantile(99)) * time.Microsecond
 	l.result.P999 = time.Duration(l.latency.ValueAtQuantile(99.9)) * time.Microsecond
@@ -146,6 +157,8 @@
 	return l.result
 }
 
+const milliPerCore = 1000
+
 func (l *lab) measured() bool { return l.now.Sub(l.start) >= warmUp }
 
 func (l *lab) step() {
@@ -182,6 +195,7 @@
 			l.sizes.ObserveRunTime(t.kind.kind, l.now.Sub(t.begun))
 			if l.measured() {
 				l.done++
+				l.work += float64(t.kind.used.MilliCPU) / milliPerCore * t.kind.runTime.Hours()
 			}
 		}
 		changed := len(kept) != len(l.running[w])
@@ -340,5 +354,6 @@
 			left = append(left, t)
 		}
 	}
-	l.waiting = append(left, l.evictedNow()...)
+	l.waiting = left
+	l.waiting = append(l.waiting, l.evictedNow()...)
 }
--- a/pkg/aqlab/targets.go
+++ b/pkg/aqlab/targets.go
@@ -30,13 +30,15 @@
 	var lines []string
 	for _, k := range order {
 		learned, oracle, base := byRun[k][ArmLearned], byRun[k][ArmOracle], byRun[k][ArmFirstFit]
-		batch := learned.BatchHour / oracle.BatchHour
+		batch := learned.WorkHour / oracle.WorkHour
+		tasks := learned.BatchHour / oracle.BatchHour
 		tail := float64(learned.P99) / float64(oracle.P99)
 		evictions := float64(learned.Evictions) / float64(max(base.Evictions, 1))
 		lines = append(lines, fmt.Sprintf(
-			"%s seed %d: batch %.2f of oracle's (%s), p99 %.2f of oracle's (%s), evictions %.2f of first fit's (%s)",
+			"%s seed %d: batch work %.2f of oracle's (%s), in tasks %.2f (%s), p99 %.2f of oracle's (%s), evictions %.2f of first fit's (%s)",
 			k.site, k.seed,
 			batch, verdict(batch >= minBatchOfOracle),
+			tasks, verdict(tasks >= minBatchOfOracle),
 			tail, verdict(tail <= maxP99OfOracle),
 			evictions, verdict(evictions <= maxEvictionsOfBaseine)))
 	}
--- a/pkg/aqplacement/placement_test.go
+++ b/pkg/aqplacement/placement_test.go
@@ -16,7 +16,9 @@
 	}
 }
 
-func resident(name string, u aqtype.Urgency, size int64, ran time.Duration) aqplacement.Resident {
+// resident is a task of eight cores.
+func resident(name string, u aqtype.Urgency, ran time.Duration) aqplacement.Resident {
+	const size = 8
 	return aqplacement.Resident{
 		Task:    aqtype.TaskID{Workload: aqtype.WorkloadKey(name)},
 		Kind:    aqtype.TaskKind(name),
@@ -53,22 +55,22 @@
 		{
 			name: "the least lost work",
 			candidates: []aqplacement.Candidate{
-				candidate(0, resident("long", aqtype.UrgencyBackground, 8, late)),
-				candidate(0, resident("short", aqtype.UrgencyBackground, 8, fresh)),
+				candidate(0, resident("long", aqtype.UrgencyBackground, late)),
+				candidate(0, resident("short", aqtype.UrgencyBackground, fresh)),
 			},
 			victim: "short",
 		},
 		{
 			name: "the least urgent first",
 			candidates: []aqplacement.Candidate{
-				candidate(0, resident("normal", aqtype.UrgencyNormal, 8, fresh),
-					resident("background", aqtype.UrgencyBackground, 8, late)),
+				candidate(0, resident("normal", aqtype.UrgencyNormal, fresh),
+					resident("background", aqtype.UrgencyBackground, late)),
 			},
 			victim: "background",
 		},
 		{
 			name:       "none that is as urgent",
-			candidates: []aqplacement.Candidate{candidate(0, resident("urgent", aqtype.UrgencyUrgent, 8, fresh))},
+			candidates: []aqplacement.Candidate{candidate(0, resident("urgent", aqtype.UrgencyUrgent, fresh))},
 		},
 	} {
 		got, ok := aqplacement.ChooseVictims(urgent(8), test.candidates, false, aqtype.Resources{})
@@ -79,7 +81,7 @@
 }
 
 func TestThrottleTakesHalfAtMostAndRestores(t *testing.T) {
-	c := candidate(0, resident("a", aqtype.UrgencyBackground, 8, 0), resident("b", aqtype.UrgencyNormal, 8, 0))
+	c := candidate(0, resident("a", aqtype.UrgencyBackground, 0), resident("b", aqtype.UrgencyNormal, 0))
 	c.Free.Memory = 1 << 20
 	throttle, ok := aqplacement.ChooseThrottle(urgent(6), []aqplacement.Candidate{c})
 	if !ok || len(throttle.Resizes) != 2 {
@@ -114,8 +116,8 @@
 	policy := aqplacement.Interfering{Model: pairs}
 	d := aqplacement.Demand{Kind: "service", LatencyCritical: true, Urgency: aqtype.UrgencyUrgent, Size: cores(2)}
 	index, ok := aqplacement.Choose(policy, d, []aqplacement.Candidate{
-		candidate(50, resident("loud", aqtype.UrgencyBackground, 8, 0)),
-		candidate(50, resident("quiet", aqtype.UrgencyBackground, 8, 0)),
+		candidate(50, resident("loud", aqtype.UrgencyBackground, 0)),
+		candidate(50, resident("quiet", aqtype.UrgencyBackground, 0)),
 	})
 	if !ok || index != 1 {
 		t.Fatalf("the service was put at %d, %v", index, ok)
--- a/pkg/aqplatform/worker.go
+++ b/pkg/aqplatform/worker.go
@@ -111,8 +111,9 @@
 	Checkpoint bool
 }
 
-// ThrottleOrder bounds the processors of one attempt. A worker carries throttles
-// out before the starts of the same command.
+// ThrottleOrder bounds the processors of one attempt, which may be one that the
+// same command starts: a worker carries throttles out before the starts, and
+// starts a throttled attempt with its bound.
 type ThrottleOrder struct {
 	Run      RunID
 	MilliCPU aqtype.MilliCPU
--- a/pkg/aqscheduler/handon.go
+++ b/pkg/aqscheduler/handon.go
@@ -240,12 +240,7 @@
 func (s *Shard) takeEnd(to aqtype.ShardID, g aqshard.Guest) {
 	_, t := s.planned.Task(g.Task)
 	if t != nil && t.State == aqshard.TaskOffered && t.Sequence == g.Sequence {
-		s.decide(aqshard.Reported{
-			Task:     g.Task,
-			Sequence: g.Sequence,
-			State:    g.State,
-			Progress: g.Progress,
-		})
+		s.decide(aqshard.Reported(g))
 		s.enqueue(g.Task, time.Time{})
 		return
 	}
--- a/pkg/aqscheduler/handon_rapid_test.go
+++ b/pkg/aqscheduler/handon_rapid_test.go
@@ -254,3 +254,54 @@
 		t.Fatalf("the workers saw %+v", got)
 	}
 }
+
+// run runs both shards and the calls between them for n seconds.
+func (p *pair) run(home, other *owner, n int) {
+	for range n {
+		p.other.advance(time.Second)
+		home.turn()
+		other.turn()
+		home.shard.HandOnOnce(context.Background())
+	}
+}
+
+// An offer that arrives again after its task has ended and was forgotten starts
+// nothing.
+func TestLateOfferIsNotTakenAgain(t *testing.T) {
+	p := newPair()
+	home, other := p.home.takeOver(), p.other.takeOver()
+	home.submit(testJob("job", 1, 1000, 2*time.Second, aqtype.UrgencyNormal))
+	p.link.fate = func() aqstandin.Fate { return aqstandin.FateDelayed }
+	p.run(home, other, 2)
+	p.link.fate = func() aqstandin.Fate { return aqstandin.FateDelivered }
+	p.run(home, other, 30)
+	if len(p.link.delayed) == 0 || other.shard.committed.WorkloadCount() != 0 {
+		t.Fatalf("%d calls are late, %d workloads kept", len(p.link.delayed), other.shard.committed.WorkloadCount())
+	}
+	for _, r := range p.link.delayed {
+		_, _ = p.link.deliver(r)
+	}
+	p.run(home, other, 5)
+	if got := p.other.truth.Report(); got.Starts != 1 {
+		t.Fatalf("the workers saw %+v", got)
+	}
+}
+
+// The other shard forgets an ended task only after its home has committed the
+// end: a home whose owner dies before that must still learn of it.
+func TestEndIsAcknowledgedAfterCommitOnly(t *testing.T) {
+	p := newPair()
+	home, other := p.home.takeOver(), p.other.takeOver()
+	home.submit(testJob("job", 1, 1000, 2*time.Second, aqtype.UrgencyNormal))
+	p.run(home, other, 3)
+	for range 6 {
+		p.other.advance(time.Second)
+		other.turn()
+		home.shard.HandOnOnce(context.Background())
+	}
+	next := p.home.takeOver()
+	p.run(next, other, 30)
+	if found := p.home.unfinished(next.shard); found != "" {
+		t.Fatal(found)
+	}
+}
--- a/pkg/aqscheduler/shard_test.go
+++ b/pkg/aqscheduler/shard_test.go
@@ -66,7 +66,6 @@
 	rounds(w, owner, 3)
 	for range 3 {
 		deposed.sessions()
-		rounds(w, owner, 3)
 	}
 	rounds(w, owner, 30)
 	if found := w.unfinished(owner.shard); found != "" {
@@ -95,3 +94,22 @@
 		t.Fatal("a deposed owner proved its ownership")
 	}
 }
+
+// A task is throttled before its start has reached the worker. The worker must
+// not start it at its full size beside the task that made the room necessary.
+// Seen in TestShardUnderFaults after 2758 runs.
+func TestThrottleReachesTheWorkerWithTheStart(t *testing.T) {
+	w := newWorld(1)
+	o := w.takeOver()
+	o.submit(testJob("background", 1, 4000, time.Minute, aqtype.UrgencyBackground))
+	o.readHosts()
+	o.sessions()
+	o.shard.Plan()
+	o.submit(testJob("urgent", 1, 1000, time.Minute, aqtype.UrgencyUrgent))
+	o.shard.Plan()
+	o.commit()
+	o.sessions()
+	if r := w.truth.Report(); r.Starts != 2 || r.OverCommitted != 0 {
+		t.Fatalf("the worker saw %+v", r)
+	}
+}
--- a/pkg/aqscheduler/world_test.go
+++ b/pkg/aqscheduler/world_test.go
@@ -300,7 +300,7 @@
 			switch {
 			case t.State == aqshard.TaskFinished && ran[id] != 1:
 				return fmt.Sprintf("%s is committed as finished but finished %d times", id, ran[id])
-			case t.State == aqshard.TaskQueued, t.State == aqshard.TaskRunning, t.State == aqshard.TaskStopping:
+			case !aqshard.Task{State: t.State}.HasEnded():
 				return fmt.Sprintf("%s has not ended (state %d, attempt %d, %s)", id, t.State, t.Attempt, t.Reason)
 			}
 		}
--- a/pkg/aqstandin/worker.go
+++ b/pkg/aqstandin/worker.go
@@ -264,8 +264,12 @@
 		w.stop(stop)
 	}
 	var answer aqplatform.CommandAnswer
+	bounds := make(map[aqplatform.RunID]aqtype.MilliCPU, len(r.Throttles))
+	for _, t := range r.Throttles {
+		bounds[t.Run] = t.MilliCPU
+	}
 	for _, start := range r.Starts {
-		if !w.start(start) {
+		if !w.start(start, bounds) {
 			answer.NoRoom = append(answer.NoRoom, start.Run)
 		}
 	}
@@ -273,10 +277,14 @@
 }
 
 // start reports false when the worker has no room for the run.
-func (w *Worker) start(order aqplatform.StartOrder) bool {
+func (w *Worker) start(order aqplatform.StartOrder, bounds map[aqplatform.RunID]aqtype.MilliCPU) bool {
 	if _, known := w.runs[order.Run]; known {
 		return true
 	}
+	full := order.Size.MilliCPU
+	if bound, throttled := bounds[order.Run]; throttled {
+		order.Size.MilliCPU = bound
+	}
 	used := w.used().Add(order.Size)
 	if w.foreign != (aqtype.Resources{}) && !used.Add(w.foreign).Fits(w.host.Capacity) {
 		return false
@@ -286,7 +294,7 @@
 		state:    aqplatform.RunRunning,
 		began:    w.clock.Now(),
 		progress: checkpointProgress(order.Checkpoint),
-		full:     order.Size.MilliCPU,
+		full:     full,
 	}
 	w.witness.SawRun(RunEvent{
 		Kind:       RunBegan,
