--- a/pkg/aqlab/place.go
+++ b/pkg/aqlab/place.go
@@ -126,11 +126,29 @@
 			}
 			c.Free = c.Free.Add(t.reserved).Sub(r.Size)
 			t.reserved = r.Size
+			t.full = r.Full
 			c.Residents[i].Size = r.Size
+			c.Residents[i].Full = r.Full
 		}
 	}
 }
 
+// rightsize brings running reservations to what the learned arm knows by now.
+func (l *lab) rightsize(candidates []aqplacement.Candidate) {
+	if l.arm != ArmLearned {
+		return
+	}
+	declared := map[aqtype.TaskKind]aqtype.Resources{}
+	for _, k := range l.types {
+		declared[k.kind] = k.declared
+	}
+	for w := range candidates {
+		l.resize(w, &candidates[w], aqplacement.Rightsize(candidates[w], func(r aqplacement.Resident) aqtype.Resources {
+			return l.sizes.Reservation(r.Kind, declared[r.Kind]).Min(workerSize)
+		}))
+	}
+}
+
 // evictFor stops the cheapest victims. They resume from a checkpoint, so what is
 // lost is the time since the last one.
 func (l *lab) evictFor(d aqplacement.Demand, candidates []aqplacement.Candidate) (int, bool) {
--- a/pkg/aqlab/run.go
+++ b/pkg/aqlab/run.go
@@ -345,6 +345,7 @@
 		return l.waiting[i].kind.urgency > l.waiting[j].kind.urgency
 	})
 	candidates := l.candidates()
+	l.rightsize(candidates)
 	l.restore(candidates)
 	blocked := map[aqtype.TaskKind]bool{}
 	left := l.waiting[:0:0]
--- /dev/null
+++ b/pkg/aqplacement/rightsize.go
@@ -0,0 +1,47 @@
+package aqplacement
+
+import "acaciaquay/pkg/aqtype"
+
+// rightsizeStep is how far a reservation must be off before it is changed, in
+// hundredths, so that noise moves nothing.
+const rightsizeStep = 10
+
+// Rightsize brings the reservations of running tasks to what was learned since
+// they were started: smaller ones at once, larger ones as far as the worker has
+// room. Wanted returns what a task would reserve if it started now.
+func Rightsize(c Candidate, wanted func(Resident) aqtype.Resources) []Resize {
+	free := c.Free
+	var resizes []Resize
+	for _, r := range c.Residents {
+		full := wanted(r)
+		if r.Stopping || !differs(full, r.Full) {
+			continue
+		}
+		size := r.Size.Min(full)
+		if r.Size == r.Full {
+			size = full
+		}
+		if !size.Fits(free.Add(r.Size)) {
+			continue
+		}
+		free = free.Add(r.Size).Sub(size)
+		resizes = append(resizes, Resize{
+			Task: r.Task,
+			Size: size,
+			Full: full,
+		})
+	}
+	return resizes
+}
+
+func differs(a, b aqtype.Resources) bool {
+	return apart(int64(a.MilliCPU), int64(b.MilliCPU)) || apart(int64(a.Memory), int64(b.Memory))
+}
+
+func apart(a, b int64) bool {
+	difference := a - b
+	if difference < 0 {
+		difference = -difference
+	}
+	return difference*100 > b*rightsizeStep
+}
--- a/pkg/aqplacement/throttle.go
+++ b/pkg/aqplacement/throttle.go
@@ -10,10 +10,12 @@
 // in hundredths.
 const throttleFloor = 50
 
-// Resize changes what a running task reserves of the processors.
+// Resize changes what a running task reserves. It is throttled while Size is less
+// than Full.
 type Resize struct {
 	Task aqtype.TaskID
 	Size aqtype.Resources
+	Full aqtype.Resources
 }
 
 // Throttle makes room on one worker without stopping anything.
@@ -92,7 +94,7 @@
 		missing -= taken
 		size := r.Size
 		size.MilliCPU -= taken
-		resizes = append(resizes, Resize{Task: r.Task, Size: size})
+		resizes = append(resizes, Resize{Task: r.Task, Size: size, Full: r.Full})
 	}
 	return resizes
 }
@@ -122,7 +124,7 @@
 		free -= given
 		size := r.Size
 		size.MilliCPU += given
-		resizes = append(resizes, Resize{Task: r.Task, Size: size})
+		resizes = append(resizes, Resize{Task: r.Task, Size: size, Full: r.Full})
 	}
 	return resizes
 }
--- a/pkg/aqplatform/worker.go
+++ b/pkg/aqplatform/worker.go
@@ -97,8 +97,10 @@
 // StartOrder starts one attempt. Repeating it has no effect while the worker
 // remembers the attempt.
 type StartOrder struct {
-	Run        RunID
+	Run RunID
+	// Size is what the run may use, Declared what its operator said.
 	Size       aqtype.Resources
+	Declared   aqtype.Resources
 	RunTime    time.Duration
 	Endless    bool
 	Serves     string
@@ -111,12 +113,13 @@
 	Checkpoint bool
 }
 
-// ThrottleOrder bounds the processors of one attempt, which may be one that the
-// same command starts: a worker carries throttles out before the starts, and
-// starts a throttled attempt with its bound.
-type ThrottleOrder struct {
-	Run      RunID
-	MilliCPU aqtype.MilliCPU
+// ResizeOrder changes what one attempt may use, which may be one that the same
+// command starts: a worker carries resizes out before the starts, and starts
+// such an attempt at its new size. With a Size below Full it is throttled.
+type ResizeOrder struct {
+	Run  RunID
+	Size aqtype.Resources
+	Full aqtype.Resources
 }
 
 // CommandRequest carries orders to a worker under a live session.
@@ -126,10 +129,10 @@
 	Epoch   aqtype.Epoch
 	// Number grows with each command of an epoch. The worker refuses a number
 	// that is not above the last, so a delayed command can start nothing.
-	Number    uint64
-	Throttles []ThrottleOrder
-	Starts    []StartOrder
-	Stops     []StopOrder
+	Number  uint64
+	Resizes []ResizeOrder
+	Starts  []StartOrder
+	Stops   []StopOrder
 	// Forget names ended runs whose end the owner has committed.
 	Forget []RunID
 }
--- a/pkg/aqprocess/gateway.go
+++ b/pkg/aqprocess/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"acaciaquay/pkg/aqapi"
 	"acaciaquay/pkg/aqconfig"
@@ -13,7 +14,11 @@
 	"acaciaquay/pkg/aqsettings"
 )
 
-const wholePercent = 100
+const (
+	wholePercent = 100
+	// routerPause is the wait before a call to a shard's owner is repeated.
+	routerPause = 200 * time.Millisecond
+)
 
 // RunGateway runs a gateway until ctx ends, and then finishes the requests in
 // progress.
@@ -85,7 +90,7 @@
 			Clock:     b.clock,
 			Metrics:   b.metrics,
 			Shards:    b.settings.Shards.Count,
-			Pause:     b.settings.Peers.Heartbeat,
+			Pause:     routerPause,
 		},
 		Changer: aqconfig.Changer{
 			Store:  b.store,
--- a/pkg/aqscheduler/act.go
+++ b/pkg/aqscheduler/act.go
@@ -26,7 +26,7 @@
 	case aqshard.Cancelled:
 		s.sendStops(r.Workload)
 	case aqshard.Resized:
-		s.sendThrottle(r.Task, r.Attempt)
+		s.sendResize(r.Task, r.Attempt)
 	case aqshard.Reported:
 		s.acknowledge(r)
 	case aqshard.Pruned, aqshard.Offered, aqshard.Taken, aqshard.Returned, aqshard.Forgotten:
@@ -74,18 +74,19 @@
 	}
 }
 
-// sendThrottle orders the processors that an attempt is committed to have.
-func (s *Shard) sendThrottle(id aqtype.TaskID, attempt aqtype.Attempt) {
+// sendResize orders the size that an attempt is committed to have.
+func (s *Shard) sendResize(id aqtype.TaskID, attempt aqtype.Attempt) {
 	_, t := s.committed.Task(id)
 	if t == nil || t.State != aqshard.TaskRunning || t.Attempt != attempt {
 		return
 	}
 	if w := s.workers[t.Worker]; w != nil && w.keeper != nil {
 		w.keeper.Send(aqsession.Orders{
-			Throttles: []aqplatform.ThrottleOrder{
+			Resizes: []aqplatform.ResizeOrder{
 				{
-					Run:      aqplatform.RunID{Task: id, Attempt: attempt},
-					MilliCPU: t.Size.MilliCPU,
+					Run:  aqplatform.RunID{Task: id, Attempt: attempt},
+					Size: t.Size,
+					Full: t.Full,
 				},
 			},
 		})
--- a/pkg/aqscheduler/plan.go
+++ b/pkg/aqscheduler/plan.go
@@ -23,6 +23,8 @@
 	earmarkFor = 20 * time.Second
 	// avoidFor is how long a worker that refused a start gets no other.
 	avoidFor = 5 * time.Second
+	// rightsizeEvery is the time between two looks at running reservations.
+	rightsizeEvery = time.Minute
 	// maxUncommitted bounds the decisions that wait for the journal.
 	maxUncommitted = 4000
 )
@@ -67,7 +69,8 @@
 	if s.stalled() || len(s.open.records) >= maxUncommitted {
 		return
 	}
-	if s.queue.Len() == 0 && !s.throttled {
+	rightsize := now.Sub(s.rightsized) >= rightsizeEvery
+	if s.queue.Len() == 0 && !s.throttled && !rightsize {
 		return
 	}
 	s.pairs.SetNow(now)
@@ -78,6 +81,10 @@
 		policy: s.options.Policy(s.pairs),
 	}
 	r.collect()
+	if rightsize {
+		s.rightsized = now
+		r.rightsize()
+	}
 	s.queue.Offer(now, maxRefusedPerRound, r.place)
 	if s.throttled && s.queue.Len() == 0 {
 		r.restore()
@@ -303,6 +310,7 @@
 	order := aqplatform.StartOrder{
 		Run:        run,
 		Size:       size,
+		Declared:   spec.Base().Size,
 		Checkpoint: checkpoint,
 	}
 	switch kind := spec.(type) {
@@ -375,6 +383,7 @@
 			Task:    change.Task,
 			Attempt: t.Attempt,
 			Size:    change.Size,
+			Full:    change.Full,
 		}) {
 			continue
 		}
@@ -382,11 +391,22 @@
 		for i := range c.Residents {
 			if c.Residents[i].Task == change.Task {
 				c.Residents[i].Size = change.Size
+				c.Residents[i].Full = change.Full
 			}
 		}
 	}
 }
 
+// rightsize brings running reservations to what was learned since they started.
+func (r *round) rightsize() {
+	for i := range r.candidates {
+		r.resize(&r.candidates[i], aqplacement.Rightsize(r.candidates[i], func(resident aqplacement.Resident) aqtype.Resources {
+			w, _ := r.shard.planned.Task(resident.Task)
+			return r.reservation(resident.Kind, w.Spec.Base().Size)
+		}))
+	}
+}
+
 // restore gives processors back to throttled tasks, once nothing waits for them.
 func (r *round) restore() {
 	for i := range r.candidates {
--- a/pkg/aqscheduler/shard.go
+++ b/pkg/aqscheduler/shard.go
@@ -96,6 +96,8 @@
 	// throttled is set while a usable worker may have a throttled task. A new
 	// owner looks once.
 	throttled bool
+	// rightsized is when running reservations were last looked at.
+	rightsized time.Time
 	// takenUpTo is the last offer that each shard is known to have taken, acks
 	// are ends to be forgotten there. Both may be lost: they are learnt again.
 	takenUpTo map[aqtype.ShardID]uint64
--- a/pkg/aqscheduler/shard_test.go
+++ b/pkg/aqscheduler/shard_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"acaciaquay/pkg/aqplatform"
 	"acaciaquay/pkg/aqtype"
 )
 
@@ -113,3 +114,22 @@
 		t.Fatalf("the worker saw %+v", r)
 	}
 }
+
+// A throttle is lost with its session. The room that it makes is counted, so it
+// must be ordered again before anything is started in that room.
+func TestResizeIsRepeatedUnderANewSession(t *testing.T) {
+	w := newWorld(1)
+	o := w.takeOver()
+	o.submit(testJob("background", 1, 4000, time.Minute, aqtype.UrgencyBackground))
+	rounds(w, o, 2)
+	o.submit(testJob("urgent", 1, 1000, time.Minute, aqtype.UrgencyUrgent))
+	o.shard.Plan()
+	o.commit()
+	for _, k := range o.sortedKeepers() {
+		k.Fail(aqplatform.ErrWorkerUnknown)
+	}
+	rounds(w, o, 5)
+	if r := w.truth.Report(); r.Starts != 2 || r.OverCommitted != 0 {
+		t.Fatalf("the worker saw %+v", r)
+	}
+}
--- a/pkg/aqscheduler/workers.go
+++ b/pkg/aqscheduler/workers.go
@@ -166,18 +166,18 @@
 	}
 	for _, r := range runs {
 		s.observe(id, r)
-		s.repeatThrottle(r)
+		s.repeatResize(r)
 	}
 	s.throttled = true
 	s.noteNeighbours(id, s.options.Clock.Now())
 	signal(s.wakePlan)
 }
 
-// repeatThrottle sends a throttle again under a new session: the order may have
+// repeatResize sends a task's size again under a new session: the order may have
 // been lost with the session before, and the room it makes is already counted.
-func (s *Shard) repeatThrottle(r aqplatform.TaskRun) {
-	if _, t := s.committed.Task(r.Task); t != nil && t.Size != t.Full {
-		s.sendThrottle(r.Task, r.Attempt)
+func (s *Shard) repeatResize(r aqplatform.TaskRun) {
+	if _, t := s.committed.Task(r.Task); t != nil && t.Resized {
+		s.sendResize(r.Task, r.Attempt)
 	}
 }
 
--- a/pkg/aqsession/keeper.go
+++ b/pkg/aqsession/keeper.go
@@ -280,7 +280,7 @@
 	if o.Serial == k.serial {
 		k.outbox.Starts = append(k.outbox.Starts, o.Starts...)
 	}
-	k.outbox.throttle(o.Throttles)
+	k.outbox.resize(o.Resizes)
 	k.outbox.Stops = append(k.outbox.Stops, o.Stops...)
 	k.outbox.forget(o.Forget)
 	select {
@@ -318,10 +318,10 @@
 		Epoch:   k.options.Epoch,
 		Number:  k.number,
 
-		Throttles: orders.Throttles,
-		Starts:    orders.Starts,
-		Stops:     orders.Stops,
-		Forget:    orders.Forget,
+		Resizes: orders.Resizes,
+		Starts:  orders.Starts,
+		Stops:   orders.Stops,
+		Forget:  orders.Forget,
 	}
 	k.mu.Unlock()
 	answer, err := k.options.Workers.Command(ctx, k.options.Address, request)
@@ -347,7 +347,7 @@
 	if k.outbox.Serial != done.Serial || !k.open {
 		return
 	}
-	k.outbox.throttled(done.Throttles)
+	k.outbox.resized(done.Resizes)
 	k.outbox.Starts = without(k.outbox.Starts, done.Starts, startRun)
 	k.outbox.Stops = without(k.outbox.Stops, done.Stops, stopRun)
 	k.outbox.Forget = without(k.outbox.Forget, done.Forget, sameRun)
--- a/pkg/aqsession/keeper_test.go
+++ b/pkg/aqsession/keeper_test.go
@@ -148,3 +148,56 @@
 	fmt.Println(limits.ReassignAfter(), limits.LapseAfter())
 	// Output: 11m33s 1m3s
 }
+
+// Opens whose answers are lost do not keep a worker's tasks alive: the bound for
+// reassignment counts renewals only.
+func TestOpensAloneKeepNothingAlive(t *testing.T) {
+	b := newBench()
+	b.step(t)
+	b.keeper.Send(aqsession.Orders{
+		Serial: b.owner.serial,
+		Starts: []aqplatform.StartOrder{
+			{
+				Run:     aqplatform.RunID{Task: aqtype.TaskID{Workload: "watcher"}, Attempt: 1},
+				Size:    size,
+				Endless: true,
+			},
+		},
+	})
+	b.keeper.Flush(context.Background())
+	b.fate = aqstandin.FateAnswerLost
+	for range 5 {
+		b.keeper.Fail(aqplatform.ErrWorkerUnknown)
+		if err := b.keeper.Step(context.Background()); err == nil {
+			t.Fatal("the answer was not lost")
+		}
+		b.clock.Advance(time.Second)
+		b.worker.Tick()
+	}
+	if n := b.truth.RunningTasks(); n != 0 {
+		t.Fatalf("%d tasks run without a renewal", n)
+	}
+}
+
+// A start that was decided under an earlier session is never sent: the owner has
+// been told that it will not run.
+func TestStartOfAnEarlierSessionIsNotSent(t *testing.T) {
+	b := newBench()
+	b.step(t)
+	earlier := b.owner.serial
+	b.keeper.Fail(aqplatform.ErrWorkerUnknown)
+	b.step(t)
+	b.keeper.Send(aqsession.Orders{
+		Serial: earlier,
+		Starts: []aqplatform.StartOrder{
+			{
+				Run:  aqplatform.RunID{Task: aqtype.TaskID{Workload: "job"}, Attempt: 1},
+				Size: size,
+			},
+		},
+	})
+	b.keeper.Flush(context.Background())
+	if r := b.truth.Report(); r.Starts != 0 {
+		t.Fatalf("the worker saw %+v", r)
+	}
+}
--- a/pkg/aqsession/orders.go
+++ b/pkg/aqsession/orders.go
@@ -5,15 +5,15 @@
 // Orders are what the owner wants done on the worker.
 type Orders struct {
 	// Serial is the session under which the starts were decided.
-	Serial    Serial
-	Throttles []aqplatform.ThrottleOrder
-	Starts    []aqplatform.StartOrder
-	Stops     []aqplatform.StopOrder
-	Forget    []aqplatform.RunID
+	Serial  Serial
+	Resizes []aqplatform.ResizeOrder
+	Starts  []aqplatform.StartOrder
+	Stops   []aqplatform.StopOrder
+	Forget  []aqplatform.RunID
 }
 
 func (o Orders) empty() bool {
-	return len(o.Throttles) == 0 && len(o.Starts) == 0 && len(o.Stops) == 0 && len(o.Forget) == 0
+	return len(o.Resizes) == 0 && len(o.Starts) == 0 && len(o.Stops) == 0 && len(o.Forget) == 0
 }
 
 // forget adds runs to be forgotten. A start of such a run whose answer was lost
@@ -27,28 +27,28 @@
 	o.Forget = append(o.Forget, runs...)
 }
 
-// throttle adds throttles. A later one replaces an earlier one of its run.
-func (o *Orders) throttle(orders []aqplatform.ThrottleOrder) {
-	o.Throttles = append(without(o.Throttles, orders, throttleRun), orders...)
+// resize adds resizes. A later one replaces an earlier one of its run.
+func (o *Orders) resize(orders []aqplatform.ResizeOrder) {
+	o.Resizes = append(without(o.Resizes, orders, resizeRun), orders...)
 }
 
-// throttled removes throttles that were carried out, but not newer ones of the
+// resized removes resizes that were carried out, but not newer ones of the
 // same runs.
-func (o *Orders) throttled(done []aqplatform.ThrottleOrder) {
-	carried := make(map[aqplatform.ThrottleOrder]bool, len(done))
+func (o *Orders) resized(done []aqplatform.ResizeOrder) {
+	carried := make(map[aqplatform.ResizeOrder]bool, len(done))
 	for _, d := range done {
 		carried[d] = true
 	}
-	kept := make([]aqplatform.ThrottleOrder, 0, len(o.Throttles))
-	for _, t := range o.Throttles {
+	kept := make([]aqplatform.ResizeOrder, 0, len(o.Resizes))
+	for _, t := range o.Resizes {
 		if !carried[t] {
 			kept = append(kept, t)
 		}
 	}
-	o.Throttles = kept
+	o.Resizes = kept
 }
 
-func throttleRun(o aqplatform.ThrottleOrder) aqplatform.RunID { return o.Run }
+func resizeRun(o aqplatform.ResizeOrder) aqplatform.RunID { return o.Run }
 
 func startRun(o aqplatform.StartOrder) aqplatform.RunID { return o.Run }
 
--- a/pkg/aqshard/record.go
+++ b/pkg/aqshard/record.go
@@ -107,12 +107,13 @@
 	Sequence uint64
 }
 
-// Resized changes what a running attempt reserves: it is throttled, or gets back
-// what it had.
+// Resized changes what a running attempt reserves. Full is what it should have by
+// what was learned of its kind; with a smaller Size it is throttled.
 type Resized struct {
 	Task    aqtype.TaskID
 	Attempt aqtype.Attempt
 	Size    aqtype.Resources
+	Full    aqtype.Resources
 }
 
 func (Resized) isRecord()   {}
--- a/pkg/aqshard/state.go
+++ b/pkg/aqshard/state.go
@@ -37,6 +37,8 @@
 	// Full is what the attempt reserves when it is not throttled; Size is never
 	// more.
 	Full aqtype.Resources
+	// Resized is set once the attempt's size has changed since its start.
+	Resized bool
 	// Checkpoint is what the next attempt resumes from. It is used up by the
 	// attempt that starts from it.
 	Checkpoint aqtype.CheckpointID
@@ -283,6 +285,7 @@
 	t.Worker = r.Worker
 	t.Size = r.Size
 	t.Full = r.Size
+	t.Resized = false
 	t.Why = 0
 	delete(s.queued, r.Task)
 	s.reserve(r.Task, w, t)
@@ -291,11 +294,13 @@
 
 func (s *State) resize(r Resized) error {
 	w, t := s.Task(r.Task)
-	if t == nil || t.State != TaskRunning || t.Attempt != r.Attempt || !r.Size.Fits(t.Full) {
+	if t == nil || t.State != TaskRunning || t.Attempt != r.Attempt || !r.Size.Fits(r.Full) {
 		return errors.Wrapf(ErrInvalid, "resize of %s attempt %d", r.Task, r.Attempt)
 	}
 	s.release(r.Task, w, t)
 	t.Size = r.Size
+	t.Full = r.Full
+	t.Resized = true
 	s.reserve(r.Task, w, t)
 	return nil
 }
--- a/pkg/aqstandin/worker.go
+++ b/pkg/aqstandin/worker.go
@@ -27,7 +27,7 @@
 	state    aqplatform.RunState
 	began    time.Time
 	progress time.Duration
-	// full is the processors that the run was started with.
+	// full is the processors with which the run is not throttled.
 	full    aqtype.MilliCPU
 	saved   aqtype.CheckpointID
 	closing bool
@@ -68,6 +68,7 @@
 		clock:     clock,
 		host:      host,
 		boot:      1,
+		version:   1,
 		runs:      map[aqplatform.RunID]*run{},
 		wake:      make(chan struct{}),
 		witness:   witness,
@@ -230,7 +231,7 @@
 			Attempt:    id.Attempt,
 			State:      r.state,
 			Checkpoint: r.saved,
-			Usage:      r.order.Size,
+			Usage:      r.order.Declared.Min(r.order.Size),
 			Slowdown:   noSlowdown,
 		})
 	}
@@ -252,8 +253,8 @@
 		return aqplatform.CommandAnswer{}, aqplatform.ErrStaleNumber
 	}
 	w.session.number = r.Number
-	for _, t := range r.Throttles {
-		w.throttle(t)
+	for _, o := range r.Resizes {
+		w.resize(o)
 	}
 	for _, id := range r.Forget {
 		if known, ok := w.runs[id]; ok && known.state != aqplatform.RunRunning {
@@ -264,12 +265,12 @@
 		w.stop(stop)
 	}
 	var answer aqplatform.CommandAnswer
-	bounds := make(map[aqplatform.RunID]aqtype.MilliCPU, len(r.Throttles))
-	for _, t := range r.Throttles {
-		bounds[t.Run] = t.MilliCPU
+	resizes := make(map[aqplatform.RunID]aqplatform.ResizeOrder, len(r.Resizes))
+	for _, o := range r.Resizes {
+		resizes[o.Run] = o
 	}
 	for _, start := range r.Starts {
-		if !w.start(start, bounds) {
+		if !w.start(start, resizes) {
 			answer.NoRoom = append(answer.NoRoom, start.Run)
 		}
 	}
@@ -277,13 +278,14 @@
 }
 
 // start reports false when the worker has no room for the run.
-func (w *Worker) start(order aqplatform.StartOrder, bounds map[aqplatform.RunID]aqtype.MilliCPU) bool {
+func (w *Worker) start(order aqplatform.StartOrder, resizes map[aqplatform.RunID]aqplatform.ResizeOrder) bool {
 	if _, known := w.runs[order.Run]; known {
 		return true
 	}
 	full := order.Size.MilliCPU
-	if bound, throttled := bounds[order.Run]; throttled {
-		order.Size.MilliCPU = bound
+	if o, resized := resizes[order.Run]; resized {
+		order.Size = o.Size
+		full = o.Full.MilliCPU
 	}
 	used := w.used().Add(order.Size)
 	if w.foreign != (aqtype.Resources{}) && !used.Add(w.foreign).Fits(w.host.Capacity) {
@@ -309,8 +311,8 @@
 	return true
 }
 
-// throttle bounds a run's processors; its progress slows down in proportion.
-func (w *Worker) throttle(order aqplatform.ThrottleOrder) {
+// resize changes what a run may use; a throttled run slows down in proportion.
+func (w *Worker) resize(order aqplatform.ResizeOrder) {
 	r, ok := w.runs[order.Run]
 	if !ok || r.state != aqplatform.RunRunning {
 		return
@@ -318,7 +320,8 @@
 	now := w.clock.Now()
 	r.progress = r.progressAt(now)
 	r.began = now
-	r.order.Size.MilliCPU = order.MilliCPU
+	r.order.Size = order.Size
+	r.full = order.Full.MilliCPU
 }
 
 func (r *run) progressAt(now time.Time) time.Duration {
