--- a/pkg/aqgateway/gateway.go
+++ b/pkg/aqgateway/gateway.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,11 @@
 
 // Options configure a gateway.
 type Options struct {
+	// Name is different for every process that ever ran, because it begins the
+	// holders of request keys.
+	Name string
+	// Keys keeps which requests may be sent; nil keeps none.
+	Keys     Keys
 	Clock    aqclock.Clock
 	Config   *aqconfig.Holder
 	HostList aqplatform.HostList
@@ -52,6 +58,7 @@
 	forwarder *forwarder
 	budget    *aqretry.Budget
 	done      chan struct{}
+	nonce     atomic.Uint64
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -145,8 +152,12 @@
 		g.refuse(w, http.StatusNotFound, aqmetric.RefusedNoService, 0, errNoService)
 		return
 	}
+	held, ok := g.reserve(w, r, identified)
+	if !ok {
+		return
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, g.options.MaxBodyBytes)
-	g.carry(w, r, identified, service)
+	g.carry(w, r, identified, service, held)
 }
 
 var (
@@ -156,12 +167,15 @@
 
 // carry tries endpoints until one answers, the request is refused, or its
 // outcome is unknown.
-func (g *Gateway) carry(w http.ResponseWriter, r *http.Request, identified request, service *serviceState) {
+func (g *Gateway) carry(
+	w http.ResponseWriter, r *http.Request, identified request, service *serviceState, held *once,
+) {
 	ctx, cancel := context.WithTimeout(r.Context(), identified.deadline.Sub(g.options.Clock.Now()))
 	defer cancel()
 	for {
 		endpoint, err := service.acquire(ctx, identified)
 		if err != nil {
+			held.release()
 			g.refuseAdmission(w, err)
 			return
 		}
@@ -173,7 +187,7 @@
 		}
 		g.noteFailure(r, service, endpoint, err)
 		if !g.mayRepeat(ctx, r, identified, err) {
-			g.giveUp(w, identified, err)
+			g.giveUp(w, identified, held, err)
 			return
 		}
 	}
@@ -231,8 +245,9 @@
 	return true
 }
 
-func (g *Gateway) giveUp(w http.ResponseWriter, identified request, err error) {
+func (g *Gateway) giveUp(w http.ResponseWriter, identified request, held *once, err error) {
 	if errors.Is(err, errNotSent) {
+		held.release()
 		g.refuse(w, http.StatusServiceUnavailable, aqmetric.RefusedConnect, retryAfter, err)
 		return
 	}
--- a/pkg/aqgateway/gateway_test.go
+++ b/pkg/aqgateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -384,3 +385,70 @@
 		t.Fatalf("answered %d, refused %d, run %d", answered, refused, e.posts.Load())
 	}
 }
+
+// fakeKeys keeps keys for several gateways.
+type fakeKeys struct {
+	mu   sync.Mutex
+	held map[string]string
+	fail bool
+}
+
+func (k *fakeKeys) Reserve(_ context.Context, service, key, holder string) (bool, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.fail {
+		return false, context.DeadlineExceeded
+	}
+	if k.held[service+key] == "" {
+		k.held[service+key] = holder
+	}
+	return k.held[service+key] == holder, nil
+}
+
+func (k *fakeKeys) Release(_ context.Context, service, key, holder string) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.held[service+key] == holder {
+		delete(k.held, service+key)
+	}
+	return nil
+}
+
+// An order that its caller repeats with its key through another gateway runs
+// once; one that was refused as not run can be repeated; without a reservation
+// nothing is sent.
+func TestKeyRunsOnceOverGateways(t *testing.T) {
+	e := newRawEndpoint(t, func(conn net.Conn, _ int) bool {
+		writeAnswer(conn)
+		return true
+	})
+	keys := &fakeKeys{held: map[string]string{}}
+	first, second := newHarness(t), newHarness(t)
+	for i, h := range []*harness{first, second} {
+		h.gateway.options.Keys = keys
+		h.gateway.options.Name = fmt.Sprintf("gateway%d", i)
+	}
+	order := map[string]string{HeaderKey: "order-1"}
+	listed := endpointAt("a", e.address())
+	listed.State = aqplatform.HostLeaving
+	first.gateway.SetEndpoints([]aqplatform.EndpointHost{listed})
+	if got := first.send(http.MethodPost, "/folio/x", order); got.outcome != OutcomeRefused {
+		t.Fatalf("without endpoints: %+v", got)
+	}
+	first.gateway.SetEndpoints([]aqplatform.EndpointHost{endpointAt("b", e.address())})
+	second.gateway.SetEndpoints([]aqplatform.EndpointHost{endpointAt("b", e.address())})
+	if got := first.send(http.MethodPost, "/folio/x", order); got.status != http.StatusOK {
+		t.Fatalf("after a refusal: %+v", got)
+	}
+	if got := second.send(http.MethodPost, "/folio/x", order); got.status != http.StatusConflict || got.outcome != OutcomeUnknown {
+		t.Fatalf("repeat: %+v", got)
+	}
+	keys.fail = true
+	other := map[string]string{HeaderKey: "order-2"}
+	if got := second.send(http.MethodPost, "/folio/x", other); got.outcome != OutcomeRefused {
+		t.Fatalf("without a reservation: %+v", got)
+	}
+	if posts := e.posts.Load(); posts != 1 {
+		t.Fatalf("the endpoint ran %d orders", posts)
+	}
+}
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -30,6 +30,7 @@
 	RefusedStoreDown      RefusalReason = "StoreDown"
 	RefusedConfigRace     RefusalReason = "ConfigurationChanged"
 	RefusedConfigInvalid  RefusalReason = "ConfigurationInvalid"
+	RefusedKeyUsed        RefusalReason = "KeyUsed"
 	RefusedFrameTooLarge  RefusalReason = "FrameTooLarge"
 	RefusedFrameMalformed RefusalReason = "FrameMalformed"
 )
@@ -38,7 +39,7 @@
 var RefusalReasons = []RefusalReason{
 	RefusedBadRequest, RefusedNoService, RefusedNoEndpoint, RefusedQueueFull, RefusedDeadline, RefusedConnect,
 	RefusedStopping, RefusedTooLarge, RefusedNotOwner, RefusedNoOwner, RefusedKeyConflict, RefusedShardFull,
-	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedFrameTooLarge,
+	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedKeyUsed, RefusedFrameTooLarge,
 	RefusedFrameMalformed,
 }
 
--- a/pkg/aqprocess/gateway.go
+++ b/pkg/aqprocess/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 
@@ -27,9 +28,10 @@
 	if err != nil {
 		return err
 	}
-	gateway := aqgateway.New(b.gatewayOptions())
+	api := b.apiServer()
+	gateway := aqgateway.New(b.gatewayOptions(api.Router))
 	mux := b.operatorMux(gateway.Ready)
-	b.apiServer().Register(mux)
+	api.Register(mux)
 	callers := newHTTPServer(s.Gateway.CallerAddress, gateway)
 	operators := newHTTPServer(s.Gateway.OperatorAddress, mux)
 	if err := b.server.Start(s.Gateway.PeerAddress); err != nil {
@@ -61,9 +63,11 @@
 	return nil
 }
 
-func (b *base) gatewayOptions() aqgateway.Options {
+func (b *base) gatewayOptions(keys aqgateway.Keys) aqgateway.Options {
 	s := b.settings
 	return aqgateway.Options{
+		Name:         fmt.Sprintf("%s-%d", s.Process.ID, b.clock.Now().UnixNano()),
+		Keys:         keys,
 		Clock:        b.clock,
 		Config:       b.config,
 		HostList:     b.hostList,
--- a/pkg/aqprocess/scheduler.go
+++ b/pkg/aqprocess/scheduler.go
@@ -84,6 +84,7 @@
 			PlanInterval:   s.Scheduler.PlanInterval,
 			Stall:          s.Scheduler.Stall,
 			Retention:      s.Scheduler.Retention,
+			KeyRetention:   s.Scheduler.KeyRetention,
 			MaxWorkloads:   s.Scheduler.MaxWorkloads,
 		},
 		HostPoll: s.Platform.HostPoll,
--- a/pkg/aqrouter/router.go
+++ b/pkg/aqrouter/router.go
@@ -132,6 +132,32 @@
 	return all, missing
 }
 
+// Reserve takes the key of a request, and reports whether this holder has it.
+func (r *Router) Reserve(ctx context.Context, service, key, holder string) (bool, error) {
+	answer, err := r.useKey(ctx, aqscheduler.MethodReserveKey, service, key, holder)
+	return answer.Held, err
+}
+
+// Release gives a key back whose request was not sent.
+func (r *Router) Release(ctx context.Context, service, key, holder string) error {
+	_, err := r.useKey(ctx, aqscheduler.MethodReleaseKey, service, key, holder)
+	return err
+}
+
+func (r *Router) useKey(
+	ctx context.Context, method aqpeer.Method, service, key, holder string,
+) (aqscheduler.KeyAnswer, error) {
+	whole := aqshard.RequestKey(service + "/" + key)
+	shard := aqtype.HomeShard(aqtype.WorkloadKey(whole), r.Shards)
+	var answer aqscheduler.KeyAnswer
+	err := r.call(ctx, shard, method, aqscheduler.KeyUse{
+		Shard:  shard,
+		Key:    whole,
+		Holder: holder,
+	}, &answer)
+	return answer, err
+}
+
 // Top sums up every shard.
 func (r *Router) Top(ctx context.Context) ([]aqscheduler.ShardTop, []aqtype.ShardID) {
 	tops, missing := gather(r.Shards, func(shard aqtype.ShardID) (aqscheduler.ShardTop, error) {
--- a/pkg/aqscheduler/act.go
+++ b/pkg/aqscheduler/act.go
@@ -29,7 +29,8 @@
 		s.sendResize(r.Task, r.Attempt)
 	case aqshard.Reported:
 		s.acknowledge(r)
-	case aqshard.Pruned, aqshard.Offered, aqshard.Taken, aqshard.Returned, aqshard.Forgotten:
+	case aqshard.Pruned, aqshard.Offered, aqshard.Taken, aqshard.Returned, aqshard.Forgotten,
+		aqshard.KeyReserved, aqshard.KeyReleased, aqshard.KeysExpired:
 	}
 }
 
--- a/pkg/aqscheduler/daemon.go
+++ b/pkg/aqscheduler/daemon.go
@@ -89,6 +89,8 @@
 	aqpeer.Handle(server, MethodCancel, d.cancel)
 	aqpeer.Handle(server, MethodTop, d.top)
 	aqpeer.Handle(server, MethodHandOn, d.handOn)
+	aqpeer.Handle(server, MethodReserveKey, d.reserveKey)
+	aqpeer.Handle(server, MethodReleaseKey, d.releaseKey)
 }
 
 // balancePeriod bounds how long a change of membership goes unnoticed.
--- a/pkg/aqscheduler/plan.go
+++ b/pkg/aqscheduler/plan.go
@@ -65,6 +65,7 @@
 	}
 	s.giveUpWorkers(now)
 	s.prune(now)
+	s.expireKeys(now)
 	s.expireEarmarks(now)
 	if s.stalled() || len(s.open.records) >= maxUncommitted {
 		return
--- a/pkg/aqscheduler/shard.go
+++ b/pkg/aqscheduler/shard.go
@@ -35,6 +35,8 @@
 	Stall time.Duration
 	// Retention is how long an ended workload is kept.
 	Retention time.Duration
+	// KeyRetention is how long a request key is kept.
+	KeyRetention time.Duration
 	// MaxWorkloads bounds the workloads that one shard keeps.
 	MaxWorkloads int
 }
@@ -98,6 +100,8 @@
 	throttled bool
 	// rightsized is when running reservations were last looked at.
 	rightsized time.Time
+	// keysSwept is when the age of request keys was last looked at.
+	keysSwept time.Time
 	// takenUpTo is the last offer that each shard is known to have taken, acks
 	// are ends to be forgotten there. Both may be lost: they are learnt again.
 	takenUpTo map[aqtype.ShardID]uint64
--- a/pkg/aqscheduler/shard_rapid_test.go
+++ b/pkg/aqscheduler/shard_rapid_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"acaciaquay/pkg/aqshard"
 	"acaciaquay/pkg/aqstandin"
 	"acaciaquay/pkg/aqtype"
 )
@@ -17,6 +18,7 @@
 	t        *rapid.T
 	jobs     int
 	watchers int
+	holders  int
 	// fates are drawn while faulty, and every call is delivered otherwise.
 	faulty bool
 }
@@ -104,6 +106,14 @@
 	o.cancel(aqtype.WorkloadKey(fmt.Sprintf("job%d", rapid.IntRange(1, m.jobs).Draw(t, "job"))))
 }
 
+// ReserveKey asks for one of a few keys as a new holder.
+func (m *machine) ReserveKey(t *rapid.T) {
+	o := m.some(t)
+	key := aqshard.RequestKey(fmt.Sprintf("order%d", rapid.IntRange(1, 3).Draw(t, "key")))
+	m.holders++
+	o.reserve(key, fmt.Sprintf("holder%d", m.holders))
+}
+
 func (m *machine) Plan(t *rapid.T)     { m.some(t).shard.Plan() }
 func (m *machine) Commit(t *rapid.T)   { m.some(t).commit() }
 func (m *machine) Sessions(t *rapid.T) { m.some(t).sessions() }
--- a/pkg/aqscheduler/world_test.go
+++ b/pkg/aqscheduler/world_test.go
@@ -29,6 +29,7 @@
 	},
 	Stall:        time.Second,
 	Retention:    time.Hour,
+	KeyRetention: time.Hour,
 	MaxWorkloads: 1000,
 }
 
@@ -54,6 +55,8 @@
 	// refused those that were answered as not run.
 	acked   map[aqtype.WorkloadKey]aqtype.Spec
 	refused map[aqtype.WorkloadKey]bool
+	// granted holds the holders that were told that they have a key.
+	granted map[aqshard.RequestKey][]string
 	config  *aqconfig.Holder
 	shard   aqtype.ShardID
 	// neighbours are the other shards; alone has none.
@@ -77,6 +80,14 @@
 	shard   *Shard
 	keepers map[*aqsession.Keeper]bool
 	waiting []pendingSubmit
+	keys    []pendingKey
+}
+
+// pendingKey is a reservation whose caller still waits.
+type pendingKey struct {
+	key    aqshard.RequestKey
+	holder string
+	batch  *batch
 }
 
 // pendingSubmit is a submission whose caller still waits.
@@ -92,6 +103,7 @@
 		fate:    func() aqstandin.Fate { return aqstandin.FateDelivered },
 		acked:   map[aqtype.WorkloadKey]aqtype.Spec{},
 		refused: map[aqtype.WorkloadKey]bool{},
+		granted: map[aqshard.RequestKey][]string{},
 		config:  aqconfig.NewHolder(aqlog.Discard()),
 
 		neighbours: alone{},
@@ -179,7 +191,40 @@
 	o.answerCallers()
 }
 
+// reserve asks for a key; the caller is answered by a later commit.
+func (o *owner) reserve(key aqshard.RequestKey, holder string) {
+	s := o.shard
+	s.mu.Lock()
+	err := s.reserveKey(key, holder)
+	held := s.planned.KeyHolder(key) == holder
+	waiting := s.lastBatch()
+	s.mu.Unlock()
+	if err == nil && held {
+		o.keys = append(o.keys, pendingKey{
+			key:    key,
+			holder: holder,
+			batch:  waiting,
+		})
+	}
+}
+
+func (o *owner) answerKeys() {
+	left := o.keys[:0]
+	for _, p := range o.keys {
+		select {
+		case <-p.batch.done:
+			if p.batch.err == nil {
+				o.world.granted[p.key] = append(o.world.granted[p.key], p.holder)
+			}
+		default:
+			left = append(left, p)
+		}
+	}
+	o.keys = left
+}
+
 func (o *owner) answerCallers() {
+	o.answerKeys()
 	left := o.waiting[:0]
 	for _, p := range o.waiting {
 		select {
@@ -262,6 +307,11 @@
 	if r.OverCommitted != 0 {
 		return fmt.Sprintf("%d starts beyond a worker's capacity", r.OverCommitted)
 	}
+	for key, holders := range w.granted {
+		if len(holders) > 1 {
+			return fmt.Sprintf("key %s was granted to %v", key, holders)
+		}
+	}
 	for _, o := range w.owners {
 		if o.alive() {
 			if found := overReserved(o.shard); found != "" {
--- a/pkg/aqsettings/settings.go
+++ b/pkg/aqsettings/settings.go
@@ -61,6 +61,7 @@
 	PlanInterval    time.Duration
 	Stall           time.Duration
 	Retention       time.Duration
+	KeyRetention    time.Duration
 	MaxWorkloads    int
 	Settle          time.Duration
 	StoreRetry      time.Duration
--- /dev/null
+++ b/pkg/aqshard/keys.go
@@ -0,0 +1,77 @@
+package aqshard
+
+import (
+	"github.com/pkg/errors"
+)
+
+// RequestKey is a caller's key of a request that must run at most once, with the
+// service that it is for.
+type RequestKey string
+
+// KeyReserved gives the right to send the request with a key, once.
+type KeyReserved struct {
+	Key RequestKey
+	// Holder is different for any two requests that were received.
+	Holder   string
+	AtMillis int64
+}
+
+// KeyReleased gives a key back whose request was not sent.
+type KeyReleased struct {
+	Key    RequestKey
+	Holder string
+}
+
+// KeysExpired forgets keys that were reserved before a time.
+type KeysExpired struct {
+	BeforeMillis int64
+}
+
+func (KeyReserved) isRecord() {}
+func (KeyReleased) isRecord() {}
+func (KeysExpired) isRecord() {}
+
+type keyEntry struct {
+	Holder   string
+	AtMillis int64
+}
+
+// KeyHolder returns who holds a key, empty when nobody does.
+func (s *State) KeyHolder(key RequestKey) string { return s.keys[key].Holder }
+
+// KeyCount returns the number of keys held.
+func (s *State) KeyCount() int { return len(s.keys) }
+
+// OldestKeyBefore reports whether a key was reserved before a time.
+func (s *State) OldestKeyBefore(millis int64) bool {
+	for _, e := range s.keys {
+		if e.AtMillis < millis {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) reserveKey(r KeyReserved) error {
+	if _, held := s.keys[r.Key]; held {
+		return errors.Wrapf(ErrInvalid, "key %s is held", r.Key)
+	}
+	s.keys[r.Key] = keyEntry{Holder: r.Holder, AtMillis: r.AtMillis}
+	return nil
+}
+
+func (s *State) releaseKey(r KeyReleased) error {
+	if s.keys[r.Key].Holder != r.Holder {
+		return errors.Wrapf(ErrInvalid, "key %s is not held by %s", r.Key, r.Holder)
+	}
+	delete(s.keys, r.Key)
+	return nil
+}
+
+func (s *State) expireKeys(r KeysExpired) {
+	for key, e := range s.keys {
+		if e.AtMillis < r.BeforeMillis {
+			delete(s.keys, key)
+		}
+	}
+}
--- a/pkg/aqshard/record.go
+++ b/pkg/aqshard/record.go
@@ -169,6 +169,10 @@
 	Reported  *Reported     `msgpack:",omitempty"`
 	Forgotten *Forgotten    `msgpack:",omitempty"`
 	Resized   *Resized      `msgpack:",omitempty"`
+
+	KeyReserved *KeyReserved `msgpack:",omitempty"`
+	KeyReleased *KeyReleased `msgpack:",omitempty"`
+	KeysExpired *KeysExpired `msgpack:",omitempty"`
 }
 
 type takenWire struct {
@@ -237,6 +241,12 @@
 		e.Cancelled = &r
 	case Pruned:
 		e.Pruned = &r
+	case KeyReserved:
+		e.KeyReserved = &r
+	case KeyReleased:
+		e.KeyReleased = &r
+	case KeysExpired:
+		e.KeysExpired = &r
 	case Resized:
 		e.Resized = &r
 	case Offered:
@@ -284,10 +294,11 @@
 	case e.Resized != nil:
 		return *e.Resized, nil
 	}
-	return decodeHandOn(e)
+	return decodeOther(e)
 }
 
-func decodeHandOn(e envelope) (Record, error) {
+// decodeOther decodes the records of handing on and of request keys.
+func decodeOther(e envelope) (Record, error) {
 	switch {
 	case e.Offered != nil:
 		return *e.Offered, nil
@@ -307,6 +318,12 @@
 		return *e.Reported, nil
 	case e.Forgotten != nil:
 		return *e.Forgotten, nil
+	case e.KeyReserved != nil:
+		return *e.KeyReserved, nil
+	case e.KeyReleased != nil:
+		return *e.KeyReleased, nil
+	case e.KeysExpired != nil:
+		return *e.KeysExpired, nil
 	}
 	return nil, ErrRecord
 }
--- a/pkg/aqshard/snapshot.go
+++ b/pkg/aqshard/snapshot.go
@@ -25,9 +25,16 @@
 	Taken   uint64
 }
 
+type keyWire struct {
+	Key      RequestKey
+	Holder   string
+	AtMillis int64
+}
+
 type stateWire struct {
 	Workloads []workloadWire
 	Cursors   []cursorWire
+	Keys      []keyWire
 }
 
 // Encode packs the whole state. Equal states give equal bytes.
@@ -44,10 +51,23 @@
 		})
 	}
 	sort.Slice(wires, func(i, j int) bool { return wireKey(wires[i]) < wireKey(wires[j]) })
-	data, err := msgpack.Marshal(stateWire{Workloads: wires, Cursors: s.cursors()})
+	data, err := msgpack.Marshal(stateWire{Workloads: wires, Cursors: s.cursors(), Keys: s.keyWires()})
 	return data, errors.Wrap(err, "shard: encode state")
 }
 
+func (s *State) keyWires() []keyWire {
+	wires := make([]keyWire, 0, len(s.keys))
+	for key, e := range s.keys {
+		wires = append(wires, keyWire{
+			Key:      key,
+			Holder:   e.Holder,
+			AtMillis: e.AtMillis,
+		})
+	}
+	sort.Slice(wires, func(i, j int) bool { return wires[i].Key < wires[j].Key })
+	return wires
+}
+
 func (s *State) cursors() []cursorWire {
 	byShard := map[aqtype.ShardID]cursorWire{}
 	for shard, sequence := range s.offered {
@@ -89,6 +109,9 @@
 		s.offered[c.Shard] = c.Offered
 		s.taken[c.Shard] = c.Taken
 	}
+	for _, k := range whole.Keys {
+		s.keys[k.Key] = keyEntry{Holder: k.Holder, AtMillis: k.AtMillis}
+	}
 	for _, wire := range whole.Workloads {
 		spec, err := wire.Spec.Unwrap()
 		if err != nil {
--- a/pkg/aqshard/state.go
+++ b/pkg/aqshard/state.go
@@ -128,6 +128,8 @@
 	taken   map[aqtype.ShardID]uint64
 	// away holds exactly the tasks in state TaskOffered, by shard and sequence.
 	away map[aqtype.ShardID]map[uint64]aqtype.TaskID
+	// keys holds the request keys that were reserved and not released.
+	keys map[RequestKey]keyEntry
 }
 
 // NewState returns an empty state.
@@ -140,6 +142,7 @@
 		teams:     map[aqtype.TeamID]aqtype.Resources{},
 		offered:   map[aqtype.ShardID]uint64{},
 		taken:     map[aqtype.ShardID]uint64{},
+		keys:      map[RequestKey]keyEntry{},
 		away:      map[aqtype.ShardID]map[uint64]aqtype.TaskID{},
 	}
 }
@@ -241,6 +244,13 @@
 		return s.cancel(r)
 	case Pruned:
 		return s.prune(r)
+	case KeyReserved:
+		return s.reserveKey(r)
+	case KeyReleased:
+		return s.releaseKey(r)
+	case KeysExpired:
+		s.expireKeys(r)
+		return nil
 	case Resized:
 		return s.resize(r)
 	case Offered:
