--- a/pkg/aqscheduler/daemon.go
+++ b/pkg/aqowner/daemon.go
@@ -1,7 +1,10 @@
-package aqscheduler
+// Package aqowner runs a scheduler process: it takes the shards that membership
+// gives to it, hands others over, and answers the peers' calls.
+package aqowner
 
 import (
 	"context"
+	"log/slog"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -13,9 +16,9 @@
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmember"
 	"acaciaquay/pkg/aqmetric"
-	"acaciaquay/pkg/aqpeer"
 	"acaciaquay/pkg/aqplacement"
 	"acaciaquay/pkg/aqplatform"
+	"acaciaquay/pkg/aqscheduler"
 	"acaciaquay/pkg/aqsession"
 	"acaciaquay/pkg/aqtype"
 )
@@ -32,7 +35,7 @@
 	Config    *aqconfig.Holder
 	Directory *aqmember.Directory
 	Peers     aqmember.Caller
-	Limits    Limits
+	Limits    aqscheduler.Limits
 	// HostPoll is the time between two readings of the host list.
 	HostPoll time.Duration
 	// Settle is how long the preferred owner must stay the same before a shard
@@ -58,14 +61,14 @@
 	unsettled map[aqtype.ShardID]time.Time
 	taking    map[aqtype.ShardID]bool
 	hosts     aqplatform.Hosts
-	ownRooms  []Room
+	ownRooms  []aqscheduler.Room
 	leaving   bool
 	work      sync.WaitGroup
 }
 
 // held is a shard in this process's hands.
 type held struct {
-	shard  *Shard
+	shard  *aqscheduler.Shard
 	cancel context.CancelFunc
 }
 
@@ -81,18 +84,6 @@
 	return d
 }
 
-// Register adds the scheduler's methods to a peer server.
-func (d *Daemon) Register(server *aqpeer.Server) {
-	aqpeer.Handle(server, MethodSubmit, d.submit)
-	aqpeer.Handle(server, MethodGet, d.get)
-	aqpeer.Handle(server, MethodList, d.list)
-	aqpeer.Handle(server, MethodCancel, d.cancel)
-	aqpeer.Handle(server, MethodTop, d.top)
-	aqpeer.Handle(server, MethodHandOn, d.handOn)
-	aqpeer.Handle(server, MethodReserveKey, d.reserveKey)
-	aqpeer.Handle(server, MethodReleaseKey, d.releaseKey)
-}
-
 // balancePeriod bounds how long a change of membership goes unnoticed.
 const balancePeriod = 500 * time.Millisecond
 
@@ -144,7 +135,7 @@
 func (d *Daemon) setHosts(hosts aqplatform.Hosts) {
 	d.mu.Lock()
 	d.hosts = hosts
-	var shards []*Shard
+	var shards []*aqscheduler.Shard
 	for _, h := range d.shards {
 		shards = append(shards, h.shard)
 	}
@@ -188,7 +179,7 @@
 	}
 }
 
-func (d *Daemon) held(id aqtype.ShardID) *Shard {
+func (d *Daemon) held(id aqtype.ShardID) *aqscheduler.Shard {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if h := d.shards[id]; h != nil {
@@ -240,7 +231,7 @@
 
 func (d *Daemon) take(ctx context.Context, id aqtype.ShardID) {
 	limited, cancelLimit := context.WithTimeout(ctx, takeLimit)
-	shard, err := TakeOver(limited, d.shardOptions(ctx, id))
+	shard, err := aqscheduler.TakeOver(limited, d.shardOptions(ctx, id))
 	cancelLimit()
 	d.mu.Lock()
 	delete(d.taking, id)
@@ -260,7 +251,7 @@
 	}
 }
 
-func (d *Daemon) drop(id aqtype.ShardID, shard *Shard) {
+func (d *Daemon) drop(id aqtype.ShardID, shard *aqscheduler.Shard) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if h := d.shards[id]; h != nil && h.shard == shard {
@@ -269,9 +260,9 @@
 	}
 }
 
-func (d *Daemon) shardOptions(ctx context.Context, id aqtype.ShardID) Options {
+func (d *Daemon) shardOptions(ctx context.Context, id aqtype.ShardID) aqscheduler.Options {
 	o := d.options
-	return Options{
+	return aqscheduler.Options{
 		ID: id,
 		Journal: aqjournal.Options{
 			Store:     o.Store,
@@ -280,10 +271,10 @@
 			Writer:    o.Self,
 			NextNonce: func() uint64 { return d.nonce.Add(1) },
 			RetryWait: o.Retry,
-			Observer: observer{
-				log:     o.Log,
-				metrics: o.Metrics,
-				shard:   int(id),
+			Observer: aqscheduler.Observer{
+				Log:     o.Log,
+				Metrics: o.Metrics,
+				Shard:   id,
 			},
 		},
 		Workers:    o.Workers,
@@ -331,11 +322,11 @@
 	}()
 }
 
-func (d *Daemon) release(ctx context.Context, id aqtype.ShardID, shard *Shard) {
+func (d *Daemon) release(ctx context.Context, id aqtype.ShardID, shard *aqscheduler.Shard) {
 	limited, cancel := context.WithTimeout(ctx, takeLimit)
 	defer cancel()
 	if err := shard.Release(limited); err != nil {
-		d.options.Log.Write(aqlog.TakeoverFailed, shard.shardAttr(), aqlog.Err(err))
+		d.options.Log.Write(aqlog.TakeoverFailed, slog.Int("Shard", int(id)), aqlog.Err(err))
 	}
 	d.drop(id, shard)
 }
@@ -344,7 +335,7 @@
 func (d *Daemon) Leave(ctx context.Context) {
 	d.mu.Lock()
 	d.leaving = true
-	all := make(map[aqtype.ShardID]*Shard, len(d.shards))
+	all := make(map[aqtype.ShardID]*aqscheduler.Shard, len(d.shards))
 	for id, h := range d.shards {
 		all[id] = h.shard
 	}
@@ -364,7 +355,7 @@
 func (d *Daemon) Claims() []aqmember.Claim {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	rooms := make(map[aqtype.ShardID]Room, len(d.ownRooms))
+	rooms := make(map[aqtype.ShardID]aqscheduler.Room, len(d.ownRooms))
 	for _, room := range d.ownRooms {
 		rooms[room.Shard] = room
 	}
@@ -381,115 +372,3 @@
 	sort.Slice(claims, func(i, j int) bool { return claims[i].Shard < claims[j].Shard })
 	return claims
 }
-
-// Rooms implements Neighbours: the shards of this process and of others.
-func (d *Daemon) Rooms() []Room {
-	var rooms []Room
-	for _, c := range d.options.Directory.Claims() {
-		rooms = append(rooms, Room{
-			Shard:   c.Shard,
-			Free:    c.Free,
-			Largest: c.Largest,
-		})
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return append(rooms, d.ownRooms...)
-}
-
-// readRooms refreshes the rooms of this process's shards. Shards read each
-// other's rooms from here, because they must not take each other's locks.
-func (d *Daemon) readRooms() {
-	d.mu.Lock()
-	shards := make([]*Shard, 0, len(d.shards))
-	for _, h := range d.shards {
-		shards = append(shards, h.shard)
-	}
-	d.mu.Unlock()
-	rooms := make([]Room, 0, len(shards))
-	for _, s := range shards {
-		rooms = append(rooms, s.Room())
-	}
-	d.mu.Lock()
-	d.ownRooms = rooms
-	d.mu.Unlock()
-}
-
-// HandOn implements Neighbours.
-func (d *Daemon) HandOn(ctx context.Context, to aqtype.ShardID, r HandOnRequest) (HandOnAnswer, error) {
-	if d.held(to) != nil {
-		return d.handOn(ctx, r)
-	}
-	owner, epoch := d.options.Directory.Owner(to)
-	if epoch == 0 {
-		return HandOnAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "nobody owns shard %d", to)
-	}
-	var answer HandOnAnswer
-	err := d.options.Peers.Call(ctx, owner.PeerAddress, MethodHandOn, r, &answer)
-	return answer, err
-}
-
-func (d *Daemon) handOn(ctx context.Context, r HandOnRequest) (HandOnAnswer, error) {
-	shard, err := d.owned(r.To)
-	if err != nil {
-		return HandOnAnswer{}, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, handOnLimit)
-	defer cancel()
-	return shard.HandOn(ctx, r)
-}
-
-// handOnLimit bounds one call between shards.
-const handOnLimit = 5 * time.Second
-
-func (d *Daemon) owned(id aqtype.ShardID) (*Shard, error) {
-	if shard := d.held(id); shard != nil {
-		return shard, nil
-	}
-	d.options.Metrics.Refused(aqmetric.RefusedNotOwner)
-	return nil, aqpeer.Errorf(aqpeer.CodeNotOwner, "shard %d", id)
-}
-
-func (d *Daemon) submit(ctx context.Context, r SubmitRequest) (Status, error) {
-	shard, err := d.owned(r.Shard)
-	if err != nil {
-		return Status{}, err
-	}
-	spec, err := r.Spec.Unwrap()
-	if err != nil {
-		return Status{}, aqpeer.Errorf(aqpeer.CodeInvalid, "%v", err)
-	}
-	return shard.Submit(ctx, spec)
-}
-
-func (d *Daemon) get(_ context.Context, r KeyRequest) (Status, error) {
-	shard, err := d.owned(r.Shard)
-	if err != nil {
-		return Status{}, err
-	}
-	return shard.Get(r.Key)
-}
-
-func (d *Daemon) list(_ context.Context, r ListRequest) (ListAnswer, error) {
-	shard, err := d.owned(r.Shard)
-	if err != nil {
-		return ListAnswer{}, err
-	}
-	return ListAnswer{Statuses: shard.List(r.Team)}, nil
-}
-
-func (d *Daemon) cancel(ctx context.Context, r KeyRequest) (Status, error) {
-	shard, err := d.owned(r.Shard)
-	if err != nil {
-		return Status{}, err
-	}
-	return shard.Cancel(ctx, r.Key)
-}
-
-func (d *Daemon) top(_ context.Context, r TopRequest) (ShardTop, error) {
-	shard, err := d.owned(r.Shard)
-	if err != nil {
-		return ShardTop{}, err
-	}
-	return shard.Top(), nil
-}
--- a/pkg/aqprocess/scheduler.go
+++ b/pkg/aqprocess/scheduler.go
@@ -8,6 +8,7 @@
 
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmember"
+	"acaciaquay/pkg/aqowner"
 	"acaciaquay/pkg/aqplatform"
 	"acaciaquay/pkg/aqscheduler"
 	"acaciaquay/pkg/aqsession"
@@ -25,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	daemon := aqscheduler.NewDaemon(b.schedulerOptions())
+	daemon := aqowner.NewDaemon(b.schedulerOptions())
 	daemon.Register(b.server)
 	b.heart.Claims = daemon.Claims
 	if err := b.server.Start(s.Scheduler.PeerAddress); err != nil {
@@ -58,9 +59,9 @@
 	return nil
 }
 
-func (b *base) schedulerOptions() aqscheduler.DaemonOptions {
+func (b *base) schedulerOptions() aqowner.DaemonOptions {
 	s := b.settings
-	return aqscheduler.DaemonOptions{
+	return aqowner.DaemonOptions{
 		Self:      b.directory.Self().ID,
 		Shards:    s.Shards.Count,
 		Zones:     s.Shards.Zones,
--- a/pkg/aqscheduler/commit.go
+++ b/pkg/aqscheduler/commit.go
@@ -11,6 +11,7 @@
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqshard"
+	"acaciaquay/pkg/aqtype"
 )
 
 // batch is a group of decisions that are committed by one write.
@@ -245,21 +246,21 @@
 	}
 }
 
-// observer tells the journal's retries to metrics and log.
-type observer struct {
-	log     *aqlog.Logger
-	metrics *aqmetric.Set
-	shard   int
+// Observer tells the journal's retries to metrics and log.
+type Observer struct {
+	Log     *aqlog.Logger
+	Metrics *aqmetric.Set
+	Shard   aqtype.ShardID
 }
 
 // InDoubt implements aqjournal.Observer.
-func (o observer) InDoubt(number uint64) {
-	o.metrics.Retried(aqmetric.RetryInDoubt)
-	o.log.Write(aqlog.SegmentInDoubt, slog.Int("Shard", o.shard), slog.Uint64("Segment", number))
+func (o Observer) InDoubt(number uint64) {
+	o.Metrics.Retried(aqmetric.RetryInDoubt)
+	o.Log.Write(aqlog.SegmentInDoubt, slog.Int("Shard", int(o.Shard)), slog.Uint64("Segment", number))
 }
 
 // Waiting implements aqjournal.Observer.
-func (o observer) Waiting() { o.metrics.Retried(aqmetric.RetryStoreDown) }
+func (o Observer) Waiting() { o.Metrics.Retried(aqmetric.RetryStoreDown) }
 
 // retentionSweep is how many ended workloads one round forgets at most.
 const retentionSweep = 100
--- a/pkg/aqscheduler/keys.go
+++ b/pkg/aqscheduler/keys.go
@@ -97,20 +97,3 @@
 		s.decide(aqshard.KeysExpired{BeforeMillis: before})
 	}
 }
-
-func (d *Daemon) reserveKey(ctx context.Context, u KeyUse) (KeyAnswer, error) {
-	shard, err := d.owned(u.Shard)
-	if err != nil {
-		return KeyAnswer{}, err
-	}
-	held, err := shard.ReserveKey(ctx, u.Key, u.Holder)
-	return KeyAnswer{Held: held}, err
-}
-
-func (d *Daemon) releaseKey(ctx context.Context, u KeyUse) (KeyAnswer, error) {
-	shard, err := d.owned(u.Shard)
-	if err != nil {
-		return KeyAnswer{}, err
-	}
-	return KeyAnswer{}, shard.ReleaseKey(ctx, u.Key, u.Holder)
-}
--- /dev/null
+++ b/pkg/aqscheduler/makeroom.go
@@ -0,0 +1,142 @@
+package aqscheduler
+
+import (
+	"time"
+
+	"acaciaquay/pkg/aqplacement"
+	"acaciaquay/pkg/aqshard"
+	"acaciaquay/pkg/aqtype"
+)
+
+// makeRoom hands a task that found no room on, or stops the cheapest victims for
+// it.
+func (r *round) makeRoom(w aqplacement.Waiting, d aqplacement.Demand) aqplacement.Verdict {
+	s := r.shard
+	if _, pending := s.earmarks[d.Task]; pending {
+		return r.wait(d, reasonEvicting)
+	}
+	if index, ok := r.throttle(d); ok && r.start(d, index) {
+		return aqplacement.Placed
+	}
+	if verdict := r.passOn(w, d, reasonNoRoom); verdict == aqplacement.Placed || r.now.Sub(w.Since) < offerAfter {
+		return verdict
+	}
+	allowed, bounded := r.evictable(d)
+	eviction, ok := aqplacement.ChooseVictims(d, r.visible(d.Task), bounded, allowed)
+	if !ok || !s.budget.take(len(eviction.Victims), r.config.EvictionsPerMinute, r.now) {
+		return r.wait(d, reasonNoRoom)
+	}
+	for _, victim := range eviction.Victims {
+		_, t := s.planned.Task(victim)
+		s.decide(aqshard.Stopping{
+			Task:    victim,
+			Attempt: t.Attempt,
+			Why:     aqshard.StopEvict,
+		})
+	}
+	c := &r.candidates[eviction.Candidate]
+	for i := range c.Residents {
+		_, t := s.planned.Task(c.Residents[i].Task)
+		c.Residents[i].Stopping = t.State == aqshard.TaskStopping
+	}
+	s.earmarks[d.Task] = earmark{
+		worker: c.Worker,
+		size:   d.Size,
+		until:  r.now.Add(earmarkFor),
+	}
+	return r.wait(d, reasonEvicting)
+}
+
+// throttle makes room by taking processors from tasks that the demand outranks.
+func (r *round) throttle(d aqplacement.Demand) (int, bool) {
+	throttle, ok := aqplacement.ChooseThrottle(d, r.visible(d.Task))
+	if !ok {
+		return 0, false
+	}
+	r.resize(&r.candidates[throttle.Candidate], throttle.Resizes)
+	return throttle.Candidate, true
+}
+
+// resize decides on new sizes of running tasks and keeps the candidate in step.
+func (r *round) resize(c *aqplacement.Candidate, resizes []aqplacement.Resize) {
+	for _, change := range resizes {
+		_, t := r.shard.planned.Task(change.Task)
+		before := t.Size
+		if !r.shard.decide(aqshard.Resized{
+			Task:    change.Task,
+			Attempt: t.Attempt,
+			Size:    change.Size,
+			Full:    change.Full,
+		}) {
+			continue
+		}
+		c.Free = c.Free.Add(before).Sub(change.Size)
+		for i := range c.Residents {
+			if c.Residents[i].Task == change.Task {
+				c.Residents[i].Size = change.Size
+				c.Residents[i].Full = change.Full
+			}
+		}
+	}
+}
+
+// rightsize brings running reservations to what was learned since they started.
+func (r *round) rightsize() {
+	for i := range r.candidates {
+		r.resize(&r.candidates[i], aqplacement.Rightsize(r.candidates[i], func(resident aqplacement.Resident) aqtype.Resources {
+			w, _ := r.shard.planned.Task(resident.Task)
+			return r.reservation(resident.Kind, w.Spec.Base().Size)
+		}))
+	}
+}
+
+// restore gives processors back to throttled tasks, once nothing waits for them.
+func (r *round) restore() {
+	for i := range r.candidates {
+		r.resize(&r.candidates[i], aqplacement.Restore(r.candidates[i]))
+	}
+}
+
+// evictable is how much batch work a service may displace: what batch work
+// holds above its floor.
+func (r *round) evictable(d aqplacement.Demand) (aqtype.Resources, bool) {
+	if !d.LatencyCritical {
+		return aqtype.Resources{}, false
+	}
+	var total, batch aqtype.Resources
+	for _, c := range r.candidates {
+		total = total.Add(c.Capacity)
+		for _, resident := range c.Residents {
+			if !resident.LatencyCritical {
+				batch = batch.Add(resident.Size)
+			}
+		}
+	}
+	floor := total.Percent(r.config.BatchFloorPercent)
+	allowed := batch
+	allowed.MilliCPU = max(0, batch.MilliCPU-floor.MilliCPU)
+	return allowed, true
+}
+
+// evictionBudget is a token bucket of evictions.
+type evictionBudget struct {
+	tokens float64
+	at     time.Time
+}
+
+// take reports whether n evictions are within the budget of perMinute, of which
+// one minute's worth can be saved up.
+func (b *evictionBudget) take(n, perMinute int, now time.Time) bool {
+	full := float64(perMinute)
+	if b.at.IsZero() {
+		b.tokens = full
+	} else {
+		b.tokens = min(full, b.tokens+full*now.Sub(b.at).Minutes())
+	}
+	b.at = now
+	if b.tokens < float64(n) {
+		return false
+	}
+	b.tokens -= float64(n)
+	return true
+}
--- a/pkg/aqscheduler/world_test.go
+++ b/pkg/aqscheduler/world_test.go
@@ -157,9 +157,9 @@
 				w.nonce++
 				return w.nonce
 			},
-			Observer: observer{
-				log:     log,
-				metrics: metrics,
+			Observer: Observer{
+				Log:     log,
+				Metrics: metrics,
 			},
 		},
 		Workers: aqstandin.WorkerNetwork{Network: o.network, Workers: w.fleet},
