--- a/Makefile
+++ b/Makefile
@@ -32,17 +32,18 @@
 capacity: build
 	_scripts/capacity
 
-# Placement under interference, against baselines of our own.
+# Slots and floods over loopback (about 3 minutes; wants an idle machine).
 bench-requests:
 	go run ./cmd/acaciaquay-bench
 
-lab: build
-	go run ./cmd/acaciaquay-lab
+# Placement under interference, against baselines of our own.
+lab:
+	go run ./cmd/acaciaquay-lab --csv docs/lab.csv
 
 clean:
 	rm -rf $(BIN) .run
 
-# Checks the models of model/ exhaustively (about half a minute).
+# Checks the models of model/ exhaustively (about two minutes).
 model:
 	model/run check
 
--- a/pkg/aqgateway/admit.go
+++ b/pkg/aqgateway/admit.go
@@ -190,14 +190,14 @@
 	return first
 }
 
-// restore probes a failed endpoint until it answers or is no longer listed, so
+// restore probes a failed endpoint until it answers or has been forgotten, so
 // that no caller's request is spent on finding out.
 func (s *serviceState) restore(e *aqroute.Endpoint) {
 	for {
 		s.mu.Lock()
-		pause, listed := e.Backoff(), e.Listed()
+		pause, dropped := e.Backoff(), e.Dropped()
 		s.mu.Unlock()
-		if !listed {
+		if dropped {
 			return
 		}
 		select {
--- a/pkg/aqroute/table.go
+++ b/pkg/aqroute/table.go
@@ -27,6 +27,10 @@
 	// the endpoint gets probes only.
 	failures int
 	listed   bool
+	// missed counts the readings of the list without the endpoint, in a row.
+	missed int
+	// dropped is set when the table has forgotten the endpoint.
+	dropped bool
 	// keptAlive is set once an answer left its connection open.
 	keptAlive bool
 }
@@ -73,11 +77,13 @@
 			t.byID[h.ID] = e
 		}
 		e.listed = true
+		e.missed = 0
 		e.Leaving = e.Leaving || h.State == aqplatform.HostLeaving
 	}
 	t.endpoints = t.endpoints[:0]
 	for id, e := range t.byID {
-		if !e.listed && e.InFlight == 0 {
+		if e.forgettable() {
+			e.dropped = true
 			delete(t.byID, id)
 			continue
 		}
@@ -107,8 +113,31 @@
 	return count
 }
 
-// Listed reports whether the platform lists the endpoint.
-func (e *Endpoint) Listed() bool { return e.listed }
+// missedReadings is how long a failed endpoint that is no longer listed is
+// remembered. A list that flaps would otherwise bring it back as good as new.
+const missedReadings = 120
+
+// forgettable counts one reading and reports whether nothing needs to be known
+// of the endpoint any more.
+func (e *Endpoint) forgettable() bool {
+	if e.listed {
+		return false
+	}
+	e.missed++
+	return e.InFlight == 0 && (e.failures == 0 || e.missed > missedReadings)
+}
+
+// Dropped reports whether the table has forgotten the endpoint.
+func (e *Endpoint) Dropped() bool { return e.dropped }
+
+// InFlight returns the requests of this gateway at all endpoints.
+func (t *Table) InFlight() int {
+	total := 0
+	for _, e := range t.endpoints {
+		total += e.InFlight
+	}
+	return total
+}
 
 func (e *Endpoint) takes() bool {
 	return e.listed && !e.Leaving && e.failures == 0 && e.InFlight < e.Slots
