--- a/pkg/aqstandin/caller.go
+++ b/pkg/aqstandin/caller.go
@@ -78,15 +78,31 @@
 
 // Call sends one request and says what became of it.
 func (c *Caller) Call(ctx context.Context, r CallerRequest) CallerOutcome {
-	gateway := c.gateways[c.next.Add(1)%uint64(len(c.gateways))]
+	outcome, reached := CallerRefused, false
+	for range c.gateways {
+		gateway := c.gateways[c.next.Add(1)%uint64(len(c.gateways))]
+		if outcome, reached = c.callOne(ctx, gateway, r); reached {
+			break
+		}
+	}
+	return outcome
+}
+
+// callOne reports false when no connection to the gateway was had.
+func (c *Caller) callOne(ctx context.Context, gateway string, r CallerRequest) (CallerOutcome, bool) {
 	request, err := c.request(ctx, gateway, r)
 	if err != nil {
-		return CallerRefused
+		return CallerRefused, false
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return failedOutcome(err)
+		outcome := failedOutcome(err)
+		return outcome, outcome != CallerRefused
 	}
+	return judge(r, response), true
+}
+
+func judge(r CallerRequest, response *http.Response) CallerOutcome {
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	switch {
