--- a/pkg/aqstandin/caller.go
+++ b/pkg/aqstandin/caller.go
@@ -79,8 +79,9 @@
 // Call sends one request and says what became of it.
 func (c *Caller) Call(ctx context.Context, r CallerRequest) CallerOutcome {
 	outcome, reached := CallerRefused, false
-	for range c.gateways {
-		gateway := c.gateways[c.next.Add(1)%uint64(len(c.gateways))]
+	first := c.next.Add(1)
+	for i := range uint64(len(c.gateways)) {
+		gateway := c.gateways[(first+i)%uint64(len(c.gateways))]
 		if outcome, reached = c.callOne(ctx, gateway, r); reached {
 			break
 		}
