--- a/pkg/aqmember/heartbeat.go
+++ b/pkg/aqmember/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"acaciaquay/pkg/aqconfig"
@@ -21,6 +22,8 @@
 	StoreAge time.Duration
 	// Config is set in an answer to a process with a lower revision.
 	Config []byte
+	// Leaving is set by a process that has handed its shards over and stops.
+	Leaving bool
 }
 
 // Caller makes calls to peers.
@@ -40,6 +43,15 @@
 	Seeds []string
 	// Random chooses the peers when there are more than the fan-out.
 	Random *rand.Rand
+
+	leaving atomic.Bool
+}
+
+// Depart tells the peers that this process stops, so that they need not wait for
+// its silence before they take what it held.
+func (h *Heart) Depart(ctx context.Context) {
+	h.leaving.Store(true)
+	h.Beat(ctx)
 }
 
 // Run sends a round of heartbeats each period until ctx ends.
@@ -100,10 +112,15 @@
 		Revision: h.Config.Current().Revision,
 		Claims:   h.Claims(),
 		StoreAge: h.Directory.StoreAge(),
+		Leaving:  h.leaving.Load(),
 	}
 }
 
 func (h *Heart) take(b Heartbeat) {
+	if b.Leaving {
+		h.Directory.departed(b.From.ID)
+		return
+	}
 	h.Directory.heard(b.From, report{
 		revision: b.Revision,
 		claims:   b.Claims,
--- a/pkg/aqmember/member.go
+++ b/pkg/aqmember/member.go
@@ -165,6 +165,16 @@
 	}
 }
 
+// departed forgets a member that said that it stops.
+func (d *Directory) departed(id aqtype.HostID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.reports, id)
+	delete(d.heardOf, id)
+	delete(d.leased, id)
+	d.notify()
+}
+
 func sameClaims(a, b []Claim) bool {
 	if len(a) != len(b) {
 		return false
--- a/pkg/aqprocess/process.go
+++ b/pkg/aqprocess/process.go
@@ -177,9 +177,10 @@
 	return nil
 }
 
-// leave ends the lease and the peers' connections.
+// leave ends the lease and tells the peers.
 func (b *base) leave(ctx context.Context) {
 	_ = b.registrar.Resign(ctx)
+	b.heart.Depart(ctx)
 }
 
 func (b *base) close() {
