--- a/pkg/aqprocess/gateway.go
+++ b/pkg/aqprocess/gateway.go
@@ -9,7 +9,6 @@
 	"acaciaquay/pkg/aqapi"
 	"acaciaquay/pkg/aqconfig"
 	"acaciaquay/pkg/aqgateway"
-	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmember"
 	"acaciaquay/pkg/aqrouter"
 	"acaciaquay/pkg/aqsettings"
@@ -40,14 +39,7 @@
 	if err := serve(callers, operators); err != nil {
 		return err
 	}
-	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	membership := b.runMembership(running)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		gateway.Run(running)
-	}()
-	b.log.Write(aqlog.ProcessStarted)
+	running, stop := b.start(ctx, gateway.Run)
 	<-ctx.Done()
 	stopped := b.stopping()
 	limited, cancelLimit := context.WithTimeout(running, s.Gateway.DrainTimeout)
@@ -55,9 +47,7 @@
 	_ = callers.Shutdown(limited)
 	_ = operators.Shutdown(limited)
 	cancelLimit()
-	cancel()
-	<-done
-	membership.Wait()
+	stop()
 	b.close()
 	stopped()
 	return nil
--- a/pkg/aqprocess/process.go
+++ b/pkg/aqprocess/process.go
@@ -112,19 +112,23 @@
 	return rand.New(rand.NewPCG(digest.Sum64(), uint64(time.Now().UnixNano())))
 }
 
-// runMembership runs registration and heartbeats until ctx ends.
-func (b *base) runMembership(ctx context.Context) *sync.WaitGroup {
-	var running sync.WaitGroup
-	running.Add(2)
-	go func() {
-		defer running.Done()
-		b.registrar.Run(ctx)
-	}()
-	go func() {
-		defer running.Done()
-		b.heart.Run(ctx)
-	}()
-	return &running
+// start runs membership and the daemon's own work. They outlive ctx, whose end
+// only begins the shutdown: stop ends them and waits.
+func (b *base) start(ctx context.Context, work func(context.Context)) (running context.Context, stop func()) {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var all sync.WaitGroup
+	for _, run := range []func(context.Context){b.registrar.Run, b.heart.Run, work} {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			run(running)
+		}()
+	}
+	b.log.Write(aqlog.ProcessStarted)
+	return running, func() {
+		cancel()
+		all.Wait()
+	}
 }
 
 // operatorMux serves health, readiness and metrics.
--- a/pkg/aqprocess/scheduler.go
+++ b/pkg/aqprocess/scheduler.go
@@ -6,7 +6,6 @@
 	"net"
 	"time"
 
-	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmember"
 	"acaciaquay/pkg/aqowner"
 	"acaciaquay/pkg/aqplatform"
@@ -36,23 +35,14 @@
 	if err := serve(operators); err != nil {
 		return err
 	}
-	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	membership := b.runMembership(running)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		daemon.Run(running)
-	}()
-	b.log.Write(aqlog.ProcessStarted)
+	running, stop := b.start(ctx, daemon.Run)
 	<-ctx.Done()
 	stopped := b.stopping()
 	limited, cancelLimit := context.WithTimeout(running, leaveLimit)
 	daemon.Leave(limited)
 	b.leave(limited)
 	cancelLimit()
-	cancel()
-	<-done
-	membership.Wait()
+	stop()
 	b.close()
 	_ = operators.Close()
 	stopped()
