--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(CURDIR)/.bin
 GO_FILES := $(shell find cmd pkg -name '*.go' -not -path '*/aqproto/*')
 
-.PHONY: all build demo test lint generate tools model model-mutants capacity lab bench-requests known-red clean
+.PHONY: all build demo test lint generate tools model model-mutants capacity lab bench-requests bench-urgent clean
 
 all: build
 
@@ -36,6 +36,10 @@
 bench-requests:
 	go run ./cmd/acaciaquay-bench
 
+# Time to start of urgent work in a flood, in separate processes.
+bench-urgent: build
+	_scripts/urgent
+
 # Placement under interference, against baselines of our own.
 lab:
 	go run ./cmd/acaciaquay-lab --csv docs/lab.csv
