--- a/pkg/aqscheduler/shard_rapid_test.go
+++ b/pkg/aqscheduler/shard_rapid_test.go
@@ -156,6 +156,21 @@
 	m.worker(t).Restart()
 }
 
+// Foreign lets the older scheduler take a part of a worker, which then refuses
+// starts that do not fit beside it.
+func (m *machine) Foreign(t *rapid.T) {
+	held := aqtype.Resources{MilliCPU: aqtype.MilliCPU(rapid.IntRange(0, 4).Draw(t, "cores") * 1000)}
+	m.worker(t).SetForeign(held)
+}
+
+// Share changes the part of each worker that is this scheduler's.
+func (m *machine) Share(t *rapid.T) {
+	c := m.config.Current()
+	c.Revision++
+	c.WorkerSharePercent = rapid.SampledFrom([]int{0, 50, 100}).Draw(t, "percent")
+	m.config.Offer(c)
+}
+
 // DropWorker ends a host for good, and the platform says so.
 func (m *machine) DropWorker(t *rapid.T) {
 	if len(m.dropped) > 0 {
@@ -189,7 +204,12 @@
 	for _, w := range m.workers {
 		w.SetCut(false)
 		w.SetFailAll(false)
+		w.SetForeign(aqtype.Resources{})
 	}
+	c := m.config.Current()
+	c.Revision++
+	c.WorkerSharePercent = 100
+	m.config.Offer(c)
 	last := m.takeOver()
 	if last == nil {
 		t.Fatal("a healthy store refused a takeover")
