--- a/pkg/aqpeer/peer_test.go
+++ b/pkg/aqpeer/peer_test.go
@@ -12,6 +12,7 @@
 
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqstandin"
 )
 
 type echo struct {
@@ -41,12 +42,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := aqstandin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func TestCallsShareAConnection(t *testing.T) {
--- a/pkg/aqprocess/process_test.go
+++ b/pkg/aqprocess/process_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -55,16 +54,13 @@
 	return c
 }
 
-// address reserves a free port. Two processes never get the same one, because
-// each is handed out once.
 func (c *cluster) address() string {
 	c.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := aqstandin.FreeAddress()
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func (c *cluster) settings(number int) string {
