A deposed owner leaves runs alone that it does not know

A worker had restarted and forgotten the newest epoch; a deposed owner that was busy with a write in doubt opened a session there, saw the record of a finished run that it did not know, and had it forgotten. The owner then found the run missing, took it for lost, and the task was done again. Ruled out: the fence (nothing was committed) and the session rules (the session was opened properly, by the wrong process).

Stopping and forgetting unknown runs waits for a proof of ownership that was sent after the session was opened. TestDeposedOwnerLeavesUnknownRunsAlone fails without it and passes with it.

--- a/pkg/aqscheduler/plan.go
+++ b/pkg/aqscheduler/plan.go
@@ -64,6 +64,7 @@
 		return
 	}
 	s.giveUpWorkers(now)
+	s.sweepStrays()
 	s.prune(now)
 	s.expireKeys(now)
 	s.expireEarmarks(now)
--- a/pkg/aqscheduler/shard.go
+++ b/pkg/aqscheduler/shard.go
@@ -129,6 +129,10 @@
 	serial aqsession.Serial
 	// silentSince is when the worker was last heard of.
 	silentSince time.Time
+	// openedAt is when the open session was opened, strays the runs seen under
+	// it that are not this shard's.
+	openedAt time.Time
+	strays   map[aqplatform.RunID]bool
 	// avoidUntil keeps new tasks off after the worker refused one.
 	avoidUntil time.Time
 	// gone is set when the platform has dropped the host.
--- a/pkg/aqscheduler/shard_test.go
+++ b/pkg/aqscheduler/shard_test.go
@@ -133,3 +133,30 @@
 		t.Fatalf("the worker saw %+v", r)
 	}
 }
+
+// A worker that has restarted does not know the newest epoch. A deposed owner
+// that opens a session there must not make it forget a run that it does not
+// know: the record may be the only one of a finish. Seen in TestShardUnderFaults
+// after 8058 runs of seed 99.
+func TestDeposedOwnerLeavesUnknownRunsAlone(t *testing.T) {
+	w := newWorld(1)
+	deposed := w.takeOver()
+	owner := w.takeOver()
+	owner.submit(testJob("job", 1, 1000, time.Second, aqtype.UrgencyNormal))
+	owner.turn()
+	w.advance(2 * time.Second)
+	w.workers[0].Restart()
+	for range 3 {
+		deposed.readHosts()
+		deposed.sessions()
+		deposed.shard.Plan()
+		deposed.sessions()
+	}
+	rounds(w, owner, 20)
+	if found := w.unfinished(owner.shard); found != "" {
+		t.Fatal(found)
+	}
+	if r := w.truth.Report(); r.Starts != 1 {
+		t.Fatalf("the worker saw %+v", r)
+	}
+}
--- a/pkg/aqscheduler/workers.go
+++ b/pkg/aqscheduler/workers.go
@@ -153,6 +153,8 @@
 		return
 	}
 	w.serial = serial
+	w.openedAt = s.options.Clock.Now()
+	w.strays = map[aqplatform.RunID]bool{}
 	s.options.Log.Write(aqlog.SessionOpened, s.shardAttr(), slog.String("Worker", string(id)))
 	there := make(map[aqplatform.RunID]bool, len(runs))
 	for _, r := range runs {
@@ -248,18 +250,36 @@
 	}
 }
 
-// disown stops and forgets a run that is not one of this shard's any more. Its
-// end is committed already, or it would still hold a reservation.
+// disown notes a run that is not one of this shard's any more. It may also be one
+// that a newer owner has started, on a worker that has restarted and forgotten
+// that owner's epoch: so nothing is done about it before ownership has been
+// proved anew.
 func (s *Shard) disown(id aqtype.WorkerID, run aqplatform.RunID) {
-	_, t := s.committed.Task(run.Task)
-	if t != nil && t.Attempt == run.Attempt && t.HoldsReservation() {
-		return
+	if w := s.workers[id]; w != nil && w.serial != 0 {
+		w.strays[run] = true
+		s.Doubt()
 	}
-	if w := s.workers[id]; w != nil && w.keeper != nil {
-		w.keeper.Send(aqsession.Orders{
-			Stops:  []aqplatform.StopOrder{{Run: run}},
-			Forget: []aqplatform.RunID{run},
-		})
+}
+
+// sweepStrays stops and forgets runs that are not this shard's, under sessions
+// that were open before the last proof of ownership was sent. The end of such a
+// run is committed, or it would still hold a reservation. The lock is held.
+func (s *Shard) sweepStrays() {
+	for _, w := range s.workers {
+		if len(w.strays) == 0 || !s.proof.After(w.openedAt) {
+			continue
+		}
+		var orders aqsession.Orders
+		for run := range w.strays {
+			_, t := s.committed.Task(run.Task)
+			if t != nil && t.Attempt == run.Attempt && t.HoldsReservation() {
+				continue
+			}
+			orders.Stops = append(orders.Stops, aqplatform.StopOrder{Run: run})
+			orders.Forget = append(orders.Forget, run)
+		}
+		w.strays = map[aqplatform.RunID]bool{}
+		w.keeper.Send(orders)
 	}
 }
 
