--- a/pkg/aqgateway/admit.go
+++ b/pkg/aqgateway/admit.go
@@ -52,7 +52,7 @@
 		maxQueue: g.options.MaxQueue,
 		probe:    g.forwarder.probe,
 		done:     g.done,
-		table:    aqroute.NewTable(random, g.options.Zone),
+		table:    aqroute.NewTable(random),
 		line:     aqadmit.NewLine(g.options.Config.Current()),
 	}
 }
--- a/pkg/aqgateway/gateway.go
+++ b/pkg/aqgateway/gateway.go
@@ -18,7 +18,6 @@
 	"acaciaquay/pkg/aqplatform"
 	"acaciaquay/pkg/aqretry"
 	"acaciaquay/pkg/aqroute"
-	"acaciaquay/pkg/aqtype"
 )
 
 // Options configure a gateway.
@@ -31,7 +30,6 @@
 	Clock    aqclock.Clock
 	Config   *aqconfig.Holder
 	HostList aqplatform.HostList
-	Zone     aqtype.Zone
 	Random   *rand.Rand
 	Log      *aqlog.Logger
 	Metrics  *aqmetric.Set
--- a/pkg/aqprocess/gateway.go
+++ b/pkg/aqprocess/gateway.go
@@ -61,7 +61,6 @@
 		Clock:        b.clock,
 		Config:       b.config,
 		HostList:     b.hostList,
-		Zone:         s.Process.Zone,
 		Random:       seeded(string(s.Process.ID)),
 		Log:          b.log,
 		Metrics:      b.metrics,
--- a/pkg/aqroute/table.go
+++ b/pkg/aqroute/table.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"acaciaquay/pkg/aqplatform"
-	"acaciaquay/pkg/aqtype"
 )
 
 // Endpoint is one endpoint as this gateway sees it. Its service's lock guards
@@ -15,7 +14,6 @@
 type Endpoint struct {
 	ID      string
 	Address string
-	Zone    aqtype.Zone
 	Slots   int
 	// InFlight is the number of this gateway's own requests there; it is never
 	// below zero nor above Slots.
@@ -47,15 +45,13 @@
 	endpoints []*Endpoint
 	byID      map[string]*Endpoint
 	random    *rand.Rand
-	zone      aqtype.Zone
 }
 
-// NewTable returns an empty table for a gateway in a zone.
-func NewTable(random *rand.Rand, zone aqtype.Zone) *Table {
+// NewTable returns an empty table.
+func NewTable(random *rand.Rand) *Table {
 	return &Table{
 		byID:   map[string]*Endpoint{},
 		random: random,
-		zone:   zone,
 	}
 }
 
@@ -71,7 +67,6 @@
 			e = &Endpoint{
 				ID:      h.ID,
 				Address: h.Address,
-				Zone:    h.Zone,
 				Slots:   h.Slots,
 			}
 			t.byID[h.ID] = e
--- a/pkg/aqscheduler/commit.go
+++ b/pkg/aqscheduler/commit.go
@@ -235,7 +235,7 @@
 		err = s.log.WriteSnapshot(ctx, state)
 	}
 	if err == nil {
-		s.options.Log.Write(aqlog.SnapshotWritten, slog.Int("Shard", int(s.options.ID)))
+		s.options.Log.Write(aqlog.SnapshotWritten, s.shardAttr())
 		return
 	}
 	s.options.Metrics.Retried(aqmetric.RetryStoreDown)
--- a/pkg/aqscheduler/shard.go
+++ b/pkg/aqscheduler/shard.go
@@ -329,7 +329,7 @@
 	s.open = newBatch()
 	if !errors.Is(err, ErrReleased) && !errors.Is(err, ErrStopped) {
 		s.options.Metrics.Inc(aqmetric.ShardsLost)
-		s.options.Log.Write(aqlog.OwnershipLost, slog.Int("Shard", int(s.options.ID)), aqlog.Err(err))
+		s.options.Log.Write(aqlog.OwnershipLost, s.shardAttr(), aqlog.Err(err))
 	}
 }
 
@@ -374,7 +374,7 @@
 	s.lose(ErrReleased)
 	s.mu.Unlock()
 	if err == nil {
-		s.options.Log.Write(aqlog.ShardReleased, slog.Int("Shard", int(s.options.ID)))
+		s.options.Log.Write(aqlog.ShardReleased, s.shardAttr())
 	}
 	return err
 }
@@ -389,3 +389,6 @@
 	default:
 	}
 }
+
+// shardAttr is the log attribute that names the shard.
+func (s *Shard) shardAttr() slog.Attr { return slog.Int("Shard", int(s.options.ID)) }
--- a/pkg/aqscheduler/submit.go
+++ b/pkg/aqscheduler/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"time"
 
 	"github.com/pkg/errors"
@@ -174,6 +173,3 @@
 	}
 	return top
 }
-
-// shardAttr is the log attribute that names the shard.
-func (s *Shard) shardAttr() slog.Attr { return slog.Int("Shard", int(s.options.ID)) }
