--- a/pkg/aqclock/clock.go
+++ b/pkg/aqclock/clock.go
@@ -2,6 +2,7 @@
 package aqclock
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -13,6 +14,14 @@
 	After(d time.Duration) <-chan time.Time
 }
 
+// Sleep waits for a time, or until ctx ends.
+func Sleep(ctx context.Context, clock Clock, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-clock.After(d):
+	}
+}
+
 // System is the machine's clock.
 type System struct{}
 
--- a/pkg/aqgateway/gateway.go
+++ b/pkg/aqgateway/gateway.go
@@ -83,10 +83,7 @@
 		if hosts, err := g.options.HostList.Hosts(ctx); err == nil {
 			g.SetEndpoints(hosts.Endpoints)
 		}
-		select {
-		case <-ctx.Done():
-		case <-g.options.Clock.After(g.options.HostPoll):
-		}
+		aqclock.Sleep(ctx, g.options.Clock, g.options.HostPoll)
 	}
 }
 
--- a/pkg/aqlab/run.go
+++ b/pkg/aqlab/run.go
@@ -211,18 +211,14 @@
 	return float64(t.reserved.MilliCPU) / float64(t.full.MilliCPU)
 }
 
-// pressure is how far a worker's real use passes its processors.
+// pressure is pressureAt, counted for the result.
 func (l *lab) pressure(w int) float64 {
-	var used aqtype.Resources
-	for _, t := range l.running[w] {
-		used = used.Add(t.kind.used)
-	}
+	pressure := l.pressureAt(w)
 	l.samples++
-	if used.MilliCPU <= workerSize.MilliCPU {
-		return 1
+	if pressure > 1 {
+		l.over++
 	}
-	l.over++
-	return float64(used.MilliCPU) / float64(workerSize.MilliCPU)
+	return pressure
 }
 
 func (l *lab) slowdown(w int, victim *task) float64 {
@@ -268,6 +264,7 @@
 	}
 }
 
+// pressureAt is how far a worker's real use passes its processors.
 func (l *lab) pressureAt(w int) float64 {
 	var used aqtype.MilliCPU
 	for _, t := range l.running[w] {
--- a/pkg/aqmember/heartbeat.go
+++ b/pkg/aqmember/heartbeat.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqconfig"
 	"acaciaquay/pkg/aqpeer"
 )
@@ -58,10 +59,7 @@
 func (h *Heart) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		h.Beat(ctx)
-		select {
-		case <-ctx.Done():
-		case <-h.Directory.clock.After(h.Directory.limits.Heartbeat):
-		}
+		aqclock.Sleep(ctx, h.Directory.clock, h.Directory.limits.Heartbeat)
 	}
 }
 
--- a/pkg/aqmember/lease.go
+++ b/pkg/aqmember/lease.go
@@ -5,11 +5,11 @@
 	"log/slog"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqconfig"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqplatform"
@@ -50,7 +50,7 @@
 	}()
 	for ctx.Err() == nil {
 		r.note(r.Keep(ctx))
-		r.sleep(ctx, r.Directory.limits.TTL/renewalsPerTTL)
+		aqclock.Sleep(ctx, r.Directory.clock, r.Directory.limits.TTL/renewalsPerTTL)
 	}
 	watching.Wait()
 }
@@ -131,12 +131,12 @@
 func (r *Registrar) runWatch(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := r.Refresh(ctx); err != nil {
-			r.sleep(ctx, r.Directory.limits.Heartbeat)
+			aqclock.Sleep(ctx, r.Directory.clock, r.Directory.limits.Heartbeat)
 			continue
 		}
 		revision, err := r.Store.Watch(ctx, livePrefix, r.seen, r.Directory.limits.Watch)
 		if err != nil {
-			r.sleep(ctx, r.Directory.limits.Heartbeat)
+			aqclock.Sleep(ctx, r.Directory.clock, r.Directory.limits.Heartbeat)
 			continue
 		}
 		r.seen = revision
@@ -171,10 +171,3 @@
 	}
 	return nil
 }
-
-func (r *Registrar) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-r.Directory.clock.After(d):
-	}
-}
--- a/pkg/aqowner/daemon.go
+++ b/pkg/aqowner/daemon.go
@@ -114,10 +114,7 @@
 // awaitPeers gives a new process the time to learn which shards the others hold,
 // so that a start does not depose owners that live.
 func (d *Daemon) awaitPeers(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-d.options.Clock.After(d.options.Greeting):
-	}
+	aqclock.Sleep(ctx, d.options.Clock, d.options.Greeting)
 }
 
 func (d *Daemon) runHosts(ctx context.Context) {
@@ -125,23 +122,16 @@
 		if hosts, err := d.options.HostList.Hosts(ctx); err == nil {
 			d.setHosts(hosts)
 		}
-		select {
-		case <-ctx.Done():
-		case <-d.options.Clock.After(d.options.HostPoll):
-		}
+		aqclock.Sleep(ctx, d.options.Clock, d.options.HostPoll)
 	}
 }
 
 func (d *Daemon) setHosts(hosts aqplatform.Hosts) {
 	d.mu.Lock()
 	d.hosts = hosts
-	var shards []*aqscheduler.Shard
-	for _, h := range d.shards {
-		shards = append(shards, h.shard)
-	}
 	d.mu.Unlock()
 	byShard := d.workersByShard(hosts)
-	for _, s := range shards {
+	for _, s := range d.allHeld() {
 		s.SetHosts(byShard[s.ID()], hosts.Dropped)
 	}
 }
@@ -165,8 +155,8 @@
 		}
 		mine := preferred.ID == d.options.Self
 		held := d.held(id)
-		if _, epoch := d.options.Directory.Owner(id); held != nil && epoch > held.Epoch() {
-			held.Doubt()
+		if held != nil {
+			d.doubtIfClaimed(held)
 		}
 		switch {
 		case mine && held == nil:
@@ -179,6 +169,25 @@
 	}
 }
 
+// allHeld lists the shards in this process's hands, in no order.
+func (d *Daemon) allHeld() []*aqscheduler.Shard {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	shards := make([]*aqscheduler.Shard, 0, len(d.shards))
+	for _, h := range d.shards {
+		shards = append(shards, h.shard)
+	}
+	return shards
+}
+
+// doubtIfClaimed asks a held shard for a proof when a peer claims it under a
+// higher epoch.
+func (d *Daemon) doubtIfClaimed(shard *aqscheduler.Shard) {
+	if _, epoch := d.options.Directory.Owner(shard.ID()); epoch > shard.Epoch() {
+		shard.Doubt()
+	}
+}
+
 func (d *Daemon) held(id aqtype.ShardID) *aqscheduler.Shard {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -335,17 +344,13 @@
 func (d *Daemon) Leave(ctx context.Context) {
 	d.mu.Lock()
 	d.leaving = true
-	all := make(map[aqtype.ShardID]*aqscheduler.Shard, len(d.shards))
-	for id, h := range d.shards {
-		all[id] = h.shard
-	}
 	d.mu.Unlock()
 	var releases sync.WaitGroup
-	for id, shard := range all {
+	for _, shard := range d.allHeld() {
 		releases.Add(1)
 		go func() {
 			defer releases.Done()
-			d.release(ctx, id, shard)
+			d.release(ctx, shard.ID(), shard)
 		}()
 	}
 	releases.Wait()
--- a/pkg/aqowner/rooms.go
+++ b/pkg/aqowner/rooms.go
@@ -27,12 +27,7 @@
 // readRooms refreshes the rooms of this process's shards. Shards read each
 // other's rooms from here, because they must not take each other's locks.
 func (d *Daemon) readRooms() {
-	d.mu.Lock()
-	shards := make([]*aqscheduler.Shard, 0, len(d.shards))
-	for _, h := range d.shards {
-		shards = append(shards, h.shard)
-	}
-	d.mu.Unlock()
+	shards := d.allHeld()
 	rooms := make([]aqscheduler.Room, 0, len(shards))
 	for _, s := range shards {
 		rooms = append(rooms, s.Room())
--- a/pkg/aqscheduler/commit.go
+++ b/pkg/aqscheduler/commit.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqjournal"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
@@ -126,7 +127,7 @@
 		if settled {
 			return alive
 		}
-		s.pause(ctx)
+		aqclock.Sleep(ctx, s.options.Clock, s.options.Journal.RetryWait)
 		if ctx.Err() != nil {
 			s.settle(aqjournal.ErrInterrupted)
 			return false
@@ -168,14 +169,6 @@
 	return err
 }
 
-// pause waits before the next try, also while the shard is being released.
-func (s *Shard) pause(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-s.options.Clock.After(s.options.Journal.RetryWait):
-	}
-}
-
 func (s *Shard) takeBatch() *batch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/aqscheduler/handon_rapid_test.go
+++ b/pkg/aqscheduler/handon_rapid_test.go
@@ -42,19 +42,9 @@
 	return p
 }
 
-func (l *link) alive() []*owner {
-	var alive []*owner
-	for _, o := range l.other.owners {
-		if o.alive() {
-			alive = append(alive, o)
-		}
-	}
-	return alive
-}
-
 // Rooms implements Neighbours.
 func (l *link) Rooms() []Room {
-	alive := l.alive()
+	alive := l.other.aliveOwners()
 	if len(alive) == 0 {
 		return nil
 	}
@@ -80,7 +70,7 @@
 // deliver gives a request to an owner of the other shard, which may be deposed,
 // and lets it commit a few times.
 func (l *link) deliver(r HandOnRequest) (HandOnAnswer, error) {
-	alive := l.alive()
+	alive := l.other.aliveOwners()
 	if len(alive) == 0 {
 		return HandOnAnswer{}, aqpeer.ErrNotSent
 	}
@@ -137,12 +127,7 @@
 }
 
 func aliveOf(t *rapid.T, w *world) *owner {
-	var alive []*owner
-	for _, o := range w.owners {
-		if o.alive() {
-			alive = append(alive, o)
-		}
-	}
+	alive := w.aliveOwners()
 	if len(alive) == 0 {
 		t.Skip("nobody owns the shard")
 	}
--- a/pkg/aqscheduler/shard_rapid_test.go
+++ b/pkg/aqscheduler/shard_rapid_test.go
@@ -42,18 +42,7 @@
 
 // some returns an owner that believes it owns the shard; those that are not
 // chosen are frozen meanwhile.
-func (m *machine) some(t *rapid.T) *owner {
-	var alive []*owner
-	for _, o := range m.owners {
-		if o.alive() {
-			alive = append(alive, o)
-		}
-	}
-	if len(alive) == 0 {
-		t.Skip("nobody owns the shard")
-	}
-	return alive[rapid.IntRange(0, len(alive)-1).Draw(t, "owner")]
-}
+func (m *machine) some(t *rapid.T) *owner { return aliveOf(t, m.world) }
 
 func (m *machine) worker(t *rapid.T) *aqstandin.Worker {
 	return m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
--- a/pkg/aqscheduler/world_test.go
+++ b/pkg/aqscheduler/world_test.go
@@ -184,6 +184,17 @@
 // alive reports whether the process still believes that it owns the shard.
 func (o *owner) alive() bool { return o.shard != nil && o.shard.Err() == nil }
 
+// aliveOwners lists the processes that believe that they own the shard.
+func (w *world) aliveOwners() []*owner {
+	var alive []*owner
+	for _, o := range w.owners {
+		if o.alive() {
+			alive = append(alive, o)
+		}
+	}
+	return alive
+}
+
 // commit makes one try at the segment under way and tells the callers whose
 // submissions it settles.
 func (o *owner) commit() {
--- a/pkg/aqsession/keeper.go
+++ b/pkg/aqsession/keeper.go
@@ -131,13 +131,13 @@
 	for ctx.Err() == nil {
 		err := k.Step(ctx)
 		if err == nil {
-			k.sleep(ctx, k.options.Limits.Pause)
+			aqclock.Sleep(ctx, k.options.Clock, k.options.Limits.Pause)
 			continue
 		}
 		if ctx.Err() == nil {
 			k.Fail(err)
 		}
-		k.sleep(ctx, k.options.Limits.Reopen)
+		aqclock.Sleep(ctx, k.options.Clock, k.options.Limits.Reopen)
 	}
 	commands.Wait()
 }
@@ -297,7 +297,7 @@
 		case <-k.wake:
 		}
 		for ctx.Err() == nil && k.Flush(ctx) {
-			k.sleep(ctx, k.options.Limits.Reopen)
+			aqclock.Sleep(ctx, k.options.Clock, k.options.Limits.Reopen)
 		}
 	}
 }
@@ -360,10 +360,3 @@
 		k.open = false
 	}
 }
-
-func (k *Keeper) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-k.options.Clock.After(d):
-	}
-}
