--- a/cmd/acaciaquay/cmds/commands.go
+++ b/cmd/acaciaquay/cmds/commands.go
@@ -109,6 +109,12 @@
 		})
 	}
 
+	site := app.Command("site", "Run one process of a site on the platform: submitters' calls, and the leadership when it falls to it.")
+	siteFile := site.Flag("settings", "The process's settings file.").Envar("ACACIAQUAY_NODE_FILE").Required().String()
+	actions[site.FullCommand()] = func(ctx context.Context) error {
+		return aqprocess.RunSite(ctx, *siteFile, e.out)
+	}
+
 	check := app.Command("check-settings", "Check a settings file and say what is wrong with it.")
 	checkFile := check.Arg("file", "The settings file.").Required().String()
 	actions[check.FullCommand()] = func(context.Context) error {
--- /dev/null
+++ b/pkg/aqdecider/decider.go
@@ -0,0 +1,202 @@
+package aqdecider
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Limits are the bounds that a decider works within.
+type Limits struct {
+	// DrainMargin is how long before a draining worker leaves its tasks are
+	// stopped, so that their ends and checkpoints are still read.
+	DrainMargin time.Duration
+	// Retention is how long an ended job is kept and shown.
+	Retention time.Duration
+	// StopGrace is how long a worker takes to stop a run.
+	StopGrace time.Duration
+	// PaceDelay is how long a change of pace takes to work.
+	PaceDelay time.Duration
+}
+
+// Options configure a decider.
+type Options struct {
+	Limits Limits
+	// FirstAttempt is the number of the first start of inherited tasks. It is
+	// above every number that earlier deciders used.
+	FirstAttempt Attempt
+	Log          *aqlog.Logger
+	Metrics      *aqmetric.Set
+}
+
+// Decider holds the state of a site. Its methods must not be called side by
+// side.
+type Decider struct {
+	options Options
+
+	queues  map[aqjob.QueueID]aqjob.Queue
+	jobs    map[aqjob.ID]*job
+	workers map[aqtype.WorkerID]*worker
+	// waiting holds the groups that have tasks to place.
+	waiting map[*group]bool
+	// unsettled holds the workers that may run tasks of an earlier decider and
+	// that have not been listed by this one, with the time from which they
+	// certainly run none.
+	unsettled map[aqtype.WorkerID]time.Time
+	orders    []Order
+	dirty     map[aqjob.ID]*job
+	ended     []endedJob
+	runTimes  *runTimes
+	tails     *tails
+	advice    map[groupKey]*advice
+	now       time.Time
+	wall      time.Time
+}
+
+// endedJob is a job in a final state, in the order of ending.
+type endedJob struct {
+	id aqjob.ID
+	at time.Time
+}
+
+// New returns a decider that knows nothing.
+func New(o Options) *Decider {
+	return &Decider{
+		options:   o,
+		queues:    map[aqjob.QueueID]aqjob.Queue{},
+		jobs:      map[aqjob.ID]*job{},
+		workers:   map[aqtype.WorkerID]*worker{},
+		waiting:   map[*group]bool{},
+		unsettled: map[aqtype.WorkerID]time.Time{},
+		dirty:     map[aqjob.ID]*job{},
+		runTimes:  newRunTimes(),
+		tails:     newTails(),
+		advice:    map[groupKey]*advice{},
+	}
+}
+
+// SetTime moves the decider's clocks. Every other method uses them: now is the
+// steady clock, wall the time of day for scheduled occurrences.
+func (d *Decider) SetTime(now, wall time.Time) {
+	d.now = now
+	d.wall = wall
+}
+
+// SetQueues takes a configuration's queues. Jobs of a queue that is gone keep
+// what they were accepted with.
+func (d *Decider) SetQueues(queues []aqjob.Queue) {
+	d.queues = make(map[aqjob.QueueID]aqjob.Queue, len(queues))
+	for _, q := range queues {
+		d.queues[q.ID] = q
+	}
+	for _, j := range d.jobs {
+		if q, ok := d.queues[j.queue.ID]; ok {
+			j.queue = q
+		}
+	}
+}
+
+// Unsettle notes workers that may run tasks that an earlier decider started.
+// From until on they certainly run none.
+func (d *Decider) Unsettle(ids []aqtype.WorkerID, until time.Time) {
+	for _, id := range ids {
+		d.unsettled[id] = until
+	}
+}
+
+// settle notes that a worker has said what runs on it.
+func (d *Decider) settle(id aqtype.WorkerID) { delete(d.unsettled, id) }
+
+// inDoubt reports whether some worker may still run tasks of an earlier decider
+// that nobody has seen.
+func (d *Decider) inDoubt() bool {
+	for id, until := range d.unsettled {
+		if d.now.After(until) {
+			d.settle(id)
+		}
+	}
+	return len(d.unsettled) > 0
+}
+
+// Unsettled counts the workers that may run unseen tasks.
+func (d *Decider) Unsettled() int { return len(d.unsettled) }
+
+// Tick does what is due by time and returns the orders that were decided since
+// the last call.
+func (d *Decider) Tick() []Order {
+	d.beginOccurrences()
+	d.evacuate()
+	d.pace()
+	d.relocate()
+	d.plan()
+	d.expire()
+	orders := d.orders
+	d.orders = nil
+	return orders
+}
+
+func (d *Decider) order(o Order) { d.orders = append(d.orders, o) }
+
+// Wanted reports whether decisions wait for Tick.
+func (d *Decider) Wanted() bool { return len(d.orders) > 0 || len(d.waiting) > 0 }
+
+// expire forgets jobs whose final state has been shown for long enough.
+func (d *Decider) expire() {
+	for len(d.ended) > 0 && d.now.Sub(d.ended[0].at) > d.options.Limits.Retention {
+		j := d.jobs[d.ended[0].id]
+		if j != nil && j.hasRuns() {
+			return
+		}
+		if j != nil {
+			j.forget = true
+			d.touch(j)
+		}
+		d.ended = d.ended[1:]
+	}
+}
+
+// State returns a job's stored state. A decision that has not been stored is
+// not shown.
+func (d *Decider) State(id aqjob.ID) (aqjob.State, bool) {
+	j := d.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	if j.shown.Final() {
+		return j.shown, true
+	}
+	if j.begun {
+		return aqjob.StateRunning, true
+	}
+	return aqjob.StateQueued, true
+}
+
+// Pending counts a queue's jobs of which no task has started.
+func (d *Decider) Pending(queue aqjob.QueueID) int {
+	n := 0
+	for _, j := range d.jobs {
+		if j.queue.ID == queue && !j.begun && !j.state.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// WorkerIDs lists the workers that may run something, ordered.
+func (d *Decider) WorkerIDs() []aqtype.WorkerID {
+	ids := make([]aqtype.WorkerID, 0, len(d.workers))
+	for id := range d.workers {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+func taskAttr(id aqjob.TaskID) slog.Attr { return slog.String("Task", id.String()) }
+
+func jobAttr(id aqjob.ID) slog.Attr { return slog.String("Job", string(id)) }
--- /dev/null
+++ b/pkg/aqdecider/health.go
@@ -0,0 +1,63 @@
+package aqdecider
+
+import (
+	"time"
+
+	"acaciaquay/pkg/aqjob"
+)
+
+// Bounds of a worker's probation.
+const (
+	// suspectJobs is how many different jobs must fail in a row before a worker
+	// is suspected: a job that can never be done fails everywhere.
+	suspectJobs = 2
+	// firstProbation is how long a suspected worker gets nothing; each further
+	// failure doubles it up to maxProbation.
+	firstProbation = 2 * time.Second
+	maxProbation   = 16 * time.Second
+)
+
+// health is what a worker's ends say of it.
+type health struct {
+	// failedJobs are the different jobs that failed since the last success.
+	failedJobs []aqjob.ID
+	until      time.Time
+	probation  time.Duration
+}
+
+func (h *health) succeeded() { *h = health{} }
+
+func (h *health) failed(id aqjob.ID, now time.Time) {
+	known := false
+	for _, other := range h.failedJobs {
+		known = known || other == id
+	}
+	if !known {
+		h.failedJobs = append(h.failedJobs, id)
+	}
+	if len(h.failedJobs) >= suspectJobs {
+		h.suspect(now)
+	}
+}
+
+func (h *health) refused(now time.Time) { h.suspect(now) }
+
+func (h *health) suspect(now time.Time) {
+	if now.Before(h.until) {
+		return
+	}
+	h.probation = min(max(firstProbation, 2*h.probation), maxProbation)
+	h.until = now.Add(h.probation)
+}
+
+// suspected reports whether the worker failed everything of late.
+func (h *health) suspected() bool { return h.probation > 0 }
+
+// usable reports whether a task may be started; a suspected worker gets one at a
+// time.
+func (h *health) usable(now time.Time, runs int) bool {
+	if !h.suspected() {
+		return true
+	}
+	return now.After(h.until) && runs == 0
+}
--- /dev/null
+++ b/pkg/aqdecider/jobs.go
@@ -0,0 +1,432 @@
+package aqdecider
+
+import (
+	"log/slog"
+	"time"
+
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqstore"
+	"acaciaquay/pkg/aqtype"
+)
+
+// job is one accepted job.
+type job struct {
+	spec  *aqjob.Job
+	queue aqjob.Queue
+	// inherited jobs were accepted before this decider began.
+	inherited bool
+	// acceptedAt is on the steady clock of this process.
+	acceptedAt time.Time
+	// state is the decision, shown what the store holds of it.
+	state   aqjob.State
+	finalAt int64
+	shown   aqjob.State
+	// begun is set with the first start that a worker has taken.
+	begun       bool
+	occurrences map[aqjob.Occurrence]*occurrence
+	// next is the first occurrence that has not begun.
+	next      aqjob.Occurrence
+	doneBelow aqjob.Occurrence
+	doneAbove map[aqjob.Occurrence]bool
+	// forget is set when the job's records are to be removed.
+	forget bool
+	// revision is that of the stored progress, zero while there is none.
+	revision aqstore.Revision
+}
+
+// occurrence is one run through the job's groups.
+type occurrence struct {
+	job    *job
+	number aqjob.Occurrence
+	dueAt  time.Time
+	groups []*group
+}
+
+// groupKey names a group of one occurrence.
+type groupKey struct {
+	job        aqjob.ID
+	occurrence aqjob.Occurrence
+	group      int
+}
+
+// group is one group of one occurrence.
+type group struct {
+	occurrence *occurrence
+	number     int
+	spec       *aqjob.Group
+	tasks      []*task
+	// left counts the tasks that are not done.
+	left int
+	// ready is set when every group before it is done.
+	ready   bool
+	readyAt time.Time
+}
+
+// task is one task of a group.
+type task struct {
+	group *group
+	index int
+	done  bool
+	// run is the current run; a task never has two.
+	run     *run
+	attempt Attempt
+	// failed holds the attempts that have ended failed: the end of one may be
+	// seen twice, by two deciders.
+	failed []Attempt
+	// checkpoint is the progress that the next start resumes from.
+	checkpoint string
+	// seen is set when the whereabouts of every earlier run are known.
+	seen bool
+	// avoid lists workers on which the task failed or stood still.
+	avoid []aqtype.WorkerID
+	// notBefore delays the next start after a refusal.
+	notBefore time.Time
+	// awaySince is when a perpetual task stopped being at work.
+	awaySince time.Time
+}
+
+// runState is what is known of a run.
+type runState int
+
+const (
+	// runStarting runs have been ordered and not confirmed.
+	runStarting runState = iota + 1
+	runRunning
+	// runStopping runs have been ordered to stop, or may never have begun.
+	runStopping
+)
+
+// run is one attempt of a task on a worker, or an unknown run found there.
+type run struct {
+	id     RunID
+	task   *task
+	worker *worker
+	state  runState
+	size   aqtype.Resources
+	// orderedAt is when the start was decided, confirmedAt when the worker was
+	// known to have it.
+	orderedAt   time.Time
+	confirmedAt time.Time
+	// stopAt is when the order to stop was answered, zero before that.
+	stopAt     time.Time
+	stopSentAt time.Time
+	checkpoint string
+	report     RunReport
+	reportAt   time.Time
+	// movedAt is when the progress last rose.
+	movedAt time.Time
+	percent int
+	pace    int
+	paceAt  time.Time
+	// overSince is when a serving run's tail went over its target.
+	overSince time.Time
+	// missing counts the listings without the run since it was confirmed.
+	missing int
+	// why is the reason of the order to stop.
+	why string
+}
+
+func (t *task) id() aqjob.TaskID {
+	return aqjob.TaskID{
+		Job:        t.group.occurrence.job.spec.ID,
+		Occurrence: t.group.occurrence.number,
+		Group:      t.group.number,
+		Index:      t.index,
+	}
+}
+
+func (g *group) key() groupKey {
+	return groupKey{job: g.occurrence.job.spec.ID, occurrence: g.occurrence.number, group: g.number}
+}
+
+func (j *job) hasRuns() bool {
+	for _, o := range j.occurrences {
+		if o.hasRuns() {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *occurrence) hasRuns() bool {
+	for _, g := range o.groups {
+		for _, t := range g.tasks {
+			if t.run != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (o *occurrence) done() bool {
+	for _, g := range o.groups {
+		if g.left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// AddJob takes an accepted job. Inherited jobs were accepted before this decider
+// began; progress is what the store holds of them, nil for none. A job that is
+// known already is left as it is.
+func (d *Decider) AddJob(spec *aqjob.Job, progress *aqjob.Progress, revision aqstore.Revision, inherited bool) {
+	if d.jobs[spec.ID] != nil {
+		return
+	}
+	j := &job{
+		spec:        spec,
+		queue:       spec.Queue,
+		inherited:   inherited,
+		acceptedAt:  d.now.Add(-d.age(spec)),
+		state:       aqjob.StateQueued,
+		shown:       aqjob.StateQueued,
+		occurrences: map[aqjob.Occurrence]*occurrence{},
+		doneAbove:   map[aqjob.Occurrence]bool{},
+		revision:    revision,
+	}
+	if q, ok := d.queues[spec.Queue.ID]; ok {
+		j.queue = q
+	}
+	d.jobs[spec.ID] = j
+	if progress != nil {
+		d.restore(j, progress)
+	}
+	if j.state.Final() {
+		d.ended = append(d.ended, endedJob{id: spec.ID, at: d.now})
+		j.shrink()
+		return
+	}
+	d.options.Log.Write(aqlog.JobKnown, jobAttr(spec.ID), slog.String("Queue", string(j.queue.ID)),
+		slog.Bool("Inherited", inherited), slog.Int("Groups", len(spec.Groups)))
+	d.beginDue(j)
+}
+
+// maxJobAge bounds the age that wall clocks make out: hosts' clocks may differ.
+const maxJobAge = 2 * time.Minute
+
+func (d *Decider) age(spec *aqjob.Job) time.Duration {
+	age := d.wall.Sub(time.UnixMilli(spec.AcceptedAt))
+	return max(0, min(age, maxJobAge))
+}
+
+// shrink drops what an ended job no longer needs.
+func (j *job) shrink() {
+	j.spec = &aqjob.Job{ID: j.spec.ID, Queue: j.spec.Queue, AcceptedAt: j.spec.AcceptedAt}
+	j.occurrences = nil
+	j.doneAbove = nil
+}
+
+func (d *Decider) restore(j *job, p *aqjob.Progress) {
+	j.finalAt = p.FinalAt
+	j.doneBelow = p.DoneBelow
+	for _, k := range p.DoneAbove {
+		j.doneAbove[k] = true
+	}
+	j.next = j.doneBelow
+	if p.State.Final() {
+		j.state = p.State
+		j.shown = p.State
+		return
+	}
+	j.begun = p.State == aqjob.StateRunning
+	for k, stored := range p.Occurrences {
+		o := d.newOccurrence(j, k)
+		position := 0
+		for _, g := range o.groups {
+			for _, t := range g.tasks {
+				t.done = bit(stored.Done, position)
+				for _, attempt := range stored.Failed[position] {
+					t.failed = append(t.failed, Attempt(attempt))
+				}
+				t.checkpoint = stored.Checkpoints[position]
+				if t.done {
+					g.left--
+				}
+				position++
+			}
+		}
+		d.refreshReady(o)
+	}
+}
+
+func bit(bits []byte, position int) bool {
+	return position/8 < len(bits) && bits[position/8]&(1<<(position%8)) != 0
+}
+
+// beginOccurrences starts the occurrences that are due.
+func (d *Decider) beginOccurrences() {
+	for _, j := range d.jobs {
+		if j.spec.Repeats > 0 && !j.state.Final() {
+			d.beginDue(j)
+		}
+	}
+}
+
+func (d *Decider) beginDue(j *job) {
+	for int(j.next) < j.spec.Occurrences() {
+		if j.spec.Repeats > 0 && d.wall.Before(j.dueWall(j.next)) {
+			return
+		}
+		if j.occurrences[j.next] == nil && !j.doneAbove[j.next] && j.next >= j.doneBelow {
+			o := d.newOccurrence(j, j.next)
+			d.refreshReady(o)
+		}
+		j.next++
+	}
+}
+
+func (j *job) dueWall(k aqjob.Occurrence) time.Time {
+	return time.UnixMilli(j.spec.FirstAt).Add(time.Duration(k) * j.spec.Period)
+}
+
+// NextDue returns how long it is until the next occurrence begins.
+func (d *Decider) NextDue() (time.Duration, bool) {
+	var least time.Duration
+	found := false
+	for _, j := range d.jobs {
+		if j.spec.Repeats == 0 || j.state.Final() || int(j.next) >= j.spec.Repeats {
+			continue
+		}
+		wait := max(0, j.dueWall(j.next).Sub(d.wall))
+		if !found || wait < least {
+			least, found = wait, true
+		}
+	}
+	return least, found
+}
+
+func (d *Decider) newOccurrence(j *job, k aqjob.Occurrence) *occurrence {
+	o := &occurrence{job: j, number: k, dueAt: j.acceptedAt}
+	if j.spec.Repeats > 0 {
+		o.dueAt = d.now.Add(j.dueWall(k).Sub(d.wall))
+	}
+	for i := range j.spec.Groups {
+		spec := &j.spec.Groups[i]
+		g := &group{
+			occurrence: o,
+			number:     i,
+			spec:       spec,
+			left:       spec.Count,
+			tasks:      make([]*task, spec.Count),
+		}
+		for index := range g.tasks {
+			g.tasks[index] = &task{group: g, index: index, seen: !j.inherited, awaySince: d.now}
+			if j.inherited {
+				g.tasks[index].attempt = d.options.FirstAttempt
+			}
+		}
+		o.groups = append(o.groups, g)
+	}
+	j.occurrences[k] = o
+	return o
+}
+
+// refreshReady offers the groups whose predecessors are done.
+func (d *Decider) refreshReady(o *occurrence) {
+	for _, g := range o.groups {
+		if g.ready || !o.before(g) {
+			continue
+		}
+		g.ready = true
+		g.readyAt = d.now
+		if g.left > 0 {
+			d.waiting[g] = true
+		}
+	}
+}
+
+func (o *occurrence) before(g *group) bool {
+	for _, n := range g.spec.After {
+		if o.groups[n].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Cancel ends a job at its submitter's wish.
+func (d *Decider) Cancel(id aqjob.ID) {
+	j := d.jobs[id]
+	if j == nil || j.state.Final() {
+		return
+	}
+	d.finish(j, aqjob.StateCancelled, "submitter cancelled")
+}
+
+// finish puts a job into a final state and stops what still runs of it.
+func (d *Decider) finish(j *job, state aqjob.State, why string) {
+	j.state = state
+	j.finalAt = d.wall.UnixMilli()
+	d.ended = append(d.ended, endedJob{id: j.spec.ID, at: d.now})
+	d.options.Log.Write(aqlog.JobEnded, jobAttr(j.spec.ID), slog.String("State", string(state)),
+		slog.String("Why", why), slog.Duration("Age", d.now.Sub(j.acceptedAt)))
+	for _, o := range j.occurrences {
+		for _, g := range o.groups {
+			delete(d.waiting, g)
+			for _, t := range g.tasks {
+				if t.run != nil && t.run.state != runStopping {
+					d.stop(t.run, string(state))
+				}
+			}
+		}
+	}
+	d.touch(j)
+	d.release(j)
+}
+
+// release frees an ended job's description once nothing of it runs.
+func (d *Decider) release(j *job) {
+	if j.state.Final() && !j.hasRuns() {
+		j.shrink()
+	}
+}
+
+// taskDone notes that a task has ended with success.
+func (d *Decider) taskDone(t *task) {
+	if t.done {
+		return
+	}
+	g := t.group
+	o := g.occurrence
+	j := o.job
+	t.done = true
+	g.left--
+	if g.spec.Gang {
+		d.gangDone(g)
+	}
+	d.touch(j)
+	if g.left > 0 {
+		return
+	}
+	delete(d.waiting, g)
+	if !o.done() {
+		d.refreshReady(o)
+		return
+	}
+	delete(j.occurrences, o.number)
+	j.markDone(o.number)
+	if int(j.doneBelow) >= j.spec.Occurrences() && !j.state.Final() {
+		d.finish(j, aqjob.StateCompleted, "all tasks done")
+	}
+}
+
+// gangDone spreads one member's end over its gang: the members end together.
+func (d *Decider) gangDone(g *group) {
+	for _, other := range g.tasks {
+		if !other.done {
+			other.done = true
+			g.left--
+		}
+	}
+}
+
+func (j *job) markDone(k aqjob.Occurrence) {
+	j.doneAbove[k] = true
+	for j.doneAbove[j.doneBelow] {
+		delete(j.doneAbove, j.doneBelow)
+		j.doneBelow++
+	}
+}
--- /dev/null
+++ b/pkg/aqdecider/orders.go
@@ -0,0 +1,129 @@
+package aqdecider
+
+import (
+	"log/slog"
+	"time"
+
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Pauses before a task is offered again.
+const (
+	// refusedPause follows a worker's refusal.
+	refusedPause = 100 * time.Millisecond
+	// avoidRefusing keeps new tasks off a worker that refused one.
+	avoidRefusing = time.Second
+)
+
+// stop orders a run to end and says why.
+func (d *Decider) stop(r *run, why string) {
+	if r.state == runStopping {
+		return
+	}
+	r.state = runStopping
+	r.why = why
+	r.stopAt = time.Time{}
+	r.stopSentAt = d.now
+	d.options.Log.Write(aqlog.RunStopping, taskAttr(r.id.Task), workerAttr(r.worker.listed.ID),
+		slog.Int("Attempt", int(r.id.Attempt)), slog.String("Why", why))
+	d.order(Stop{Worker: r.worker.listed.ID, Run: r.id})
+}
+
+// Starting reports whether a run is still to be started on a worker.
+func (d *Decider) Starting(id aqtype.WorkerID, runID RunID) bool {
+	w := d.workers[id]
+	if w == nil {
+		return false
+	}
+	r := w.runs[runID]
+	return r != nil && r.state == runStarting
+}
+
+// StartAnswered takes the outcome of an order to start.
+func (d *Decider) StartAnswered(id aqtype.WorkerID, life Life, runID RunID, outcome Outcome) {
+	w := d.workers[id]
+	if w == nil || w.listed.Life != life {
+		return
+	}
+	r := w.runs[runID]
+	if r == nil || r.state != runStarting {
+		return
+	}
+	switch outcome {
+	case OutcomeAccepted:
+		d.confirm(r)
+		d.options.Metrics.Inc(aqmetric.TasksStarted)
+		return
+	case OutcomeUnknown:
+		d.options.Metrics.Retried(aqmetric.RetryStartUnknown)
+		d.stop(r, "start in doubt")
+		return
+	case OutcomeNoRoom:
+		w.avoidUntil = d.now.Add(avoidRefusing)
+	case OutcomeUnhealthy:
+		w.avoidUntil = d.now.Add(avoidRefusing)
+		w.health.refused(d.now)
+	case OutcomeNoTicket:
+		d.dropTicket(r.task.group, id)
+	case OutcomeInvalid:
+		w.avoidUntil = d.now.Add(avoidRefusing)
+	}
+	d.options.Metrics.Retried(aqmetric.RetryStartRefused)
+	d.options.Log.Write(aqlog.StartDeclined, taskAttr(runID.Task), workerAttr(id),
+		slog.Int("Attempt", int(runID.Attempt)), slog.String("Outcome", outcome.String()))
+	r.task.notBefore = d.now.Add(refusedPause)
+	r.why = "start refused"
+	d.endRun(r, EndLost, "")
+}
+
+// StopAnswered notes that a worker has taken an order to stop: the run ends, or
+// never begins.
+func (d *Decider) StopAnswered(id aqtype.WorkerID, life Life, runID RunID) {
+	w := d.workers[id]
+	if w == nil || w.listed.Life != life {
+		return
+	}
+	if r := w.runs[runID]; r != nil && r.state == runStopping {
+		r.stopAt = d.now
+	}
+}
+
+// StopUnanswered sends an order to stop again.
+func (d *Decider) StopUnanswered(id aqtype.WorkerID, life Life, runID RunID) {
+	w := d.workers[id]
+	if w == nil || w.listed.Life != life {
+		return
+	}
+	if r := w.runs[runID]; r != nil && r.state == runStopping && r.stopAt.IsZero() {
+		d.order(Stop{Worker: id, Run: runID})
+	}
+}
+
+// evacuate takes tasks off workers that are about to leave.
+func (d *Decider) evacuate() {
+	for _, w := range d.workers {
+		if !w.listed.Draining || !w.reachable {
+			continue
+		}
+		leaving := d.now.After(w.leavesAt.Add(-d.options.Limits.DrainMargin))
+		for _, r := range w.runs {
+			if r.state != runStopping && (leaving || r.task.group.spec.Perpetual) {
+				d.stop(r, "worker leaves")
+			}
+		}
+	}
+}
+
+// gangBroken stops the other members of a gang of which one has ended.
+func (d *Decider) gangBroken(g *group, how How) {
+	if how == EndDone {
+		return
+	}
+	for _, t := range g.tasks {
+		if t.run != nil && t.run.state != runStopping {
+			d.stop(t.run, "gang broken")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/aqdecider/plan.go
@@ -0,0 +1,336 @@
+package aqdecider
+
+import (
+	"log/slog"
+	"slices"
+	"sort"
+	"time"
+
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqtype"
+)
+
+// plan places waiting tasks, the most pressing groups first. A group that finds
+// no room does not keep later ones from what is left.
+func (d *Decider) plan() {
+	if len(d.waiting) == 0 {
+		return
+	}
+	doubtful := d.inDoubt()
+	for _, g := range d.ordered() {
+		pending := g.pending(d.now, doubtful)
+		switch {
+		case g.spec.Gang:
+			d.placeGang(g, pending)
+		default:
+			for _, t := range pending {
+				w := d.choose(t, nil)
+				if w == nil {
+					break
+				}
+				d.start(t, w, t.attempt+1)
+			}
+		}
+		if !g.wants() {
+			delete(d.waiting, g)
+		}
+	}
+}
+
+// wants reports whether a task of the group has no run and needs one.
+func (g *group) wants() bool {
+	for _, t := range g.tasks {
+		if !t.done && t.run == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// pending lists the tasks that may be started now. With doubtful set, tasks
+// whose earlier runs nobody has seen wait.
+func (g *group) pending(now time.Time, doubtful bool) []*task {
+	var tasks []*task
+	for _, t := range g.tasks {
+		if t.done || t.run != nil || now.Before(t.notBefore) || (doubtful && !t.seen) {
+			continue
+		}
+		tasks = append(tasks, t)
+	}
+	return tasks
+}
+
+// rank orders groups: what can still meet its objective, then what can be late,
+// then the rest.
+type rank struct {
+	class    int
+	priority int
+	due      time.Time
+}
+
+// The classes of a rank. Beyond lateFactor times its objective a job is worth
+// nothing to its submitter, and uses what is left over.
+const (
+	classOnTime = iota
+	classLate
+	classHopeless
+
+	lateFactor = 3
+)
+
+func (d *Decider) rank(g *group) rank {
+	j := g.occurrence.job
+	allowed := time.Duration(j.queue.Stretch*float64(j.spec.Chain())) + j.queue.Target
+	due := g.occurrence.dueAt.Add(allowed)
+	r := rank{class: classOnTime, priority: j.queue.Priority, due: due}
+	if g.spec.Perpetual {
+		r.due = g.readyAt
+		return r
+	}
+	switch {
+	case d.now.After(g.occurrence.dueAt.Add(lateFactor * allowed)):
+		r.class = classHopeless
+	case d.now.After(due):
+		r.class = classLate
+	}
+	return r
+}
+
+func (r rank) less(o rank) bool {
+	switch {
+	case r.class != o.class:
+		return r.class < o.class
+	case r.priority != o.priority:
+		return r.priority < o.priority
+	}
+	return r.due.Before(o.due)
+}
+
+func (d *Decider) ordered() []*group {
+	type ranked struct {
+		group *group
+		rank  rank
+	}
+	all := make([]ranked, 0, len(d.waiting))
+	for g := range d.waiting {
+		all = append(all, ranked{group: g, rank: d.rank(g)})
+	}
+	sort.Slice(all, func(i, k int) bool {
+		if all[i].rank == all[k].rank {
+			return all[i].group.before(all[k].group)
+		}
+		return all[i].rank.less(all[k].rank)
+	})
+	groups := make([]*group, len(all))
+	for i, r := range all {
+		groups[i] = r.group
+	}
+	return groups
+}
+
+// before makes the order of equal ranks the same in every run.
+func (g *group) before(o *group) bool {
+	if g.occurrence.job != o.occurrence.job {
+		return g.occurrence.job.spec.ID < o.occurrence.job.spec.ID
+	}
+	if g.occurrence.number != o.occurrence.number {
+		return g.occurrence.number < o.occurrence.number
+	}
+	return g.number < o.number
+}
+
+// Weights of a worker's score; the lowest score is taken.
+const (
+	// weightOffRack is above every load: work far from its data takes longer by
+	// a constant factor.
+	weightOffRack = 2.0
+	// weightSuspected prefers sound workers for everything.
+	weightSuspected = 4.0
+	// weightAvoided keeps a task off workers on which it failed, while there are
+	// others.
+	weightAvoided = 8.0
+)
+
+// choose returns the best worker for a task, nil when none has room. extra is
+// what else the same decision has promised to workers.
+func (d *Decider) choose(t *task, extra map[*worker]aqtype.Resources) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range d.workers {
+		promised := extra[w]
+		if !d.allowed(t, w, promised) {
+			continue
+		}
+		score := d.score(t, w, promised)
+		if best == nil || score < bestScore || score == bestScore && w.listed.ID < best.listed.ID {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// allowed reports whether a worker may take a task now.
+func (d *Decider) allowed(t *task, w *worker, promised aqtype.Resources) bool {
+	g := t.group
+	j := g.occurrence.job
+	if !w.present || !w.reachable || !w.enlisted || w.listed.Draining || w.listed.Service != j.queue.Service {
+		return false
+	}
+	if len(w.strays) > 0 || d.now.Before(w.avoidUntil) || !w.health.usable(d.now, len(w.runs)) {
+		return false
+	}
+	if !w.used.Add(promised).Add(g.spec.Reserved()).Fits(w.listed.Capacity) {
+		return false
+	}
+	if g.spec.Constraint != "" && !slices.Contains(w.listed.Labels, g.spec.Constraint) {
+		return false
+	}
+	if g.spec.AntiAffinity > 0 && w.count(g)+promisedTasks(g, promised) >= g.spec.AntiAffinity {
+		return false
+	}
+	return !j.queue.Advised || d.ticket(g, w) != ""
+}
+
+// promisedTasks is how many of a group's tasks a promise is for.
+func promisedTasks(g *group, promised aqtype.Resources) int {
+	if size := g.spec.Reserved(); size.Memory > 0 {
+		return int(promised.Memory / size.Memory)
+	}
+	return 0
+}
+
+// count returns how many of a group's tasks the worker runs.
+func (w *worker) count(g *group) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.group == g {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Decider) score(t *task, w *worker, promised aqtype.Resources) float64 {
+	g := t.group
+	capacity := w.listed.Capacity
+	used := w.used.Add(promised)
+	score := share(int64(used.MilliCPU), int64(capacity.MilliCPU))
+	if g.spec.Filler {
+		score = d.fillerScore(g, w)
+	}
+	if g.spec.Affinity != "" && string(w.rack) != g.spec.Affinity {
+		score += weightOffRack
+	}
+	if w.health.suspected() {
+		score += weightSuspected
+	}
+	if slices.Contains(t.avoid, w.listed.ID) {
+		score += weightAvoided
+	}
+	return score
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
+
+// start decides a start.
+func (d *Decider) start(t *task, w *worker, attempt Attempt) {
+	j := t.group.occurrence.job
+	t.attempt = attempt
+	r := &run{
+		id:        RunID{Task: t.id(), Attempt: attempt},
+		task:      t,
+		worker:    w,
+		state:     runStarting,
+		size:      t.group.spec.Reserved(),
+		orderedAt: d.now,
+		pace:      fullPace,
+	}
+	t.run = r
+	t.seen = true
+	w.runs[r.id] = r
+	w.used = w.used.Add(r.size)
+	d.options.Log.Write(aqlog.RunPlaced, taskAttr(r.id.Task), workerAttr(w.listed.ID),
+		slog.Int("Attempt", int(attempt)), slog.Duration("Waited", d.now.Sub(t.group.readyAt)),
+		slog.Int("Priority", j.queue.Priority), slog.Int64("UsedCPU", int64(w.used.MilliCPU)))
+	d.order(Start{
+		Worker:     w.listed.ID,
+		Run:        r.id,
+		Payload:    j.spec.Payload,
+		Checkpoint: t.checkpoint,
+		Ticket:     d.ticket(t.group, w),
+	})
+}
+
+// placeGang starts all members of a gang or none.
+func (d *Decider) placeGang(g *group, pending []*task) {
+	if len(pending) < len(g.tasks) {
+		return
+	}
+	chosen := d.gangWorkers(g, pending)
+	if chosen == nil {
+		return
+	}
+	var attempt Attempt
+	checkpoint := ""
+	for _, t := range pending {
+		attempt = max(attempt, t.attempt)
+		if t.checkpoint > checkpoint {
+			checkpoint = t.checkpoint
+		}
+	}
+	for i, t := range pending {
+		t.checkpoint = checkpoint
+		d.start(t, chosen[i], attempt+1)
+	}
+}
+
+// gangWorkers finds room for every member, on one rack when the gang wants it
+// and one has room.
+func (d *Decider) gangWorkers(g *group, pending []*task) []*worker {
+	if g.spec.SameRack {
+		for _, rack := range d.racks() {
+			if chosen := d.fitGang(g, pending, rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return d.fitGang(g, pending, "")
+}
+
+func (d *Decider) fitGang(g *group, pending []*task, rack aqtype.Rack) []*worker {
+	promised := map[*worker]aqtype.Resources{}
+	if rack != "" {
+		for _, w := range d.workers {
+			if w.rack != rack {
+				promised[w] = w.listed.Capacity
+			}
+		}
+	}
+	var chosen []*worker
+	for _, t := range pending {
+		w := d.choose(t, promised)
+		if w == nil {
+			return nil
+		}
+		promised[w] = promised[w].Add(g.spec.Reserved())
+		chosen = append(chosen, w)
+	}
+	return chosen
+}
+
+// racks lists the racks, ordered.
+func (d *Decider) racks() []aqtype.Rack {
+	var racks []aqtype.Rack
+	for _, w := range d.workers {
+		if w.rack != "" && !slices.Contains(racks, w.rack) {
+			racks = append(racks, w.rack)
+		}
+	}
+	slices.Sort(racks)
+	return racks
+}
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -32,14 +32,66 @@
 	PeerFrameBad      = Event{Number: 700, Layer: LayerPeer, Level: slog.LevelWarn, Message: "peer frame not decodable", Meaning: "The connection was closed. Look for a version mismatch."}
 	ConfigInForce     = Event{Number: 800, Layer: LayerConfig, Level: slog.LevelInfo, Message: "configuration in force", Meaning: "This process uses the revision in the attribute Revision."}
 	ConfigRefused     = Event{Number: 801, Layer: LayerConfig, Level: slog.LevelWarn, Message: "configuration refused", Meaning: "A value in the store did not pass the checks and was not taken."}
+
+	JobKnown       = Event{Number: 520, Layer: LayerDecider, Level: slog.LevelInfo, Message: "job known to the decider", Meaning: "A stored job is scheduled from now on. Inherited says that it was accepted before this leader's term."}
+	JobEnded       = Event{Number: 521, Layer: LayerDecider, Level: slog.LevelInfo, Message: "job ended", Meaning: "The decision on the final state in State, with its reason in Why. It is shown once it is stored."}
+	RunPlaced      = Event{Number: 530, Layer: LayerDecider, Level: slog.LevelInfo, Message: "run placed", Meaning: "A task was given to a worker. Waited is the time since its group could start, UsedCPU what is reserved there with it."}
+	RunAdopted     = Event{Number: 531, Layer: LayerDecider, Level: slog.LevelInfo, Message: "run adopted", Meaning: "A run that an earlier leader started was found on its worker and goes on."}
+	RunDisowned    = Event{Number: 532, Layer: LayerDecider, Level: slog.LevelWarn, Message: "run disowned", Meaning: "A worker runs what no task needs: an ended job's task, or one that runs elsewhere. It is stopped."}
+	RunEnded       = Event{Number: 533, Layer: LayerDecider, Level: slog.LevelInfo, Message: "run ended", Meaning: "How says how. Lost means that the worker's life or lease ended, or that the run never began."}
+	RunStopping    = Event{Number: 534, Layer: LayerDecider, Level: slog.LevelInfo, Message: "run told to stop", Meaning: "The reason is in Why. Its room stays reserved until the worker lists its end."}
+	RunPaced       = Event{Number: 535, Layer: LayerDecider, Level: slog.LevelInfo, Message: "run paced", Meaning: "A filler is slowed down or let go. TailRatio is the worst tail beside it over its target."}
+	StartDeclined  = Event{Number: 536, Layer: LayerDecider, Level: slog.LevelWarn, Message: "start declined", Meaning: "The worker certainly does not run the attempt. The task is placed again."}
+	RunStuck       = Event{Number: 537, Layer: LayerDecider, Level: slog.LevelWarn, Message: "run makes no progress", Meaning: "The run is stopped and placed on another worker."}
+	WorkerListed   = Event{Number: 540, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker listed", Meaning: "Service discovery shows a worker that was not known."}
+	WorkerUnlisted = Event{Number: 541, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker unlisted", Meaning: "Service discovery does not show the worker any more. Nothing new is started there."}
+	WorkerDraining = Event{Number: 542, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker draining", Meaning: "The worker is about to leave. Nothing new is started there, and its tasks are moved in time."}
+	WorkerReborn   = Event{Number: 543, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker restarted", Meaning: "The worker runs again under its old id. What ran in its earlier life is lost."}
+	WorkerSilent   = Event{Number: 544, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker silent", Meaning: "The worker does not answer. Its tasks may run until its lease ends."}
+	WorkerAnswers  = Event{Number: 545, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker answers", Meaning: "The worker has said what runs on it."}
+	WorkerLapsed   = Event{Number: 546, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker lease lapsed", Meaning: "The worker has not answered until its lease ended. Its tasks are placed again."}
+
+	LeadTaken     = Event{Number: 900, Layer: LayerSite, Level: slog.LevelInfo, Message: "leadership taken", Meaning: "This process decides for the site from now on. Fence is the token of its orders."}
+	LeadLost      = Event{Number: 901, Layer: LayerSite, Level: slog.LevelWarn, Message: "leadership lost", Meaning: "Another process leads, or this one could not prove its leadership. It gives no more orders."}
+	LeadReleased  = Event{Number: 902, Layer: LayerSite, Level: slog.LevelInfo, Message: "leadership released", Meaning: "A planned stop: another process may lead at once."}
+	LeadRecovered = Event{Number: 903, Layer: LayerSite, Level: slog.LevelInfo, Message: "state recovered", Meaning: "The stored jobs are read and the workers that answer have said what they run. Starts begin."}
+	LeadTryFailed = Event{Number: 904, Layer: LayerSite, Level: slog.LevelWarn, Message: "leadership attempt failed", Meaning: "The store did not take the claim, or the stored state could not be read. It is tried again."}
+	LeaderSeen    = Event{Number: 905, Layer: LayerSite, Level: slog.LevelInfo, Message: "leader seen", Meaning: "Status calls go to this process from now on."}
+	StoreLost     = Event{Number: 910, Layer: LayerSite, Level: slog.LevelWarn, Message: "store lost", Meaning: "The store does not answer this process or turns it away. New jobs are refused as not accepted; what runs goes on."}
+	StoreRegained = Event{Number: 911, Layer: LayerSite, Level: slog.LevelInfo, Message: "store regained", Meaning: "The store answers this process again."}
+	WatchReset    = Event{Number: 912, Layer: LayerSite, Level: slog.LevelWarn, Message: "watch reset", Meaning: "The store's history is gone or the watch failed. The state is read anew."}
+	EntryIgnored  = Event{Number: 913, Layer: LayerSite, Level: slog.LevelWarn, Message: "stored entry ignored", Meaning: "An entry in the store could not be decoded. It names nothing to use; the others hold."}
+	CommitFailed  = Event{Number: 914, Layer: LayerSite, Level: slog.LevelWarn, Message: "progress not stored", Meaning: "A write of progress failed or was not answered. It is tried again; final states wait for it."}
+	SiteConfig    = Event{Number: 915, Layer: LayerSite, Level: slog.LevelInfo, Message: "site configuration in force", Meaning: "This process uses the version in the attribute Version."}
+	SettingsKept  = Event{Number: 916, Layer: LayerSite, Level: slog.LevelWarn, Message: "settings reload refused", Meaning: "The changed settings file is not valid. The settings before it stay in force."}
+	SettingsTaken = Event{Number: 917, Layer: LayerSite, Level: slog.LevelInfo, Message: "settings reloaded", Meaning: "The settings file was read again."}
+	OrderFailed   = Event{Number: 918, Layer: LayerSite, Level: slog.LevelWarn, Message: "order not answered", Meaning: "A worker did not answer an order, which may still take effect. It is repeated or settled by a stop."}
+	PauseSeen     = Event{Number: 919, Layer: LayerSite, Level: slog.LevelWarn, Message: "process paused", Meaning: "This process did not run for the time in Paused. What it believed may be out of date."}
+
+	JobStored     = Event{Number: 930, Layer: LayerIntake, Level: slog.LevelInfo, Message: "job accepted", Meaning: "The job is stored. Took is the time from its arrival."}
+	JobTurnedAway = Event{Number: 931, Layer: LayerIntake, Level: slog.LevelWarn, Message: "job refused", Meaning: "The job was not accepted and never runs. The reason is in Reason."}
+	JobInDoubt    = Event{Number: 932, Layer: LayerIntake, Level: slog.LevelWarn, Message: "job in doubt", Meaning: "The store did not say whether it took the job. The submitter is told that the outcome is unknown."}
+	CancelStored  = Event{Number: 933, Layer: LayerIntake, Level: slog.LevelInfo, Message: "cancellation accepted", Meaning: "The cancellation is stored and reaches the leader through its watch."}
+	StateFromDisk = Event{Number: 934, Layer: LayerIntake, Level: slog.LevelInfo, Message: "state read from the store", Meaning: "The leader did not answer, so a status call was answered from the store."}
+	CallRefused   = Event{Number: 935, Layer: LayerIntake, Level: slog.LevelWarn, Message: "call refused", Meaning: "A call was refused. The reason is in Reason."}
 )
 
+// LinesDropped tells how many lines were left out because standard output did
+// not take them.
+var LinesDropped = Event{Number: 104, Layer: LayerProcess, Level: slog.LevelWarn, Message: "log lines dropped", Meaning: "Standard output did not take lines fast enough. Count lines are missing before this one."}
+
 // Events lists every event in order of number.
 var Events = []Event{
-	ProcessStarted, ProcessStopping, ProcessStopped, TLSOff,
+	ProcessStarted, ProcessStopping, ProcessStopped, TLSOff, LinesDropped,
 	MemberJoined, MemberLeft, LeaseLost, StoreUnavailable, StoreBack,
 	SegmentInDoubt, OwnershipLost, ShardTaken, ShardReleased, SnapshotWritten, TakeoverFailed,
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
 	JobAccepted, TaskEvicted, TaskGivenUp, WorkerOnProbation,
 	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
+	JobKnown, JobEnded, RunPlaced, RunAdopted, RunDisowned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStuck,
+	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerReborn, WorkerSilent, WorkerAnswers, WorkerLapsed,
+	LeadTaken, LeadLost, LeadReleased, LeadRecovered, LeadTryFailed, LeaderSeen,
+	StoreLost, StoreRegained, WatchReset, EntryIgnored, CommitFailed, SiteConfig, SettingsKept, SettingsTaken,
+	OrderFailed, PauseSeen,
+	JobStored, JobTurnedAway, JobInDoubt, CancelStored, StateFromDisk, CallRefused,
 }
--- a/pkg/aqlog/log.go
+++ b/pkg/aqlog/log.go
@@ -34,6 +34,9 @@
 	LayerPeer      Layer = "peer"
 	LayerConfig    Layer = "config"
 	LayerProcess   Layer = "process"
+	LayerDecider   Layer = "decider"
+	LayerSite      Layer = "site"
+	LayerIntake    Layer = "intake"
 )
 
 // Logger writes the events of one layer of one process.
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -33,6 +34,12 @@
 	RefusedKeyUsed        RefusalReason = "KeyUsed"
 	RefusedFrameTooLarge  RefusalReason = "FrameTooLarge"
 	RefusedFrameMalformed RefusalReason = "FrameMalformed"
+	RefusedNoQueue        RefusalReason = "NoQueue"
+	RefusedNoConfig       RefusalReason = "NoConfiguration"
+	RefusedNoJob          RefusalReason = "NoJob"
+	RefusedMethod         RefusalReason = "MethodNotAllowed"
+	RefusedNoLeader       RefusalReason = "NoLeader"
+	RefusedEntry          RefusalReason = "StoredEntryInvalid"
 )
 
 // RefusalReasons lists every refusal reason.
@@ -40,7 +47,7 @@
 	RefusedBadRequest, RefusedNoService, RefusedNoEndpoint, RefusedQueueFull, RefusedDeadline, RefusedConnect,
 	RefusedStopping, RefusedTooLarge, RefusedNotOwner, RefusedNoOwner, RefusedKeyConflict, RefusedShardFull,
 	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedKeyUsed, RefusedFrameTooLarge,
-	RefusedFrameMalformed,
+	RefusedFrameMalformed, RefusedNoQueue, RefusedNoConfig, RefusedNoJob, RefusedMethod, RefusedNoLeader, RefusedEntry,
 }
 
 // RetryReason says why something was tried again.
@@ -59,6 +66,11 @@
 	RetryTaskFailed     RetryReason = "TaskFailed"
 	RetryWorkerLost     RetryReason = "WorkerLost"
 	RetryBudgetSpent    RetryReason = "BudgetSpent"
+	RetryStartUnknown   RetryReason = "StartUnknown"
+	RetryOrderLost      RetryReason = "OrderUnanswered"
+	RetryCommitLost     RetryReason = "CommitUnanswered"
+	RetryLeaderLost     RetryReason = "LeaderLost"
+	RetryWatchReset     RetryReason = "WatchReset"
 )
 
 // RetryReasons lists every retry reason. BudgetSpent counts the retries that
@@ -66,6 +78,7 @@
 var RetryReasons = []RetryReason{
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
+	RetryStartUnknown, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset,
 }
 
 // Count names an ordinary counter.
@@ -84,14 +97,41 @@
 	ShardsLost        Count = "aq_shards_lost_total"
 	SessionRenewals   Count = "aq_session_renewals_total"
 	PeerCalls         Count = "aq_peer_calls_total"
+	JobsAccepted      Count = "aq_jobs_accepted_total"
+	TasksEnded        Count = "aq_tasks_ended_total"
+	LeadTerms         Count = "aq_lead_terms_total"
+	LogLinesDropped   Count = "aq_log_lines_dropped_total"
 )
 
 // Counts lists every ordinary counter.
 var Counts = []Count{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
+	JobsAccepted, TasksEnded, LeadTerms, LogLinesDropped,
 }
 
+// Timing names a latency histogram, in seconds.
+type Timing string
+
+// The latency histograms.
+const (
+	// TimeStoreCall is the time of one call of the store.
+	TimeStoreCall Timing = "aq_store_call_seconds"
+	// TimeAccept is from a submission's arrival to its answer.
+	TimeAccept Timing = "aq_job_accept_seconds"
+	// TimeStart is from the decision on a start to the worker's answer.
+	TimeStart Timing = "aq_task_start_seconds"
+	// TimeWait is from when a group could start to the decision.
+	TimeWait Timing = "aq_task_wait_seconds"
+	// TimeCommit is from a decision to its storing.
+	TimeCommit Timing = "aq_commit_seconds"
+	// TimePause is a pause of the process.
+	TimePause Timing = "aq_process_pause_seconds"
+)
+
+// Timings lists every latency histogram.
+var Timings = []Timing{TimeStoreCall, TimeAccept, TimeStart, TimeWait, TimeCommit, TimePause}
+
 // Set holds the metrics of one process.
 type Set struct {
 	set *metrics.Set
@@ -110,9 +150,17 @@
 	for _, c := range Counts {
 		s.set.GetOrCreateCounter(string(c))
 	}
+	for _, t := range Timings {
+		s.set.GetOrCreateHistogram(string(t))
+	}
 	return s
 }
 
+// Observe adds one duration to a latency histogram.
+func (s *Set) Observe(t Timing, took time.Duration) {
+	s.set.GetOrCreateHistogram(string(t)).Update(took.Seconds())
+}
+
 // Refused counts one refusal.
 func (s *Set) Refused(r RefusalReason) { s.set.GetOrCreateCounter(refusalName(r)).Inc() }
 
--- a/pkg/aqsettings/parse.go
+++ b/pkg/aqsettings/parse.go
@@ -35,7 +35,27 @@
 	if err != nil {
 		return Settings{}, errors.Wrapf(err, "read settings %s", file)
 	}
-	return load(file, parsed)
+	return load(file, parsed, Fields)
+}
+
+// LoadSite reads and checks the settings file of a site's process.
+func LoadSite(file string) (Site, error) {
+	parsed, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, file)
+	if err != nil {
+		return Site{}, errors.Wrapf(err, "read settings %s", file)
+	}
+	s, err := load(file, parsed, SiteFields)
+	return s.Site, err
+}
+
+// ParseSite is LoadSite for bytes; file is used in errors only.
+func ParseSite(file string, data []byte) (Site, error) {
+	parsed, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, data)
+	if err != nil {
+		return Site{}, errors.Wrapf(err, "read settings %s", file)
+	}
+	s, err := load(file, parsed, SiteFields)
+	return s.Site, err
 }
 
 // Parse is Load for bytes; file is used in errors only.
@@ -44,15 +64,15 @@
 	if err != nil {
 		return Settings{}, errors.Wrapf(err, "read settings %s", file)
 	}
-	return load(file, parsed)
+	return load(file, parsed, Fields)
 }
 
-func load(file string, parsed *ini.File) (Settings, error) {
+func load(file string, parsed *ini.File, fields []Field) (Settings, error) {
 	var s Settings
-	if err := checkKnown(file, parsed); err != nil {
+	if err := checkKnown(file, parsed, fields); err != nil {
 		return s, err
 	}
-	for _, f := range Fields {
+	for _, f := range fields {
 		value := f.Default
 		if section, err := parsed.GetSection(f.Section); err == nil && section.HasKey(f.Key) {
 			values := section.Key(f.Key).ValueWithShadows()
@@ -67,6 +87,9 @@
 			return s, f.fail(file, err.Error())
 		}
 	}
+	if s.Site.Name != "" {
+		return s, s.Site.check(file)
+	}
 	return s, s.check(file)
 }
 
@@ -79,10 +102,10 @@
 	}
 }
 
-func checkKnown(file string, parsed *ini.File) error {
+func checkKnown(file string, parsed *ini.File, fields []Field) error {
 	for _, section := range parsed.Sections() {
 		for _, key := range section.Keys() {
-			if !known(section.Name(), key.Name()) {
+			if !known(fields, section.Name(), key.Name()) {
 				return &SettingError{
 					File:    file,
 					Section: section.Name(),
@@ -95,8 +118,8 @@
 	return nil
 }
 
-func known(section, key string) bool {
-	for _, f := range Fields {
+func known(fields []Field, section, key string) bool {
+	for _, f := range fields {
 		if f.Section == section && f.Key == key {
 			return true
 		}
--- a/pkg/aqsettings/settings.go
+++ b/pkg/aqsettings/settings.go
@@ -18,6 +18,8 @@
 	Session   Session
 	Gateway   Gateway
 	Log       Log
+	// Site is set instead of the others in the file of a site's process.
+	Site Site
 }
 
 // Process says who the host is.
--- /dev/null
+++ b/pkg/aqsettings/site.go
@@ -0,0 +1,105 @@
+package aqsettings
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Site are the settings of a process that schedules a site together with its
+// equals.
+type Site struct {
+	Name           string
+	Zone           aqtype.Zone
+	FrontAddress   string
+	ReadyAddress   string
+	PeerAddress    string
+	MetricsAddress string
+	Store          string
+	Advice         string
+	Processors     float64
+	LeaseMax       time.Duration
+	StopGrace      time.Duration
+	PaceDelay      time.Duration
+	StopLimit      time.Duration
+	Retention      time.Duration
+	LogLayers      string
+}
+
+// SiteFields lists every setting of a site's process in the order of the docs.
+var SiteFields = []Field{
+	required("Site", "Name", "name", "Name of this process, different from every other one's.",
+		name(func(s *Settings, v string) { s.Site.Name = v })),
+	required("Site", "Zone", "name", "Availability zone of this process.",
+		name(func(s *Settings, v string) { s.Site.Zone = aqtype.Zone(v) })),
+	required("Site", "FrontAddress", "IP:port", "Where submitters are served.",
+		address(func(s *Settings) *string { return &s.Site.FrontAddress })),
+	required("Site", "ReadyAddress", "IP:port", "Where the balancer asks whether this process takes connections.",
+		address(func(s *Settings) *string { return &s.Site.ReadyAddress })),
+	required("Site", "PeerAddress", "IP:port", "Where the other processes are served.",
+		address(func(s *Settings) *string { return &s.Site.PeerAddress })),
+	required("Site", "MetricsAddress", "IP:port", "Where metrics and health are served.",
+		address(func(s *Settings) *string { return &s.Site.MetricsAddress })),
+	required("Site", "Store", "IP:port", "Address of the platform's key-value service.",
+		address(func(s *Settings) *string { return &s.Site.Store })),
+	optional("Site", "Advice", "IP:port", "", "Address of the advice service; empty where there is none.",
+		func(s *Settings, value string) error {
+			if value == "" {
+				return nil
+			}
+			return address(func(s *Settings) *string { return &s.Site.Advice })(s, value)
+		}),
+	optional("Site", "Processors", "cores", "1",
+		"Share of a core that this process may use. Strong processes lead first.",
+		func(s *Settings, value string) error {
+			share, err := strconv.ParseFloat(value, 64)
+			if err != nil || share <= 0 {
+				return errors.Errorf("%q is not a number of cores above zero", value)
+			}
+			s.Site.Processors = share
+			return nil
+		}),
+	optional("Site", "LogLayers", "names, comma-separated", "all",
+		"Layers whose events below warning are written: all, or some of decider, site, intake, peer, process.",
+		func(s *Settings, value string) error {
+			if _, err := aqlog.New(io.Discard, "", value); err != nil {
+				return err
+			}
+			s.Site.LogLayers = value
+			return nil
+		}),
+
+	duration("Bounds", "LeaseMax", "10s", time.Second, time.Hour,
+		"Longest lease that a worker grants.",
+		func(s *Settings) *time.Duration { return &s.Site.LeaseMax }),
+	duration("Bounds", "StopGrace", "1s", 0, time.Minute,
+		"How long a worker takes to stop a run.",
+		func(s *Settings) *time.Duration { return &s.Site.StopGrace }),
+	duration("Bounds", "PaceDelay", "100ms", 0, time.Minute,
+		"How long a change of pace takes to work.",
+		func(s *Settings) *time.Duration { return &s.Site.PaceDelay }),
+	duration("Bounds", "StopLimit", "6s", time.Second, 10*time.Minute,
+		"How long after a stop signal this process is killed.",
+		func(s *Settings) *time.Duration { return &s.Site.StopLimit }),
+	duration("Bounds", "Retention", "2m", time.Second, 30*24*time.Hour,
+		"How long the state of an ended job is shown.",
+		func(s *Settings) *time.Duration { return &s.Site.Retention }),
+}
+
+func (s Site) check(file string) error {
+	if s.StopGrace >= s.LeaseMax {
+		return &SettingError{
+			File:    file,
+			Section: "Bounds",
+			Key:     "StopGrace",
+			Reason:  fmt.Sprintf("must be below Bounds.LeaseMax (%s)", s.LeaseMax),
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/aqsite/commit.go
@@ -0,0 +1,180 @@
+package aqsite
+
+import (
+	"bytes"
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqstore"
+)
+
+// recordsPerTxn keeps a transaction with two entries a record, or three for a
+// removal, within the store's bound beside the condition on the lead key.
+const recordsPerTxn = 10
+
+// storeLoop stores decisions in rounds, one round at a time.
+func (l *leader) storeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.ended:
+			return
+		case <-l.wakeStore:
+		}
+		if !l.urgent() {
+			l.waitUrgent(ctx)
+		}
+		if err := l.storeFleet(ctx); err != nil {
+			l.commitFailed(ctx, err)
+			signal(l.wakeStore)
+			continue
+		}
+		l.storeRound(ctx)
+		aqclock.Sleep(ctx, l.node.clock, storePause)
+	}
+}
+
+func (l *leader) urgent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.decider.Urgent() || l.decider.Unenlisted()
+}
+
+// waitUrgent lets decisions gather for which nobody waits.
+func (l *leader) waitUrgent(ctx context.Context) {
+	timeout := l.node.clock.After(storeLazy)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.ended:
+			return
+		case <-timeout:
+			return
+		case <-l.wakeStore:
+			if l.urgent() {
+				return
+			}
+			aqclock.Sleep(ctx, l.node.clock, tickPause)
+		}
+	}
+}
+
+// storeRound stores one batch whole; it does not return before it is stored or
+// the leadership has ended.
+func (l *leader) storeRound(ctx context.Context) {
+	begun := l.node.clock.Now()
+	var batch aqdecider.Batch
+	l.decide(func(d *aqdecider.Decider) { batch = d.TakeBatch() })
+	var group sync.WaitGroup
+	for first := 0; first < len(batch.Records); first += recordsPerTxn {
+		part := batch.Records[first:min(first+recordsPerTxn, len(batch.Records))]
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			l.storePart(ctx, part)
+		}()
+	}
+	group.Wait()
+	select {
+	case <-l.ended:
+		return
+	default:
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	l.decide(func(d *aqdecider.Decider) { d.BatchStored(batch) })
+	l.node.metrics.Observe(aqmetric.TimeCommit, l.node.clock.Now().Sub(begun))
+}
+
+// storePart repeats one transaction until its outcome is known.
+func (l *leader) storePart(ctx context.Context, records []aqdecider.Record) {
+	txn := aqstore.Txn{If: []aqstore.Condition{{Key: leadKey, Changed: l.leadChanged}}}
+	for _, r := range records {
+		value, err := aqjob.Encode(r.Progress)
+		if err != nil {
+			l.lose(err)
+			return
+		}
+		key := progressKey(r.Job)
+		txn.If = append(txn.If, aqstore.Condition{Key: key, Changed: r.Expect})
+		if r.Forget {
+			txn.Remove = append(txn.Remove, key, jobKey(r.Job))
+			continue
+		}
+		txn.Writes = append(txn.Writes, aqstore.Write{Key: key, Value: value})
+	}
+	for ctx.Err() == nil {
+		changed, err := l.node.store.Commit(ctx, txn)
+		l.node.storeAnswered(err)
+		if err == nil {
+			l.recordsStored(records, changed)
+			return
+		}
+		var conflict *aqstore.ConflictError
+		if errors.As(err, &conflict) {
+			if l.settled(conflict, txn, records) {
+				return
+			}
+			l.lose(errors.WithMessage(err, "progress was written by another"))
+			return
+		}
+		l.commitFailed(ctx, err)
+		select {
+		case <-l.ended:
+			return
+		default:
+		}
+	}
+}
+
+func (l *leader) recordsStored(records []aqdecider.Record, changed aqstore.Revision) {
+	l.decide(func(d *aqdecider.Decider) {
+		for _, r := range records {
+			d.RecordStored(r, changed)
+		}
+	})
+}
+
+// settled reports whether a conflict shows that an earlier try of the same
+// transaction took effect.
+func (l *leader) settled(conflict *aqstore.ConflictError, txn aqstore.Txn, records []aqdecider.Record) bool {
+	current := map[string]aqstore.Item{}
+	for _, item := range conflict.Current {
+		current[item.Key] = item
+	}
+	if current[leadKey].Changed != l.leadChanged {
+		return false
+	}
+	var changed aqstore.Revision
+	for _, w := range txn.Writes {
+		if !bytes.Equal(current[w.Key].Value, w.Value) {
+			return false
+		}
+		changed = current[w.Key].Changed
+	}
+	for _, key := range txn.Remove {
+		if current[key].Changed != 0 {
+			return false
+		}
+	}
+	l.recordsStored(records, changed)
+	return true
+}
+
+func (l *leader) commitFailed(ctx context.Context, err error) {
+	l.node.metrics.Retried(aqmetric.RetryCommitLost)
+	if ctx.Err() == nil {
+		l.node.log.Write(aqlog.CommitFailed, aqlog.Err(err))
+	}
+	aqclock.Sleep(ctx, l.node.clock, retryPause)
+}
--- /dev/null
+++ b/pkg/aqsite/elect.go
@@ -0,0 +1,373 @@
+package aqsite
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqstore"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Timing of the election.
+const (
+	// leadTTL is how long a leader that dies without a word keeps the key.
+	leadTTL = 2 * time.Second
+	// leadRenew leaves room for two lost renewals.
+	leadRenew = 500 * time.Millisecond
+	// claimSpread divides the tries of equally strong nodes, claimWeak delays
+	// those that have few processors.
+	claimSpread = 60 * time.Millisecond
+	claimWeak   = 100 * time.Millisecond
+	// strongProcessors is the share of a core from which a node leads without
+	// delay.
+	strongProcessors = 0.5
+	// refusedDials is how often a leader's host must refuse a connection before
+	// its process counts as dead.
+	refusedDials = 2
+	// dialPause is the pause between these tries.
+	dialPause = 100 * time.Millisecond
+)
+
+// attemptsPerTerm divides the numbers of attempts between terms.
+const attemptsPerTerm = 1 << 12
+
+// leadRecord is the value of the lead key.
+type leadRecord struct {
+	Node        string
+	Address     string
+	Incarnation int64
+	Term        int64
+}
+
+// termRecord is the value of the term key.
+type termRecord struct {
+	Term int64
+}
+
+// elect follows the lead key and claims it when it is free.
+func (n *Node) elect(ctx context.Context) {
+	var from aqstore.Revision
+	var held aqstore.Item
+	for ctx.Err() == nil {
+		var err error
+		held, from, err = n.followLead(ctx, held, from)
+		n.storeAnswered(err)
+		if err != nil {
+			aqclock.Sleep(ctx, n.clock, retryPause)
+			continue
+		}
+		if n.claimable(held) && n.takingPart() {
+			n.claim(ctx, held)
+			from = 0
+		}
+	}
+}
+
+func (n *Node) takingPart() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.stopping
+}
+
+// followLead reads the lead key when from is zero and waits for a change
+// otherwise.
+func (n *Node) followLead(
+	ctx context.Context, held aqstore.Item, from aqstore.Revision,
+) (aqstore.Item, aqstore.Revision, error) {
+	if from == 0 {
+		items, as, err := n.store.Range(ctx, leadKey)
+		if err != nil {
+			return held, 0, err
+		}
+		held = aqstore.Item{}
+		for _, item := range items {
+			if item.Key == leadKey {
+				held = item
+			}
+		}
+		n.see(held)
+		return held, as, nil
+	}
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dead := n.watchLeader(watching, cancel)
+	events, next, err := n.store.Watch(watching, leadKey, from, watchWait)
+	if dead() && ctx.Err() == nil {
+		return aqstore.Item{Key: leadKey, Changed: held.Changed}, from, nil
+	}
+	if errors.Is(err, aqstore.ErrCompacted) {
+		return held, 0, nil
+	}
+	if err != nil {
+		return held, from, err
+	}
+	for _, e := range events {
+		if e.Key != leadKey {
+			continue
+		}
+		held = e.Item
+		if e.Deleted {
+			held = aqstore.Item{}
+		}
+		n.see(held)
+	}
+	return held, next, nil
+}
+
+// see takes the lead key as it stands.
+func (n *Node) see(held aqstore.Item) {
+	var record *leadRecord
+	if len(held.Value) > 0 {
+		record = &leadRecord{}
+		if err := decode(held.Value, record); err != nil {
+			n.ignoreEntry(leadKey, err)
+			record = nil
+		}
+	}
+	n.mu.Lock()
+	changed := record != nil && (n.seen == nil || *n.seen != *record)
+	n.seen = record
+	n.mu.Unlock()
+	if changed {
+		n.log.Write(aqlog.LeaderSeen, slog.String("Leader", record.Node), slog.Int64("Term", record.Term),
+			slog.Int64("Fence", int64(held.Changed)))
+	}
+}
+
+// claimable reports whether the lead key is free, or held by a process that is
+// certainly dead: an earlier one of this node, or one whose host refuses
+// connections, which followLead shows by a key without value.
+func (n *Node) claimable(held aqstore.Item) bool {
+	if len(held.Value) == 0 {
+		return true
+	}
+	var record leadRecord
+	if err := decode(held.Value, &record); err != nil {
+		return true
+	}
+	return record.Node == n.settings.Name && record.Incarnation != n.incarnation
+}
+
+// watchLeader keeps a connection to the leader open and calls found when the
+// leader's process is dead. The returned function tells whether it is.
+func (n *Node) watchLeader(ctx context.Context, found context.CancelFunc) func() bool {
+	address := n.leaderAddress()
+	died := make(chan struct{})
+	if address != "" && address != n.settings.PeerAddress {
+		go func() {
+			if n.leaderDies(ctx, address) {
+				close(died)
+				found()
+			}
+		}()
+	}
+	return func() bool {
+		select {
+		case <-died:
+			return true
+		default:
+			return false
+		}
+	}
+}
+
+// leaderDies returns true once the leader's host refuses connections, and false
+// when ctx ends.
+func (n *Node) leaderDies(ctx context.Context, address string) bool {
+	refused := 0
+	dialer := net.Dialer{Timeout: peerDial}
+	for ctx.Err() == nil {
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		switch {
+		case err == nil:
+			refused = 0
+			waitClosed(ctx, conn)
+		case errors.Is(err, syscall.ECONNREFUSED):
+			refused++
+			if refused >= refusedDials {
+				return true
+			}
+		default:
+			refused = 0
+		}
+		aqclock.Sleep(ctx, n.clock, dialPause)
+	}
+	return false
+}
+
+// waitClosed returns when the peer closes a connection or ctx ends.
+func waitClosed(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	one := make([]byte, 1)
+	_, _ = conn.Read(one)
+	_ = conn.Close()
+}
+
+// claimDelay lets strong nodes claim first, and spreads equal ones.
+func (n *Node) claimDelay() time.Duration {
+	digest := fnv.New32a()
+	_, _ = digest.Write([]byte(n.settings.Name))
+	delay := time.Duration(digest.Sum32()%8) * claimSpread / 8
+	if n.settings.Processors < strongProcessors {
+		delay += claimWeak
+	}
+	return delay
+}
+
+// claim tries to take the leadership and leads while it is held.
+func (n *Node) claim(ctx context.Context, held aqstore.Item) {
+	if n.routes.config() == nil {
+		aqclock.Sleep(ctx, n.clock, retryPause)
+		return
+	}
+	aqclock.Sleep(ctx, n.clock, n.claimDelay())
+	l, lease, err := n.takeLead(ctx, held)
+	if err != nil {
+		var conflict *aqstore.ConflictError
+		if !errors.As(err, &conflict) && ctx.Err() == nil {
+			n.log.Write(aqlog.LeadTryFailed, aqlog.Err(err))
+			aqclock.Sleep(ctx, n.clock, retryPause)
+		}
+		return
+	}
+	n.lead(ctx, l, lease)
+}
+
+func (n *Node) takeLead(ctx context.Context, held aqstore.Item) (*leader, aqstore.LeaseID, error) {
+	var term termRecord
+	termItem, err := n.store.Get(ctx, termKey)
+	if err == nil {
+		err = decode(termItem.Value, &term)
+		term.Term++
+	} else if errors.Is(err, aqstore.ErrNotFound) {
+		err = nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	lease, err := n.store.Grant(ctx, leadTTL)
+	if err != nil {
+		return nil, 0, err
+	}
+	record, err := aqjob.Encode(leadRecord{
+		Node:        n.settings.Name,
+		Address:     n.settings.PeerAddress,
+		Incarnation: n.incarnation,
+		Term:        term.Term,
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	counted, err := aqjob.Encode(term)
+	if err != nil {
+		return nil, 0, err
+	}
+	proof := n.clock.Now()
+	changed, err := n.store.Commit(ctx, aqstore.Txn{
+		If: []aqstore.Condition{
+			{Key: leadKey, Changed: held.Changed},
+			{Key: termKey, Changed: termItem.Changed},
+		},
+		Writes: []aqstore.Write{
+			{Key: leadKey, Value: record, Lease: lease},
+			{Key: termKey, Value: counted},
+		},
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	return n.newLeader(changed, term.Term, proof), lease, nil
+}
+
+func (n *Node) newLeader(changed aqstore.Revision, term int64, proof time.Time) *leader {
+	l := &leader{
+		node:        n,
+		token:       Fence(changed),
+		leadChanged: changed,
+		sessions:    map[aqtype.WorkerID]*sessionHandle{},
+		proofAt:     proof,
+		fleet:       map[aqtype.WorkerID]bool{},
+		wakeTick:    make(chan struct{}, 1),
+		wakeStore:   make(chan struct{}, 1),
+		ended:       make(chan struct{}),
+		decider: aqdecider.New(aqdecider.Options{
+			Limits:       n.settings.Decider,
+			FirstAttempt: aqdecider.Attempt(term * attemptsPerTerm),
+			Log:          n.log,
+			Metrics:      n.metrics,
+		}),
+	}
+	n.log.Write(aqlog.LeadTaken, slog.Int64("Term", term), slog.Int64("Fence", int64(changed)))
+	n.metrics.Inc(aqmetric.LeadTerms)
+	return l
+}
+
+// lead runs one term.
+func (n *Node) lead(ctx context.Context, l *leader, lease aqstore.LeaseID) {
+	n.mu.Lock()
+	n.current = l
+	n.mu.Unlock()
+	running, cancel := context.WithCancel(ctx)
+	n.work.Add(1)
+	go func() {
+		defer n.work.Done()
+		n.keepLead(running, l, lease)
+	}()
+	err := l.run(running)
+	cancel()
+	n.mu.Lock()
+	n.current = nil
+	n.mu.Unlock()
+	if ctx.Err() == nil {
+		n.log.Write(aqlog.LeadLost, slog.Int64("Fence", int64(l.token)), aqlog.Err(err))
+		return
+	}
+	n.releaseLead(lease)
+}
+
+// releaseLimit bounds the last call of a planned stop.
+const releaseLimit = time.Second
+
+func (n *Node) releaseLead(lease aqstore.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+	defer cancel()
+	if err := n.store.Revoke(ctx, lease); err != nil {
+		n.log.Write(aqlog.LeadTryFailed, aqlog.Err(err))
+		return
+	}
+	n.log.Write(aqlog.LeadReleased)
+}
+
+// keepLead renews the lease. Each renewal proves the leadership.
+func (n *Node) keepLead(ctx context.Context, l *leader, lease aqstore.LeaseID) {
+	for {
+		aqclock.Sleep(ctx, n.clock, leadRenew)
+		if ctx.Err() != nil {
+			return
+		}
+		sent := n.clock.Now()
+		err := n.store.KeepAlive(ctx, lease)
+		n.storeAnswered(err)
+		if errors.Is(err, aqstore.ErrNotFound) {
+			l.lose(errors.New("lease ended"))
+			return
+		}
+		if err == nil {
+			l.mu.Lock()
+			l.proofAt = sent
+			l.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/pkg/aqsite/fleet.go
@@ -0,0 +1,185 @@
+package aqsite
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqstore"
+	"acaciaquay/pkg/aqtype"
+)
+
+// takeWorkers takes a whole reading of service discovery.
+func (l *leader) takeWorkers(ctx context.Context, items []aqstore.Item) {
+	seen := map[aqtype.WorkerID]bool{}
+	for _, item := range items {
+		if w, ok := l.decodeWorker(item); ok {
+			seen[w.ID] = true
+			l.listWorker(ctx, w)
+		}
+	}
+	l.decide(func(d *aqdecider.Decider) {
+		for _, id := range d.WorkerIDs() {
+			if !seen[id] {
+				d.UnlistWorker(id)
+			}
+		}
+	})
+	l.dropSessions()
+}
+
+func (l *leader) decodeWorker(item aqstore.Item) (aqdecider.Worker, bool) {
+	w, err := l.node.catalog.DecodeWorker(item)
+	if err != nil {
+		l.node.ignoreEntry(item.Key, err)
+		return w, false
+	}
+	return w, true
+}
+
+func (l *leader) listWorker(ctx context.Context, w aqdecider.Worker) {
+	l.decide(func(d *aqdecider.Decider) { d.ListWorker(w) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost != nil {
+		return
+	}
+	if h := l.sessions[w.ID]; h != nil {
+		h.session.relist(w)
+		return
+	}
+	s := &session{
+		id:      w.ID,
+		leader:  l,
+		workers: l.node.workers,
+		clock:   l.node.clock,
+		log:     l.node.log,
+		metrics: l.node.metrics,
+		worker:  w,
+	}
+	sessionCtx, cancel := context.WithCancel(ctx)
+	l.sessions[w.ID] = &sessionHandle{session: s, cancel: cancel, ctx: sessionCtx}
+	l.work.Add(1)
+	go func() {
+		defer l.work.Done()
+		s.run(sessionCtx)
+	}()
+}
+
+// dropSessions ends the sessions of workers that are of no interest any more.
+func (l *leader) dropSessions() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, h := range l.sessions {
+		if !l.decider.Known(id) {
+			h.cancel()
+			delete(l.sessions, id)
+		}
+	}
+}
+
+// watchWorkers follows service discovery.
+func (l *leader) watchWorkers(ctx context.Context, from aqstore.Revision) {
+	prefix := l.node.catalog.WorkerPrefix
+	for ctx.Err() == nil {
+		events, next, err := l.node.store.Watch(ctx, prefix, from, watchWait)
+		if errors.Is(err, aqstore.ErrCompacted) {
+			l.node.metrics.Retried(aqmetric.RetryWatchReset)
+			l.node.log.Write(aqlog.WatchReset, slog.String("Prefix", prefix))
+			var items []aqstore.Item
+			items, next, err = l.node.store.Range(ctx, prefix)
+			if err == nil {
+				l.takeWorkers(ctx, items)
+			}
+		}
+		l.node.storeAnswered(err)
+		if err != nil {
+			aqclock.Sleep(ctx, l.node.clock, retryPause)
+			continue
+		}
+		from = next
+		for _, e := range events {
+			l.takeWorkerEvent(ctx, e)
+		}
+		l.dropSessions()
+	}
+}
+
+func (l *leader) takeWorkerEvent(ctx context.Context, e aqstore.Event) {
+	if e.Deleted {
+		id := aqtype.WorkerID(l.node.catalog.WorkerIDOf(e.Key))
+		l.decide(func(d *aqdecider.Decider) { d.UnlistWorker(id) })
+		return
+	}
+	if w, ok := l.decodeWorker(e.Item); ok {
+		l.listWorker(ctx, w)
+	}
+}
+
+// storeFleet stores the list of workers before anything is started on a new
+// one, so that the next leader knows where tasks may run.
+func (l *leader) storeFleet(ctx context.Context) error {
+	l.mu.Lock()
+	ids := l.decider.WorkerIDs()
+	same := len(ids) == len(l.fleet)
+	for _, id := range ids {
+		same = same && l.fleet[id]
+	}
+	l.mu.Unlock()
+	if same {
+		return nil
+	}
+	value, err := aqjob.Encode(fleetRecord{Workers: ids})
+	if err != nil {
+		return err
+	}
+	changed, err := l.node.store.Commit(ctx, aqstore.Txn{
+		If: []aqstore.Condition{
+			{Key: leadKey, Changed: l.leadChanged},
+			{Key: fleetKey, Changed: l.fleetChanged},
+		},
+		Writes: []aqstore.Write{{Key: fleetKey, Value: value}},
+	})
+	if err != nil {
+		return l.fleetDoubt(ctx, err)
+	}
+	l.fleetChanged = changed
+	l.fleet = make(map[aqtype.WorkerID]bool, len(ids))
+	for _, id := range ids {
+		l.fleet[id] = true
+	}
+	l.decide(func(d *aqdecider.Decider) { d.Enlist(ids) })
+	return nil
+}
+
+// fleetDoubt takes up the revision of a write whose answer was lost.
+func (l *leader) fleetDoubt(ctx context.Context, err error) error {
+	var conflict *aqstore.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	if lead := currentOf(conflict, leadKey); lead != l.leadChanged {
+		l.lose(err)
+		return err
+	}
+	l.fleetChanged = currentOf(conflict, fleetKey)
+	signal(l.wakeStore)
+	return nil
+}
+
+// currentOf returns the revision of a key in a conflict, zero when it does not
+// exist.
+func currentOf(conflict *aqstore.ConflictError, key string) aqstore.Revision {
+	for _, item := range conflict.Current {
+		if item.Key == key {
+			return item.Changed
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/aqsite/intake.go
@@ -0,0 +1,263 @@
+package aqsite
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqstore"
+)
+
+// The outcomes of submitters' calls besides success.
+var (
+	// ErrNoQueue means that no queue is configured for the address.
+	ErrNoQueue = errors.New("site: no such queue")
+	// ErrNoConfig means that this process has no configuration yet.
+	ErrNoConfig = errors.New("site: no configuration yet")
+	// ErrNoJob means that no such job exists.
+	ErrNoJob = errors.New("site: no such job")
+	// ErrNotAccepted means that the call had no effect and never will.
+	ErrNotAccepted = errors.New("site: not accepted")
+	// ErrOutcomeUnknown means that the call may take effect later.
+	ErrOutcomeUnknown = errors.New("site: outcome unknown")
+)
+
+// Timing of submitters' calls.
+const (
+	// askTimeout bounds one question to the leader.
+	askTimeout = 500 * time.Millisecond
+	// answerMargin is left of a submitter's deadline for the answer.
+	answerMargin = 150 * time.Millisecond
+	// submitPause is the pause between two tries of a submission.
+	submitPause = 60 * time.Millisecond
+)
+
+// Methods between processes.
+const (
+	methodState   aqpeer.Method = "Site.State"
+	methodPending aqpeer.Method = "Site.Pending"
+)
+
+type stateCall struct {
+	Job aqjob.ID
+}
+
+type stateAnswer struct {
+	State aqjob.State
+	Known bool
+}
+
+type pendingCall struct {
+	Queue aqjob.QueueID
+}
+
+type pendingAnswer struct {
+	Count int
+}
+
+// Route finds the queue that a submitter's address stands for.
+func (n *Node) Route(host, path string) (Route, error) {
+	route, found, configured := n.routes.lookup(host, path)
+	switch {
+	case !configured:
+		n.metrics.Refused(aqmetric.RefusedNoConfig)
+		return Route{}, ErrNoConfig
+	case !found:
+		n.metrics.Refused(aqmetric.RefusedNoQueue)
+		return Route{}, ErrNoQueue
+	}
+	return route, nil
+}
+
+// MaxBodyBytes bounds the body of a submission.
+func (n *Node) MaxBodyBytes() int {
+	if config := n.routes.config(); config != nil {
+		return config.MaxBodyBytes
+	}
+	return 0
+}
+
+// Submit stores a job. Submitting the same id again meets the first submission.
+// ErrNotAccepted means that the job never runs.
+func (n *Node) Submit(ctx context.Context, job *aqjob.Job) error {
+	begun := n.clock.Now()
+	job.AcceptedAt = n.wall().UnixMilli()
+	value, err := aqjob.Encode(job)
+	if err != nil {
+		return errors.WithMessage(ErrNotAccepted, err.Error())
+	}
+	key := jobKey(job.ID)
+	txn := aqstore.Txn{
+		If:     []aqstore.Condition{{Key: key}},
+		Writes: []aqstore.Write{{Key: key, Value: value}},
+	}
+	doubtful := false
+	for {
+		_, err = n.store.Commit(ctx, txn)
+		n.storeAnswered(err)
+		var conflict *aqstore.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			n.metrics.Inc(aqmetric.JobsAccepted)
+			n.metrics.Observe(aqmetric.TimeAccept, n.clock.Now().Sub(begun))
+			n.log.Write(aqlog.JobStored, slog.String("Job", string(job.ID)), slog.String("Queue", string(job.Queue.ID)),
+				slog.Bool("Repeated", conflict != nil), slog.Duration("Took", n.clock.Now().Sub(begun)))
+			return nil
+		}
+		if errors.Is(err, aqstore.ErrUnknown) {
+			doubtful = true
+		}
+		if !doubtful {
+			n.metrics.Refused(aqmetric.RefusedStoreDown)
+			n.log.Write(aqlog.JobTurnedAway, slog.String("Job", string(job.ID)), slog.String("Reason", "StoreDown"),
+				aqlog.Err(err))
+			return errors.WithMessage(ErrNotAccepted, err.Error())
+		}
+		aqclock.Sleep(ctx, n.clock, submitPause)
+		if ctx.Err() != nil {
+			n.log.Write(aqlog.JobInDoubt, slog.String("Job", string(job.ID)), aqlog.Err(err))
+			return errors.WithMessage(ErrOutcomeUnknown, err.Error())
+		}
+	}
+}
+
+// Cancel ends a job. It returns ErrNoJob when there is none.
+func (n *Node) Cancel(ctx context.Context, id aqjob.ID) error {
+	for {
+		err := n.cancelOnce(ctx, id)
+		n.storeAnswered(err)
+		if err == nil || errors.Is(err, ErrNoJob) {
+			return err
+		}
+		aqclock.Sleep(ctx, n.clock, submitPause)
+		if ctx.Err() != nil {
+			return errors.WithMessage(ErrOutcomeUnknown, err.Error())
+		}
+	}
+}
+
+func (n *Node) cancelOnce(ctx context.Context, id aqjob.ID) error {
+	_, err := n.store.Get(ctx, jobKey(id))
+	if errors.Is(err, aqstore.ErrNotFound) {
+		return ErrNoJob
+	}
+	if err != nil {
+		return err
+	}
+	_, err = n.store.Commit(ctx, aqstore.Txn{
+		If:     []aqstore.Condition{{Key: cancelKey(id)}},
+		Writes: []aqstore.Write{{Key: cancelKey(id), Value: []byte{}}},
+	})
+	var conflict *aqstore.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	if err == nil {
+		n.log.Write(aqlog.CancelStored, slog.String("Job", string(id)))
+	}
+	return err
+}
+
+// State returns a job's state from the leader, and from the store when the
+// leader does not answer.
+func (n *Node) State(ctx context.Context, id aqjob.ID) (aqjob.State, error) {
+	answer, err := n.askState(ctx, id)
+	if err == nil && answer.Known {
+		return answer.State, nil
+	}
+	state, err := n.storedState(ctx, id)
+	n.storeAnswered(err)
+	return state, err
+}
+
+func (n *Node) askState(ctx context.Context, id aqjob.ID) (stateAnswer, error) {
+	if l := n.leading(); l != nil {
+		state, known, current := l.state(id)
+		if !current {
+			return stateAnswer{}, ErrOutcomeUnknown
+		}
+		return stateAnswer{State: state, Known: known}, nil
+	}
+	var answer stateAnswer
+	err := n.askLeader(ctx, methodState, stateCall{Job: id}, &answer)
+	return answer, err
+}
+
+func (n *Node) askLeader(ctx context.Context, method aqpeer.Method, in, out any) error {
+	address := n.leaderAddress()
+	if address == "" {
+		return ErrOutcomeUnknown
+	}
+	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	err := n.peers.Call(bounded, address, method, in, out)
+	if err != nil {
+		n.metrics.Retried(aqmetric.RetryLeaderLost)
+	}
+	return err
+}
+
+func (n *Node) storedState(ctx context.Context, id aqjob.ID) (aqjob.State, error) {
+	item, err := n.store.Get(ctx, progressKey(id))
+	if err == nil {
+		progress, err := aqjob.DecodeProgress(item.Value)
+		if err != nil {
+			return "", err
+		}
+		return progress.State, nil
+	}
+	if !errors.Is(err, aqstore.ErrNotFound) {
+		return "", errors.WithMessage(ErrOutcomeUnknown, err.Error())
+	}
+	_, err = n.store.Get(ctx, jobKey(id))
+	if errors.Is(err, aqstore.ErrNotFound) {
+		return "", ErrNoJob
+	}
+	if err != nil {
+		return "", errors.WithMessage(ErrOutcomeUnknown, err.Error())
+	}
+	n.log.Write(aqlog.StateFromDisk, slog.String("Job", string(id)))
+	return aqjob.StateQueued, nil
+}
+
+// Pending counts a queue's jobs of which no task has started.
+func (n *Node) Pending(ctx context.Context, queue aqjob.QueueID) (int, error) {
+	if l := n.leading(); l != nil {
+		if count, current := l.pending(queue); current {
+			return count, nil
+		}
+		return 0, ErrOutcomeUnknown
+	}
+	var answer pendingAnswer
+	if err := n.askLeader(ctx, methodPending, pendingCall{Queue: queue}, &answer); err != nil {
+		n.metrics.Refused(aqmetric.RefusedNoLeader)
+		return 0, errors.WithMessage(ErrOutcomeUnknown, err.Error())
+	}
+	return answer.Count, nil
+}
+
+// handlePeers registers the answers to other processes.
+func (n *Node) handlePeers() {
+	aqpeer.Handle(n.server, methodState, func(_ context.Context, in stateCall) (stateAnswer, error) {
+		if l := n.leading(); l != nil {
+			if state, known, current := l.state(in.Job); current {
+				return stateAnswer{State: state, Known: known}, nil
+			}
+		}
+		return stateAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
+	})
+	aqpeer.Handle(n.server, methodPending, func(_ context.Context, in pendingCall) (pendingAnswer, error) {
+		if l := n.leading(); l != nil {
+			if count, current := l.pending(in.Queue); current {
+				return pendingAnswer{Count: count}, nil
+			}
+		}
+		return pendingAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
+	})
+}
--- /dev/null
+++ b/pkg/aqsite/leader.go
@@ -0,0 +1,370 @@
+package aqsite
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqstore"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Timing of a leader's loops.
+const (
+	// tickIdle bounds the time between two rounds of decisions.
+	tickIdle = 250 * time.Millisecond
+	// tickPause is the least time between two rounds: one round decides for all
+	// that came meanwhile.
+	tickPause = 4 * time.Millisecond
+	// storePause is the least time between two rounds of storing, storeLazy the
+	// same when nobody waits for a final state.
+	storePause = 25 * time.Millisecond
+	storeLazy  = 150 * time.Millisecond
+	// retryPause follows a store call that failed.
+	retryPause = 200 * time.Millisecond
+	// watchWait is how long one watch waits.
+	watchWait = 10 * time.Second
+	// proofLimit is how long a leader goes on without proof of its leadership.
+	proofLimit = 10 * time.Second
+)
+
+// leader is one term of leadership.
+type leader struct {
+	node  *Node
+	token Fence
+	// leadChanged is the revision of the lead key in this term.
+	leadChanged aqstore.Revision
+
+	mu       sync.Mutex
+	decider  *aqdecider.Decider
+	sessions map[aqtype.WorkerID]*sessionHandle
+	proofAt  time.Time
+	lost     error
+	// fleet is the stored list of workers with its revision.
+	fleet        map[aqtype.WorkerID]bool
+	fleetChanged aqstore.Revision
+
+	wakeTick  chan struct{}
+	wakeStore chan struct{}
+	ended     chan struct{}
+	work      sync.WaitGroup
+}
+
+type sessionHandle struct {
+	session *session
+	cancel  context.CancelFunc
+	ctx     context.Context
+}
+
+// fleetRecord is the value of the fleet key.
+type fleetRecord struct {
+	Workers []aqtype.WorkerID
+}
+
+// fence implements overseer.
+func (l *leader) fence() Fence { return l.token }
+
+// leaseLength implements overseer.
+func (l *leader) leaseLength() time.Duration { return l.node.settings.WorkerLease }
+
+// mayOrder implements overseer.
+func (l *leader) mayOrder() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost == nil && l.node.clock.Now().Sub(l.proofAt) < proofLimit
+}
+
+// deposed implements overseer.
+func (l *leader) deposed(by error) { l.lose(by) }
+
+func (l *leader) lose(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost != nil {
+		return
+	}
+	l.lost = err
+	close(l.ended)
+}
+
+// decide implements overseer.
+func (l *leader) decide(change func(*aqdecider.Decider)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost != nil {
+		return
+	}
+	l.decider.SetTime(l.node.clock.Now(), l.node.wall())
+	change(l.decider)
+	if l.decider.Wanted() {
+		signal(l.wakeTick)
+	}
+	if l.decider.Dirty() {
+		signal(l.wakeStore)
+	}
+}
+
+func signal(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// run leads until ctx ends or the leadership is lost, and returns why.
+func (l *leader) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer l.work.Wait()
+	defer cancel()
+	begun := l.node.clock.Now()
+	jobsFrom, workersFrom, err := l.recover(ctx)
+	if err != nil {
+		return err
+	}
+	l.node.log.Write(aqlog.LeadRecovered, slog.Duration("Took", l.node.clock.Now().Sub(begun)),
+		slog.Int("Workers", len(l.sessions)))
+	loops := []func(context.Context){
+		func(ctx context.Context) { l.watchJobs(ctx, jobsFrom) },
+		func(ctx context.Context) { l.watchWorkers(ctx, workersFrom) },
+		l.tickLoop,
+		l.storeLoop,
+	}
+	for _, loop := range loops {
+		l.work.Add(1)
+		go func() {
+			defer l.work.Done()
+			loop(ctx)
+		}()
+	}
+	select {
+	case <-ctx.Done():
+		l.lose(ctx.Err())
+	case <-l.ended:
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
+// recover reads the stored state and begins to look at the workers.
+func (l *leader) recover(ctx context.Context) (jobsFrom, workersFrom aqstore.Revision, err error) {
+	store := l.node.store
+	progress, _, err := store.Range(ctx, progressPrefix)
+	if err != nil {
+		return 0, 0, err
+	}
+	in, jobsFrom, err := store.Range(ctx, inPrefix)
+	if err != nil {
+		return 0, 0, err
+	}
+	listed, workersFrom, err := store.Range(ctx, l.node.catalog.WorkerPrefix)
+	if err != nil {
+		return 0, 0, err
+	}
+	fleet, err := l.readFleet(ctx)
+	if err != nil {
+		return 0, 0, err
+	}
+	stored := map[aqjob.ID]aqstore.Item{}
+	for _, item := range progress {
+		if id, ok := idUnder(progressPrefix, item.Key); ok {
+			stored[id] = item
+		}
+	}
+	l.setQueues(l.node.routes.config())
+	l.decide(func(d *aqdecider.Decider) {
+		doubtfulUntil := l.node.clock.Now().Add(proofLimit + 2*l.leaseLength())
+		d.Unsettle(fleet, doubtfulUntil)
+		for _, item := range listed {
+			if w, ok := l.decodeWorker(item); ok {
+				d.Unsettle([]aqtype.WorkerID{w.ID}, doubtfulUntil)
+			}
+		}
+		l.takeIn(d, in, stored)
+	})
+	l.takeWorkers(ctx, listed)
+	return jobsFrom, workersFrom, nil
+}
+
+func (l *leader) readFleet(ctx context.Context) ([]aqtype.WorkerID, error) {
+	item, err := l.node.store.Get(ctx, fleetKey)
+	if errors.Is(err, aqstore.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var record fleetRecord
+	if err := decode(item.Value, &record); err != nil {
+		return nil, err
+	}
+	l.fleetChanged = item.Changed
+	return record.Workers, nil
+}
+
+// takeIn takes a reading of everything under inPrefix: jobs, and the
+// cancellations after them.
+func (l *leader) takeIn(d *aqdecider.Decider, items []aqstore.Item, stored map[aqjob.ID]aqstore.Item) {
+	for _, item := range items {
+		if id, ok := idUnder(jobPrefix, item.Key); ok {
+			l.takeJob(d, id, item, stored)
+		}
+	}
+	for _, item := range items {
+		if id, ok := idUnder(cancelPrefix, item.Key); ok {
+			d.Cancel(id)
+		}
+	}
+}
+
+func (l *leader) takeJob(d *aqdecider.Decider, id aqjob.ID, item aqstore.Item, stored map[aqjob.ID]aqstore.Item) {
+	spec, err := aqjob.DecodeJob(item.Value)
+	if err != nil {
+		l.node.ignoreEntry(item.Key, err)
+		return
+	}
+	var progress *aqjob.Progress
+	kept := stored[id]
+	if kept.Changed > 0 {
+		progress, err = aqjob.DecodeProgress(kept.Value)
+		if err != nil {
+			l.node.ignoreEntry(kept.Key, err)
+			return
+		}
+	}
+	d.AddJob(spec, progress, kept.Changed, item.Created < l.leadChanged)
+}
+
+// watchJobs follows submissions, cancellations and the leadership.
+func (l *leader) watchJobs(ctx context.Context, from aqstore.Revision) {
+	for ctx.Err() == nil {
+		events, next, err := l.node.store.Watch(ctx, inPrefix, from, watchWait)
+		if errors.Is(err, aqstore.ErrCompacted) {
+			next, err = l.rereadJobs(ctx)
+		}
+		l.node.storeAnswered(err)
+		if err != nil {
+			aqclock.Sleep(ctx, l.node.clock, retryPause)
+			continue
+		}
+		from = next
+		l.takeEvents(events)
+	}
+}
+
+func (l *leader) takeEvents(events []aqstore.Event) {
+	if len(events) == 0 {
+		return
+	}
+	for _, e := range events {
+		if e.Key == leadKey && e.Changed != l.leadChanged {
+			l.lose(errors.Errorf("lead key changed at revision %d", e.Changed))
+			return
+		}
+	}
+	l.decide(func(d *aqdecider.Decider) {
+		for _, e := range events {
+			if e.Deleted {
+				continue
+			}
+			if id, ok := idUnder(jobPrefix, e.Key); ok {
+				l.takeJob(d, id, e.Item, nil)
+			}
+			if id, ok := idUnder(cancelPrefix, e.Key); ok {
+				d.Cancel(id)
+			}
+		}
+	})
+}
+
+// rereadJobs reads everything anew after the history was lost. The lead key is
+// read last, so no job of a later leader's term is taken.
+func (l *leader) rereadJobs(ctx context.Context) (aqstore.Revision, error) {
+	l.node.metrics.Retried(aqmetric.RetryWatchReset)
+	l.node.log.Write(aqlog.WatchReset, slog.String("Prefix", inPrefix))
+	items, from, err := l.node.store.Range(ctx, inPrefix)
+	if err != nil {
+		return 0, err
+	}
+	held := false
+	for _, item := range items {
+		held = held || item.Key == leadKey && item.Changed == l.leadChanged
+	}
+	if !held {
+		l.lose(errors.New("lead key is another's"))
+		return from, nil
+	}
+	l.decide(func(d *aqdecider.Decider) { l.takeIn(d, items, nil) })
+	return from, nil
+}
+
+// tickLoop turns decisions into orders.
+func (l *leader) tickLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.ended:
+			return
+		case <-l.wakeTick:
+		case <-l.node.clock.After(tickIdle):
+		}
+		var orders []aqdecider.Order
+		l.decide(func(d *aqdecider.Decider) { orders = d.Tick() })
+		l.dispatch(orders)
+		aqclock.Sleep(ctx, l.node.clock, tickPause)
+	}
+}
+
+func (l *leader) dispatch(orders []aqdecider.Order) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range orders {
+		if h := l.sessions[o.Target()]; h != nil {
+			h.session.send(h.ctx, o)
+		}
+	}
+}
+
+func (l *leader) setQueues(config *Config) {
+	if config == nil {
+		return
+	}
+	queues := make([]aqjob.Queue, 0, len(config.Routes))
+	for _, r := range config.Routes {
+		queues = append(queues, r.Queue)
+	}
+	l.decide(func(d *aqdecider.Decider) { d.SetQueues(queues) })
+}
+
+// state answers a status call, false when the job is not known.
+func (l *leader) state(id aqjob.ID) (state aqjob.State, known, current bool) {
+	if !l.mayOrder() {
+		return "", false, false
+	}
+	l.decide(func(d *aqdecider.Decider) {
+		state, known = d.State(id)
+		current = true
+	})
+	return state, known, current
+}
+
+// pending counts a queue's jobs that have not begun.
+func (l *leader) pending(queue aqjob.QueueID) (count int, current bool) {
+	if !l.mayOrder() {
+		return 0, false
+	}
+	l.decide(func(d *aqdecider.Decider) {
+		count = d.Pending(queue)
+		current = true
+	})
+	return count, current
+}
--- /dev/null
+++ b/pkg/aqsite/node.go
@@ -0,0 +1,238 @@
+package aqsite
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqstore"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Settings are what a node is told about itself.
+type Settings struct {
+	// Name is different from every other node's.
+	Name        string
+	Zone        aqtype.Zone
+	PeerAddress string
+	// Processors is the node's share of a core; strong nodes lead first.
+	Processors float64
+	// WorkerLease is how long a worker keeps its tasks without a word.
+	WorkerLease time.Duration
+	Decider     aqdecider.Limits
+}
+
+// Options configure a node.
+type Options struct {
+	Settings Settings
+	Store    aqstore.Store
+	Workers  Workers
+	Catalog  Catalog
+	Clock    aqclock.Clock
+	Log      *aqlog.Logger
+	Metrics  *aqmetric.Set
+	// Incarnation is different at every start of the process.
+	Incarnation int64
+}
+
+// Node is one process of the site.
+type Node struct {
+	settings    Settings
+	store       aqstore.Store
+	workers     Workers
+	catalog     Catalog
+	clock       aqclock.Clock
+	log         *aqlog.Logger
+	metrics     *aqmetric.Set
+	incarnation int64
+
+	server *aqpeer.Server
+	peers  *aqpeer.Pool
+	routes routes
+
+	mu      sync.Mutex
+	current *leader
+	// seen is the leader that the store names, nil while it names none.
+	seen     *leadRecord
+	stopping bool
+
+	storeDown atomic.Bool
+	work      sync.WaitGroup
+}
+
+// Bounds of calls between processes.
+const (
+	peerDial = 400 * time.Millisecond
+	peerCall = 500 * time.Millisecond
+)
+
+// NewNode returns a node that does nothing yet.
+func NewNode(o Options) *Node {
+	n := &Node{
+		settings:    o.Settings,
+		store:       o.Store,
+		workers:     o.Workers,
+		catalog:     o.Catalog,
+		clock:       o.Clock,
+		log:         o.Log,
+		metrics:     o.Metrics,
+		incarnation: o.Incarnation,
+		server:      aqpeer.NewServer(o.Log, o.Metrics),
+		peers:       aqpeer.NewPool(aqpeer.ClientLimits{Dial: peerDial, Call: peerCall}),
+	}
+	n.handlePeers()
+	return n
+}
+
+// wall is the time of day.
+func (n *Node) wall() time.Time { return n.clock.Now().Round(0) }
+
+// Run takes part in the site until ctx ends. Afterwards nothing is decided here.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.server.Start(n.settings.PeerAddress); err != nil {
+		return err
+	}
+	n.work.Add(2)
+	go func() {
+		defer n.work.Done()
+		n.watchConfig(ctx)
+	}()
+	go func() {
+		defer n.work.Done()
+		n.elect(ctx)
+	}()
+	n.work.Wait()
+	return nil
+}
+
+// Close ends the calls between processes.
+func (n *Node) Close() {
+	n.server.Stop()
+	n.peers.Close()
+}
+
+// Ready reports whether submissions can be taken.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	stopping := n.stopping
+	n.mu.Unlock()
+	return !stopping && n.routes.config() != nil && !n.storeDown.Load()
+}
+
+// StopTaking makes the node report that it takes nothing new.
+func (n *Node) StopTaking() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopping = true
+}
+
+func (n *Node) leading() *leader {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.current
+}
+
+func (n *Node) leaderAddress() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.seen == nil {
+		return ""
+	}
+	return n.seen.Address
+}
+
+// storeAnswered follows whether the store serves this process.
+func (n *Node) storeAnswered(err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	down := errors.Is(err, aqstore.ErrUnknown) || errors.Is(err, aqstore.ErrRefused)
+	if n.storeDown.Swap(down) == down {
+		return
+	}
+	if down {
+		n.log.Write(aqlog.StoreLost, aqlog.Err(err))
+		return
+	}
+	n.log.Write(aqlog.StoreRegained)
+}
+
+func (n *Node) ignoreEntry(key string, err error) {
+	n.metrics.Refused(aqmetric.RefusedEntry)
+	n.log.Write(aqlog.EntryIgnored, slog.String("Key", key), aqlog.Err(err))
+}
+
+// watchConfig follows the operators' configuration.
+func (n *Node) watchConfig(ctx context.Context) {
+	var from aqstore.Revision
+	for ctx.Err() == nil {
+		next, err := n.followConfig(ctx, from)
+		n.storeAnswered(err)
+		if err != nil {
+			aqclock.Sleep(ctx, n.clock, retryPause)
+		}
+		from = next
+	}
+}
+
+// followConfig reads the configuration when from is zero and waits for the next
+// otherwise. It returns the revision to go on from, zero to read anew.
+func (n *Node) followConfig(ctx context.Context, from aqstore.Revision) (aqstore.Revision, error) {
+	if from == 0 {
+		items, as, err := n.store.Range(ctx, n.catalog.ConfigKey)
+		if err != nil {
+			return 0, err
+		}
+		for _, item := range items {
+			n.takeConfig(item)
+		}
+		return as, nil
+	}
+	events, next, err := n.store.Watch(ctx, n.catalog.ConfigKey, from, watchWait)
+	if errors.Is(err, aqstore.ErrCompacted) {
+		n.metrics.Retried(aqmetric.RetryWatchReset)
+		return 0, nil
+	}
+	if err != nil {
+		return from, err
+	}
+	for _, e := range events {
+		if !e.Deleted {
+			n.takeConfig(e.Item)
+		}
+	}
+	return next, nil
+}
+
+func (n *Node) takeConfig(item aqstore.Item) {
+	if item.Key != n.catalog.ConfigKey {
+		return
+	}
+	config, err := n.catalog.DecodeConfig(item.Value)
+	if err != nil {
+		n.ignoreEntry(item.Key, err)
+		return
+	}
+	if !n.routes.take(config) {
+		return
+	}
+	n.log.Write(aqlog.SiteConfig, slog.Int64("Version", config.Version), slog.Int64("Revision", int64(item.Changed)),
+		slog.Int("Routes", len(config.Routes)))
+	if l := n.leading(); l != nil {
+		l.setQueues(config)
+	}
+}
+
+func decode(data []byte, out any) error {
+	return errors.Wrap(msgpack.Unmarshal(data, out), "site: decode")
+}
--- /dev/null
+++ b/pkg/aqsite/routes.go
@@ -0,0 +1,68 @@
+package aqsite
+
+import (
+	"strings"
+	"sync/atomic"
+
+	"acaciaquay/pkg/aqjob"
+)
+
+// routes is the newest configuration that this process has seen. Versions only
+// rise.
+type routes struct {
+	current atomic.Pointer[routeTable]
+}
+
+type routeTable struct {
+	config *Config
+	byHost map[string][]Route
+}
+
+// take puts a configuration into force unless a newer one is.
+func (r *routes) take(config *Config) bool {
+	before := r.current.Load()
+	if before != nil && before.config.Version >= config.Version {
+		return false
+	}
+	table := &routeTable{config: config, byHost: map[string][]Route{}}
+	for _, route := range config.Routes {
+		table.byHost[route.Host] = append(table.byHost[route.Host], route)
+	}
+	r.current.Store(table)
+	return true
+}
+
+func (r *routes) config() *Config {
+	if table := r.current.Load(); table != nil {
+		return table.config
+	}
+	return nil
+}
+
+// lookup finds the route with the longest prefix of path.
+func (r *routes) lookup(host, path string) (route Route, found, configured bool) {
+	table := r.current.Load()
+	if table == nil {
+		return Route{}, false, false
+	}
+	for _, candidate := range table.byHost[host] {
+		if strings.HasPrefix(path, candidate.Prefix) && (!found || len(candidate.Prefix) > len(route.Prefix)) {
+			route, found = candidate, true
+		}
+	}
+	return route, found, true
+}
+
+// queueByID finds a queue of the newest configuration.
+func (r *routes) queueByID(id aqjob.QueueID) (aqjob.Queue, bool) {
+	table := r.current.Load()
+	if table == nil {
+		return aqjob.Queue{}, false
+	}
+	for _, route := range table.config.Routes {
+		if route.Queue.ID == id {
+			return route.Queue, true
+		}
+	}
+	return aqjob.Queue{}, false
+}
