Learn which fillers slow down which serving tasks; pack serving tasks by image

For each serving image some fillers multiply its tail by e^(5..9 x their share of the worker) and the others do nothing. Slowing down every filler beside a tail halted work that did no harm.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -51,8 +51,7 @@
 	orders    []Order
 	dirty     map[aqjob.ID]*job
 	ended     []endedJob
-	runTimes  *runTimes
-	tails     *tails
+	model     *interference
 	advice    map[groupKey]*advice
 	now       time.Time
 	wall      time.Time
@@ -74,8 +73,7 @@
 		waiting:   map[*group]bool{},
 		unsettled: map[aqtype.WorkerID]time.Time{},
 		dirty:     map[aqjob.ID]*job{},
-		runTimes:  newRunTimes(),
-		tails:     newTails(),
+		model:     newInterference(),
 		advice:    map[groupKey]*advice{},
 	}
 }
--- /dev/null
+++ b/pkg/aqdecider/interference.go
@@ -0,0 +1,239 @@
+package aqdecider
+
+import (
+	"math"
+	"time"
+)
+
+// imagePair is a serving image and the image of a filler beside it.
+type imagePair struct {
+	serving string
+	filler  string
+}
+
+// effect is what is known of a pair: the logarithm of the serving task's tail
+// rises by factor for each whole worker of processors that the filler uses.
+type effect struct {
+	factor float64
+	// weight is the evidence so far, decayed.
+	weight float64
+}
+
+// Parameters of the model of interference.
+const (
+	// priorFactor expects some harm from pairs that were never seen.
+	priorFactor = 3.0
+	// priorWeight is the evidence that the prior counts for.
+	priorWeight = 0.02
+	// maxFactor bounds an estimate against a single odd figure.
+	maxFactor = 15.0
+	// weightDecay forgets old evidence: effects change.
+	weightDecay = 0.998
+	// aloneShare is the part of a worker below which fillers do not matter.
+	aloneShare = 0.01
+	// baseGuess is the expected tail, over the target, of a task on its own.
+	baseGuess = 0.45
+	// baseWeight is the weight of a new figure of a task on its own.
+	baseWeight = 0.03
+	// harmfulFactor divides pairs that matter from those that do not.
+	harmfulFactor = 2.0
+	// maxPairs bounds the memory of the model.
+	maxPairs = 4096
+)
+
+// interference learns, from the workers' figures, which fillers slow down which
+// serving tasks.
+type interference struct {
+	pairs map[imagePair]*effect
+	// bases holds the logarithm of each serving image's tail over its target
+	// when it runs on its own.
+	bases map[string]float64
+}
+
+func newInterference() *interference {
+	return &interference{
+		pairs: map[imagePair]*effect{},
+		bases: map[string]float64{},
+	}
+}
+
+func (m *interference) base(serving string) float64 {
+	if base, known := m.bases[serving]; known {
+		return base
+	}
+	return math.Log(baseGuess)
+}
+
+func (m *interference) factor(serving, filler string) float64 {
+	if e := m.pairs[imagePair{serving: serving, filler: filler}]; e != nil {
+		return e.factor
+	}
+	return priorFactor
+}
+
+// predict returns the expected tail over its target beside fillers, which use
+// shares of the worker by image.
+func (m *interference) predict(serving string, fillers map[string]float64) float64 {
+	sum := m.base(serving)
+	for image, share := range fillers {
+		sum += m.factor(serving, image) * share
+	}
+	return math.Exp(sum)
+}
+
+// observe takes one figure of a serving task.
+func (m *interference) observe(serving string, ratio float64, fillers map[string]float64) {
+	if ratio <= 0 {
+		return
+	}
+	measured := math.Log(ratio)
+	total, squares := 0.0, 0.0
+	for _, share := range fillers {
+		total += share
+		squares += share * share
+	}
+	if total < aloneShare {
+		m.bases[serving] = m.base(serving) + baseWeight*(measured-m.base(serving))
+		return
+	}
+	miss := measured - math.Log(m.predict(serving, fillers))
+	for image, share := range fillers {
+		e := m.effect(serving, image)
+		if e == nil || share <= 0 {
+			continue
+		}
+		e.weight = weightDecay*e.weight + share*share
+		e.factor += miss * share / max(e.weight, squares)
+		e.factor = max(0, min(maxFactor, e.factor))
+	}
+}
+
+// effect returns the entry of a pair, nil when the model is full.
+func (m *interference) effect(serving, filler string) *effect {
+	pair := imagePair{serving: serving, filler: filler}
+	e := m.pairs[pair]
+	if e == nil && len(m.pairs) < maxPairs {
+		e = &effect{factor: priorFactor, weight: priorWeight}
+		m.pairs[pair] = e
+	}
+	return e
+}
+
+// heaviness is the part of the known serving images that a filler harms.
+func (m *interference) heaviness(filler string) float64 {
+	harmed := 0
+	for serving := range m.bases {
+		if m.factor(serving, filler) > harmfulFactor {
+			harmed++
+		}
+	}
+	if len(m.bases) == 0 {
+		return 0
+	}
+	return float64(harmed) / float64(len(m.bases))
+}
+
+// measured returns the shares of a worker that fillers used by its last figures.
+func (w *worker) measured(now time.Time) map[string]float64 {
+	shares := map[string]float64{}
+	for _, r := range w.runs {
+		if spec := r.task.group.spec; spec.Filler && now.Sub(r.reportAt) < staleReport {
+			shares[spec.Image] += share(int64(r.report.Usage), int64(w.listed.Capacity.MilliCPU))
+		}
+	}
+	return shares
+}
+
+// servingLoad is the part of their reservation that serving tasks are expected
+// to use.
+const servingLoad = 0.5
+
+// leftover is what fillers can expect of a worker's processors.
+func (w *worker) leftover() float64 {
+	left := float64(w.listed.Capacity.MilliCPU)
+	for _, r := range w.runs {
+		spec := r.task.group.spec
+		switch {
+		case spec.Filler:
+		case spec.TailTarget > 0:
+			left -= servingLoad * float64(spec.Size.MilliCPU)
+		default:
+			left -= float64(spec.Size.MilliCPU)
+		}
+	}
+	return max(0, left)
+}
+
+// demand is what the fillers of a worker would use at their pace.
+func (w *worker) demand() float64 {
+	sum := 0.0
+	for _, r := range w.runs {
+		if spec := r.task.group.spec; spec.Filler && r.state != runStopping {
+			sum += float64(spec.Size.MilliCPU) * float64(r.pace) / fullPace
+		}
+	}
+	return sum
+}
+
+// expected returns the shares of a worker that its fillers are expected to use,
+// together with one more of a group.
+func (w *worker) expected(more *group) map[string]float64 {
+	shares := map[string]float64{}
+	capacity := float64(w.listed.Capacity.MilliCPU)
+	if capacity <= 0 {
+		return shares
+	}
+	total := w.demand()
+	if more != nil {
+		total += float64(more.spec.Size.MilliCPU)
+	}
+	scale := 1.0
+	if left := w.leftover(); total > left && total > 0 {
+		scale = left / total
+	}
+	for _, r := range w.runs {
+		if spec := r.task.group.spec; spec.Filler && r.state != runStopping {
+			shares[spec.Image] += scale * float64(spec.Size.MilliCPU) * float64(r.pace) / fullPace / capacity
+		}
+	}
+	if more != nil {
+		shares[more.spec.Image] += scale * float64(more.spec.Size.MilliCPU) / capacity
+	}
+	return shares
+}
+
+// servingImages lists the images that serve on a worker.
+func (w *worker) servingImages() map[string]bool {
+	images := map[string]bool{}
+	for _, r := range w.runs {
+		if spec := r.task.group.spec; spec.TailTarget > 0 {
+			images[spec.Image] = true
+		}
+	}
+	return images
+}
+
+// worstBeside returns the highest expected tail ratio of a worker's serving
+// tasks beside fillers.
+func (d *Decider) worstBeside(w *worker, fillers map[string]float64) float64 {
+	worst := 0.0
+	for image := range w.servingImages() {
+		worst = max(worst, d.model.predict(image, fillers))
+	}
+	return worst
+}
+
+// observe feeds a worker's figures to the model. It is called after a listing.
+func (d *Decider) observe(w *worker) {
+	var fillers map[string]float64
+	for _, r := range w.runs {
+		target := r.task.group.spec.TailTarget
+		if target <= 0 || !r.reportAt.Equal(d.now) || r.report.Percent < 100 || r.report.Tail <= 0 {
+			continue
+		}
+		if fillers == nil {
+			fillers = w.measured(d.now)
+		}
+		d.model.observe(r.task.group.spec.Image, float64(r.report.Tail)/float64(target), fillers)
+	}
+}
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -119,6 +119,8 @@
 	percent int
 	pace    int
 	paceAt  time.Time
+	// crawlSince is when the pace fell below crawlPace.
+	crawlSince time.Time
 	// overSince is when a serving run's tail went over its target.
 	overSince time.Time
 	// missing counts the listings without the run since it was confirmed.
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -4,56 +4,40 @@
 	"log/slog"
 	"time"
 
-	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
-	"acaciaquay/pkg/aqtype"
 )
 
 // Shares of a task's speed, in percent.
 const (
-	fullPace  = 100
+	fullPace = 100
+	// crawlPace is the share below which a filler is moved when another worker
+	// suits it.
+	crawlPace = 40
 	raiseStep = 25
+	lowerBy   = 3
 )
 
-// Parts of a tail latency target at which fillers are slowed down or let go.
+// Parts of a tail latency target.
 const (
-	tailOver  = 1.0
-	tailNear  = 0.8
-	tailClear = 0.55
+	// tailPlan is the expected tail up to which fillers are placed and let go.
+	tailPlan = 0.8
+	// tailOver is the measured tail from which fillers are slowed down.
+	tailOver = 0.95
+	// tailClear is the measured tail below which they are let go again.
+	tailClear = 0.65
 )
 
-// reportSpan is the time that a worker's figures cover.
-const reportSpan = 500 * time.Millisecond
-
-// staleReport is the age from which a worker's figures decide nothing.
-const staleReport = 2 * time.Second
-
-// tails remembers, for each image that serves, how close to their targets its
-// tasks run beside fillers.
-type tails struct {
-	beside map[imagePair]float64
-}
-
-// imagePair is a serving image and the image of a filler beside it.
-type imagePair struct {
-	serving string
-	filler  string
-}
-
-// tailWeight is the weight of a new figure in a moving average.
-const tailWeight = 0.2
-
-func newTails() *tails {
-	return &tails{beside: map[imagePair]float64{}}
-}
-
-func (t *tails) observe(pair imagePair, ratio float64) {
-	before, known := t.beside[pair]
-	if !known {
-		before = ratio
-	}
-	t.beside[pair] = before + tailWeight*(ratio-before)
-}
+const (
+	// reportSpan is the time that a worker's figures cover.
+	reportSpan = 500 * time.Millisecond
+	// staleReport is the age from which a worker's figures decide nothing.
+	staleReport = 2 * time.Second
+	// blameAll is how long a tail may stay over its target before every filler
+	// beside it is slowed down, whatever the model says.
+	blameAll = 1500 * time.Millisecond
+	// crawlTime is how long a filler crawls before it is moved.
+	crawlTime = time.Second
+)
 
 // pace slows fillers down beside serving tasks whose tails near their targets,
 // and lets them go again.
@@ -62,115 +46,136 @@
 		if !w.reachable {
 			continue
 		}
-		ratio, fresh := d.tailRatio(w)
-		if !fresh {
-			continue
-		}
 		for _, r := range w.runs {
 			if r.task.group.spec.Filler && r.state == runRunning {
-				d.paceRun(r, ratio)
+				d.paceRun(w, r)
 			}
 		}
 	}
 }
 
-// tailRatio returns the worst tail of a worker's serving tasks over its target.
-// A worker without fresh figures of serving tasks gives none.
-func (d *Decider) tailRatio(w *worker) (float64, bool) {
-	worst, fresh := 0.0, false
+// paceRun adjusts one filler to the tails beside it.
+func (d *Decider) paceRun(w *worker, filler *run) {
+	if d.now.Sub(filler.paceAt) < reportSpan+d.options.Limits.PaceDelay {
+		return
+	}
+	image := filler.task.group.spec.Image
+	worst, over := 0.0, 0.0
 	for _, r := range w.runs {
 		target := r.task.group.spec.TailTarget
 		if target <= 0 || r.state != runRunning || d.now.Sub(r.reportAt) > staleReport || r.report.Percent < 100 {
 			continue
 		}
-		fresh = true
-		worst = max(worst, float64(r.report.Tail)/float64(target))
-	}
-	return worst, fresh
-}
-
-func (d *Decider) paceRun(r *run, ratio float64) {
-	if d.now.Sub(r.paceAt) < reportSpan+d.options.Limits.PaceDelay {
-		return
+		ratio := float64(r.report.Tail) / float64(target)
+		worst = max(worst, ratio)
+		blamed := d.model.factor(r.task.group.spec.Image, image) > harmfulFactor
+		longOver := !r.overSince.IsZero() && d.now.Sub(r.overSince) > blameAll
+		if ratio >= tailOver && (blamed || longOver) {
+			over = max(over, ratio)
+		}
 	}
-	want := r.pace
 	switch {
-	case ratio >= tailOver:
-		want = r.pace / 4
-	case ratio >= tailNear:
-		want = r.pace / 2
-	case ratio <= tailClear:
-		want = min(fullPace, r.pace+raiseStep)
-	}
-	if want == r.pace {
-		return
+	case over > 0 && filler.pace > 0:
+		d.setPace(filler, filler.pace/lowerBy, over)
+	case worst <= tailClear && filler.pace < fullPace && d.worstBeside(w, w.expected(nil)) <= tailPlan:
+		d.setPace(filler, min(fullPace, filler.pace+raiseStep), worst)
 	}
-	d.setPace(r, want, ratio)
 }
 
 func (d *Decider) setPace(r *run, percent int, ratio float64) {
 	d.options.Log.Write(aqlog.RunPaced, taskAttr(r.id.Task), workerAttr(r.worker.listed.ID),
 		slog.Int("From", r.pace), slog.Int("To", percent), slog.Float64("TailRatio", ratio))
+	if percent < crawlPace && r.pace >= crawlPace {
+		r.crawlSince = d.now
+	}
 	r.pace = percent
 	r.paceAt = d.now
 	d.order(Pace{Worker: r.worker.listed.ID, Run: r.id, Percent: percent})
 }
 
-// Weights of a filler's score.
-const (
-	// weightTail counts the worst tail beside which the filler would work.
-	weightTail = 1.0
-	// weightPaced counts fillers on the worker that are slowed down already.
-	weightPaced = 0.5
-)
+// noteTail follows how long a serving run's tail is over its target.
+func (r *run) noteTail(now time.Time) {
+	target := r.task.group.spec.TailTarget
+	switch {
+	case target <= 0 || r.report.Percent < 100 || r.report.Tail < target:
+		r.overSince = time.Time{}
+	case r.overSince.IsZero():
+		r.overSince = now
+	}
+}
 
-// fillerScore is low where processors are idle and no tail is near its target.
-func (d *Decider) fillerScore(g *group, w *worker) float64 {
-	var busy aqtype.MilliCPU
-	score := 0.0
-	for _, r := range w.runs {
-		spec := r.task.group.spec
-		switch {
-		case spec.Filler:
-			busy += spec.Size.MilliCPU
-			if r.pace < fullPace {
-				score += weightPaced
+// relocate moves checkpointing fillers that crawl to workers that suit them.
+func (d *Decider) relocate() {
+	for _, w := range d.workers {
+		if !w.reachable {
+			continue
+		}
+		for _, r := range w.runs {
+			spec := r.task.group.spec
+			if !spec.Filler || !spec.Checkpointing || r.state != runRunning || r.pace >= crawlPace ||
+				d.now.Sub(r.crawlSince) < crawlTime {
+				continue
+			}
+			if other := d.choose(r.task, nil); other != nil && other != w {
+				d.stop(r, "tails beside it are over their targets")
 			}
-		case spec.TailTarget > 0:
-			busy += spec.Size.MilliCPU / 2
-		default:
-			busy += spec.Size.MilliCPU
 		}
 	}
-	if ratio, fresh := d.tailRatio(w); fresh {
-		score += weightTail * ratio
-	}
-	return score + share(int64(busy+g.spec.Size.MilliCPU), int64(w.listed.Capacity.MilliCPU))
 }
 
-// runTimes learns how long tasks take, as a factor of their estimates.
-type runTimes struct {
-	factors map[aqjob.QueueID]float64
-}
+// Weights of the scores by kind of task.
+const (
+	// weightMixed counts each other serving image on a worker: fillers must suit
+	// all of them.
+	weightMixed = 1.0
+	// weightOpened keeps workers without serving tasks free of them.
+	weightOpened = 0.6
+	// weightHarmed keeps serving tasks away from fillers that harm them.
+	weightHarmed = 3.0
+	// weightFree keeps workers without serving tasks for the fillers that harm.
+	weightFree = 0.5
+	// maxDemand is how far fillers may exceed what is expected to be left over.
+	maxDemand = 1.15
+)
 
-func newRunTimes() *runTimes {
-	return &runTimes{factors: map[aqjob.QueueID]float64{}}
+// servingScore packs serving tasks with others of the same image.
+func (d *Decider) servingScore(g *group, w *worker) float64 {
+	score := 0.0
+	images := w.servingImages()
+	switch {
+	case len(images) == 0:
+		score += weightOpened
+	case !images[g.spec.Image]:
+		score += weightMixed
+	}
+	for image := range images {
+		if image != g.spec.Image {
+			score += weightMixed / 2
+		}
+	}
+	if d.model.predict(g.spec.Image, w.expected(nil)) > tailPlan {
+		score += weightHarmed
+	}
+	return score - share(int64(w.used.MilliCPU), int64(w.listed.Capacity.MilliCPU))
 }
 
-// learn takes the run time of a run that ended with success.
-func (d *Decider) learn(r *run) {
-	estimate := r.task.group.spec.Estimate
-	if estimate <= 0 || r.confirmedAt.IsZero() {
-		return
+// fillerScore is low where processors are left over. It is negative where the
+// filler does not suit the worker.
+func (d *Decider) fillerScore(g *group, w *worker) float64 {
+	demand := w.demand() + float64(g.spec.Size.MilliCPU)
+	left := w.leftover()
+	if demand > maxDemand*left {
+		return unsuited
+	}
+	if d.worstBeside(w, w.expected(g)) > tailPlan {
+		return unsuited
 	}
-	queue := r.task.group.occurrence.job.queue.ID
-	factor := float64(d.now.Sub(r.confirmedAt)) / float64(estimate)
-	before, known := d.runTimes.factors[queue]
-	if !known {
-		before = factor
+	score := demand / left
+	if len(w.servingImages()) == 0 {
+		score += weightFree * (1 - d.model.heaviness(g.spec.Image))
 	}
-	d.runTimes.factors[queue] = before + tailWeight*(factor-before)
+	return score
 }
 
-// relocate takes tasks off workers on which they stand still.
-func (d *Decider) relocate() {}
+// unsuited is the score of a worker that must not get the task.
+const unsuited = -1000.0
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -162,6 +162,9 @@
 			continue
 		}
 		score := d.score(t, w, promised)
+		if score <= unsuited/2 {
+			continue
+		}
 		if best == nil || score < bestScore || score == bestScore && w.listed.ID < best.listed.ID {
 			best, bestScore = w, score
 		}
@@ -214,9 +217,14 @@
 	g := t.group
 	capacity := w.listed.Capacity
 	used := w.used.Add(promised)
-	score := share(int64(used.MilliCPU), int64(capacity.MilliCPU))
-	if g.spec.Filler {
+	var score float64
+	switch {
+	case g.spec.Filler:
 		score = d.fillerScore(g, w)
+	case g.spec.TailTarget > 0:
+		score = d.servingScore(g, w)
+	default:
+		score = 1 - share(int64(used.MilliCPU), int64(capacity.MilliCPU))
 	}
 	if g.spec.Affinity != "" && string(w.rack) != g.spec.Affinity {
 		score += weightOffRack
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -225,15 +225,8 @@
 	if l.Whole {
 		d.findMissing(w, listed, l.SentAt)
 	}
-	if !w.settledOnce(d) {
-		d.settle(id)
-	}
-}
-
-// settledOnce reports whether the worker had been settled before.
-func (w *worker) settledOnce(d *Decider) bool {
-	_, doubtful := d.unsettled[w.listed.ID]
-	return !doubtful
+	d.observe(w)
+	d.settle(id)
 }
 
 // runSeen takes one running task of a listing.
@@ -258,6 +251,7 @@
 	}
 	r.report = report
 	r.reportAt = d.now
+	r.noteTail(d.now)
 	if report.Checkpoint != "" {
 		r.checkpoint = report.Checkpoint
 	}
@@ -407,7 +401,6 @@
 	}
 	switch how {
 	case EndDone:
-		d.learn(r)
 		w.health.succeeded()
 		if !t.group.spec.Perpetual && !j.state.Final() {
 			d.taskDone(t)
--- a/pkg/aqsite/session.go
+++ b/pkg/aqsite/session.go
@@ -25,6 +25,9 @@
 	lookClose = 400 * time.Millisecond
 	// lookMargin is how much longer than its wait a look may take.
 	lookMargin = 700 * time.Millisecond
+	// lookPause is the least time between two looks: one answer brings all ends
+	// of that time.
+	lookPause = 50 * time.Millisecond
 	// lookRetry is the pause after a look that failed.
 	lookRetry = 150 * time.Millisecond
 	// orderTimeout bounds one try of an order.
@@ -128,7 +131,9 @@
 	for ctx.Err() == nil {
 		if !s.look(ctx) {
 			aqclock.Sleep(ctx, s.clock, lookRetry)
+			continue
 		}
+		aqclock.Sleep(ctx, s.clock, lookPause)
 	}
 }
 
