--- a/pkg/aqdecider/interference.go
+++ b/pkg/aqdecider/interference.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -148,79 +149,87 @@
 // to use.
 const servingLoad = 0.5
 
-// leftover is what fillers can expect of a worker's processors.
-func (w *worker) leftover() float64 {
-	left := float64(w.listed.Capacity.MilliCPU)
+// load is what a worker's runs amount to. It is computed when it is asked for
+// after a change.
+type load struct {
+	// serving lists the images that serve on the worker.
+	serving []string
+	// fillers is the processors that fillers would use at their pace, by image.
+	fillers map[string]float64
+	// demand is the sum over all fillers.
+	demand float64
+	// leftover is what fillers can expect of the worker's processors.
+	leftover float64
+}
+
+// changed notes that the worker's runs or their paces have changed.
+func (w *worker) changed() { w.load = nil }
+
+func (w *worker) current() *load {
+	if w.load != nil {
+		return w.load
+	}
+	l := &load{
+		fillers:  map[string]float64{},
+		leftover: float64(w.listed.Capacity.MilliCPU),
+	}
 	for _, r := range w.runs {
 		spec := r.task.group.spec
+		size := float64(spec.Size.MilliCPU)
 		switch {
 		case spec.Filler:
+			if r.state != runStopping {
+				l.fillers[spec.Image] += size * float64(r.pace) / fullPace
+				l.demand += size * float64(r.pace) / fullPace
+			}
 		case spec.TailTarget > 0:
-			left -= servingLoad * float64(spec.Size.MilliCPU)
+			l.leftover -= servingLoad * size
+			if !slices.Contains(l.serving, spec.Image) {
+				l.serving = append(l.serving, spec.Image)
+			}
 		default:
-			left -= float64(spec.Size.MilliCPU)
+			l.leftover -= size
 		}
 	}
-	return max(0, left)
+	slices.Sort(l.serving)
+	l.leftover = max(0, l.leftover)
+	w.load = l
+	return l
 }
 
-// demand is what the fillers of a worker would use at their pace.
-func (w *worker) demand() float64 {
-	sum := 0.0
-	for _, r := range w.runs {
-		if spec := r.task.group.spec; spec.Filler && r.state != runStopping {
-			sum += float64(spec.Size.MilliCPU) * float64(r.pace) / fullPace
-		}
+// worstBeside returns the highest expected tail ratio of a worker's serving
+// tasks, beside its fillers and one more of a group if it is given.
+func (d *Decider) worstBeside(w *worker, more *group) float64 {
+	worst := 0.0
+	for _, image := range w.current().serving {
+		worst = max(worst, d.tailBeside(w, image, more))
 	}
-	return sum
+	return worst
 }
 
-// expected returns the shares of a worker that its fillers are expected to use,
-// together with one more of a group.
-func (w *worker) expected(more *group) map[string]float64 {
-	shares := map[string]float64{}
+// tailBeside returns the expected tail ratio of a serving image on a worker.
+func (d *Decider) tailBeside(w *worker, serving string, more *group) float64 {
+	l := w.current()
 	capacity := float64(w.listed.Capacity.MilliCPU)
 	if capacity <= 0 {
-		return shares
+		return math.Exp(d.model.base(serving))
 	}
-	total := w.demand()
+	added := 0.0
 	if more != nil {
-		total += float64(more.spec.Size.MilliCPU)
+		added = float64(more.spec.Size.MilliCPU)
 	}
 	scale := 1.0
-	if left := w.leftover(); total > left && total > 0 {
-		scale = left / total
+	if total := l.demand + added; total > l.leftover {
+		scale = l.leftover / total
 	}
-	for _, r := range w.runs {
-		if spec := r.task.group.spec; spec.Filler && r.state != runStopping {
-			shares[spec.Image] += scale * float64(spec.Size.MilliCPU) * float64(r.pace) / fullPace / capacity
-		}
+	sum := d.model.base(serving)
+	for image, demand := range l.fillers {
+		sum += d.model.factor(serving, image) * scale * demand / capacity
 	}
 	if more != nil {
-		shares[more.spec.Image] += scale * float64(more.spec.Size.MilliCPU) / capacity
+		sum += d.model.factor(serving, more.spec.Image) * scale * added / capacity
 	}
-	return shares
-}
-
-// servingImages lists the images that serve on a worker.
-func (w *worker) servingImages() map[string]bool {
-	images := map[string]bool{}
-	for _, r := range w.runs {
-		if spec := r.task.group.spec; spec.TailTarget > 0 {
-			images[spec.Image] = true
-		}
-	}
-	return images
-}
-
-// worstBeside returns the highest expected tail ratio of a worker's serving
-// tasks beside fillers.
-func (d *Decider) worstBeside(w *worker, fillers map[string]float64) float64 {
-	worst := 0.0
-	for image := range w.servingImages() {
-		worst = max(worst, d.model.predict(image, fillers))
-	}
-	return worst
+	return math.Exp(sum)
 }
 
 // observe feeds a worker's figures to the model. It is called after a listing.
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -104,13 +104,19 @@
 	worker *worker
 	state  runState
 	size   aqtype.Resources
-	// orderedAt is when the start was decided, confirmedAt when the worker was
-	// known to have it.
-	orderedAt   time.Time
-	confirmedAt time.Time
-	// stopAt is when the order to stop was answered, zero before that.
-	stopAt     time.Time
-	stopSentAt time.Time
+	// doubtful is set when the start was ordered through more than one agent.
+	doubtful bool
+	// orderedAt is when the start was decided.
+	orderedAt time.Time
+	// confirmed is when the worker was known to have the run.
+	confirmed Moment
+	// stopped is when the order to stop was answered, zero before that.
+	stopped Moment
+	// stopAt is when the order to stop was decided or answered, whichever was
+	// later.
+	stopAt time.Time
+	// resumeFrom is the checkpoint of the start, checkpoint the newest one.
+	resumeFrom string
 	checkpoint string
 	report     RunReport
 	reportAt   time.Time
--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -23,26 +23,17 @@
 		return
 	}
 	r.state = runStopping
+	r.worker.changed()
 	r.why = why
-	r.stopAt = time.Time{}
-	r.stopSentAt = d.now
+	r.stopped = 0
+	r.stopAt = d.now
 	d.options.Log.Write(aqlog.RunStopping, taskAttr(r.id.Task), workerAttr(r.worker.listed.ID),
 		slog.Int("Attempt", int(r.id.Attempt)), slog.String("Why", why))
 	d.order(Stop{Worker: r.worker.listed.ID, Run: r.id})
 }
 
-// Starting reports whether a run is still to be started on a worker.
-func (d *Decider) Starting(id aqtype.WorkerID, runID RunID) bool {
-	w := d.workers[id]
-	if w == nil {
-		return false
-	}
-	r := w.runs[runID]
-	return r != nil && r.state == runStarting
-}
-
 // StartAnswered takes the outcome of an order to start.
-func (d *Decider) StartAnswered(id aqtype.WorkerID, life Life, runID RunID, outcome Outcome) {
+func (d *Decider) StartAnswered(id aqtype.WorkerID, life Life, runID RunID, outcome Outcome, at Moment) {
 	w := d.workers[id]
 	if w == nil || w.listed.Life != life {
 		return
@@ -51,9 +42,13 @@
 	if r == nil || r.state != runStarting {
 		return
 	}
+	if r.doubtful && outcome != OutcomeAccepted {
+		// The order has been given before, through another agent.
+		outcome = OutcomeUnknown
+	}
 	switch outcome {
 	case OutcomeAccepted:
-		d.confirm(r)
+		d.confirm(r, at)
 		d.options.Metrics.Inc(aqmetric.TasksStarted)
 		return
 	case OutcomeUnknown:
@@ -67,7 +62,7 @@
 		w.health.refused(d.now)
 	case OutcomeNoTicket:
 		d.dropTicket(r.task.group, id)
-	case OutcomeInvalid:
+	case OutcomeInvalid, OutcomeNotSent:
 		w.avoidUntil = d.now.Add(avoidRefusing)
 	}
 	d.options.Metrics.Retried(aqmetric.RetryStartRefused)
@@ -80,23 +75,24 @@
 
 // StopAnswered notes that a worker has taken an order to stop: the run ends, or
 // never begins.
-func (d *Decider) StopAnswered(id aqtype.WorkerID, life Life, runID RunID) {
+func (d *Decider) StopAnswered(id aqtype.WorkerID, life Life, runID RunID, at Moment) {
 	w := d.workers[id]
 	if w == nil || w.listed.Life != life {
 		return
 	}
 	if r := w.runs[runID]; r != nil && r.state == runStopping {
+		r.stopped = at
 		r.stopAt = d.now
 	}
 }
 
-// StopUnanswered sends an order to stop again.
+// StopUnanswered gives an order to stop again.
 func (d *Decider) StopUnanswered(id aqtype.WorkerID, life Life, runID RunID) {
 	w := d.workers[id]
 	if w == nil || w.listed.Life != life {
 		return
 	}
-	if r := w.runs[runID]; r != nil && r.state == runStopping && r.stopAt.IsZero() {
+	if r := w.runs[runID]; r != nil && r.state == runStopping && r.stopped == 0 {
 		d.order(Stop{Worker: id, Run: runID})
 	}
 }
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"acaciaquay/pkg/aqlog"
@@ -77,7 +78,7 @@
 	switch {
 	case over > 0 && filler.pace > 0:
 		d.setPace(filler, filler.pace/lowerBy, over)
-	case worst <= tailClear && filler.pace < fullPace && d.worstBeside(w, w.expected(nil)) <= tailPlan:
+	case worst <= tailClear && filler.pace < fullPace && d.worstBeside(w, nil) <= tailPlan:
 		d.setPace(filler, min(fullPace, filler.pace+raiseStep), worst)
 	}
 }
@@ -89,6 +90,7 @@
 		r.crawlSince = d.now
 	}
 	r.pace = percent
+	r.worker.changed()
 	r.paceAt = d.now
 	d.order(Pace{Worker: r.worker.listed.ID, Run: r.id, Percent: percent})
 }
@@ -140,42 +142,40 @@
 
 // servingScore packs serving tasks with others of the same image.
 func (d *Decider) servingScore(g *group, w *worker) float64 {
+	images := w.current().serving
+	same := slices.Contains(images, g.spec.Image)
 	score := 0.0
-	images := w.servingImages()
 	switch {
 	case len(images) == 0:
 		score += weightOpened
-	case !images[g.spec.Image]:
+	case !same:
 		score += weightMixed
 	}
-	for image := range images {
-		if image != g.spec.Image {
-			score += weightMixed / 2
-		}
+	others := len(images)
+	if same {
+		others--
 	}
-	if d.model.predict(g.spec.Image, w.expected(nil)) > tailPlan {
+	score += weightMixed / 2 * float64(others)
+	if d.tailBeside(w, g.spec.Image, nil) > tailPlan {
 		score += weightHarmed
 	}
 	return score - share(int64(w.used.MilliCPU), int64(w.listed.Capacity.MilliCPU))
 }
 
-// fillerScore is low where processors are left over. It is negative where the
-// filler does not suit the worker.
+// fillerScore is low where processors are left over, and unsuited where the
+// filler would do harm.
 func (d *Decider) fillerScore(g *group, w *worker) float64 {
-	demand := w.demand() + float64(g.spec.Size.MilliCPU)
-	left := w.leftover()
-	if demand > maxDemand*left {
-		return unsuited
-	}
-	if d.worstBeside(w, w.expected(g)) > tailPlan {
+	l := w.current()
+	demand := l.demand + float64(g.spec.Size.MilliCPU)
+	if demand > maxDemand*l.leftover || d.worstBeside(w, g) > tailPlan {
 		return unsuited
 	}
-	score := demand / left
-	if len(w.servingImages()) == 0 {
+	score := demand / l.leftover
+	if len(l.serving) == 0 {
 		score += weightFree * (1 - d.model.heaviness(g.spec.Image))
 	}
 	return score
 }
 
 // unsuited is the score of a worker that must not get the task.
-const unsuited = -1000.0
+const unsuited = 1e6
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqtype"
 )
@@ -17,19 +18,11 @@
 		return
 	}
 	doubtful := d.inDoubt()
+	full := map[fillerKey]aqtype.MilliCPU{}
 	for _, g := range d.ordered() {
 		pending := g.pending(d.now, doubtful)
-		switch {
-		case g.spec.Gang:
-			d.placeGang(g, pending)
-		default:
-			for _, t := range pending {
-				w := d.choose(t, nil)
-				if w == nil {
-					break
-				}
-				d.start(t, w, t.attempt+1)
-			}
+		if len(pending) > 0 && !g.hopeless(full) {
+			d.placeGroup(g, pending, full)
 		}
 		if !g.wants() {
 			delete(d.waiting, g)
@@ -37,6 +30,82 @@
 	}
 }
 
+// fillerKey is what fillers that find the same workers suitable have in common.
+type fillerKey struct {
+	queue aqjob.QueueID
+	image string
+}
+
+// hopeless reports whether a smaller filler of the same image has found no
+// worker in this round.
+func (g *group) hopeless(full map[fillerKey]aqtype.MilliCPU) bool {
+	if !g.spec.Filler {
+		return false
+	}
+	size, tried := full[g.fillerKey()]
+	return tried && g.spec.Size.MilliCPU >= size
+}
+
+func (g *group) fillerKey() fillerKey {
+	return fillerKey{queue: g.occurrence.job.queue.ID, image: g.spec.Image}
+}
+
+func (d *Decider) placeGroup(g *group, pending []*task, full map[fillerKey]aqtype.MilliCPU) {
+	if g.spec.Gang {
+		d.placeGang(g, pending)
+		return
+	}
+	candidates := d.candidates(g)
+	for _, t := range pending {
+		w := candidates.best(t)
+		if w == nil {
+			if g.spec.Filler && g.spec.Constraint == "" && g.spec.AntiAffinity == 0 && len(t.avoid) == 0 {
+				full[g.fillerKey()] = g.spec.Size.MilliCPU
+			}
+			return
+		}
+		d.start(t, w, t.attempt+1)
+		d.rescore(candidates, g, w)
+	}
+}
+
+// candidates are the workers that may take a task of a group, with their
+// scores; the lowest score is best.
+type candidates map[*worker]float64
+
+func (d *Decider) candidates(g *group) candidates {
+	found := candidates{}
+	for _, w := range d.workers {
+		d.rescore(found, g, w)
+	}
+	return found
+}
+
+func (d *Decider) rescore(found candidates, g *group, w *worker) {
+	delete(found, w)
+	if !d.allowed(g, w, aqtype.Resources{}) {
+		return
+	}
+	if score := d.score(g, w, aqtype.Resources{}); score < unsuited {
+		found[w] = score
+	}
+}
+
+// best returns the best worker for a task of the group, nil when there is none.
+func (c candidates) best(t *task) *worker {
+	var best *worker
+	var bestScore float64
+	for w, score := range c {
+		if slices.Contains(t.avoid, w.listed.ID) {
+			score += weightAvoided
+		}
+		if best == nil || score < bestScore || score == bestScore && w.listed.ID < best.listed.ID {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
 // wants reports whether a task of the group has no run and needs one.
 func (g *group) wants() bool {
 	for _, t := range g.tasks {
@@ -151,30 +220,22 @@
 	weightAvoided = 8.0
 )
 
-// choose returns the best worker for a task, nil when none has room. extra is
-// what else the same decision has promised to workers.
-func (d *Decider) choose(t *task, extra map[*worker]aqtype.Resources) *worker {
-	var best *worker
-	var bestScore float64
+// choose returns the best worker for a task, nil when none has room. promised is
+// what the same decision has given away already.
+func (d *Decider) choose(t *task, promised map[*worker]aqtype.Resources) *worker {
+	found := candidates{}
 	for _, w := range d.workers {
-		promised := extra[w]
-		if !d.allowed(t, w, promised) {
-			continue
-		}
-		score := d.score(t, w, promised)
-		if score <= unsuited/2 {
-			continue
-		}
-		if best == nil || score < bestScore || score == bestScore && w.listed.ID < best.listed.ID {
-			best, bestScore = w, score
+		if d.allowed(t.group, w, promised[w]) {
+			if score := d.score(t.group, w, promised[w]); score < unsuited {
+				found[w] = score
+			}
 		}
 	}
-	return best
+	return found.best(t)
 }
 
-// allowed reports whether a worker may take a task now.
-func (d *Decider) allowed(t *task, w *worker, promised aqtype.Resources) bool {
-	g := t.group
+// allowed reports whether a worker may take a task of a group now.
+func (d *Decider) allowed(g *group, w *worker, promised aqtype.Resources) bool {
 	j := g.occurrence.job
 	if !w.present || !w.reachable || !w.enlisted || w.listed.Draining || w.listed.Service != j.queue.Service {
 		return false
@@ -213,8 +274,7 @@
 	return n
 }
 
-func (d *Decider) score(t *task, w *worker, promised aqtype.Resources) float64 {
-	g := t.group
+func (d *Decider) score(g *group, w *worker, promised aqtype.Resources) float64 {
 	capacity := w.listed.Capacity
 	used := w.used.Add(promised)
 	var score float64
@@ -232,9 +292,6 @@
 	if w.health.suspected() {
 		score += weightSuspected
 	}
-	if slices.Contains(t.avoid, w.listed.ID) {
-		score += weightAvoided
-	}
 	return score
 }
 
@@ -257,21 +314,28 @@
 		size:      t.group.spec.Reserved(),
 		orderedAt: d.now,
 		pace:      fullPace,
+		// A start that is given again must carry the same checkpoint.
+		resumeFrom: t.checkpoint,
 	}
 	t.run = r
 	t.seen = true
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
+	w.changed()
 	d.options.Log.Write(aqlog.RunPlaced, taskAttr(r.id.Task), workerAttr(w.listed.ID),
 		slog.Int("Attempt", int(attempt)), slog.Duration("Waited", d.now.Sub(t.group.readyAt)),
 		slog.Int("Priority", j.queue.Priority), slog.Int64("UsedCPU", int64(w.used.MilliCPU)))
-	d.order(Start{
-		Worker:     w.listed.ID,
+	d.order(d.startOrder(r))
+}
+
+func (d *Decider) startOrder(r *run) Start {
+	return Start{
+		Worker:     r.worker.listed.ID,
 		Run:        r.id,
-		Payload:    j.spec.Payload,
-		Checkpoint: t.checkpoint,
-		Ticket:     d.ticket(t.group, w),
-	})
+		Payload:    r.task.group.occurrence.job.spec.Payload,
+		Checkpoint: r.resumeFrom,
+		Ticket:     d.ticket(r.task.group, r.worker),
+	}
 }
 
 // placeGang starts all members of a gang or none.
--- a/pkg/aqdecider/types.go
+++ b/pkg/aqdecider/types.go
@@ -14,6 +14,10 @@
 // the worker started.
 type Life int64
 
+// Moment orders the calls to one worker and their answers, while the same agent
+// makes them. It starts at one.
+type Moment uint64
+
 // Attempt numbers the starts of a task from one. It only rises.
 type Attempt int
 
@@ -98,8 +102,8 @@
 	Life    Life
 	Running []RunReport
 	Ended   []EndReport
-	// SentAt is when the call that brought the listing was sent.
-	SentAt time.Time
+	// Sent is when the call that brought the listing was sent.
+	Sent Moment
 	// Whole is unset when the worker has more ends than it listed.
 	Whole bool
 }
@@ -162,6 +166,8 @@
 	OutcomeUnhealthy
 	// OutcomeInvalid means that the worker does not understand the order.
 	OutcomeInvalid
+	// OutcomeNotSent means that no try of this order has left.
+	OutcomeNotSent
 	// OutcomeUnknown means that the run may begin later.
 	OutcomeUnknown
 )
@@ -172,6 +178,7 @@
 	OutcomeNoTicket:  "NoTicket",
 	OutcomeUnhealthy: "Unhealthy",
 	OutcomeInvalid:   "Invalid",
+	OutcomeNotSent:   "NotSent",
 	OutcomeUnknown:   "Unknown",
 }
 
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -37,6 +37,8 @@
 	// avoidUntil keeps new tasks off after a refusal.
 	avoidUntil time.Time
 	health     health
+	// load is nil after a change.
+	load *load
 }
 
 // labelSeparator divides a rack's label into its parts; other labels have none.
@@ -73,6 +75,7 @@
 	}
 	wasDraining := w.listed.Draining
 	w.listed = listed
+	w.changed()
 	w.rack = rackOf(listed.Labels)
 	w.present = true
 	if listed.Draining {
@@ -137,7 +140,7 @@
 }
 
 // WatchClosely reports whether the worker runs tasks whose tail latency has to
-// be followed.
+// be followed because of fillers beside them.
 func (d *Decider) WatchClosely(id aqtype.WorkerID) bool {
 	w := d.workers[id]
 	if w == nil {
@@ -177,6 +180,32 @@
 	d.dropIfGone(w)
 }
 
+// Reassigned notes that another agent deals with a worker from now on: orders
+// without a known outcome are given again, and moments start anew.
+func (d *Decider) Reassigned(id aqtype.WorkerID) {
+	w := d.workers[id]
+	if w == nil {
+		return
+	}
+	w.reachable = false
+	for _, r := range w.runs {
+		r.confirmed = 0
+		r.stopped = 0
+		r.missing = 0
+		switch r.state {
+		case runStarting:
+			r.doubtful = true
+			d.order(d.startOrder(r))
+		case runRunning:
+			if r.pace != fullPace {
+				d.order(Pace{Worker: id, Run: r.id, Percent: r.pace})
+			}
+		case runStopping:
+			d.order(Stop{Worker: id, Run: r.id})
+		}
+	}
+}
+
 // Lapsed notes that a worker that does not answer can run nothing any more: its
 // lease has ended on every clock.
 func (d *Decider) Lapsed(id aqtype.WorkerID) {
@@ -220,29 +249,30 @@
 	}
 	for _, r := range l.Running {
 		listed[r.Run] = true
-		d.runSeen(w, r, l.SentAt)
+		d.runSeen(w, r, l.Sent)
 	}
 	if l.Whole {
-		d.findMissing(w, listed, l.SentAt)
+		d.findMissing(w, listed, l.Sent)
 	}
 	d.observe(w)
 	d.settle(id)
 }
 
 // runSeen takes one running task of a listing.
-func (d *Decider) runSeen(w *worker, report RunReport, sentAt time.Time) {
+func (d *Decider) runSeen(w *worker, report RunReport, sent Moment) {
 	r := w.runs[report.Run]
 	if r == nil {
-		d.strange(w, report)
+		d.strange(w, report, sent)
 		return
 	}
 	r.missing = 0
 	if r.state == runStarting {
-		d.confirm(r)
+		d.confirm(r, sent)
 	}
-	if r.state == runStopping && !r.stopAt.IsZero() && sentAt.After(r.stopAt.Add(d.options.Limits.StopGrace)) {
-		r.stopAt = time.Time{}
-		r.stopSentAt = d.now
+	if r.state == runStopping && r.stopped > 0 && sent > r.stopped &&
+		d.now.Sub(r.stopAt) > d.options.Limits.StopGrace+stopPatience {
+		r.stopped = 0
+		r.stopAt = d.now
 		d.order(Stop{Worker: w.listed.ID, Run: r.id})
 	}
 	if report.Percent > r.percent || r.movedAt.IsZero() {
@@ -260,10 +290,14 @@
 	}
 }
 
+// stopPatience is how much longer than its grace a stop may take before the
+// order is repeated.
+const stopPatience = 500 * time.Millisecond
+
 // confirm notes that a run is on its worker.
-func (d *Decider) confirm(r *run) {
+func (d *Decider) confirm(r *run, at Moment) {
 	r.state = runRunning
-	r.confirmedAt = d.now
+	r.confirmed = at
 	r.movedAt = d.now
 	j := r.task.group.occurrence.job
 	if !j.begun {
@@ -276,7 +310,7 @@
 
 // strange takes a run that this decider did not start: it is adopted where its
 // task needs a run, and stopped otherwise.
-func (d *Decider) strange(w *worker, report RunReport) {
+func (d *Decider) strange(w *worker, report RunReport, sent Moment) {
 	t := d.task(report.Run.Task)
 	if t != nil {
 		t.attempt = max(t.attempt, report.Run.Attempt)
@@ -306,7 +340,8 @@
 	t.seen = true
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
-	d.confirm(r)
+	w.changed()
+	d.confirm(r, sent)
 	d.options.Log.Write(aqlog.RunAdopted, taskAttr(report.Run.Task), workerAttr(w.listed.ID),
 		slog.Int("Attempt", int(report.Run.Attempt)), slog.Int("Percent", report.Percent))
 }
@@ -320,7 +355,7 @@
 const missingListings = 2
 
 // findMissing settles runs that a listing should have shown.
-func (d *Decider) findMissing(w *worker, listed map[RunID]bool, sentAt time.Time) {
+func (d *Decider) findMissing(w *worker, listed map[RunID]bool, sent Moment) {
 	for id := range w.strays {
 		if !listed[id] {
 			delete(w.strays, id)
@@ -333,7 +368,7 @@
 		switch r.state {
 		case runStarting:
 		case runRunning:
-			if !sentAt.After(r.confirmedAt) {
+			if sent <= r.confirmed {
 				continue
 			}
 			r.missing++
@@ -341,7 +376,7 @@
 				d.stop(r, "missing from its worker")
 			}
 		case runStopping:
-			if !r.stopAt.IsZero() && sentAt.After(r.stopAt) {
+			if r.stopped > 0 && sent > r.stopped {
 				d.endRun(r, EndLost, r.checkpoint)
 			}
 		}
@@ -389,6 +424,7 @@
 	w := r.worker
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.size)
+	w.changed()
 	t.run = nil
 	t.seen = true
 	j := t.group.occurrence.job
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -68,6 +68,11 @@
 	OrderFailed   = Event{Number: 918, Layer: LayerSite, Level: slog.LevelWarn, Message: "order not answered", Meaning: "A worker did not answer an order, which may still take effect. It is repeated or settled by a stop."}
 	PauseSeen     = Event{Number: 919, Layer: LayerSite, Level: slog.LevelWarn, Message: "process paused", Meaning: "This process did not run for the time in Paused. What it believed may be out of date."}
 
+	AgentJoined      = Event{Number: 920, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent joined", Meaning: "Another process is registered and deals with workers for this leader."}
+	AgentLost        = Event{Number: 921, Layer: LayerSite, Level: slog.LevelWarn, Message: "agent lost", Meaning: "A process does not answer its leader. Its workers are given to others."}
+	AgentBack        = Event{Number: 922, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent back", Meaning: "The process answers again and gets workers."}
+	RegistrationKept = Event{Number: 923, Layer: LayerSite, Level: slog.LevelWarn, Message: "registration not ended", Meaning: "A process that stops could not end its registration, which runs out by itself."}
+
 	JobStored     = Event{Number: 930, Layer: LayerIntake, Level: slog.LevelInfo, Message: "job accepted", Meaning: "The job is stored. Took is the time from its arrival."}
 	JobTurnedAway = Event{Number: 931, Layer: LayerIntake, Level: slog.LevelWarn, Message: "job refused", Meaning: "The job was not accepted and never runs. The reason is in Reason."}
 	JobInDoubt    = Event{Number: 932, Layer: LayerIntake, Level: slog.LevelWarn, Message: "job in doubt", Meaning: "The store did not say whether it took the job. The submitter is told that the outcome is unknown."}
@@ -92,6 +97,6 @@
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerReborn, WorkerSilent, WorkerAnswers, WorkerLapsed,
 	LeadTaken, LeadLost, LeadReleased, LeadRecovered, LeadTryFailed, LeaderSeen,
 	StoreLost, StoreRegained, WatchReset, EntryIgnored, CommitFailed, SiteConfig, SettingsKept, SettingsTaken,
-	OrderFailed, PauseSeen,
+	OrderFailed, PauseSeen, AgentJoined, AgentLost, AgentBack, RegistrationKept,
 	JobStored, JobTurnedAway, JobInDoubt, CancelStored, StateFromDisk, CallRefused,
 }
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -71,6 +71,7 @@
 	RetryCommitLost     RetryReason = "CommitUnanswered"
 	RetryLeaderLost     RetryReason = "LeaderLost"
 	RetryWatchReset     RetryReason = "WatchReset"
+	RetryAgentLost      RetryReason = "AgentLost"
 )
 
 // RetryReasons lists every retry reason. BudgetSpent counts the retries that
@@ -78,7 +79,7 @@
 var RetryReasons = []RetryReason{
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
-	RetryStartUnknown, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset,
+	RetryStartUnknown, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
 }
 
 // Count names an ordinary counter.
--- /dev/null
+++ b/pkg/aqsite/agent.go
@@ -0,0 +1,204 @@
+package aqsite
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Timing between a leader and its agents.
+const (
+	// pollWait is how long an agent holds a poll without events. Each poll
+	// permits the agent to go on.
+	pollWait = 500 * time.Millisecond
+	// permitTime is how long an agent goes on without a word of its leader.
+	permitTime = 1500 * time.Millisecond
+	// gatherTime lets events gather into one answer.
+	gatherTime = 30 * time.Millisecond
+)
+
+// agent deals with workers for the leader of the highest fence that it has
+// heard of.
+type agent struct {
+	workers Workers
+	clock   aqclock.Clock
+	log     *aqlog.Logger
+	metrics *aqmetric.Set
+
+	mu       sync.Mutex
+	fence    Fence
+	lease    time.Duration
+	permitAt time.Time
+	sessions map[aqtype.WorkerID]*session
+	events   []eventWire
+	wake     chan struct{}
+}
+
+func newAgent(workers Workers, clock aqclock.Clock, log *aqlog.Logger, metrics *aqmetric.Set) *agent {
+	return &agent{
+		workers:  workers,
+		clock:    clock,
+		log:      log,
+		metrics:  metrics,
+		sessions: map[aqtype.WorkerID]*session{},
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// admit checks a leader's fence and renews its permit. The lock is held.
+func (a *agent) admit(fence Fence) error {
+	if fence < a.fence {
+		return aqpeer.Errorf(aqpeer.CodeNotOwner, "fence %d is below %d", fence, a.fence)
+	}
+	if fence > a.fence {
+		a.dropAll()
+		a.fence = fence
+	}
+	a.permitAt = a.clock.Now()
+	return nil
+}
+
+func (a *agent) dropAll() {
+	for id, s := range a.sessions {
+		s.end()
+		delete(a.sessions, id)
+	}
+	a.events = nil
+}
+
+// permitted reports whether the leader of a fence was heard of lately.
+func (a *agent) permitted(fence Fence) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return fence == a.fence && a.clock.Now().Sub(a.permitAt) < permitTime
+}
+
+// Orders implements crewLink.
+func (a *agent) Orders(_ context.Context, call ordersCall) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.admit(call.Fence); err != nil {
+		return err
+	}
+	a.lease = call.Lease
+	for _, id := range call.Drop {
+		if s := a.sessions[id]; s != nil {
+			s.end()
+			delete(a.sessions, id)
+		}
+	}
+	for _, next := range call.Assign {
+		a.assign(next)
+	}
+	for _, wire := range call.Orders {
+		order := wire.unwrap()
+		if order == nil {
+			continue
+		}
+		if s := a.sessions[order.Target()]; s != nil {
+			s.send(order)
+		}
+	}
+	return nil
+}
+
+// assign begins or updates a session. The lock is held.
+func (a *agent) assign(next assignment) {
+	id := next.Worker.ID
+	if s := a.sessions[id]; s != nil {
+		if s.serial == next.Serial {
+			s.relist(next.Worker)
+			return
+		}
+		s.end()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &session{
+		id:     id,
+		serial: next.Serial,
+		fence:  a.fence,
+		lease:  a.lease,
+		agent:  a,
+		worker: next.Worker,
+		hint:   next.Hint,
+		ctx:    ctx,
+		end:    cancel,
+	}
+	a.sessions[id] = s
+	go s.run()
+}
+
+// Poll implements crewLink.
+func (a *agent) Poll(ctx context.Context, call pollCall) (pollAnswer, error) {
+	if err := a.take(call); err != nil {
+		return pollAnswer{}, err
+	}
+	if !a.hasEvents() {
+		select {
+		case <-ctx.Done():
+		case <-a.wake:
+			aqclock.Sleep(ctx, a.clock, gatherTime)
+		case <-a.clock.After(call.Wait):
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if call.Fence != a.fence {
+		return pollAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "fence %d is below %d", call.Fence, a.fence)
+	}
+	answer := pollAnswer{Events: a.events}
+	a.events = nil
+	return answer, nil
+}
+
+func (a *agent) take(call pollCall) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.admit(call.Fence); err != nil {
+		return err
+	}
+	for _, h := range call.Hints {
+		if s := a.sessions[h.Worker]; s != nil {
+			s.advise(h)
+		}
+	}
+	return nil
+}
+
+func (a *agent) hasEvents() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.events) > 0
+}
+
+// emit tells the leader of an event, unless the session has been replaced.
+func (a *agent) emit(s *session, e event) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.sessions[s.id] != s {
+		return
+	}
+	a.events = append(a.events, wrapEvent(s.id, s.serial, e))
+	signal(a.wake)
+}
+
+// stop ends every session.
+func (a *agent) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dropAll()
+}
+
+// handle registers the answers to a leader's calls.
+func (a *agent) handle(server *aqpeer.Server) {
+	aqpeer.Handle(server, methodOrders, func(ctx context.Context, in ordersCall) (struct{}, error) {
+		return struct{}{}, a.Orders(ctx, in)
+	})
+	aqpeer.Handle(server, methodPoll, a.Poll)
+}
--- /dev/null
+++ b/pkg/aqsite/agentwire.go
@@ -0,0 +1,178 @@
+package aqsite
+
+import (
+	"time"
+
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Methods by which a leader has its agents deal with workers.
+const (
+	methodOrders aqpeer.Method = "Agent.Orders"
+	methodPoll   aqpeer.Method = "Agent.Poll"
+)
+
+// Serial numbers the assignments of workers to agents in one term. What comes
+// of an earlier assignment is dropped.
+type Serial uint64
+
+// assignment tells an agent to deal with a worker.
+type assignment struct {
+	Worker aqdecider.Worker
+	Serial Serial
+	Hint   hint
+}
+
+// hint is what the leader wants of the looks at a worker.
+type hint struct {
+	Worker aqtype.WorkerID
+	// Forget is the number of the last end that the worker may forget, in the
+	// life for which it holds.
+	Forget int
+	Life   aqdecider.Life
+	Wait   time.Duration
+	// Renew is set once the leader has heard of the worker in this assignment. The
+	// lease is not prolonged before, so that the leader knows when it ends.
+	Renew bool
+}
+
+// ordersCall gives an agent work. Calls to one agent are made one at a time.
+type ordersCall struct {
+	Fence Fence
+	Lease time.Duration
+	// Assign comes before Orders.
+	Assign []assignment
+	Drop   []aqtype.WorkerID
+	Orders []orderWire
+}
+
+// pollCall asks an agent for its events. It waits for the first.
+type pollCall struct {
+	Fence Fence
+	Hints []hint
+	Wait  time.Duration
+}
+
+type pollAnswer struct {
+	Events []eventWire
+}
+
+// orderWire carries one order; exactly one of the pointers is set.
+type orderWire struct {
+	Start *aqdecider.Start `msgpack:",omitempty"`
+	Stop  *aqdecider.Stop  `msgpack:",omitempty"`
+	Pace  *aqdecider.Pace  `msgpack:",omitempty"`
+}
+
+func wrapOrder(o aqdecider.Order) orderWire {
+	switch order := o.(type) {
+	case aqdecider.Start:
+		return orderWire{Start: &order}
+	case aqdecider.Stop:
+		return orderWire{Stop: &order}
+	case aqdecider.Pace:
+		return orderWire{Pace: &order}
+	}
+	return orderWire{}
+}
+
+// unwrap returns nil for an order of an unknown kind.
+func (w orderWire) unwrap() aqdecider.Order {
+	switch {
+	case w.Start != nil:
+		return *w.Start
+	case w.Stop != nil:
+		return *w.Stop
+	case w.Pace != nil:
+		return *w.Pace
+	}
+	return nil
+}
+
+// event is what an agent tells of a worker. It is sealed.
+type event interface{ isEvent() }
+
+// looked brings a worker's listing.
+type looked struct {
+	Listing aqdecider.Listing
+}
+
+// silent says that a worker does not answer.
+type silent struct {
+	// LapseIn is how long until the worker's lease has certainly ended, negative
+	// when the agent does not know.
+	LapseIn time.Duration
+}
+
+// startAnswered brings the outcome of an order to start.
+type startAnswered struct {
+	Life    aqdecider.Life
+	Run     aqdecider.RunID
+	Outcome aqdecider.Outcome
+	At      aqdecider.Moment
+}
+
+// stopAnswered brings the outcome of an order to stop.
+type stopAnswered struct {
+	Life aqdecider.Life
+	Run  aqdecider.RunID
+	// Taken is unset when no answer came.
+	Taken bool
+	At    aqdecider.Moment
+}
+
+// fenced says that the worker has seen a higher fence.
+type fenced struct{}
+
+func (looked) isEvent()        {}
+func (silent) isEvent()        {}
+func (startAnswered) isEvent() {}
+func (stopAnswered) isEvent()  {}
+func (fenced) isEvent()        {}
+
+// eventWire carries one event; exactly one of the pointers is set.
+type eventWire struct {
+	Worker  aqtype.WorkerID
+	Serial  Serial
+	Looked  *looked        `msgpack:",omitempty"`
+	Silent  *silent        `msgpack:",omitempty"`
+	Started *startAnswered `msgpack:",omitempty"`
+	Stopped *stopAnswered  `msgpack:",omitempty"`
+	Fenced  *fenced        `msgpack:",omitempty"`
+}
+
+func wrapEvent(worker aqtype.WorkerID, serial Serial, e event) eventWire {
+	w := eventWire{Worker: worker, Serial: serial}
+	switch e := e.(type) {
+	case looked:
+		w.Looked = &e
+	case silent:
+		w.Silent = &e
+	case startAnswered:
+		w.Started = &e
+	case stopAnswered:
+		w.Stopped = &e
+	case fenced:
+		w.Fenced = &e
+	}
+	return w
+}
+
+// unwrap returns nil for an event of an unknown kind.
+func (w eventWire) unwrap() event {
+	switch {
+	case w.Looked != nil:
+		return *w.Looked
+	case w.Silent != nil:
+		return *w.Silent
+	case w.Started != nil:
+		return *w.Started
+	case w.Stopped != nil:
+		return *w.Stopped
+	case w.Fenced != nil:
+		return *w.Fenced
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/aqsite/crew.go
@@ -0,0 +1,574 @@
+package aqsite
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+	"sync"
+	"time"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqtype"
+)
+
+// crewLink reaches one agent.
+type crewLink interface {
+	Orders(ctx context.Context, call ordersCall) error
+	Poll(ctx context.Context, call pollCall) (pollAnswer, error)
+}
+
+// remoteLink reaches an agent in another process.
+type remoteLink struct {
+	peers   *aqpeer.Pool
+	address string
+}
+
+// Orders implements crewLink.
+func (r remoteLink) Orders(ctx context.Context, call ordersCall) error {
+	var none struct{}
+	return r.peers.Call(ctx, r.address, methodOrders, call, &none)
+}
+
+// Poll implements crewLink.
+func (r remoteLink) Poll(ctx context.Context, call pollCall) (pollAnswer, error) {
+	var answer pollAnswer
+	err := r.peers.Call(ctx, r.address, methodPoll, call, &answer)
+	return answer, err
+}
+
+const (
+	// memberRetry is the pause before a member whose agent failed is tried again.
+	memberRetry = 700 * time.Millisecond
+	// leaderWeight makes the leader's own process deal with fewer workers.
+	leaderWeight = 0.3
+	// workersPerCore is how many workers an agent deals with for each core that
+	// it has; see docs/CAPACITY.md for what one costs.
+	workersPerCore = 100
+	// overfull, opened and foreignZone are added to a member's load: beyond what
+	// it can carry, for its first worker, and for a worker in another zone.
+	overfull    = 10
+	opened      = 1
+	foreignZone = 1.5
+)
+
+// member is one process that the leader may have as an agent.
+type member struct {
+	record nodeRecord
+	link   crewLink
+	// up is set while the agent answers.
+	up       bool
+	cancel   context.CancelFunc
+	ctx      context.Context
+	assigned int
+
+	// pending is what the next orders call carries.
+	pending ordersCall
+	wake    chan struct{}
+}
+
+// post is where a worker is assigned.
+type post struct {
+	worker aqdecider.Worker
+	member *member
+	serial Serial
+	// lapseAt is when the lease has certainly ended, while no agent hears of the
+	// worker; zero otherwise.
+	lapseAt time.Time
+	// tried lists the members that found the worker silent.
+	tried map[string]bool
+	// renew is set when the worker was heard of in this assignment.
+	renew bool
+	hint  hint
+}
+
+// crew divides the workers over the agents. Its lock is taken inside the
+// leader's.
+type crew struct {
+	leader *leader
+
+	mu      sync.Mutex
+	members map[string]*member
+	posts   map[aqtype.WorkerID]*post
+	serial  Serial
+}
+
+func newCrew(l *leader) *crew {
+	return &crew{
+		leader:  l,
+		members: map[string]*member{},
+		posts:   map[aqtype.WorkerID]*post{},
+	}
+}
+
+// join adds a member, or replaces one that has restarted.
+func (c *crew) join(ctx context.Context, record nodeRecord, link crewLink) {
+	c.mu.Lock()
+	before := c.members[record.Name]
+	if before != nil && before.record == record {
+		c.mu.Unlock()
+		return
+	}
+	memberCtx, cancel := context.WithCancel(ctx)
+	m := &member{
+		record: record,
+		link:   link,
+		up:     true,
+		cancel: cancel,
+		ctx:    memberCtx,
+		wake:   make(chan struct{}, 1),
+	}
+	c.members[record.Name] = m
+	c.mu.Unlock()
+	if before != nil {
+		before.cancel()
+		c.abandon(before)
+	}
+	for _, loop := range []func(*member){c.sendLoop, c.pollLoop} {
+		c.leader.work.Add(1)
+		go func() {
+			defer c.leader.work.Done()
+			loop(m)
+		}()
+	}
+	c.rebalance()
+}
+
+// leave removes a member that is not registered any more.
+func (c *crew) leave(name string) {
+	c.mu.Lock()
+	m := c.members[name]
+	delete(c.members, name)
+	c.mu.Unlock()
+	if m != nil {
+		m.cancel()
+		c.abandon(m)
+	}
+}
+
+// weight is how many workers a member should deal with, relative to others.
+func (c *crew) weight(m *member) float64 {
+	weight := m.record.Processors
+	if m.record.Name == c.leader.node.settings.Name {
+		weight *= leaderWeight
+	}
+	return max(weight, 0.01)
+}
+
+// pick returns the member that a worker should be with: the least loaded one,
+// in its zone if possible. The lock is held.
+func (c *crew) pick(w aqdecider.Worker, tried map[string]bool) *member {
+	var best *member
+	var bestLoad float64
+	for _, m := range c.sorted() {
+		if !m.up || tried[m.record.Name] {
+			continue
+		}
+		load := c.load(m, w)
+		if best == nil || load < bestLoad {
+			best, bestLoad = m, load
+		}
+	}
+	return best
+}
+
+// load compares members for one more worker. Members that have workers already
+// are filled up first: few agents with many workers each gather more into one
+// message.
+func (c *crew) load(m *member, w aqdecider.Worker) float64 {
+	used := float64(m.assigned+1) / (workersPerCore * c.weight(m))
+	if used > 1 {
+		used += overfull
+	}
+	if m.assigned == 0 {
+		used += opened
+	}
+	if m.record.Zone != w.Zone {
+		used += foreignZone
+	}
+	return used
+}
+
+func (c *crew) sorted() []*member {
+	members := make([]*member, 0, len(c.members))
+	for _, m := range c.members {
+		members = append(members, m)
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].record.Name < members[j].record.Name })
+	return members
+}
+
+// place assigns a worker that service discovery lists, or updates its entry.
+func (c *crew) place(w aqdecider.Worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.posts[w.ID]
+	if p == nil {
+		p = &post{}
+		c.posts[w.ID] = p
+	}
+	if w.Life < p.worker.Life {
+		return
+	}
+	p.worker = w
+	if p.member == nil {
+		c.assign(p, c.pick(w, nil))
+		return
+	}
+	p.member.pending.Assign = append(p.member.pending.Assign, assignment{
+		Worker: w,
+		Serial: p.serial,
+		Hint:   p.hint,
+	})
+	signal(p.member.wake)
+}
+
+// workers lists the workers that somebody deals with.
+func (c *crew) workers() []aqtype.WorkerID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sortedPosts()
+}
+
+// answers reports whether a member's agent answers.
+func (c *crew) answers(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.members[name]
+	return m != nil && m.up
+}
+
+// assign gives a worker to a member. The lock is held.
+func (c *crew) assign(p *post, to *member) {
+	if p.member != nil {
+		p.member.assigned--
+		p.member.pending.Drop = append(p.member.pending.Drop, p.worker.ID)
+		signal(p.member.wake)
+	}
+	p.member = to
+	p.hint.Renew = false
+	p.renew = false
+	if to == nil {
+		return
+	}
+	c.serial++
+	p.serial = c.serial
+	to.assigned++
+	to.pending.Assign = append(to.pending.Assign, assignment{
+		Worker: p.worker,
+		Serial: p.serial,
+		Hint:   p.hint,
+	})
+	signal(to.wake)
+}
+
+// remove ends the dealings with a worker.
+func (c *crew) remove(id aqtype.WorkerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.posts[id]; p != nil {
+		c.assign(p, nil)
+		delete(c.posts, id)
+	}
+}
+
+// abandon gives the workers of a member that does not answer to others.
+func (c *crew) abandon(m *member) {
+	now := c.leader.node.clock.Now()
+	var moved []aqtype.WorkerID
+	c.mu.Lock()
+	for _, id := range c.workersOf(m) {
+		p := c.posts[id]
+		p.lapseAt = now.Add(c.longestLease())
+		c.assign(p, c.pick(p.worker, nil))
+		moved = append(moved, id)
+	}
+	m.pending = ordersCall{}
+	c.mu.Unlock()
+	c.reassigned(moved)
+}
+
+func (c *crew) workersOf(m *member) []aqtype.WorkerID {
+	var ids []aqtype.WorkerID
+	for id, p := range c.posts {
+		if p.member == m {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+func (c *crew) reassigned(ids []aqtype.WorkerID) {
+	if len(ids) == 0 {
+		return
+	}
+	c.leader.decide(func(d *aqdecider.Decider) {
+		for _, id := range ids {
+			d.Reassigned(id)
+		}
+	})
+}
+
+// rebalance gives workers without an agent to members, and moves some from
+// members that have more than they can carry.
+func (c *crew) rebalance() {
+	var moved []aqtype.WorkerID
+	now := c.leader.node.clock.Now()
+	c.mu.Lock()
+	for _, id := range c.sortedPosts() {
+		p := c.posts[id]
+		if p.member != nil && float64(p.member.assigned) <= workersPerCore*c.weight(p.member) {
+			continue
+		}
+		to := c.pick(p.worker, nil)
+		if to == nil || to == p.member || (p.member != nil && c.load(to, p.worker) > overfull) {
+			continue
+		}
+		if p.member != nil {
+			p.lapseAt = now.Add(c.longestLease())
+		}
+		c.assign(p, to)
+		moved = append(moved, id)
+	}
+	c.mu.Unlock()
+	c.reassigned(moved)
+}
+
+// longestLease is how long a worker may keep its tasks after its agent was last
+// heard of: the agent goes on until its permit ends, and the worker until its
+// lease.
+func (c *crew) longestLease() time.Duration {
+	return permitTime + time.Duration(float64(c.leader.leaseLength())/(1-clockDrift)) + lapseMargin
+}
+
+func (c *crew) sortedPosts() []aqtype.WorkerID {
+	ids := make([]aqtype.WorkerID, 0, len(c.posts))
+	for id := range c.posts {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// dispatch queues orders for the agents of their workers.
+func (c *crew) dispatch(orders []aqdecider.Order) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range orders {
+		p := c.posts[o.Target()]
+		if p == nil || p.member == nil {
+			continue
+		}
+		p.member.pending.Orders = append(p.member.pending.Orders, wrapOrder(o))
+		signal(p.member.wake)
+	}
+}
+
+// sendLoop sends a member's orders, one call at a time.
+func (c *crew) sendLoop(m *member) {
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case <-m.wake:
+		}
+		c.mu.Lock()
+		call := m.pending
+		m.pending = ordersCall{}
+		c.mu.Unlock()
+		if len(call.Assign)+len(call.Drop)+len(call.Orders) == 0 {
+			continue
+		}
+		call.Fence = c.leader.token
+		call.Lease = c.leader.leaseLength()
+		if err := m.link.Orders(m.ctx, call); err != nil {
+			c.failed(m, err)
+		}
+	}
+}
+
+// pollLoop takes a member's events.
+func (c *crew) pollLoop(m *member) {
+	for m.ctx.Err() == nil {
+		if !c.leader.mayOrder() {
+			aqclock.Sleep(m.ctx, c.leader.node.clock, retryPause)
+			continue
+		}
+		answer, err := m.link.Poll(m.ctx, pollCall{
+			Fence: c.leader.token,
+			Hints: c.hints(m),
+			Wait:  pollWait,
+		})
+		if err != nil {
+			c.failed(m, err)
+			aqclock.Sleep(m.ctx, c.leader.node.clock, memberRetry)
+			c.revive(m)
+			continue
+		}
+		c.revive(m)
+		c.take(m, answer.Events)
+	}
+}
+
+// failed notes that a member's agent does not answer: what it was to do, and
+// what it was about to tell, is unknown.
+func (c *crew) failed(m *member, err error) {
+	if m.ctx.Err() != nil {
+		return
+	}
+	if aqpeer.CodeOf(err) == aqpeer.CodeNotOwner {
+		c.leader.deposed(err)
+		return
+	}
+	c.mu.Lock()
+	was := m.up
+	m.up = false
+	c.mu.Unlock()
+	c.leader.node.metrics.Retried(aqmetric.RetryAgentLost)
+	if was {
+		c.leader.node.log.Write(aqlog.AgentLost, slog.String("Agent", m.record.Name), aqlog.Err(err))
+	}
+	c.abandon(m)
+}
+
+// revive uses a member again that has answered.
+func (c *crew) revive(m *member) {
+	c.mu.Lock()
+	was := m.up
+	m.up = true
+	c.mu.Unlock()
+	if !was {
+		c.leader.node.log.Write(aqlog.AgentBack, slog.String("Agent", m.record.Name))
+		c.rebalance()
+	}
+}
+
+// hints returns what has changed for a member's looks.
+func (c *crew) hints(m *member) []hint {
+	var changed []hint
+	c.leader.decide(func(d *aqdecider.Decider) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for id, p := range c.posts {
+			if p.member != m {
+				continue
+			}
+			h := hint{Worker: id, Wait: lookIdle, Renew: p.renew}
+			h.Forget, h.Life = d.Acknowledge(id)
+			if d.Occupied(id) {
+				h.Wait = lookBusy
+			}
+			if d.WatchClosely(id) {
+				h.Wait = lookClose
+			}
+			if h != p.hint {
+				p.hint = h
+				changed = append(changed, h)
+			}
+		}
+	})
+	return changed
+}
+
+// take passes a member's events on to the decider.
+func (c *crew) take(m *member, events []eventWire) {
+	if len(events) == 0 {
+		return
+	}
+	deposed := false
+	c.leader.decide(func(d *aqdecider.Decider) {
+		for _, wire := range events {
+			if !c.current(m, wire) {
+				continue
+			}
+			id := wire.Worker
+			switch e := wire.unwrap().(type) {
+			case looked:
+				c.heard(id)
+				d.Listed(id, e.Listing)
+			case silent:
+				d.Silent(id)
+				c.unheard(d, id, e)
+			case startAnswered:
+				d.StartAnswered(id, e.Life, e.Run, e.Outcome, e.At)
+			case stopAnswered:
+				if e.Taken {
+					d.StopAnswered(id, e.Life, e.Run, e.At)
+				} else {
+					d.StopUnanswered(id, e.Life, e.Run)
+				}
+			case fenced:
+				deposed = true
+			}
+		}
+	})
+	if deposed {
+		c.leader.lose(ErrFenced)
+	}
+}
+
+// current reports whether an event is of the assignment in force.
+func (c *crew) current(m *member, wire eventWire) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.posts[wire.Worker]
+	return p != nil && p.member == m && p.serial == wire.Serial
+}
+
+// heard notes that a worker answers.
+func (c *crew) heard(id aqtype.WorkerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.posts[id]; p != nil {
+		p.lapseAt = time.Time{}
+		p.tried = nil
+		p.renew = true
+	}
+}
+
+// unheard gives a silent worker to another member, which may reach it.
+func (c *crew) unheard(d *aqdecider.Decider, id aqtype.WorkerID, e silent) {
+	c.mu.Lock()
+	p := c.posts[id]
+	if p == nil || p.member == nil {
+		c.mu.Unlock()
+		return
+	}
+	if p.lapseAt.IsZero() && e.LapseIn >= 0 {
+		p.lapseAt = c.leader.node.clock.Now().Add(e.LapseIn)
+	}
+	if p.tried == nil {
+		p.tried = map[string]bool{}
+	}
+	p.tried[p.member.record.Name] = true
+	p.renew = false
+	to := c.pick(p.worker, p.tried)
+	if to != nil {
+		c.assign(p, to)
+	}
+	c.mu.Unlock()
+	if to != nil {
+		d.Reassigned(id)
+	}
+}
+
+// lapse tells the decider of workers whose lease has certainly ended.
+func (c *crew) lapse(d *aqdecider.Decider) {
+	now := c.leader.node.clock.Now()
+	c.mu.Lock()
+	var ended []aqtype.WorkerID
+	for id, p := range c.posts {
+		if !p.lapseAt.IsZero() && now.After(p.lapseAt) {
+			p.lapseAt = time.Time{}
+			ended = append(ended, id)
+		}
+	}
+	c.mu.Unlock()
+	for _, id := range ended {
+		d.Lapsed(id)
+	}
+}
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -296,7 +296,6 @@
 		node:        n,
 		token:       Fence(changed),
 		leadChanged: changed,
-		sessions:    map[aqtype.WorkerID]*sessionHandle{},
 		proofAt:     proof,
 		fleet:       map[aqtype.WorkerID]bool{},
 		wakeTick:    make(chan struct{}, 1),
@@ -309,6 +308,7 @@
 			Metrics:      n.metrics,
 		}),
 	}
+	l.crew = newCrew(l)
 	n.log.Write(aqlog.LeadTaken, slog.Int64("Term", term), slog.Int64("Fence", int64(changed)))
 	n.metrics.Inc(aqmetric.LeadTerms)
 	return l
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -16,12 +16,12 @@
 )
 
 // takeWorkers takes a whole reading of service discovery.
-func (l *leader) takeWorkers(ctx context.Context, items []aqstore.Item) {
+func (l *leader) takeWorkers(items []aqstore.Item) {
 	seen := map[aqtype.WorkerID]bool{}
 	for _, item := range items {
 		if w, ok := l.decodeWorker(item); ok {
 			seen[w.ID] = true
-			l.listWorker(ctx, w)
+			l.listWorker(w)
 		}
 	}
 	l.decide(func(d *aqdecider.Decider) {
@@ -31,7 +31,7 @@
 			}
 		}
 	})
-	l.dropSessions()
+	l.dropWorkers()
 }
 
 func (l *leader) decodeWorker(item aqstore.Item) (aqdecider.Worker, bool) {
@@ -43,43 +43,18 @@
 	return w, true
 }
 
-func (l *leader) listWorker(ctx context.Context, w aqdecider.Worker) {
+func (l *leader) listWorker(w aqdecider.Worker) {
 	l.decide(func(d *aqdecider.Decider) { d.ListWorker(w) })
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.lost != nil {
-		return
-	}
-	if h := l.sessions[w.ID]; h != nil {
-		h.session.relist(w)
-		return
-	}
-	s := &session{
-		id:      w.ID,
-		leader:  l,
-		workers: l.node.workers,
-		clock:   l.node.clock,
-		log:     l.node.log,
-		metrics: l.node.metrics,
-		worker:  w,
-	}
-	sessionCtx, cancel := context.WithCancel(ctx)
-	l.sessions[w.ID] = &sessionHandle{session: s, cancel: cancel, ctx: sessionCtx}
-	l.work.Add(1)
-	go func() {
-		defer l.work.Done()
-		s.run(sessionCtx)
-	}()
+	l.crew.place(w)
 }
 
-// dropSessions ends the sessions of workers that are of no interest any more.
-func (l *leader) dropSessions() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, h := range l.sessions {
-		if !l.decider.Known(id) {
-			h.cancel()
-			delete(l.sessions, id)
+// dropWorkers ends the dealings with workers that are of no interest any more.
+func (l *leader) dropWorkers() {
+	for _, id := range l.crew.workers() {
+		known := true
+		l.decide(func(d *aqdecider.Decider) { known = d.Known(id) })
+		if !known {
+			l.crew.remove(id)
 		}
 	}
 }
@@ -95,7 +70,7 @@
 			var items []aqstore.Item
 			items, next, err = l.node.store.Range(ctx, prefix)
 			if err == nil {
-				l.takeWorkers(ctx, items)
+				l.takeWorkers(items)
 			}
 		}
 		l.node.storeAnswered(err)
@@ -105,20 +80,20 @@
 		}
 		from = next
 		for _, e := range events {
-			l.takeWorkerEvent(ctx, e)
+			l.takeWorkerEvent(e)
 		}
-		l.dropSessions()
+		l.dropWorkers()
 	}
 }
 
-func (l *leader) takeWorkerEvent(ctx context.Context, e aqstore.Event) {
+func (l *leader) takeWorkerEvent(e aqstore.Event) {
 	if e.Deleted {
 		id := aqtype.WorkerID(l.node.catalog.WorkerIDOf(e.Key))
 		l.decide(func(d *aqdecider.Decider) { d.UnlistWorker(id) })
 		return
 	}
 	if w, ok := l.decodeWorker(e.Item); ok {
-		l.listWorker(ctx, w)
+		l.listWorker(w)
 	}
 }
 
--- a/pkg/aqsite/keys.go
+++ b/pkg/aqsite/keys.go
@@ -19,12 +19,16 @@
 	// fleetKey lists the workers that the leader may have started tasks on.
 	fleetKey       = "acaciaquay/fleet"
 	progressPrefix = "acaciaquay/run/"
+	// nodePrefix holds the registered processes.
+	nodePrefix = "acaciaquay/node/"
 )
 
 func jobKey(id aqjob.ID) string      { return jobPrefix + string(id) }
 func cancelKey(id aqjob.ID) string   { return cancelPrefix + string(id) }
 func progressKey(id aqjob.ID) string { return progressPrefix + string(id) }
 
+func nodeKey(name string) string { return nodePrefix + name }
+
 func idUnder(prefix, key string) (aqjob.ID, bool) {
 	name, ok := strings.CutPrefix(key, prefix)
 	return aqjob.ID(name), ok
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -23,7 +23,7 @@
 	tickIdle = 250 * time.Millisecond
 	// tickPause is the least time between two rounds: one round decides for all
 	// that came meanwhile.
-	tickPause = 4 * time.Millisecond
+	tickPause = 20 * time.Millisecond
 	// storePause is the least time between two rounds of storing, storeLazy the
 	// same when nobody waits for a final state.
 	storePause = 25 * time.Millisecond
@@ -43,11 +43,12 @@
 	// leadChanged is the revision of the lead key in this term.
 	leadChanged aqstore.Revision
 
-	mu       sync.Mutex
-	decider  *aqdecider.Decider
-	sessions map[aqtype.WorkerID]*sessionHandle
-	proofAt  time.Time
-	lost     error
+	crew *crew
+
+	mu      sync.Mutex
+	decider *aqdecider.Decider
+	proofAt time.Time
+	lost    error
 	// fleet is the stored list of workers with its revision.
 	fleet        map[aqtype.WorkerID]bool
 	fleetChanged aqstore.Revision
@@ -58,31 +59,22 @@
 	work      sync.WaitGroup
 }
 
-type sessionHandle struct {
-	session *session
-	cancel  context.CancelFunc
-	ctx     context.Context
-}
-
 // fleetRecord is the value of the fleet key.
 type fleetRecord struct {
 	Workers []aqtype.WorkerID
 }
 
-// fence implements overseer.
-func (l *leader) fence() Fence { return l.token }
-
-// leaseLength implements overseer.
+// leaseLength is how long workers keep their tasks without a word.
 func (l *leader) leaseLength() time.Duration { return l.node.settings.WorkerLease }
 
-// mayOrder implements overseer.
+// mayOrder reports whether the leadership was proved lately.
 func (l *leader) mayOrder() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.lost == nil && l.node.clock.Now().Sub(l.proofAt) < proofLimit
 }
 
-// deposed implements overseer.
+// deposed is called when somebody has seen a higher fence.
 func (l *leader) deposed(by error) { l.lose(by) }
 
 func (l *leader) lose(err error) {
@@ -95,7 +87,7 @@
 	close(l.ended)
 }
 
-// decide implements overseer.
+// decide runs one change of the decider.
 func (l *leader) decide(change func(*aqdecider.Decider)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -130,10 +122,11 @@
 		return err
 	}
 	l.node.log.Write(aqlog.LeadRecovered, slog.Duration("Took", l.node.clock.Now().Sub(begun)),
-		slog.Int("Workers", len(l.sessions)))
+		slog.Int("Workers", l.workerCount()))
 	loops := []func(context.Context){
 		func(ctx context.Context) { l.watchJobs(ctx, jobsFrom) },
 		func(ctx context.Context) { l.watchWorkers(ctx, workersFrom) },
+		l.watchMembers,
 		l.tickLoop,
 		l.storeLoop,
 	}
@@ -190,7 +183,8 @@
 		}
 		l.takeIn(d, in, stored)
 	})
-	l.takeWorkers(ctx, listed)
+	l.crew.join(ctx, l.node.record(), l.node.agent)
+	l.takeWorkers(listed)
 	return jobsFrom, workersFrom, nil
 }
 
@@ -318,20 +312,19 @@
 		case <-l.node.clock.After(tickIdle):
 		}
 		var orders []aqdecider.Order
-		l.decide(func(d *aqdecider.Decider) { orders = d.Tick() })
-		l.dispatch(orders)
+		l.decide(func(d *aqdecider.Decider) {
+			l.crew.lapse(d)
+			orders = d.Tick()
+		})
+		l.crew.dispatch(orders)
 		aqclock.Sleep(ctx, l.node.clock, tickPause)
 	}
 }
 
-func (l *leader) dispatch(orders []aqdecider.Order) {
+func (l *leader) workerCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, o := range orders {
-		if h := l.sessions[o.Target()]; h != nil {
-			h.session.send(h.ctx, o)
-		}
-	}
+	return len(l.decider.WorkerIDs())
 }
 
 func (l *leader) setQueues(config *Config) {
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -58,6 +58,7 @@
 
 	server *aqpeer.Server
 	peers  *aqpeer.Pool
+	agent  *agent
 	routes routes
 
 	mu      sync.Mutex
@@ -73,7 +74,8 @@
 // Bounds of calls between processes.
 const (
 	peerDial = 400 * time.Millisecond
-	peerCall = 500 * time.Millisecond
+	// peerCall is longer than pollWait.
+	peerCall = 1200 * time.Millisecond
 )
 
 // NewNode returns a node that does nothing yet.
@@ -90,6 +92,8 @@
 		server:      aqpeer.NewServer(o.Log, o.Metrics),
 		peers:       aqpeer.NewPool(aqpeer.ClientLimits{Dial: peerDial, Call: peerCall}),
 	}
+	n.agent = newAgent(n.workers, n.clock, n.log, n.metrics)
+	n.agent.handle(n.server)
 	n.handlePeers()
 	return n
 }
@@ -102,7 +106,11 @@
 	if err := n.server.Start(n.settings.PeerAddress); err != nil {
 		return err
 	}
-	n.work.Add(2)
+	n.work.Add(3)
+	go func() {
+		defer n.work.Done()
+		n.register(ctx)
+	}()
 	go func() {
 		defer n.work.Done()
 		n.watchConfig(ctx)
@@ -117,6 +125,7 @@
 
 // Close ends the calls between processes.
 func (n *Node) Close() {
+	n.agent.stop()
 	n.server.Stop()
 	n.peers.Close()
 }
--- a/pkg/aqsite/session.go
+++ b/pkg/aqsite/session.go
@@ -22,12 +22,12 @@
 	// to follow.
 	lookIdle  = 2 * time.Second
 	lookBusy  = time.Second
-	lookClose = 400 * time.Millisecond
+	lookClose = 500 * time.Millisecond
 	// lookMargin is how much longer than its wait a look may take.
 	lookMargin = 700 * time.Millisecond
 	// lookPause is the least time between two looks: one answer brings all ends
 	// of that time.
-	lookPause = 50 * time.Millisecond
+	lookPause = 90 * time.Millisecond
 	// lookRetry is the pause after a look that failed.
 	lookRetry = 150 * time.Millisecond
 	// orderTimeout bounds one try of an order.
@@ -37,6 +37,8 @@
 	stopTries  = 3
 	// orderRetry is the pause between the tries of one order.
 	orderRetry = 50 * time.Millisecond
+	// readingWaits is how many of these pauses a start waits for the first look.
+	readingWaits = 10
 	// sessionCalls bounds the orders to one worker that are under way.
 	sessionCalls = 3
 	// silentLooks is how many looks in a row must fail before a worker counts
@@ -50,30 +52,22 @@
 // lapseMargin covers the reading of clocks when a lease is taken to have ended.
 const lapseMargin = 100 * time.Millisecond
 
-// overseer is what a session tells its leader.
-type overseer interface {
-	// decide runs one change of the decider.
-	decide(change func(*aqdecider.Decider))
-	// mayOrder reports whether leadership was proved lately.
-	mayOrder() bool
-	fence() Fence
-	leaseLength() time.Duration
-	// deposed is called when a worker has seen a higher fence.
-	deposed(by error)
-}
-
-// session is a leader's dealing with one worker: a loop of looks that keep the
-// lease, and the orders.
+// session is an agent's dealing with one worker in one assignment: a loop of
+// looks that keep the lease, and the orders.
 type session struct {
-	id      aqtype.WorkerID
-	leader  overseer
-	workers Workers
-	clock   aqclock.Clock
-	log     *aqlog.Logger
-	metrics *aqmetric.Set
+	id     aqtype.WorkerID
+	serial Serial
+	fence  Fence
+	lease  time.Duration
+	agent  *agent
+	ctx    context.Context
+	// end is called under the agent's lock or before the session is known to it.
+	end context.CancelFunc
 
 	mu      sync.Mutex
 	worker  aqdecider.Worker
+	hint    hint
+	moment  aqdecider.Moment
 	reading clockReading
 	// leaseEnd is the highest end of a lease that was sent to this life.
 	leaseEnd WorkerTime
@@ -113,6 +107,13 @@
 	s.worker = w
 }
 
+// advise takes what the leader wants of the looks.
+func (s *session) advise(h hint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hint = h
+}
+
 // forgetLife drops what was known of an earlier life. The lock is held.
 func (s *session) forgetLife() {
 	s.reading = clockReading{}
@@ -120,74 +121,76 @@
 	s.queue = nil
 }
 
+// tick returns the next moment. The lock is held.
+func (s *session) tick() aqdecider.Moment {
+	s.moment++
+	return s.moment
+}
+
 func (s *session) address() Address {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Address{Worker: s.worker, HostPort: s.worker.Address}
 }
 
-// run looks at the worker until ctx ends.
-func (s *session) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if !s.look(ctx) {
-			aqclock.Sleep(ctx, s.clock, lookRetry)
-			continue
+// run looks at the worker until the session ends.
+func (s *session) run() {
+	for s.ctx.Err() == nil {
+		pause := lookPause
+		if !s.look() {
+			pause = lookRetry
 		}
-		aqclock.Sleep(ctx, s.clock, lookPause)
+		aqclock.Sleep(s.ctx, s.agent.clock, pause)
 	}
 }
 
 // look makes one look and reports whether it was answered.
-func (s *session) look(ctx context.Context) bool {
-	to := s.address()
-	request := LookRequest{Fence: s.leader.fence()}
-	s.leader.decide(func(d *aqdecider.Decider) {
-		number, life := d.Acknowledge(s.id)
-		if life == to.Worker.Life {
-			request.Forget = number
-		}
-		request.Wait = lookIdle
-		if d.Occupied(s.id) {
-			request.Wait = lookBusy
-		}
-		if d.WatchClosely(s.id) {
-			request.Wait = lookClose
-		}
-	})
-	request.LeaseEnd = s.nextLeaseEnd()
-	if request.LeaseEnd == 0 {
-		request.Wait = 0
-	}
-	sent := s.clock.Now()
-	bounded, cancel := context.WithTimeout(ctx, request.Wait+lookMargin)
-	answer, err := s.workers.Look(bounded, to, request)
+func (s *session) look() bool {
+	to, request, sent := s.nextLook()
+	bounded, cancel := context.WithTimeout(s.ctx, request.Wait+lookMargin)
+	answer, err := s.agent.workers.Look(bounded, to, request)
 	cancel()
 	if err != nil {
-		s.lookFailed(ctx, to, err)
+		s.lookFailed(to, err)
 		return false
 	}
-	answer.Listing.SentAt = sent
-	s.looked(to, answer)
+	answer.Listing.Sent = sent
+	s.answered(to, answer)
 	return true
 }
 
-// nextLeaseEnd returns the end of the lease to ask for, zero while the worker's
-// clock is unknown or leadership has not been proved for too long.
-func (s *session) nextLeaseEnd() WorkerTime {
-	if !s.leader.mayOrder() {
-		return 0
-	}
+// nextLook prepares a look. A worker that did not answer the last one is not
+// given a longer lease, so that the end of its lease comes nearer.
+func (s *session) nextLook() (Address, LookRequest, aqdecider.Moment) {
+	permitted := s.agent.permitted(s.fence)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.reading.known {
+	to := Address{Worker: s.worker, HostPort: s.worker.Address}
+	request := LookRequest{Fence: s.fence}
+	if s.hint.Life == s.worker.Life {
+		request.Forget = s.hint.Forget
+	}
+	if permitted {
+		request.LeaseEnd = s.nextLeaseEnd()
+	}
+	if request.LeaseEnd > 0 {
+		request.Wait = s.hint.Wait
+	}
+	return to, request, s.tick()
+}
+
+// nextLeaseEnd returns the end of the lease to ask for, zero while it must not be
+// prolonged. The lock is held.
+func (s *session) nextLeaseEnd() WorkerTime {
+	if !s.reading.known || !s.hint.Renew || s.failed > 0 {
 		return 0
 	}
-	end := s.reading.now(s.clock.Now()) + WorkerTime(s.leader.leaseLength())
+	end := s.reading.now(s.agent.clock.Now()) + WorkerTime(s.lease)
 	s.leaseEnd = max(s.leaseEnd, end)
 	return end
 }
 
-func (s *session) looked(to Address, answer LookAnswer) {
+func (s *session) answered(to Address, answer LookAnswer) {
 	s.mu.Lock()
 	life := answer.Listing.Life
 	if life < s.worker.Life {
@@ -199,24 +202,23 @@
 		s.worker.Life = life
 	}
 	s.failed = 0
-	s.reading = clockReading{at: s.clock.Now(), value: answer.Clock, known: true}
+	s.reading = clockReading{at: s.agent.clock.Now(), value: answer.Clock, known: true}
 	if s.leaseEnd == 0 {
-		// An earlier leader may have prolonged the lease until now.
-		s.leaseEnd = answer.Clock + WorkerTime(s.leader.leaseLength())
+		// Another agent may have prolonged the lease until now.
+		s.leaseEnd = answer.Clock + WorkerTime(s.lease)
 	}
 	s.mu.Unlock()
-	s.leader.decide(func(d *aqdecider.Decider) { d.Listed(s.id, answer.Listing) })
+	s.agent.emit(s, looked{Listing: answer.Listing})
 }
 
-func (s *session) lookFailed(ctx context.Context, to Address, err error) {
-	if ctx.Err() != nil {
+func (s *session) lookFailed(to Address, err error) {
+	if s.ctx.Err() != nil {
 		return
 	}
 	if errors.Is(err, ErrFenced) {
-		s.leader.deposed(err)
+		s.agent.emit(s, fenced{})
 		return
 	}
-	now := s.clock.Now()
 	s.mu.Lock()
 	if to.Worker.Life != s.worker.Life {
 		s.mu.Unlock()
@@ -224,36 +226,39 @@
 	}
 	s.failed++
 	failed := s.failed
-	lapsed := s.reading.known && now.After(s.reading.reaches(s.leaseEnd))
-	s.mu.Unlock()
-	s.metrics.Retried(aqmetric.RetryOrderLost)
-	if failed == silentLooks {
-		s.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "look"), aqlog.Err(err))
+	lapse := time.Duration(-1)
+	if s.reading.known {
+		lapse = max(0, s.reading.reaches(s.leaseEnd).Sub(s.agent.clock.Now()))
 	}
-	if failed >= silentLooks {
-		s.leader.decide(func(d *aqdecider.Decider) { d.Silent(s.id) })
-	}
-	if lapsed {
-		s.leader.decide(func(d *aqdecider.Decider) { d.Lapsed(s.id) })
+	s.mu.Unlock()
+	s.agent.metrics.Retried(aqmetric.RetryOrderLost)
+	if failed != silentLooks {
+		return
 	}
+	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "look"), aqlog.Err(err))
+	s.agent.emit(s, silent{LapseIn: lapse})
 }
 
-// send carries out an order in the background.
-func (s *session) send(ctx context.Context, o aqdecider.Order) {
+// send carries out an order in the background. Stops go first.
+func (s *session) send(o aqdecider.Order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue = append(s.queue, o)
+	if _, first := o.(aqdecider.Stop); first {
+		s.queue = append([]aqdecider.Order{o}, s.queue...)
+	} else {
+		s.queue = append(s.queue, o)
+	}
 	if s.calls >= sessionCalls {
 		return
 	}
 	s.calls++
-	go s.carry(ctx)
+	go s.carry()
 }
 
-func (s *session) carry(ctx context.Context) {
+func (s *session) carry() {
 	for {
 		s.mu.Lock()
-		if len(s.queue) == 0 || ctx.Err() != nil {
+		if len(s.queue) == 0 || s.ctx.Err() != nil {
 			s.calls--
 			s.mu.Unlock()
 			return
@@ -263,57 +268,98 @@
 		s.mu.Unlock()
 		switch order := o.(type) {
 		case aqdecider.Start:
-			s.start(ctx, order)
+			s.start(order)
 		case aqdecider.Stop:
-			s.stop(ctx, order)
+			s.stop(order)
 		case aqdecider.Pace:
-			s.pace(ctx, order)
+			s.pace(order)
+		}
+	}
+}
+
+// stopQueued takes a start out of the queue that a stop has overtaken, and
+// reports whether it was there. The lock is held.
+func (s *session) stopQueued(run aqdecider.RunID) bool {
+	for i, o := range s.queue {
+		if start, ok := o.(aqdecider.Start); ok && start.Run == run {
+			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
+			return true
 		}
 	}
+	return false
 }
 
-func (s *session) start(ctx context.Context, order aqdecider.Start) {
-	begun := s.clock.Now()
+func (s *session) start(order aqdecider.Start) {
+	begun := s.agent.clock.Now()
 	to := s.address()
-	outcome := aqdecider.OutcomeUnknown
+	outcome := aqdecider.OutcomeNotSent
 	doubtful := false
+	s.awaitReading()
 	for range startTries {
-		end := s.nextLeaseEnd()
-		if end == 0 || !s.wanted(order) {
-			break
-		}
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := s.workers.Start(bounded, to, StartRequest{
-			Fence:    s.leader.fence(),
-			LeaseEnd: end,
-			Order:    order,
-		})
-		cancel()
+		err := s.tryStart(to, order)
 		if errors.Is(err, ErrFenced) {
-			s.leader.deposed(err)
+			s.agent.emit(s, fenced{})
 			return
 		}
 		if errors.Is(err, ErrUnanswered) || errors.Is(err, ErrTooLate) {
-			doubtful = doubtful || errors.Is(err, ErrUnanswered)
-			s.metrics.Retried(aqmetric.RetryOrderLost)
-			aqclock.Sleep(ctx, s.clock, orderRetry)
+			if errors.Is(err, ErrUnanswered) {
+				doubtful = true
+				outcome = aqdecider.OutcomeUnknown
+			}
+			s.agent.metrics.Retried(aqmetric.RetryOrderLost)
+			aqclock.Sleep(s.ctx, s.agent.clock, orderRetry)
 			continue
 		}
 		outcome = startOutcome(err, doubtful)
 		break
 	}
-	if ctx.Err() != nil {
+	if s.ctx.Err() != nil {
 		return
 	}
-	s.metrics.Observe(aqmetric.TimeStart, s.clock.Now().Sub(begun))
-	s.leader.decide(func(d *aqdecider.Decider) { d.StartAnswered(s.id, to.Worker.Life, order.Run, outcome) })
+	s.agent.metrics.Observe(aqmetric.TimeStart, s.agent.clock.Now().Sub(begun))
+	s.mu.Lock()
+	at := s.tick()
+	s.mu.Unlock()
+	s.agent.emit(s, startAnswered{
+		Life:    to.Worker.Life,
+		Run:     order.Run,
+		Outcome: outcome,
+		At:      at,
+	})
+}
+
+// awaitReading gives a new session the time to learn the worker's clock.
+func (s *session) awaitReading() {
+	for range readingWaits {
+		s.mu.Lock()
+		known := s.reading.known && s.hint.Renew
+		s.mu.Unlock()
+		if known {
+			return
+		}
+		aqclock.Sleep(s.ctx, s.agent.clock, orderRetry)
+	}
 }
 
-// wanted reports whether a start has not been taken back.
-func (s *session) wanted(order aqdecider.Start) bool {
-	wanted := false
-	s.leader.decide(func(d *aqdecider.Decider) { wanted = d.Starting(s.id, order.Run) })
-	return wanted
+// tryStart makes one try of a start. A worker that does not answer looks gets no
+// starts, which would prolong its lease.
+func (s *session) tryStart(to Address, order aqdecider.Start) error {
+	if !s.agent.permitted(s.fence) {
+		return ErrTooLate
+	}
+	s.mu.Lock()
+	end := s.nextLeaseEnd()
+	s.mu.Unlock()
+	if end == 0 {
+		return ErrTooLate
+	}
+	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	return s.agent.workers.Start(bounded, to, StartRequest{
+		Fence:    s.fence,
+		LeaseEnd: end,
+		Order:    order,
+	})
 }
 
 // startOutcome tells what an answer means. A refusal after a try without answer
@@ -334,47 +380,62 @@
 	return aqdecider.OutcomeInvalid
 }
 
-func (s *session) stop(ctx context.Context, order aqdecider.Stop) {
+func (s *session) stop(order aqdecider.Stop) {
+	s.mu.Lock()
+	s.stopQueued(order.Run)
+	s.mu.Unlock()
 	to := s.address()
 	for range stopTries {
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := s.workers.Stop(bounded, to, StopRequest{Fence: s.leader.fence(), Run: order.Run})
+		bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		err := s.agent.workers.Stop(bounded, to, StopRequest{Fence: s.fence, Run: order.Run})
 		cancel()
 		if errors.Is(err, ErrFenced) {
-			s.leader.deposed(err)
+			s.agent.emit(s, fenced{})
 			return
 		}
 		if err == nil || errors.Is(err, ErrSuperseded) {
-			s.leader.decide(func(d *aqdecider.Decider) { d.StopAnswered(s.id, to.Worker.Life, order.Run) })
+			s.stopDone(to, order, true)
 			return
 		}
-		s.metrics.Retried(aqmetric.RetryOrderLost)
-		aqclock.Sleep(ctx, s.clock, orderRetry)
-		if ctx.Err() != nil {
+		s.agent.metrics.Retried(aqmetric.RetryOrderLost)
+		aqclock.Sleep(s.ctx, s.agent.clock, orderRetry)
+		if s.ctx.Err() != nil {
 			return
 		}
 	}
-	s.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "stop"),
+	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "stop"),
 		slog.String("Task", order.Run.Task.String()))
-	aqclock.Sleep(ctx, s.clock, lookRetry)
-	s.leader.decide(func(d *aqdecider.Decider) { d.StopUnanswered(s.id, to.Worker.Life, order.Run) })
+	aqclock.Sleep(s.ctx, s.agent.clock, lookRetry)
+	s.stopDone(to, order, false)
 }
 
-func (s *session) pace(ctx context.Context, order aqdecider.Pace) {
+func (s *session) stopDone(to Address, order aqdecider.Stop, taken bool) {
+	s.mu.Lock()
+	at := s.tick()
+	s.mu.Unlock()
+	s.agent.emit(s, stopAnswered{
+		Life:  to.Worker.Life,
+		Run:   order.Run,
+		Taken: taken,
+		At:    at,
+	})
+}
+
+func (s *session) pace(order aqdecider.Pace) {
 	to := s.address()
-	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
-	err := s.workers.Pace(bounded, to, PaceRequest{
-		Fence:   s.leader.fence(),
+	err := s.agent.workers.Pace(bounded, to, PaceRequest{
+		Fence:   s.fence,
 		Run:     order.Run,
 		Percent: order.Percent,
 	})
 	if errors.Is(err, ErrFenced) {
-		s.leader.deposed(err)
+		s.agent.emit(s, fenced{})
 		return
 	}
-	if err != nil {
-		s.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "pace"),
+	if err != nil && s.ctx.Err() == nil {
+		s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "pace"),
 			slog.String("Task", order.Run.Task.String()), aqlog.Err(err))
 	}
 }
