--- a/pkg/aqdecider/types.go
+++ b/pkg/aqdecider/types.go
@@ -41,6 +41,9 @@
 	Remaining time.Duration
 }
 
+// Same reports whether an agent can treat two listings alike.
+func (w Worker) Same(o Worker) bool { return w.Address == o.Address && w.Life == o.Life }
+
 // How says how a run ended.
 type How int
 
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -315,7 +315,7 @@
 	if t != nil {
 		t.attempt = max(t.attempt, report.Run.Attempt)
 	}
-	if t == nil || t.done || t.run != nil || t.group.occurrence.job.state.Final() || !t.group.ready {
+	if t == nil || t.done || t.run != nil || t.group.occurrence.job.state.Final() {
 		if sent, ok := w.strays[report.Run]; !ok || d.now.Sub(sent) > strayRetry {
 			w.strays[report.Run] = d.now
 			d.options.Log.Write(aqlog.RunDisowned, taskAttr(report.Run.Task), workerAttr(w.listed.ID),
@@ -402,7 +402,6 @@
 	if t.run != nil || t.done || t.group.occurrence.job.state.Final() {
 		return
 	}
-	t.seen = true
 	switch e.How {
 	case EndDone:
 		d.options.Log.Write(aqlog.RunEnded, taskAttr(e.Run.Task), workerAttr(w.listed.ID),
--- a/pkg/aqsite/crew.go
+++ b/pkg/aqsite/crew.go
@@ -210,7 +210,7 @@
 		p = &post{}
 		c.posts[w.ID] = p
 	}
-	if w.Life < p.worker.Life {
+	if w.Life < p.worker.Life || (p.member != nil && p.worker.Same(w)) {
 		return
 	}
 	p.worker = w
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -102,7 +102,11 @@
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dead := n.watchLeader(watching, cancel)
+	moved := n.watchMoved(watching, cancel)
 	events, next, err := n.store.Watch(watching, leadKey, from, watchWait)
+	if moved() {
+		return held, 0, nil
+	}
 	if dead() && ctx.Err() == nil {
 		return aqstore.Item{Key: leadKey, Changed: held.Changed}, from, nil
 	}
@@ -127,6 +131,7 @@
 
 // see takes the lead key as it stands.
 func (n *Node) see(held aqstore.Item) {
+	n.leadSeen.set(held.Changed)
 	var record *leadRecord
 	if len(held.Value) > 0 {
 		record = &leadRecord{}
@@ -182,6 +187,28 @@
 	}
 }
 
+// watchMoved calls found when the lead key is known to have changed. The returned
+// function tells whether it has.
+func (n *Node) watchMoved(ctx context.Context, found context.CancelFunc) func() bool {
+	moved := make(chan struct{})
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-n.leadMoved:
+			close(moved)
+			found()
+		}
+	}()
+	return func() bool {
+		select {
+		case <-moved:
+			return true
+		default:
+			return false
+		}
+	}
+}
+
 // leaderDies returns true once the leader's host refuses connections, and false
 // when ctx ends.
 func (n *Node) leaderDies(ctx context.Context, address string) bool {
@@ -298,6 +325,7 @@
 		leadChanged: changed,
 		proofAt:     proof,
 		fleet:       map[aqtype.WorkerID]bool{},
+		toldJobs:    map[aqjob.ID]toldJob{},
 		wakeTick:    make(chan struct{}, 1),
 		wakeStore:   make(chan struct{}, 1),
 		ended:       make(chan struct{}),
@@ -316,6 +344,7 @@
 
 // lead runs one term.
 func (n *Node) lead(ctx context.Context, l *leader, lease aqstore.LeaseID) {
+	n.leadSeen.set(l.leadChanged)
 	n.mu.Lock()
 	n.current = l
 	n.mu.Unlock()
@@ -365,9 +394,7 @@
 			return
 		}
 		if err == nil {
-			l.mu.Lock()
-			l.proofAt = sent
-			l.mu.Unlock()
+			l.proved(sent)
 		}
 	}
 }
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -86,6 +87,22 @@
 	}
 }
 
+// resyncPeriod is how often the list of workers is read whole: watches may hear
+// nothing for seconds, and a worker that drains must get nothing new.
+const resyncPeriod = 1200 * time.Millisecond
+
+// resyncLoop reads the list of workers whole while the watch tells nothing.
+func (l *leader) resyncLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		aqclock.Sleep(ctx, l.node.clock, resyncPeriod)
+		items, _, err := l.node.store.Range(ctx, l.node.catalog.WorkerPrefix)
+		l.node.storeAnswered(err)
+		if err == nil {
+			l.takeWorkers(items)
+		}
+	}
+}
+
 func (l *leader) takeWorkerEvent(e aqstore.Event) {
 	if e.Deleted {
 		id := aqtype.WorkerID(l.node.catalog.WorkerIDOf(e.Key))
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -100,8 +100,12 @@
 	}
 	doubtful := false
 	for {
-		_, err = n.store.Commit(ctx, txn)
+		var created aqstore.Revision
+		created, err = n.store.Commit(ctx, txn)
 		n.storeAnswered(err)
+		if err == nil {
+			n.tell(tellCall{Job: job.ID, Value: value, Created: created})
+		}
 		var conflict *aqstore.ConflictError
 		if err == nil || errors.As(err, &conflict) {
 			n.metrics.Inc(aqmetric.JobsAccepted)
@@ -159,6 +163,7 @@
 		return nil
 	}
 	if err == nil {
+		n.tell(tellCall{Job: id, Cancelled: true})
 		n.log.Write(aqlog.CancelStored, slog.String("Job", string(id)))
 	}
 	return err
@@ -198,11 +203,13 @@
 	defer cancel()
 	err := n.peers.Call(bounded, address, method, in, out)
 	if err != nil {
-		n.metrics.Retried(aqmetric.RetryLeaderLost)
+		n.countLeaderLost()
 	}
 	return err
 }
 
+func (n *Node) countLeaderLost() { n.metrics.Retried(aqmetric.RetryLeaderLost) }
+
 func (n *Node) storedState(ctx context.Context, id aqjob.ID) (aqjob.State, error) {
 	item, err := n.store.Get(ctx, progressKey(id))
 	if err == nil {
@@ -244,6 +251,14 @@
 
 // handlePeers registers the answers to other processes.
 func (n *Node) handlePeers() {
+	aqpeer.Handle(n.server, methodTell, func(_ context.Context, in tellCall) (struct{}, error) {
+		l := n.leading()
+		if l == nil {
+			return struct{}{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
+		}
+		l.told(in)
+		return struct{}{}, nil
+	})
 	aqpeer.Handle(n.server, methodState, func(_ context.Context, in stateCall) (stateAnswer, error) {
 		if l := n.leading(); l != nil {
 			if state, known, current := l.state(in.Job); current {
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -52,6 +52,8 @@
 	// fleet is the stored list of workers with its revision.
 	fleet        map[aqtype.WorkerID]bool
 	fleetChanged aqstore.Revision
+	// toldJobs are stored jobs that the watch has not told of yet.
+	toldJobs map[aqjob.ID]toldJob
 
 	wakeTick  chan struct{}
 	wakeStore chan struct{}
@@ -127,6 +129,8 @@
 		func(ctx context.Context) { l.watchJobs(ctx, jobsFrom) },
 		func(ctx context.Context) { l.watchWorkers(ctx, workersFrom) },
 		l.watchMembers,
+		l.tellLoop,
+		l.resyncLoop,
 		l.tickLoop,
 		l.storeLoop,
 	}
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -60,6 +60,12 @@
 	peers  *aqpeer.Pool
 	agent  *agent
 	routes routes
+	// configSeen and leadSeen are the revisions of the configuration and of the
+	// lead key; a lead key that does not exist has revision zero.
+	configSeen known
+	leadSeen   leadRevision
+	// leadMoved wakes the election when the lead key was found changed.
+	leadMoved chan struct{}
 
 	mu      sync.Mutex
 	current *leader
@@ -89,6 +95,7 @@
 		log:         o.Log,
 		metrics:     o.Metrics,
 		incarnation: o.Incarnation,
+		leadMoved:   make(chan struct{}, 1),
 		server:      aqpeer.NewServer(o.Log, o.Metrics),
 		peers:       aqpeer.NewPool(aqpeer.ClientLimits{Dial: peerDial, Call: peerCall}),
 	}
@@ -106,7 +113,11 @@
 	if err := n.server.Start(n.settings.PeerAddress); err != nil {
 		return err
 	}
-	n.work.Add(3)
+	n.work.Add(4)
+	go func() {
+		defer n.work.Done()
+		n.checkLoop(ctx)
+	}()
 	go func() {
 		defer n.work.Done()
 		n.register(ctx)
@@ -227,6 +238,7 @@
 	if item.Key != n.catalog.ConfigKey {
 		return
 	}
+	n.configSeen.set(item.Changed)
 	config, err := n.catalog.DecodeConfig(item.Value)
 	if err != nil {
 		n.ignoreEntry(item.Key, err)
