--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -15,13 +15,14 @@
 	// suits it.
 	crawlPace = 40
 	raiseStep = 25
-	lowerBy   = 3
+	// lowPace is the first step down; the next one is a halt.
+	lowPace = 25
 )
 
 // Parts of a tail latency target.
 const (
 	// tailPlan is the expected tail up to which fillers are placed and let go.
-	tailPlan = 0.8
+	tailPlan = 0.58
 	// tailOver is the measured tail from which fillers are slowed down.
 	tailOver = 0.95
 	// tailClear is the measured tail below which they are let go again.
@@ -76,8 +77,10 @@
 		}
 	}
 	switch {
+	case over > 0 && filler.pace > lowPace:
+		d.setPace(filler, lowPace, over)
 	case over > 0 && filler.pace > 0:
-		d.setPace(filler, filler.pace/lowerBy, over)
+		d.setPace(filler, 0, over)
 	case worst <= tailClear && filler.pace < fullPace && d.worstBeside(w, nil) <= tailPlan:
 		d.setPace(filler, min(fullPace, filler.pace+raiseStep), worst)
 	}
@@ -106,6 +109,16 @@
 	}
 }
 
+// strained reports whether a serving task of the worker is over its target.
+func (w *worker) strained(now time.Time) bool {
+	for _, r := range w.runs {
+		if !r.overSince.IsZero() && now.Sub(r.overSince) > reportSpan {
+			return true
+		}
+	}
+	return false
+}
+
 // relocate moves checkpointing fillers that crawl to workers that suit them.
 func (d *Decider) relocate() {
 	for _, w := range d.workers {
@@ -167,7 +180,7 @@
 func (d *Decider) fillerScore(g *group, w *worker) float64 {
 	l := w.current()
 	demand := l.demand + float64(g.spec.Size.MilliCPU)
-	if demand > maxDemand*l.leftover || d.worstBeside(w, g) > tailPlan {
+	if demand > maxDemand*l.leftover || w.strained(d.now) || d.worstBeside(w, g) > tailPlan {
 		return unsuited
 	}
 	score := demand / l.leftover
