Agents of an earlier leader acknowledge the new one; a process that the store turns away writes through the leader

The stored list now names the agents too; once each of them, or its successor, has heard of the new leader, nothing can be prolonged and the wait is one lease.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -107,6 +107,16 @@
 	}
 }
 
+// SettleBy brings the time nearer from which unsettled workers certainly run
+// none.
+func (d *Decider) SettleBy(until time.Time) {
+	for id, before := range d.unsettled {
+		if until.Before(before) {
+			d.unsettled[id] = until
+		}
+	}
+}
+
 // settle notes that a worker has said what runs on it.
 func (d *Decider) settle(id aqtype.WorkerID) { delete(d.unsettled, id) }
 
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -399,18 +399,21 @@
 		return
 	}
 	t.attempt = max(t.attempt, e.Run.Attempt)
-	if t.run != nil || t.done || t.group.occurrence.job.state.Final() {
+	if t.done || t.group.occurrence.job.state.Final() {
 		return
 	}
 	switch e.How {
 	case EndDone:
+		if t.run != nil {
+			d.stop(t.run, "an earlier run is done")
+		}
 		d.options.Log.Write(aqlog.RunEnded, taskAttr(e.Run.Task), workerAttr(w.listed.ID),
 			slog.Int("Attempt", int(e.Run.Attempt)), slog.String("How", e.How.String()))
 		d.taskDone(t)
 	case EndFailed:
 		d.taskFailed(t, w, e.Run.Attempt)
 	case EndStopped, EndLapsed, EndBroken, EndAlone, EndLost:
-		if e.Checkpoint != "" {
+		if e.Checkpoint != "" && t.run == nil {
 			t.checkpoint = e.Checkpoint
 			d.touch(t.group.occurrence.job)
 		}
--- a/pkg/aqsite/commit.go
+++ b/pkg/aqsite/commit.go
@@ -29,14 +29,14 @@
 			return
 		case <-l.wakeStore:
 		}
-		if !l.urgent() {
-			l.waitUrgent(ctx)
-		}
 		if err := l.storeFleet(ctx); err != nil {
 			l.commitFailed(ctx, err)
 			signal(l.wakeStore)
 			continue
 		}
+		if !l.urgent() {
+			l.waitUrgent(ctx)
+		}
 		l.storeRound(ctx)
 		aqclock.Sleep(ctx, l.node.clock, storePause)
 	}
@@ -45,7 +45,7 @@
 func (l *leader) urgent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.decider.Urgent() || l.decider.Unenlisted()
+	return l.decider.Urgent()
 }
 
 // waitUrgent lets decisions gather for which nobody waits.
--- a/pkg/aqsite/crew.go
+++ b/pkg/aqsite/crew.go
@@ -59,8 +59,10 @@
 type member struct {
 	record nodeRecord
 	link   crewLink
-	// up is set while the agent answers.
+	// up is set while the agent answers, enlisted once the stored list of agents
+	// names it. It gets no workers otherwise.
 	up       bool
+	enlisted bool
 	cancel   context.CancelFunc
 	ctx      context.Context
 	assigned int
@@ -134,7 +136,34 @@
 			loop(m)
 		}()
 	}
-	c.rebalance()
+	signal(c.leader.wakeStore)
+}
+
+// records lists the members for the stored list of agents.
+func (c *crew) records() []nodeRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var records []nodeRecord
+	for _, m := range c.sorted() {
+		records = append(records, m.record)
+	}
+	return records
+}
+
+// enlist lets members get workers that the stored list names.
+func (c *crew) enlist(agents []nodeRecord) {
+	c.mu.Lock()
+	changed := false
+	for _, record := range agents {
+		if m := c.members[record.Name]; m != nil && m.record == record && !m.enlisted {
+			m.enlisted = true
+			changed = true
+		}
+	}
+	c.mu.Unlock()
+	if changed {
+		c.rebalance()
+	}
 }
 
 // leave removes a member that is not registered any more.
@@ -164,7 +193,7 @@
 	var best *member
 	var bestLoad float64
 	for _, m := range c.sorted() {
-		if !m.up || tried[m.record.Name] {
+		if !m.up || !m.enlisted || tried[m.record.Name] {
 			continue
 		}
 		load := c.load(m, w)
@@ -342,7 +371,7 @@
 // heard of: the agent goes on until its permit ends, and the worker until its
 // lease.
 func (c *crew) longestLease() time.Duration {
-	return permitTime + time.Duration(float64(c.leader.leaseLength())/(1-clockDrift)) + lapseMargin
+	return permitTime + leaseSpan(c.leader.leaseLength())
 }
 
 func (c *crew) sortedPosts() []aqtype.WorkerID {
@@ -410,6 +439,7 @@
 			continue
 		}
 		c.revive(m)
+		c.leader.acknowledged(m.record.Name)
 		c.take(m, answer.Events)
 	}
 }
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -325,6 +325,8 @@
 		leadChanged: changed,
 		proofAt:     proof,
 		fleet:       map[aqtype.WorkerID]bool{},
+		fleetAgents: map[string]nodeRecord{},
+		awaited:     map[string]bool{},
 		toldJobs:    map[aqjob.ID]toldJob{},
 		wakeTick:    make(chan struct{}, 1),
 		wakeStore:   make(chan struct{}, 1),
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -117,17 +117,12 @@
 // storeFleet stores the list of workers before anything is started on a new
 // one, so that the next leader knows where tasks may run.
 func (l *leader) storeFleet(ctx context.Context) error {
-	l.mu.Lock()
-	ids := l.decider.WorkerIDs()
-	same := len(ids) == len(l.fleet)
-	for _, id := range ids {
-		same = same && l.fleet[id]
-	}
-	l.mu.Unlock()
+	agents := l.crew.records()
+	ids, same := l.fleetIs(agents)
 	if same {
 		return nil
 	}
-	value, err := aqjob.Encode(fleetRecord{Workers: ids})
+	value, err := aqjob.Encode(fleetRecord{Workers: ids, Agents: agents})
 	if err != nil {
 		return err
 	}
@@ -146,10 +141,31 @@
 	for _, id := range ids {
 		l.fleet[id] = true
 	}
+	l.fleetAgents = map[string]nodeRecord{}
+	for _, record := range agents {
+		l.fleetAgents[record.Name] = record
+	}
 	l.decide(func(d *aqdecider.Decider) { d.Enlist(ids) })
+	l.crew.enlist(agents)
 	return nil
 }
 
+// fleetIs returns the workers that are known, and whether the stored list names
+// just these and the given agents.
+func (l *leader) fleetIs(agents []nodeRecord) ([]aqtype.WorkerID, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids := l.decider.WorkerIDs()
+	same := len(ids) == len(l.fleet) && len(agents) == len(l.fleetAgents)
+	for _, id := range ids {
+		same = same && l.fleet[id]
+	}
+	for _, record := range agents {
+		same = same && l.fleetAgents[record.Name] == record
+	}
+	return ids, same
+}
+
 // fleetDoubt takes up the revision of a write whose answer was lost.
 func (l *leader) fleetDoubt(ctx context.Context, err error) error {
 	var conflict *aqstore.ConflictError
--- /dev/null
+++ b/pkg/aqsite/forward.go
@@ -0,0 +1,106 @@
+package aqsite
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqstore"
+)
+
+// methodCommit has the leader, which the store serves, write for a process that
+// the store turns away.
+const methodCommit aqpeer.Method = "Site.Commit"
+
+// commitResult is the outcome of a forwarded write.
+type commitResult int
+
+const (
+	commitDone commitResult = iota + 1
+	// commitConflict means that the key exists.
+	commitConflict
+	commitRefused
+	commitUnknown
+)
+
+type commitCall struct {
+	Key   string
+	Value []byte
+}
+
+type commitAnswer struct {
+	Result  commitResult
+	Changed aqstore.Revision
+}
+
+// create writes a key that must not exist, through the leader when the store
+// does not take it from this process. The write may be repeated: it takes effect
+// once.
+func (n *Node) create(ctx context.Context, key string, value []byte) (aqstore.Revision, error) {
+	changed, err := n.createHere(ctx, key, value)
+	n.storeAnswered(err)
+	var conflict *aqstore.ConflictError
+	if err == nil || errors.As(err, &conflict) {
+		return changed, err
+	}
+	if n.leading() != nil || n.leaderAddress() == "" {
+		return 0, err
+	}
+	forwarded, forwardErr := n.createThere(ctx, key, value)
+	switch {
+	case forwardErr == nil || errors.As(forwardErr, &conflict):
+		return forwarded, forwardErr
+	case errors.Is(err, aqstore.ErrUnknown) || errors.Is(forwardErr, aqstore.ErrUnknown):
+		return 0, errors.WithMessage(aqstore.ErrUnknown, forwardErr.Error())
+	}
+	return 0, forwardErr
+}
+
+func (n *Node) createHere(ctx context.Context, key string, value []byte) (aqstore.Revision, error) {
+	return n.store.Commit(ctx, aqstore.Txn{
+		If:     []aqstore.Condition{{Key: key}},
+		Writes: []aqstore.Write{{Key: key, Value: value}},
+	})
+}
+
+func (n *Node) createThere(ctx context.Context, key string, value []byte) (aqstore.Revision, error) {
+	var answer commitAnswer
+	err := n.askLeader(ctx, methodCommit, commitCall{Key: key, Value: value}, &answer)
+	var refusal *aqpeer.Error
+	switch {
+	case errors.Is(err, aqpeer.ErrNotSent), errors.As(err, &refusal):
+		return 0, errors.WithMessage(aqstore.ErrRefused, err.Error())
+	case err != nil:
+		return 0, errors.WithMessage(aqstore.ErrUnknown, err.Error())
+	}
+	switch answer.Result {
+	case commitDone:
+		return answer.Changed, nil
+	case commitConflict:
+		return 0, &aqstore.ConflictError{}
+	case commitRefused:
+		return 0, errors.WithMessage(aqstore.ErrRefused, "by the leader")
+	case commitUnknown:
+	}
+	return 0, errors.WithMessage(aqstore.ErrUnknown, "at the leader")
+}
+
+// commitFor writes for another process.
+func (n *Node) commitFor(ctx context.Context, in commitCall) (commitAnswer, error) {
+	if n.leading() == nil {
+		return commitAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
+	}
+	changed, err := n.createHere(ctx, in.Key, in.Value)
+	n.storeAnswered(err)
+	var conflict *aqstore.ConflictError
+	switch {
+	case err == nil:
+		return commitAnswer{Result: commitDone, Changed: changed}, nil
+	case errors.As(err, &conflict):
+		return commitAnswer{Result: commitConflict}, nil
+	case errors.Is(err, aqstore.ErrRefused):
+		return commitAnswer{Result: commitRefused}, nil
+	}
+	return commitAnswer{Result: commitUnknown}, nil
+}
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -93,16 +93,10 @@
 	if err != nil {
 		return errors.WithMessage(ErrNotAccepted, err.Error())
 	}
-	key := jobKey(job.ID)
-	txn := aqstore.Txn{
-		If:     []aqstore.Condition{{Key: key}},
-		Writes: []aqstore.Write{{Key: key, Value: value}},
-	}
 	doubtful := false
 	for {
 		var created aqstore.Revision
-		created, err = n.store.Commit(ctx, txn)
-		n.storeAnswered(err)
+		created, err = n.create(ctx, jobKey(job.ID), value)
 		if err == nil {
 			n.tell(tellCall{Job: job.ID, Value: value, Created: created})
 		}
@@ -135,7 +129,6 @@
 func (n *Node) Cancel(ctx context.Context, id aqjob.ID) error {
 	for {
 		err := n.cancelOnce(ctx, id)
-		n.storeAnswered(err)
 		if err == nil || errors.Is(err, ErrNoJob) {
 			return err
 		}
@@ -147,17 +140,17 @@
 }
 
 func (n *Node) cancelOnce(ctx context.Context, id aqjob.ID) error {
-	_, err := n.store.Get(ctx, jobKey(id))
-	if errors.Is(err, aqstore.ErrNotFound) {
-		return ErrNoJob
-	}
-	if err != nil {
-		return err
+	if answer, err := n.askState(ctx, id); err != nil || !answer.Known {
+		_, err := n.store.Get(ctx, jobKey(id))
+		n.storeAnswered(err)
+		if errors.Is(err, aqstore.ErrNotFound) {
+			return ErrNoJob
+		}
+		if err != nil {
+			return err
+		}
 	}
-	_, err = n.store.Commit(ctx, aqstore.Txn{
-		If:     []aqstore.Condition{{Key: cancelKey(id)}},
-		Writes: []aqstore.Write{{Key: cancelKey(id), Value: []byte{}}},
-	})
+	_, err := n.create(ctx, cancelKey(id), []byte{})
 	var conflict *aqstore.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
@@ -251,6 +244,7 @@
 
 // handlePeers registers the answers to other processes.
 func (n *Node) handlePeers() {
+	aqpeer.Handle(n.server, methodCommit, n.commitFor)
 	aqpeer.Handle(n.server, methodTell, func(_ context.Context, in tellCall) (struct{}, error) {
 		l := n.leading()
 		if l == nil {
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -33,7 +33,7 @@
 	// watchWait is how long one watch waits.
 	watchWait = 10 * time.Second
 	// proofLimit is how long a leader goes on without proof of its leadership.
-	proofLimit = 10 * time.Second
+	proofLimit = 6 * time.Second
 )
 
 // leader is one term of leadership.
@@ -50,7 +50,10 @@
 	proofAt time.Time
 	lost    error
 	// fleet is the stored list of workers with its revision.
-	fleet        map[aqtype.WorkerID]bool
+	fleet       map[aqtype.WorkerID]bool
+	fleetAgents map[string]nodeRecord
+	// awaited are agents of an earlier leader that have not heard of this one.
+	awaited      map[string]bool
 	fleetChanged aqstore.Revision
 	// toldJobs are stored jobs that the watch has not told of yet.
 	toldJobs map[aqjob.ID]toldJob
@@ -64,6 +67,8 @@
 // fleetRecord is the value of the fleet key.
 type fleetRecord struct {
 	Workers []aqtype.WorkerID
+	// Agents are the processes that may deal with workers for the leader.
+	Agents []nodeRecord
 }
 
 // leaseLength is how long workers keep their tasks without a word.
@@ -166,7 +171,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	fleet, err := l.readFleet(ctx)
+	fleet, agents, err := l.readFleet(ctx)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -178,7 +183,7 @@
 	}
 	l.setQueues(l.node.routes.config())
 	l.decide(func(d *aqdecider.Decider) {
-		doubtfulUntil := l.node.clock.Now().Add(proofLimit + 2*l.leaseLength())
+		doubtfulUntil := l.node.clock.Now().Add(proofLimit + l.crew.longestLease())
 		d.Unsettle(fleet, doubtfulUntil)
 		for _, item := range listed {
 			if w, ok := l.decodeWorker(item); ok {
@@ -188,24 +193,59 @@
 		l.takeIn(d, in, stored)
 	})
 	l.crew.join(ctx, l.node.record(), l.node.agent)
+	l.joinAgents(ctx, agents)
 	l.takeWorkers(listed)
 	return jobsFrom, workersFrom, nil
 }
 
-func (l *leader) readFleet(ctx context.Context) ([]aqtype.WorkerID, error) {
+func (l *leader) readFleet(ctx context.Context) ([]aqtype.WorkerID, []nodeRecord, error) {
 	item, err := l.node.store.Get(ctx, fleetKey)
 	if errors.Is(err, aqstore.ErrNotFound) {
-		return nil, nil
+		return nil, nil, nil
 	}
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	var record fleetRecord
 	if err := decode(item.Value, &record); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	l.fleetChanged = item.Changed
-	return record.Workers, nil
+	return record.Workers, record.Agents, nil
+}
+
+// joinAgents tells the agents of an earlier leader of this one. Once each of
+// them has heard of it, nothing more is ordered for the earlier one.
+func (l *leader) joinAgents(ctx context.Context, agents []nodeRecord) {
+	l.mu.Lock()
+	for _, record := range agents {
+		l.awaited[record.Name] = true
+	}
+	l.mu.Unlock()
+	for _, record := range agents {
+		if record.Name != l.node.settings.Name {
+			l.crew.join(ctx, record, remoteLink{peers: l.node.peers, address: record.Address})
+		}
+	}
+}
+
+// acknowledged notes that an agent has heard of this leader.
+func (l *leader) acknowledged(name string) {
+	l.mu.Lock()
+	waited := l.awaited[name]
+	delete(l.awaited, name)
+	last := waited && len(l.awaited) == 0
+	l.mu.Unlock()
+	if !last {
+		return
+	}
+	ended := l.node.clock.Now().Add(leaseSpan(l.leaseLength()))
+	l.decide(func(d *aqdecider.Decider) { d.SettleBy(ended) })
+}
+
+// leaseSpan is how long a lease lasts at most by this process's clock.
+func leaseSpan(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-clockDrift)) + lapseMargin
 }
 
 // takeIn takes a reading of everything under inPrefix: jobs, and the
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -73,7 +73,8 @@
 	seen     *leadRecord
 	stopping bool
 
-	storeDown atomic.Bool
+	storeDown     atomic.Bool
+	storeFailedAt atomic.Int64
 	work      sync.WaitGroup
 }
 
@@ -176,17 +177,23 @@
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	down := errors.Is(err, aqstore.ErrUnknown) || errors.Is(err, aqstore.ErrRefused)
-	if n.storeDown.Swap(down) == down {
+	now := n.clock.Now()
+	if errors.Is(err, aqstore.ErrUnknown) || errors.Is(err, aqstore.ErrRefused) {
+		n.storeFailedAt.Store(now.UnixNano())
+		if !n.storeDown.Swap(true) {
+			n.log.Write(aqlog.StoreLost, aqlog.Err(err))
+		}
 		return
 	}
-	if down {
-		n.log.Write(aqlog.StoreLost, aqlog.Err(err))
-		return
+	if n.storeDown.Load() && now.UnixNano()-n.storeFailedAt.Load() > int64(storeSteady) && n.storeDown.Swap(false) {
+		n.log.Write(aqlog.StoreRegained)
 	}
-	n.log.Write(aqlog.StoreRegained)
 }
 
+// storeSteady is how long the store must serve a process without a failure
+// before it counts as back: it may turn away some calls of many.
+const storeSteady = 1200 * time.Millisecond
+
 func (n *Node) ignoreEntry(key string, err error) {
 	n.metrics.Refused(aqmetric.RefusedEntry)
 	n.log.Write(aqlog.EntryIgnored, slog.String("Key", key), aqlog.Err(err))
--- a/pkg/aqsite/tell.go
+++ b/pkg/aqsite/tell.go
@@ -25,9 +25,9 @@
 
 // tellCall says that a job or a cancellation is stored.
 type tellCall struct {
-	Job      aqjob.ID
-	Value    []byte           `msgpack:",omitempty"`
-	Created  aqstore.Revision `msgpack:",omitempty"`
+	Job       aqjob.ID
+	Value     []byte           `msgpack:",omitempty"`
+	Created   aqstore.Revision `msgpack:",omitempty"`
 	Cancelled bool             `msgpack:",omitempty"`
 }
 
