--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -154,13 +154,21 @@
 	return serving && filling
 }
 
-// newLife ends everything that ran in a worker's earlier life.
+// newLife takes a worker's restart. What ran in its earlier life has ended, but
+// an order to start that was on its way may still reach the new life: each run is
+// stopped there before its task runs elsewhere.
 func (d *Decider) newLife(w *worker, life Life) {
 	d.options.Log.Write(aqlog.WorkerReborn, workerAttr(w.listed.ID), slog.Int64("Life", int64(life)),
 		slog.Int64("Before", int64(w.listed.Life)), slog.Int("Runs", len(w.runs)))
 	for _, r := range w.runs {
-		d.endRun(r, EndLost, r.checkpoint)
+		r.confirmed = 0
+		r.state = runStopping
+		r.stopped = 0
+		r.stopAt = d.now
+		r.why = "worker restarted"
+		d.order(Stop{Worker: w.listed.ID, Run: r.id})
 	}
+	w.changed()
 	w.listed.Life = life
 	w.processed = 0
 	w.stored = 0
--- a/pkg/aqsite/crew.go
+++ b/pkg/aqsite/crew.go
@@ -568,8 +568,12 @@
 		c.mu.Unlock()
 		return
 	}
-	if p.lapseAt.IsZero() && e.LapseIn >= 0 {
-		p.lapseAt = c.leader.node.clock.Now().Add(e.LapseIn)
+	if p.lapseAt.IsZero() {
+		lapseIn := e.LapseIn
+		if lapseIn < 0 {
+			lapseIn = c.longestLease()
+		}
+		p.lapseAt = c.leader.node.clock.Now().Add(lapseIn)
 	}
 	if p.tried == nil {
 		p.tried = map[string]bool{}
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -134,7 +134,7 @@
 		Writes: []aqstore.Write{{Key: fleetKey, Value: value}},
 	})
 	if err != nil {
-		return l.fleetDoubt(ctx, err)
+		return l.fleetDoubt(err)
 	}
 	l.fleetChanged = changed
 	l.fleet = make(map[aqtype.WorkerID]bool, len(ids))
@@ -167,7 +167,7 @@
 }
 
 // fleetDoubt takes up the revision of a write whose answer was lost.
-func (l *leader) fleetDoubt(ctx context.Context, err error) error {
+func (l *leader) fleetDoubt(err error) error {
 	var conflict *aqstore.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -33,8 +33,6 @@
 const (
 	// askTimeout bounds one question to the leader.
 	askTimeout = 500 * time.Millisecond
-	// answerMargin is left of a submitter's deadline for the answer.
-	answerMargin = 150 * time.Millisecond
 	// submitPause is the pause between two tries of a submission.
 	submitPause = 60 * time.Millisecond
 )
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -75,7 +75,7 @@
 
 	storeDown     atomic.Bool
 	storeFailedAt atomic.Int64
-	work      sync.WaitGroup
+	work          sync.WaitGroup
 }
 
 // Bounds of calls between processes.
--- a/pkg/aqsite/routes.go
+++ b/pkg/aqsite/routes.go
@@ -3,8 +3,6 @@
 import (
 	"strings"
 	"sync/atomic"
-
-	"acaciaquay/pkg/aqjob"
 )
 
 // routes is the newest configuration that this process has seen. Versions only
@@ -52,17 +50,3 @@
 	}
 	return route, found, true
 }
-
-// queueByID finds a queue of the newest configuration.
-func (r *routes) queueByID(id aqjob.QueueID) (aqjob.Queue, bool) {
-	table := r.current.Load()
-	if table == nil {
-		return aqjob.Queue{}, false
-	}
-	for _, route := range table.config.Routes {
-		if route.Queue.ID == id {
-			return route.Queue, true
-		}
-	}
-	return aqjob.Queue{}, false
-}
