--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -92,6 +92,9 @@
 	if percent < crawlPace && r.pace >= crawlPace {
 		r.crawlSince = d.now
 	}
+	if percent >= crawlPace && r.pace < crawlPace {
+		r.movedAt = d.now
+	}
 	r.pace = percent
 	r.worker.changed()
 	r.paceAt = d.now
@@ -119,25 +122,62 @@
 	return false
 }
 
-// relocate moves checkpointing fillers that crawl to workers that suit them.
+// relocate moves checkpointing fillers that crawl to workers that suit them, and
+// tasks that stand still to others.
 func (d *Decider) relocate() {
 	for _, w := range d.workers {
 		if !w.reachable {
 			continue
 		}
 		for _, r := range w.runs {
-			spec := r.task.group.spec
-			if !spec.Filler || !spec.Checkpointing || r.state != runRunning || r.pace >= crawlPace ||
-				d.now.Sub(r.crawlSince) < crawlTime {
-				continue
-			}
-			if other := d.choose(r.task, nil); other != nil && other != w {
-				d.stop(r, "tails beside it are over their targets")
+			switch {
+			case r.state != runRunning:
+			case d.standsStill(r):
+				d.options.Log.Write(aqlog.RunStuck, taskAttr(r.id.Task), workerAttr(w.listed.ID),
+					slog.Int("Percent", r.percent), slog.Duration("Since", d.now.Sub(r.movedAt)))
+				r.task.avoidWorker(w.listed.ID)
+				w.health.failed(r.id.Task.Job, d.now)
+				d.stop(r, "makes no progress")
+			case r.crawls(d.now):
+				if other := d.choose(r.task, nil); other != nil && other != w {
+					d.stop(r, "tails beside it are over their targets")
+				}
 			}
 		}
 	}
 }
 
+// crawls reports whether a filler that can be moved has been slowed down for a
+// while.
+func (r *run) crawls(now time.Time) bool {
+	spec := r.task.group.spec
+	return spec.Filler && spec.Checkpointing && r.pace < crawlPace && now.Sub(r.crawlSince) >= crawlTime
+}
+
+// Bounds of the time without progress after which a run counts as stuck.
+const (
+	// stuckLeast covers a few looks at the worker.
+	stuckLeast = 2 * time.Second
+	// stuckPart is the part of the estimated run time in which at least one
+	// hundredth must be done, however busy the worker is.
+	stuckPart = 0.5
+	// atWorkLeast is how long a perpetual task may take to be at work.
+	atWorkLeast = 4 * time.Second
+)
+
+// standsStill reports whether a run has made no progress for longer than a busy
+// worker explains, by figures that are not old.
+func (d *Decider) standsStill(r *run) bool {
+	if d.now.Sub(r.reportAt) > staleReport || r.pace < crawlPace {
+		return false
+	}
+	spec := r.task.group.spec
+	if spec.Perpetual {
+		return r.report.Percent < 100 && d.now.Sub(r.movedAt) > atWorkLeast
+	}
+	return d.now.Sub(r.movedAt) > max(stuckLeast, time.Duration(stuckPart*float64(spec.Estimate)))
+}
+
 // Weights of the scores by kind of task.
 const (
 	// weightMixed counts each other serving image on a worker: fillers must suit
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -493,9 +493,7 @@
 			other.countFailure(attempt)
 		}
 	}
-	if !slices.Contains(t.avoid, w.listed.ID) {
-		t.avoid = append(t.avoid, w.listed.ID)
-	}
+	t.avoidWorker(w.listed.ID)
 	d.touch(j)
 	d.options.Metrics.Retried(aqmetric.RetryTaskFailed)
 	if len(t.failed) >= max(1, j.queue.MaxAttempts) && !t.group.spec.Perpetual {
@@ -503,6 +501,13 @@
 	}
 }
 
+// avoidWorker keeps the task off a worker while there are others.
+func (t *task) avoidWorker(id aqtype.WorkerID) {
+	if !slices.Contains(t.avoid, id) {
+		t.avoid = append(t.avoid, id)
+	}
+}
+
 // countFailure counts an attempt that has ended failed, once.
 func (t *task) countFailure(attempt Attempt) {
 	if !slices.Contains(t.failed, attempt) {
