--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -51,10 +51,13 @@
 	orders    []Order
 	dirty     map[aqjob.ID]*job
 	ended     []endedJob
-	model     *interference
-	advice    map[groupKey]*advice
-	now       time.Time
-	wall      time.Time
+	// early holds the cancellations of jobs that are not known yet.
+	early  map[aqjob.ID]time.Time
+	model  *interference
+	short  shortUse
+	advice map[groupKey]*advice
+	now    time.Time
+	wall   time.Time
 }
 
 // endedJob is a job in a final state, in the order of ending.
@@ -73,6 +76,7 @@
 		waiting:   map[*group]bool{},
 		unsettled: map[aqtype.WorkerID]time.Time{},
 		dirty:     map[aqjob.ID]*job{},
+		early:     map[aqjob.ID]time.Time{},
 		model:     newInterference(),
 		advice:    map[groupKey]*advice{},
 	}
@@ -155,6 +159,11 @@
 
 // expire forgets jobs whose final state has been shown for long enough.
 func (d *Decider) expire() {
+	for id, at := range d.early {
+		if d.now.Sub(at) > d.options.Limits.Retention {
+			delete(d.early, id)
+		}
+	}
 	for len(d.ended) > 0 && d.now.Sub(d.ended[0].at) > d.options.Limits.Retention {
 		j := d.jobs[d.ended[0].id]
 		if j != nil && j.hasRuns() {
--- a/pkg/aqdecider/interference.go
+++ b/pkg/aqdecider/interference.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"acaciaquay/pkg/aqtype"
 )
 
 // imagePair is a serving image and the image of a filler beside it.
@@ -22,8 +24,9 @@
 
 // Parameters of the model of interference.
 const (
-	// priorFactor expects some harm from pairs that were never seen.
-	priorFactor = 3.0
+	// priorFactor expects some harm from pairs that were never seen, but lets one
+	// filler beside a serving task show what it does.
+	priorFactor = 1.5
 	// priorWeight is the evidence that the prior counts for.
 	priorWeight = 0.02
 	// maxFactor bounds an estimate against a single odd figure.
@@ -156,6 +159,8 @@
 	serving []string
 	// fillers is the processors that fillers would use at their pace, by image.
 	fillers map[string]float64
+	// short is what tasks reserve that end and are no fillers.
+	short aqtype.MilliCPU
 	// demand is the sum over all fillers.
 	demand float64
 	// leftover is what fillers can expect of the worker's processors.
@@ -189,6 +194,7 @@
 			}
 		default:
 			l.leftover -= size
+			l.short += spec.Size.MilliCPU
 		}
 	}
 	slices.Sort(l.serving)
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -61,6 +61,9 @@
 	// ready is set when every group before it is done.
 	ready   bool
 	readyAt time.Time
+	// roomSince is since when there has been room for a perpetual group's tasks
+	// that wait.
+	roomSince time.Time
 }
 
 // task is one task of a group.
@@ -76,6 +79,9 @@
 	failed []Attempt
 	// checkpoint is the progress that the next start resumes from.
 	checkpoint string
+	// begun is set with the first start, and for tasks that an earlier decider may
+	// have started.
+	begun bool
 	// seen is set when the whereabouts of every earlier run are known.
 	seen bool
 	// avoid lists workers on which the task failed or stood still.
@@ -209,6 +215,11 @@
 	}
 	d.options.Log.Write(aqlog.JobKnown, jobAttr(spec.ID), slog.String("Queue", string(j.queue.ID)),
 		slog.Bool("Inherited", inherited), slog.Int("Groups", len(spec.Groups)))
+	if _, cancelled := d.early[spec.ID]; cancelled {
+		delete(d.early, spec.ID)
+		d.finish(j, aqjob.StateCancelled, "submitter cancelled")
+		return
+	}
 	d.beginDue(j)
 }
 
@@ -321,7 +332,13 @@
 			tasks:      make([]*task, spec.Count),
 		}
 		for index := range g.tasks {
-			g.tasks[index] = &task{group: g, index: index, seen: !j.inherited, awaySince: d.now}
+			g.tasks[index] = &task{
+				group:     g,
+				index:     index,
+				seen:      !j.inherited,
+				begun:     j.inherited,
+				awaySince: d.now,
+			}
 			if j.inherited {
 				g.tasks[index].attempt = d.options.FirstAttempt
 			}
@@ -355,13 +372,17 @@
 	return true
 }
 
-// Cancel ends a job at its submitter's wish.
+// Cancel ends a job at its submitter's wish. The cancellation may come before the
+// job itself.
 func (d *Decider) Cancel(id aqjob.ID) {
 	j := d.jobs[id]
-	if j == nil || j.state.Final() {
+	if j == nil {
+		d.early[id] = d.now
 		return
 	}
-	d.finish(j, aqjob.StateCancelled, "submitter cancelled")
+	if !j.state.Final() {
+		d.finish(j, aqjob.StateCancelled, "submitter cancelled")
+	}
 }
 
 // finish puts a job into a final state and stops what still runs of it.
--- /dev/null
+++ b/pkg/aqdecider/main_test.go
@@ -0,0 +1,30 @@
+package aqdecider
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed: the verdict is the same every time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
+		if given(name) {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// given reports whether a flag stands on the command line.
+func given(name string) bool {
+	found := false
+	flag.Visit(func(f *flag.Flag) { found = found || f.Name == name })
+	return found
+}
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -19,8 +19,13 @@
 	}
 	doubtful := d.inDoubt()
 	full := map[fillerKey]aqtype.MilliCPU{}
-	for _, g := range d.ordered() {
+	ordered := d.ordered()
+	spare := d.spareFor(ordered)
+	for _, g := range ordered {
 		pending := g.pending(d.now, doubtful)
+		if g.spec.Perpetual {
+			pending = pending[:d.admitted(spare, g, len(pending))]
+		}
 		if len(pending) > 0 && !g.hopeless(full) {
 			d.placeGroup(g, pending, full)
 		}
@@ -106,6 +111,21 @@
 	return best
 }
 
+// mostUrgent goes before every priority of a queue.
+const mostUrgent = -1
+
+// interrupted reports whether a task of the group has run before and does not.
+func (g *group) interrupted() bool {
+	for _, t := range g.tasks {
+		if t.interrupted() {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *task) interrupted() bool { return t.run == nil && !t.done && t.begun }
+
 // wants reports whether a task of the group has no run and needs one.
 func (g *group) wants() bool {
 	for _, t := range g.tasks {
@@ -153,7 +173,12 @@
 	due := g.occurrence.dueAt.Add(allowed)
 	r := rank{class: classOnTime, priority: j.queue.Priority, due: due}
 	if g.spec.Perpetual {
-		r.due = g.readyAt
+		r.due = g.readyAt.Add(j.queue.Target)
+		if g.interrupted() {
+			// A task that has served before is missed by its users.
+			r.due = g.readyAt
+			r.priority = mostUrgent
+		}
 		return r
 	}
 	switch {
@@ -319,6 +344,7 @@
 	}
 	t.run = r
 	t.seen = true
+	t.begun = true
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 	w.changed()
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -346,6 +346,7 @@
 	}
 	t.run = r
 	t.seen = true
+	t.begun = true
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 	w.changed()
--- a/pkg/aqdecider/world_rapid_test.go
+++ b/pkg/aqdecider/world_rapid_test.go
@@ -66,10 +66,10 @@
 			},
 			"cancel": func(t *rapid.T) {
 				id := aqjob.ID(fmt.Sprintf("%016x", rapid.IntRange(1, 6).Draw(t, "job")))
-				if w.jobs[id] != nil {
-					w.cancels[id] = true
-					w.decider.Cancel(id)
+				if _, again := w.cancels[id]; !again {
+					w.cancels[id] = w.now
 				}
+				w.decider.Cancel(id)
 			},
 		}
 		t.Repeat(actions)
--- a/pkg/aqdecider/world_test.go
+++ b/pkg/aqdecider/world_test.go
@@ -16,6 +16,11 @@
 )
 
 const (
+	// cancelBound is how long after a cancellation a task may start, lateness how
+	// much longer a worker may take to carry out a late order.
+	cancelBound = time.Second
+	lateness    = 60 * worldStep
+
 	worldStep  = 50 * time.Millisecond
 	worldLease = 2 * time.Second
 	testQueue  = aqjob.QueueID("queue")
@@ -38,7 +43,7 @@
 	stored  map[aqjob.ID]aqjob.Progress
 	rev     map[aqjob.ID]aqstore.Revision
 	next    aqstore.Revision
-	cancels map[aqjob.ID]bool
+	cancels map[aqjob.ID]time.Time
 	// flight is the batch that is being stored.
 	flight *Batch
 	late   []lateOrder
@@ -94,7 +99,7 @@
 		stored:   map[aqjob.ID]aqjob.Progress{},
 		rev:      map[aqjob.ID]aqstore.Revision{},
 		next:     1,
-		cancels:  map[aqjob.ID]bool{},
+		cancels:  map[aqjob.ID]time.Time{},
 		done:     map[aqjob.TaskID]bool{},
 		failed:   map[aqjob.TaskID]map[Attempt]bool{},
 		everDone: map[aqjob.TaskID]bool{},
@@ -157,9 +162,9 @@
 			progress = &p
 		}
 		w.decider.AddJob(w.jobs[id], progress, w.rev[id], true)
-		if w.cancels[id] {
-			w.decider.Cancel(id)
-		}
+	}
+	for id := range w.cancels {
+		w.decider.Cancel(id)
 	}
 	for _, id := range w.ids() {
 		fake := w.workers[id]
@@ -392,6 +397,9 @@
 		w.t.Fatalf("%s starts again after its end was acknowledged", id.Task)
 	}
 	job := w.jobs[id.Task.Job]
+	if at, cancelled := w.cancels[job.ID]; cancelled && w.now.Sub(at) > cancelBound+lateness {
+		w.t.Fatalf("%s starts long after its job was cancelled", id.Task)
+	}
 	if len(w.failed[id.Task]) >= 3 {
 		w.t.Fatalf("%s starts after as many failures as allowed", id.Task)
 	}
