A caller's own deadline is no failure of its endpoint

Cause: noteFailure looked at the caller's connection only, so a request with a short deadline took a healthy endpoint out until a probe had passed. The new test hung in that state before and passes now.

--- a/pkg/aqgateway/connections_test.go
+++ b/pkg/aqgateway/connections_test.go
@@ -111,3 +111,28 @@
 		t.Fatalf("%d orders ran of %d answered", posts, 60-refused)
 	}
 }
+
+// A request that runs into its own caller's deadline says nothing of its
+// endpoint, which gets the next one.
+func TestCallerDeadlineIsNoFailureOfTheEndpoint(t *testing.T) {
+	slow := make(chan struct{})
+	e := newRawEndpoint(t, func(conn net.Conn, _ int) bool {
+		<-slow
+		writeAnswer(conn)
+		return true
+	})
+	h := newHarness(t, endpointAt("a", e.address()))
+	done := make(chan result, 1)
+	go func() { done <- h.send(http.MethodPost, "/folio/x", map[string]string{HeaderTimeout: "20"}) }()
+	if got := <-done; got.outcome != OutcomeUnknown {
+		t.Fatalf("order with a short deadline: %+v", got)
+	}
+	close(slow)
+	go func() { done <- h.send(http.MethodPost, "/folio/x", nil) }()
+	if got := <-done; got.status != http.StatusOK {
+		t.Fatalf("the next order: %+v", got)
+	}
+	if seen := e.seen.Load(); seen != 2 {
+		t.Fatalf("the endpoint saw %d requests, want 2 and no probe", seen)
+	}
+}
--- a/pkg/aqgateway/gateway.go
+++ b/pkg/aqgateway/gateway.go
@@ -177,10 +177,10 @@
 		began := g.options.Clock.Now()
 		got, err := g.forwarder.try(ctx, r, identified, endpoint)
 		if err == nil {
-			g.finish(w, got, service, endpoint, began)
+			g.finish(ctx, w, got, service, endpoint, began)
 			return
 		}
-		g.noteFailure(r, service, endpoint, err)
+		g.noteFailure(ctx, service, endpoint, err)
 		if !g.mayRepeat(ctx, r, identified, err) {
 			g.giveUp(w, identified, held, err)
 			return
@@ -189,7 +189,7 @@
 }
 
 func (g *Gateway) finish(
-	w http.ResponseWriter, got *reply, service *serviceState, endpoint *aqroute.Endpoint, began time.Time,
+	ctx context.Context, w http.ResponseWriter, got *reply, service *serviceState, endpoint *aqroute.Endpoint, began time.Time,
 ) {
 	service.sawAnswer(endpoint, got.response.Close)
 	err := answer(w, got)
@@ -199,7 +199,7 @@
 		g.budget.Earn()
 		g.options.Metrics.Inc(aqmetric.RequestsAnswered)
 		return
-	case errors.Is(err, errCallerGone):
+	case errors.Is(err, errCallerGone), ctx.Err() != nil:
 		service.abandoned(endpoint)
 	default:
 		service.failed(endpoint)
@@ -208,8 +208,12 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (g *Gateway) noteFailure(r *http.Request, service *serviceState, endpoint *aqroute.Endpoint, err error) {
-	if r.Context().Err() != nil {
+// noteFailure counts a failed try against its endpoint, unless the caller has left
+// or its deadline has passed.
+func (g *Gateway) noteFailure(
+	ctx context.Context, service *serviceState, endpoint *aqroute.Endpoint, err error,
+) {
+	if ctx.Err() != nil {
 		service.abandoned(endpoint)
 		return
 	}
