--- /dev/null
+++ b/pkg/aqsite/fake_test.go
@@ -0,0 +1,159 @@
+package aqsite
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqstore"
+)
+
+// fakeStore is a key-value service in memory. A fault decides on each commit.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision aqstore.Revision
+	items    map[string]aqstore.Item
+	// fault returns an error for a commit, and whether it takes effect all the
+	// same.
+	fault   func(aqstore.Txn) (err error, applied bool)
+	commits int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{revision: 1, items: map[string]aqstore.Item{}}
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (aqstore.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item, ok := s.items[key]
+	if !ok {
+		return item, aqstore.ErrNotFound
+	}
+	return item, nil
+}
+
+func (s *fakeStore) Range(_ context.Context, prefix string) ([]aqstore.Item, aqstore.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []aqstore.Item
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, item)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	return items, s.revision, nil
+}
+
+func (s *fakeStore) Watch(
+	ctx context.Context, _ string, after aqstore.Revision, _ time.Duration,
+) ([]aqstore.Event, aqstore.Revision, error) {
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+func (s *fakeStore) Commit(_ context.Context, txn aqstore.Txn) (aqstore.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	if s.fault != nil {
+		if err, applied := s.fault(txn); err != nil {
+			if applied {
+				_, _ = s.apply(txn)
+			}
+			return 0, err
+		}
+	}
+	return s.apply(txn)
+}
+
+func (s *fakeStore) apply(txn aqstore.Txn) (aqstore.Revision, error) {
+	conflict := &aqstore.ConflictError{}
+	holds := true
+	for _, c := range txn.If {
+		item, ok := s.items[c.Key]
+		holds = holds && item.Changed == c.Changed
+		if ok {
+			conflict.Current = append(conflict.Current, item)
+		}
+	}
+	if !holds {
+		return 0, conflict
+	}
+	s.revision++
+	for _, w := range txn.Writes {
+		created := s.items[w.Key].Created
+		if created == 0 {
+			created = s.revision
+		}
+		s.items[w.Key] = aqstore.Item{
+			Key:     w.Key,
+			Value:   w.Value,
+			Changed: s.revision,
+			Created: created,
+		}
+	}
+	for _, key := range txn.Remove {
+		delete(s.items, key)
+	}
+	return s.revision, nil
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (aqstore.LeaseID, error) { return 1, nil }
+func (s *fakeStore) KeepAlive(context.Context, aqstore.LeaseID) error              { return nil }
+func (s *fakeStore) Revoke(context.Context, aqstore.LeaseID) error                 { return nil }
+
+// fakeWorkers answers each call with a function.
+type fakeWorkers struct {
+	look  func(LookRequest) (LookAnswer, error)
+	start func(StartRequest) error
+	stop  func(StopRequest) error
+}
+
+func (f *fakeWorkers) Look(_ context.Context, _ Address, r LookRequest) (LookAnswer, error) {
+	return f.look(r)
+}
+
+func (f *fakeWorkers) Start(_ context.Context, _ Address, r StartRequest) error { return f.start(r) }
+func (f *fakeWorkers) Stop(_ context.Context, _ Address, r StopRequest) error   { return f.stop(r) }
+func (f *fakeWorkers) Pace(context.Context, Address, PaceRequest) error         { return nil }
+
+// instantClock is a fake clock whose waits are over at once.
+type instantClock struct{ *aqclock.Fake }
+
+func (c instantClock) After(d time.Duration) <-chan time.Time {
+	c.Advance(d)
+	done := make(chan time.Time, 1)
+	done <- c.Now()
+	return done
+}
+
+func testNode(t *testing.T, store aqstore.Store, workers Workers) (*Node, instantClock) {
+	t.Helper()
+	clock := instantClock{Fake: aqclock.NewFake()}
+	n := NewNode(Options{
+		Settings: Settings{
+			Name:        "n1",
+			PeerAddress: "127.0.0.1:1",
+			Processors:  1,
+			WorkerLease: 5 * time.Second,
+			Decider:     aqdecider.Limits{Retention: time.Hour},
+		},
+		Store:       store,
+		Workers:     workers,
+		Clock:       clock,
+		Log:         aqlog.Discard(),
+		Metrics:     aqmetric.New(),
+		Incarnation: 7,
+	})
+	t.Cleanup(n.peers.Close)
+	return n, clock
+}
--- /dev/null
+++ b/pkg/aqsite/intake_test.go
@@ -0,0 +1,126 @@
+package aqsite
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqstore"
+	"acaciaquay/pkg/aqtype"
+)
+
+func testJob() *aqjob.Job {
+	return &aqjob.Job{
+		ID:     "5c0e7a21d94b36f8",
+		Queue:  aqjob.Queue{ID: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Target: time.Second},
+		Groups: []aqjob.Group{{Count: 1, Size: aqtype.Resources{MilliCPU: 100, Memory: 10}}},
+	}
+}
+
+// A submitter is told that a job never runs only when that is certain.
+func TestSubmissionUnderStoreFaults(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// faults are the outcomes of the first commits, applied whether they took
+		// effect.
+		faults  []error
+		applied bool
+		want    error
+		stored  bool
+	}{
+		{name: "stored", want: nil, stored: true},
+		{name: "turned away", faults: []error{aqstore.ErrRefused}, want: ErrNotAccepted},
+		{name: "answer lost, stored", faults: []error{aqstore.ErrUnknown}, applied: true, want: nil, stored: true},
+		{name: "answer lost, not stored", faults: []error{aqstore.ErrUnknown}, want: nil, stored: true},
+		{name: "doubt, then turned away", faults: []error{aqstore.ErrUnknown, aqstore.ErrRefused}, want: nil, stored: true},
+	} {
+		store := newFakeStore()
+		next := 0
+		store.fault = func(aqstore.Txn) (error, bool) {
+			if next >= len(test.faults) {
+				return nil, false
+			}
+			next++
+			return test.faults[next-1], test.applied
+		}
+		n, _ := testNode(t, store, nil)
+		err := n.Submit(context.Background(), testJob())
+		if !errors.Is(err, test.want) {
+			t.Errorf("%s: %v, want %v", test.name, err, test.want)
+		}
+		if _, err := store.Get(context.Background(), jobKey(testJob().ID)); (err == nil) != test.stored {
+			t.Errorf("%s: stored is %v", test.name, err == nil)
+		}
+	}
+}
+
+// A submission that stays in doubt until the submitter's deadline is unknown,
+// not refused.
+func TestSubmissionInDoubt(t *testing.T) {
+	store := newFakeStore()
+	ctx, cancel := context.WithCancel(context.Background())
+	store.fault = func(aqstore.Txn) (error, bool) {
+		if store.commits > 3 {
+			cancel()
+		}
+		return aqstore.ErrUnknown, false
+	}
+	n, _ := testNode(t, store, nil)
+	if err := n.Submit(ctx, testJob()); !errors.Is(err, ErrOutcomeUnknown) {
+		t.Fatalf("%v", err)
+	}
+}
+
+func TestStateFromTheStore(t *testing.T) {
+	store := newFakeStore()
+	n, _ := testNode(t, store, nil)
+	ctx := context.Background()
+	if _, err := n.State(ctx, testJob().ID); !errors.Is(err, ErrNoJob) {
+		t.Fatalf("state of no job: %v", err)
+	}
+	if err := n.Cancel(ctx, testJob().ID); !errors.Is(err, ErrNoJob) {
+		t.Fatalf("cancel of no job: %v", err)
+	}
+	if err := n.Submit(ctx, testJob()); err != nil {
+		t.Fatal(err)
+	}
+	if state, err := n.State(ctx, testJob().ID); err != nil || state != aqjob.StateQueued {
+		t.Fatalf("%s %v", state, err)
+	}
+	value, err := aqjob.Encode(&aqjob.Progress{State: aqjob.StateCompleted})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Commit(ctx, aqstore.Txn{
+		Writes: []aqstore.Write{{Key: progressKey(testJob().ID), Value: value}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if state, err := n.State(ctx, testJob().ID); err != nil || state != aqjob.StateCompleted {
+		t.Fatalf("%s %v", state, err)
+	}
+}
+
+// Configurations never go back, and the longest prefix wins.
+func TestRoutes(t *testing.T) {
+	var r routes
+	if _, _, configured := r.lookup("h", "/p/x"); configured {
+		t.Fatal("configured without a configuration")
+	}
+	newer := &Config{Version: 9, Routes: []Route{
+		{Host: "h", Prefix: "/p/", Queue: aqjob.Queue{ID: "short"}},
+		{Host: "h", Prefix: "/p/q/", Queue: aqjob.Queue{ID: "long"}},
+	}}
+	if !r.take(newer) || r.take(&Config{Version: 8}) || r.take(&Config{Version: 9}) {
+		t.Fatal("an older version was taken, or the newer was not")
+	}
+	if route, found, _ := r.lookup("h", "/p/q/x"); !found || route.Queue.ID != "long" {
+		t.Fatalf("%v %v", route, found)
+	}
+	if _, found, _ := r.lookup("other", "/p/x"); found {
+		t.Fatal("found a route of another host")
+	}
+}
--- /dev/null
+++ b/pkg/aqsite/leader_test.go
@@ -0,0 +1,123 @@
+package aqsite
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqstore"
+)
+
+// lead makes a node the leader without running its loops.
+func lead(t *testing.T, n *Node, store *fakeStore) *leader {
+	t.Helper()
+	changed, err := store.Commit(context.Background(), aqstore.Txn{
+		Writes: []aqstore.Write{{Key: leadKey, Value: []byte("n1")}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n.newLeader(changed, 0, n.clock.Now())
+}
+
+func withJob(l *leader) {
+	l.decide(func(d *aqdecider.Decider) {
+		d.AddJob(testJob(), nil, 0, false)
+		d.Cancel(testJob().ID)
+	})
+}
+
+// A lost answer is settled by what the store holds, and the record is written
+// once.
+func TestProgressIsStoredThroughLostAnswers(t *testing.T) {
+	for _, applied := range []bool{true, false} {
+		store := newFakeStore()
+		n, _ := testNode(t, store, nil)
+		l := lead(t, n, store)
+		withJob(l)
+		lost := 0
+		store.fault = func(aqstore.Txn) (error, bool) {
+			lost++
+			if lost == 1 {
+				return aqstore.ErrUnknown, applied
+			}
+			return nil, false
+		}
+		l.storeRound(context.Background())
+		if l.lost != nil {
+			t.Fatalf("leadership lost: %v", l.lost)
+		}
+		if state, known, _ := l.state(testJob().ID); !known || state != aqjob.StateCancelled {
+			t.Fatalf("shown as %s", state)
+		}
+	}
+}
+
+// A leader that has been replaced stores nothing more and gives up.
+func TestDeposedLeaderStoresNothing(t *testing.T) {
+	store := newFakeStore()
+	n, _ := testNode(t, store, nil)
+	l := lead(t, n, store)
+	withJob(l)
+	lead(t, n, store)
+	l.storeRound(context.Background())
+	if l.lost == nil {
+		t.Fatal("the leader goes on")
+	}
+	if _, err := store.Get(context.Background(), progressKey(testJob().ID)); !errors.Is(err, aqstore.ErrNotFound) {
+		t.Fatalf("progress was written: %v", err)
+	}
+}
+
+// A job that the leader was told of is taken only after a proof of the
+// leadership: it may be younger than a later leader's.
+func TestToldJobNeedsProof(t *testing.T) {
+	store := newFakeStore()
+	n, clock := testNode(t, store, nil)
+	l := lead(t, n, store)
+	value, err := aqjob.Encode(testJob())
+	if err != nil {
+		t.Fatal(err)
+	}
+	lead(t, n, store)
+	l.told(tellCall{Job: testJob().ID, Value: value, Created: 99})
+	clock.Advance(time.Second)
+	if len(l.overdueJobs()) != 1 {
+		t.Fatal("the job is not looked after")
+	}
+	l.tellLoop(timeLimited(l))
+	if _, known := l.decider.State(testJob().ID); known || l.lost == nil {
+		t.Fatal("a leader that was replaced has taken the job")
+	}
+}
+
+// timeLimited ends with the leadership.
+func timeLimited(l *leader) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-l.ended
+		cancel()
+	}()
+	return ctx
+}
+
+// A leader without proof for too long orders nothing.
+func TestLeaderNeedsProof(t *testing.T) {
+	store := newFakeStore()
+	n, clock := testNode(t, store, nil)
+	l := lead(t, n, store)
+	if !l.mayOrder() {
+		t.Fatal("a new leader may not order")
+	}
+	clock.Advance(proofLimit)
+	if l.mayOrder() {
+		t.Fatal("a leader orders without proof")
+	}
+	if err := l.prove(context.Background()); err != nil || !l.mayOrder() {
+		t.Fatalf("a proof does not help: %v", err)
+	}
+}
--- /dev/null
+++ b/pkg/aqsite/session_test.go
@@ -0,0 +1,134 @@
+package aqsite
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqpeer"
+)
+
+func testSession(t *testing.T, workers Workers) (*session, *agent, *aqclock.Fake) {
+	t.Helper()
+	clock := instantClock{Fake: aqclock.NewFake()}
+	a := newAgent(workers, clock, aqlog.Discard(), aqmetric.New())
+	if err := a.admit(5); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s := &session{
+		id:     "w1",
+		serial: 1,
+		fence:  5,
+		lease:  5 * time.Second,
+		agent:  a,
+		ctx:    ctx,
+		end:    cancel,
+		worker: aqdecider.Worker{ID: "w1", Life: 1},
+		hint:   hint{Worker: "w1", Wait: time.Second},
+	}
+	a.sessions["w1"] = s
+	return s, a, clock.Fake
+}
+
+// A lease is prolonged only after the leader has heard of the worker in this
+// assignment, and no more once the worker does not answer.
+func TestLeaseIsProlongedOnlyWhenTheLeaderKnows(t *testing.T) {
+	var last LookRequest
+	fail := false
+	workers := &fakeWorkers{look: func(r LookRequest) (LookAnswer, error) {
+		last = r
+		if fail {
+			return LookAnswer{}, ErrUnanswered
+		}
+		return LookAnswer{Listing: aqdecider.Listing{Life: 1}, Clock: WorkerTime(100 * time.Second)}, nil
+	}}
+	s, _, clock := testSession(t, workers)
+	s.look()
+	s.look()
+	if last.LeaseEnd != 0 {
+		t.Fatal("the lease was prolonged before the leader heard of the worker")
+	}
+	s.advise(hint{Worker: "w1", Wait: time.Second, Renew: true})
+	s.look()
+	if last.LeaseEnd != WorkerTime(105*time.Second) {
+		t.Fatalf("lease end %s", time.Duration(last.LeaseEnd))
+	}
+	fail = true
+	s.look()
+	s.look()
+	if last.LeaseEnd != 0 {
+		t.Fatal("the lease of a silent worker was prolonged")
+	}
+	fail = false
+	s.look()
+	clock.Advance(permitTime)
+	s.look()
+	if last.LeaseEnd != 0 {
+		t.Fatal("the lease was prolonged without a word of the leader")
+	}
+}
+
+// The end of a lease is reckoned for a worker whose clock is slow.
+func TestLapseAllowsForASlowClock(t *testing.T) {
+	now := time.Unix(1000, 0)
+	reading := clockReading{at: now, value: WorkerTime(50 * time.Second), known: true}
+	lapse := reading.reaches(WorkerTime(55 * time.Second))
+	slow := 50*time.Second + time.Duration(0.98*float64(lapse.Sub(now)))
+	if slow < 55*time.Second {
+		t.Fatalf("a clock that is 2%% slow shows %s at the reckoned end", slow)
+	}
+	if ahead := reading.now(now.Add(10 * time.Second)); ahead > WorkerTime(60*time.Second) {
+		t.Fatalf("the lower bound %s is above a true clock", time.Duration(ahead))
+	}
+}
+
+// A refusal after a try without an answer says nothing of that try.
+func TestStartOutcomes(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		answers []error
+		want    aqdecider.Outcome
+	}{
+		{name: "accepted", answers: []error{nil}, want: aqdecider.OutcomeAccepted},
+		{name: "accepted on the second try", answers: []error{ErrUnanswered, nil}, want: aqdecider.OutcomeAccepted},
+		{name: "no answer", answers: []error{ErrUnanswered, ErrUnanswered, ErrUnanswered}, want: aqdecider.OutcomeUnknown},
+		{name: "no room", answers: []error{ErrNoRoom}, want: aqdecider.OutcomeNoRoom},
+		{name: "no room after doubt", answers: []error{ErrUnanswered, ErrNoRoom}, want: aqdecider.OutcomeUnknown},
+		{name: "unhealthy", answers: []error{ErrUnhealthy}, want: aqdecider.OutcomeUnhealthy},
+		{name: "superseded", answers: []error{ErrSuperseded}, want: aqdecider.OutcomeUnknown},
+		{name: "too late", answers: []error{ErrTooLate, ErrTooLate, ErrTooLate}, want: aqdecider.OutcomeNotSent},
+	} {
+		next := 0
+		workers := &fakeWorkers{start: func(StartRequest) error {
+			next++
+			return test.answers[next-1]
+		}}
+		s, a, clock := testSession(t, workers)
+		s.reading = clockReading{at: clock.Now(), value: 1, known: true}
+		s.hint.Renew = true
+		s.start(aqdecider.Start{Worker: "w1"})
+		if len(a.events) != 1 || a.events[0].Started == nil || a.events[0].Started.Outcome != test.want {
+			t.Errorf("%s: %+v", test.name, a.events)
+		}
+	}
+}
+
+// An agent follows the highest fence and drops what it did for a lower one.
+func TestAgentFollowsTheHighestFence(t *testing.T) {
+	s, a, _ := testSession(t, &fakeWorkers{})
+	if err := a.admit(4); aqpeer.CodeOf(err) != aqpeer.CodeNotOwner {
+		t.Fatalf("lower fence: %v", err)
+	}
+	if err := a.admit(6); err != nil {
+		t.Fatal(err)
+	}
+	if s.ctx.Err() == nil || len(a.sessions) != 0 || a.permitted(5) {
+		t.Fatal("the session of the earlier leader goes on")
+	}
+}
