Advice tickets; generated pages know the site's settings and histograms

Groups of advised queues ask the advice service about 30 workers at a time, in turn, and start on workers with a valid ticket only.

--- a/pkg/aqdecider/advice.go
+++ b/pkg/aqdecider/advice.go
@@ -1,22 +1,64 @@
 package aqdecider
 
 import (
+	"fmt"
+	"log/slog"
+	"sort"
 	"time"
 
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqtype"
 )
 
+// GroupID names one group of one occurrence of a job.
+type GroupID struct {
+	Job        aqjob.ID
+	Occurrence aqjob.Occurrence
+	Group      int
+}
+
+// String renders the id as job.occurrence.group.
+func (g GroupID) String() string { return fmt.Sprintf("%s.%d.%d", g.Job, g.Occurrence, g.Group) }
+
+// Question asks the advice service which of some workers may run a group.
+type Question struct {
+	Group   GroupID
+	Workers []aqtype.WorkerID
+	// Base and PerWorker are how long the service takes to answer.
+	Base      time.Duration
+	PerWorker time.Duration
+	lives     map[aqtype.WorkerID]Life
+}
+
+// Advice is the answer to a question: a ticket for each worker that may run the
+// group.
+type Advice struct {
+	Tickets map[aqtype.WorkerID]string
+	// Valid is how long the tickets hold.
+	Valid time.Duration
+}
+
+// questionWorkers is the number of workers of one question. The service answers
+// one question at a time and takes longer for each worker.
+const questionWorkers = 30
+
+// adviceRetry is the pause after a question without an answer.
+const adviceRetry = 300 * time.Millisecond
+
 // advice is what the advice service has said of a group.
 type advice struct {
-	asked   map[aqtype.WorkerID]bool
-	tickets map[aqtype.WorkerID]ticket
+	// asked holds the workers that a question has named in their present life,
+	// with the time until which the answer holds.
+	asked     map[aqtype.WorkerID]askedWorker
+	asking    bool
+	notBefore time.Time
 }
 
-// ticket is a permission to run a group's tasks on a worker.
-type ticket struct {
-	text  string
-	life  Life
-	until time.Time
+type askedWorker struct {
+	life   Life
+	until  time.Time
+	ticket string
 }
 
 // ticket returns the permission to run a group on a worker, empty when there is
@@ -26,17 +68,113 @@
 	if a == nil {
 		return ""
 	}
-	t := a.tickets[w.listed.ID]
-	if t.life != w.listed.Life || !d.now.Before(t.until) {
+	answer := a.asked[w.listed.ID]
+	if answer.life != w.listed.Life || !d.now.Before(answer.until) {
 		return ""
 	}
-	return t.text
+	return answer.ticket
 }
 
 // dropTicket forgets a permission that a worker did not take.
 func (d *Decider) dropTicket(g *group, id aqtype.WorkerID) {
 	if a := d.advice[g.key()]; a != nil {
-		delete(a.tickets, id)
 		delete(a.asked, id)
 	}
 }
+
+// Questions returns what the advice service is to be asked now: one question for
+// each waiting group that has no worker with a ticket and room.
+func (d *Decider) Questions() []Question {
+	var questions []Question
+	for _, g := range d.ordered() {
+		if !g.occurrence.job.queue.Advised || !g.ready {
+			continue
+		}
+		a := d.advice[g.key()]
+		if a == nil {
+			a = &advice{asked: map[aqtype.WorkerID]askedWorker{}}
+			d.advice[g.key()] = a
+		}
+		if a.asking || d.now.Before(a.notBefore) {
+			continue
+		}
+		if q, ok := d.question(g, a); ok {
+			a.asking = true
+			questions = append(questions, q)
+		}
+	}
+	return questions
+}
+
+func (d *Decider) question(g *group, a *advice) (Question, bool) {
+	queue := g.occurrence.job.queue
+	q := Question{
+		Group:     g.key(),
+		Base:      queue.AdviceBase,
+		PerWorker: queue.AdvicePerWorker,
+		lives:     map[aqtype.WorkerID]Life{},
+	}
+	type scored struct {
+		worker *worker
+		score  float64
+	}
+	var open []scored
+	for _, w := range d.workers {
+		answer, asked := a.asked[w.listed.ID]
+		if asked && answer.life == w.listed.Life && d.now.Before(answer.until) {
+			continue
+		}
+		if !d.suits(g, w, aqtype.Resources{}) {
+			continue
+		}
+		if score := d.score(g, w, aqtype.Resources{}); score < unsuited {
+			open = append(open, scored{worker: w, score: score})
+		}
+	}
+	sort.Slice(open, func(i, k int) bool {
+		if open[i].score == open[k].score {
+			return open[i].worker.listed.ID < open[k].worker.listed.ID
+		}
+		return open[i].score < open[k].score
+	})
+	for _, o := range open[:min(len(open), questionWorkers)] {
+		q.Workers = append(q.Workers, o.worker.listed.ID)
+		q.lives[o.worker.listed.ID] = o.worker.listed.Life
+	}
+	return q, len(q.Workers) > 0
+}
+
+// Advised takes the answer to a question.
+func (d *Decider) Advised(q Question, answer Advice) {
+	a := d.advice[q.Group]
+	if a == nil {
+		return
+	}
+	a.asking = false
+	for _, id := range q.Workers {
+		a.asked[id] = askedWorker{
+			life:   q.lives[id],
+			until:  d.now.Add(answer.Valid),
+			ticket: answer.Tickets[id],
+		}
+	}
+	d.options.Log.Write(aqlog.AdviceTaken, slog.String("Group", q.Group.String()), slog.Int("Asked", len(q.Workers)),
+		slog.Int("Good", len(answer.Tickets)))
+}
+
+// AdviceFailed notes that a question got no answer.
+func (d *Decider) AdviceFailed(q Question) {
+	if a := d.advice[q.Group]; a != nil {
+		a.asking = false
+		a.notBefore = d.now.Add(adviceRetry)
+	}
+}
+
+// dropAdvice forgets what was said of a job's groups.
+func (d *Decider) dropAdvice(id aqjob.ID) {
+	for key := range d.advice {
+		if key.Job == id {
+			delete(d.advice, key)
+		}
+	}
+}
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -55,7 +55,7 @@
 	early  map[aqjob.ID]time.Time
 	model  *interference
 	short  shortUse
-	advice map[groupKey]*advice
+	advice map[GroupID]*advice
 	now    time.Time
 	wall   time.Time
 }
@@ -78,7 +78,7 @@
 		dirty:     map[aqjob.ID]*job{},
 		early:     map[aqjob.ID]time.Time{},
 		model:     newInterference(),
-		advice:    map[groupKey]*advice{},
+		advice:    map[GroupID]*advice{},
 	}
 }
 
--- a/pkg/aqdecider/decider_test.go
+++ b/pkg/aqdecider/decider_test.go
@@ -336,3 +336,89 @@
 		t.Fatal("the filler was never let go again")
 	}
 }
+
+// A group of an advised queue starts only on workers with a valid ticket.
+func TestAdvisedGroupsNeedTickets(t *testing.T) {
+	b := newBench(t, poolWorker("w1", "r1-1", 8000), poolWorker("w2", "r1-1", 8000))
+	job := benchJob(1, tasks(1, 1000), tasks(1, 1000))
+	job.Groups[1].After = []int{0}
+	job.Queue.Advised = true
+	b.d.AddJob(job, nil, 0, false)
+	b.tick()
+	questions := b.d.Questions()
+	if len(b.started) != 0 || len(questions) != 1 || len(questions[0].Workers) != 2 {
+		t.Fatalf("started %v, asked %v", b.started, questions)
+	}
+	if again := b.d.Questions(); len(again) != 0 {
+		t.Fatalf("asked again: %v", again)
+	}
+	b.d.Advised(questions[0], Advice{Tickets: map[aqtype.WorkerID]string{"w2": "t"}, Valid: time.Second})
+	b.tick()
+	if len(b.started) != 1 || b.started[0].Worker != "w2" || b.started[0].Ticket != "t" {
+		t.Fatalf("started %v", b.started)
+	}
+	b.end(1, b.started[0], EndDone)
+	b.tick()
+	if len(b.started) != 1 || len(b.d.Questions()) != 1 {
+		t.Fatal("the second group used the first one's ticket")
+	}
+}
+
+// Occurrences begin when they are due, and each is done for itself.
+func TestOccurrences(t *testing.T) {
+	b := newBench(t, poolWorker("w1", "r1-1", 8000))
+	job := benchJob(1, tasks(1, 1000))
+	job.Repeats = 2
+	job.FirstAt = b.now.Add(time.Second).UnixMilli()
+	job.Period = 2 * time.Second
+	b.d.AddJob(job, nil, 0, false)
+	b.tick()
+	if len(b.started) != 0 {
+		t.Fatal("started before the first occurrence is due")
+	}
+	b.pass(time.Second)
+	b.tick()
+	if len(b.started) != 1 {
+		t.Fatal("the first occurrence did not start")
+	}
+	b.end(1, b.started[0], EndDone)
+	b.pass(2 * time.Second)
+	b.tick()
+	if len(b.started) != 2 || b.started[1].Run.Task.Occurrence != 1 {
+		t.Fatalf("started %v", b.started)
+	}
+	b.end(2, b.started[1], EndDone)
+	for _, r := range b.d.TakeBatch().Records {
+		if r.Progress.State != aqjob.StateCompleted {
+			t.Fatalf("state %s", r.Progress.State)
+		}
+	}
+}
+
+// The members of a gang start with one attempt, and start anew together when one
+// of them ends without success.
+func TestGangStartsAnewTogether(t *testing.T) {
+	b := newBench(t, poolWorker("w1", "r1-1", 8000), poolWorker("w2", "r1-1", 8000))
+	g := tasks(2, 1000)
+	g.Gang = true
+	b.d.AddJob(benchJob(1, g), nil, 0, false)
+	b.tick()
+	if len(b.started) != 2 {
+		t.Fatalf("started %v", b.started)
+	}
+	b.end(1, b.started[0], EndFailed)
+	b.tick()
+	if len(b.started) != 2 || len(b.stopped) != 1 {
+		t.Fatalf("started %v, stopped %v", b.started, b.stopped)
+	}
+	other := b.started[1]
+	number := 1
+	if other.Worker == b.started[0].Worker {
+		number = 2
+	}
+	b.end(number, other, EndStopped)
+	b.tick()
+	if len(b.started) != 4 || b.started[2].Run.Attempt != 2 || b.started[3].Run.Attempt != 2 {
+		t.Fatalf("started %v", b.started)
+	}
+}
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -43,13 +43,6 @@
 	groups []*group
 }
 
-// groupKey names a group of one occurrence.
-type groupKey struct {
-	job        aqjob.ID
-	occurrence aqjob.Occurrence
-	group      int
-}
-
 // group is one group of one occurrence.
 type group struct {
 	occurrence *occurrence
@@ -150,8 +143,12 @@
 	}
 }
 
-func (g *group) key() groupKey {
-	return groupKey{job: g.occurrence.job.spec.ID, occurrence: g.occurrence.number, group: g.number}
+func (g *group) key() GroupID {
+	return GroupID{
+		Job:        g.occurrence.job.spec.ID,
+		Occurrence: g.occurrence.number,
+		Group:      g.number,
+	}
 }
 
 func (j *job) hasRuns() bool {
@@ -402,6 +399,9 @@
 			}
 		}
 	}
+	if j.queue.Advised {
+		d.dropAdvice(j.spec.ID)
+	}
 	d.touch(j)
 	d.release(j)
 }
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -261,6 +261,11 @@
 
 // allowed reports whether a worker may take a task of a group now.
 func (d *Decider) allowed(g *group, w *worker, promised aqtype.Resources) bool {
+	return d.suits(g, w, promised) && (!g.occurrence.job.queue.Advised || d.ticket(g, w) != "")
+}
+
+// suits reports whether a worker could take a task of a group now, advice aside.
+func (d *Decider) suits(g *group, w *worker, promised aqtype.Resources) bool {
 	j := g.occurrence.job
 	if !w.present || !w.reachable || !w.enlisted || w.listed.Draining || w.listed.Service != j.queue.Service {
 		return false
@@ -274,10 +279,7 @@
 	if g.spec.Constraint != "" && !slices.Contains(w.listed.Labels, g.spec.Constraint) {
 		return false
 	}
-	if g.spec.AntiAffinity > 0 && w.count(g)+promisedTasks(g, promised) >= g.spec.AntiAffinity {
-		return false
-	}
-	return !j.queue.Advised || d.ticket(g, w) != ""
+	return g.spec.AntiAffinity <= 0 || w.count(g)+promisedTasks(g, promised) < g.spec.AntiAffinity
 }
 
 // promisedTasks is how many of a group's tasks a promise is for.
--- a/pkg/aqdocs/pages.go
+++ b/pkg/aqdocs/pages.go
@@ -59,6 +59,10 @@
 	for _, c := range aqmetric.Counts {
 		fmt.Fprintf(&b, "- `%s`\n", c)
 	}
+	b.WriteString("\n## Latency histograms, in seconds\n\n")
+	for _, t := range aqmetric.Timings {
+		fmt.Fprintf(&b, "- `%s`\n", t)
+	}
 	return b.String()
 }
 
@@ -67,17 +71,24 @@
 	b.WriteString("# Settings\n\n" + generated)
 	b.WriteString("One INI file serves both daemons of a host. A key that is not listed here, a wrong unit, a missing\n")
 	b.WriteString("address or a value out of range is refused with file, section, key and reason, exit status 2.\n")
+	writeFields(&b, aqsettings.Fields)
+	b.WriteString("\n# Settings of a site's process\n\n")
+	b.WriteString("`acaciaquay site` reads this file. On the platform `deploy/site.ini` is filled in with its fields.\n")
+	writeFields(&b, aqsettings.SiteFields)
+	return b.String()
+}
+
+func writeFields(b *strings.Builder, fields []aqsettings.Field) {
 	section := ""
-	for _, f := range aqsettings.Fields {
+	for _, f := range fields {
 		if f.Section != section {
 			section = f.Section
-			fmt.Fprintf(&b, "\n## [%s]\n\n| key | unit | default | range | meaning |\n|---|---|---|---|---|\n", section)
+			fmt.Fprintf(b, "\n## [%s]\n\n| key | unit | default | range | meaning |\n|---|---|---|---|---|\n", section)
 		}
 		fallback := f.Default
 		if f.Required {
 			fallback = "required"
 		}
-		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s |\n", f.Key, f.Unit, fallback, f.Range, f.Doc)
+		fmt.Fprintf(b, "| %s | %s | %s | %s | %s |\n", f.Key, f.Unit, fallback, f.Range, f.Doc)
 	}
-	return b.String()
 }
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -43,6 +43,7 @@
 	RunPaced       = Event{Number: 535, Layer: LayerDecider, Level: slog.LevelInfo, Message: "run paced", Meaning: "A filler is slowed down or let go. TailRatio is the worst tail beside it over its target."}
 	StartDeclined  = Event{Number: 536, Layer: LayerDecider, Level: slog.LevelWarn, Message: "start declined", Meaning: "The worker certainly does not run the attempt. The task is placed again."}
 	RunStuck       = Event{Number: 537, Layer: LayerDecider, Level: slog.LevelWarn, Message: "run makes no progress", Meaning: "The run is stopped and placed on another worker."}
+	AdviceTaken    = Event{Number: 538, Layer: LayerDecider, Level: slog.LevelInfo, Message: "advice taken", Meaning: "The advice service has said which of the workers in Asked may run a group."}
 	WorkerListed   = Event{Number: 540, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker listed", Meaning: "Service discovery shows a worker that was not known."}
 	WorkerUnlisted = Event{Number: 541, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker unlisted", Meaning: "Service discovery does not show the worker any more. Nothing new is started there."}
 	WorkerDraining = Event{Number: 542, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker draining", Meaning: "The worker is about to leave. Nothing new is started there, and its tasks are moved in time."}
@@ -68,6 +69,7 @@
 	OrderFailed   = Event{Number: 918, Layer: LayerSite, Level: slog.LevelWarn, Message: "order not answered", Meaning: "A worker did not answer an order, which may still take effect. It is repeated or settled by a stop."}
 	PauseSeen     = Event{Number: 919, Layer: LayerSite, Level: slog.LevelWarn, Message: "process paused", Meaning: "This process did not run for the time in Paused. What it believed may be out of date."}
 
+	AdviceFailed     = Event{Number: 924, Layer: LayerSite, Level: slog.LevelWarn, Message: "advice failed", Meaning: "The advice service did not answer. Groups of its queues wait; the question is asked again."}
 	AgentJoined      = Event{Number: 920, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent joined", Meaning: "Another process is registered and deals with workers for this leader."}
 	AgentLost        = Event{Number: 921, Layer: LayerSite, Level: slog.LevelWarn, Message: "agent lost", Meaning: "A process does not answer its leader. Its workers are given to others."}
 	AgentBack        = Event{Number: 922, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent back", Meaning: "The process answers again and gets workers."}
@@ -93,10 +95,10 @@
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
 	JobAccepted, TaskEvicted, TaskGivenUp, WorkerOnProbation,
 	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
-	JobKnown, JobEnded, RunPlaced, RunAdopted, RunDisowned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStuck,
+	JobKnown, JobEnded, RunPlaced, RunAdopted, RunDisowned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStuck, AdviceTaken,
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerReborn, WorkerSilent, WorkerAnswers, WorkerLapsed,
 	LeadTaken, LeadLost, LeadReleased, LeadRecovered, LeadTryFailed, LeaderSeen,
 	StoreLost, StoreRegained, WatchReset, EntryIgnored, CommitFailed, SiteConfig, SettingsKept, SettingsTaken,
-	OrderFailed, PauseSeen, AgentJoined, AgentLost, AgentBack, RegistrationKept,
+	OrderFailed, PauseSeen, AgentJoined, AgentLost, AgentBack, RegistrationKept, AdviceFailed,
 	JobStored, JobTurnedAway, JobInDoubt, CancelStored, StateFromDisk, CallRefused,
 }
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -56,10 +56,15 @@
 		metrics.Observe(aqmetric.TimeStoreCall, took)
 	})
 	clock := aqclock.System{}
+	var advisor aqsite.Advisor
+	if s.Advice != "" {
+		advisor = platform.NewAdvisor(s.Advice)
+	}
 	node := aqsite.NewNode(aqsite.Options{
 		Settings:    siteSettings(s),
 		Store:       store,
 		Workers:     platform.NewWorkers(),
+		Advisor:     advisor,
 		Catalog:     platform.Catalog(),
 		Clock:       clock,
 		Log:         log,
--- /dev/null
+++ b/pkg/aqsite/advise.go
@@ -0,0 +1,49 @@
+package aqsite
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqlog"
+)
+
+const (
+	// advicePeriod is how often questions are gathered.
+	advicePeriod = 100 * time.Millisecond
+	// adviceMargin is how much longer than the announced time an answer may take.
+	adviceMargin = time.Second
+)
+
+// adviceLoop asks the advice service, one question at a time: it answers a
+// process's questions in turn.
+func (l *leader) adviceLoop(ctx context.Context) {
+	if l.node.advisor == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		aqclock.Sleep(ctx, l.node.clock, advicePeriod)
+		var questions []aqdecider.Question
+		l.decide(func(d *aqdecider.Decider) { questions = d.Questions() })
+		for _, q := range questions {
+			l.ask(ctx, q)
+		}
+	}
+}
+
+func (l *leader) ask(ctx context.Context, q aqdecider.Question) {
+	announced := q.Base + time.Duration(len(q.Workers))*q.PerWorker
+	bounded, cancel := context.WithTimeout(ctx, announced+adviceMargin)
+	defer cancel()
+	answer, err := l.node.advisor.Advise(bounded, q)
+	if err != nil {
+		if ctx.Err() == nil {
+			l.node.log.Write(aqlog.AdviceFailed, slog.String("Group", q.Group.String()), aqlog.Err(err))
+		}
+		l.decide(func(d *aqdecider.Decider) { d.AdviceFailed(q) })
+		return
+	}
+	l.decide(func(d *aqdecider.Decider) { d.Advised(q, answer) })
+}
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -136,6 +136,7 @@
 		l.watchMembers,
 		l.tellLoop,
 		l.resyncLoop,
+		l.adviceLoop,
 		l.tickLoop,
 		l.storeLoop,
 	}
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -37,10 +37,12 @@
 	Settings Settings
 	Store    aqstore.Store
 	Workers  Workers
-	Catalog  Catalog
-	Clock    aqclock.Clock
-	Log      *aqlog.Logger
-	Metrics  *aqmetric.Set
+	// Advisor is nil where there is no advice service.
+	Advisor Advisor
+	Catalog Catalog
+	Clock   aqclock.Clock
+	Log     *aqlog.Logger
+	Metrics *aqmetric.Set
 	// Incarnation is different at every start of the process.
 	Incarnation int64
 }
@@ -50,6 +52,7 @@
 	settings    Settings
 	store       aqstore.Store
 	workers     Workers
+	advisor     Advisor
 	catalog     Catalog
 	clock       aqclock.Clock
 	log         *aqlog.Logger
@@ -91,6 +94,7 @@
 		settings:    o.Settings,
 		store:       o.Store,
 		workers:     o.Workers,
+		advisor:     o.Advisor,
 		catalog:     o.Catalog,
 		clock:       o.Clock,
 		log:         o.Log,
--- a/pkg/aqsite/seam.go
+++ b/pkg/aqsite/seam.go
@@ -31,6 +31,11 @@
 	Pace(ctx context.Context, to Address, r PaceRequest) error
 }
 
+// Advisor asks the advice service which workers may run a group.
+type Advisor interface {
+	Advise(ctx context.Context, q aqdecider.Question) (aqdecider.Advice, error)
+}
+
 // Address is where one life of a worker is reached.
 type Address struct {
 	Worker   aqdecider.Worker
