--- a/pkg/aqsite/fake_test.go
+++ b/pkg/aqsite/fake_test.go
@@ -136,7 +136,7 @@
 	return done
 }
 
-func testNode(t *testing.T, store aqstore.Store, workers Workers) (*Node, instantClock) {
+func testNode(t *testing.T, store aqstore.Store) (*Node, instantClock) {
 	t.Helper()
 	clock := instantClock{Fake: aqclock.NewFake()}
 	n := NewNode(Options{
@@ -148,7 +148,6 @@
 			Decider:     aqdecider.Limits{Retention: time.Hour},
 		},
 		Store:       store,
-		Workers:     workers,
 		Clock:       clock,
 		Log:         aqlog.Discard(),
 		Metrics:     aqmetric.New(),
--- a/pkg/aqsite/intake_test.go
+++ b/pkg/aqsite/intake_test.go
@@ -46,7 +46,7 @@
 			next++
 			return test.faults[next-1], test.applied
 		}
-		n, _ := testNode(t, store, nil)
+		n, _ := testNode(t, store)
 		err := n.Submit(context.Background(), testJob())
 		if !errors.Is(err, test.want) {
 			t.Errorf("%s: %v, want %v", test.name, err, test.want)
@@ -68,7 +68,7 @@
 		}
 		return aqstore.ErrUnknown, false
 	}
-	n, _ := testNode(t, store, nil)
+	n, _ := testNode(t, store)
 	if err := n.Submit(ctx, testJob()); !errors.Is(err, ErrOutcomeUnknown) {
 		t.Fatalf("%v", err)
 	}
@@ -76,7 +76,7 @@
 
 func TestStateFromTheStore(t *testing.T) {
 	store := newFakeStore()
-	n, _ := testNode(t, store, nil)
+	n, _ := testNode(t, store)
 	ctx := context.Background()
 	if _, err := n.State(ctx, testJob().ID); !errors.Is(err, ErrNoJob) {
 		t.Fatalf("state of no job: %v", err)
--- a/pkg/aqsite/leader_test.go
+++ b/pkg/aqsite/leader_test.go
@@ -36,7 +36,7 @@
 func TestProgressIsStoredThroughLostAnswers(t *testing.T) {
 	for _, applied := range []bool{true, false} {
 		store := newFakeStore()
-		n, _ := testNode(t, store, nil)
+		n, _ := testNode(t, store)
 		l := lead(t, n, store)
 		withJob(l)
 		lost := 0
@@ -60,7 +60,7 @@
 // A leader that has been replaced stores nothing more and gives up.
 func TestDeposedLeaderStoresNothing(t *testing.T) {
 	store := newFakeStore()
-	n, _ := testNode(t, store, nil)
+	n, _ := testNode(t, store)
 	l := lead(t, n, store)
 	withJob(l)
 	lead(t, n, store)
@@ -77,7 +77,7 @@
 // leadership: it may be younger than a later leader's.
 func TestToldJobNeedsProof(t *testing.T) {
 	store := newFakeStore()
-	n, clock := testNode(t, store, nil)
+	n, clock := testNode(t, store)
 	l := lead(t, n, store)
 	value, err := aqjob.Encode(testJob())
 	if err != nil {
@@ -108,7 +108,7 @@
 // A leader without proof for too long orders nothing.
 func TestLeaderNeedsProof(t *testing.T) {
 	store := newFakeStore()
-	n, clock := testNode(t, store, nil)
+	n, clock := testNode(t, store)
 	l := lead(t, n, store)
 	if !l.mayOrder() {
 		t.Fatal("a new leader may not order")
