--- a/pkg/aqsite/fake_test.go
+++ b/pkg/aqsite/fake_test.go
@@ -140,6 +140,7 @@
 	t.Helper()
 	clock := instantClock{Fake: aqclock.NewFake()}
 	n := NewNode(Options{
+		Catalog: Catalog{WorkerPrefix: "workers/"},
 		Settings: Settings{
 			Name:        "n1",
 			PeerAddress: "127.0.0.1:1",
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -49,6 +49,8 @@
 	decider *aqdecider.Decider
 	proofAt time.Time
 	lost    error
+	// recovered is set once the stored jobs have been read.
+	recovered bool
 	// fleet is the stored list of workers with its revision.
 	fleet       map[aqtype.WorkerID]bool
 	fleetAgents map[string]nodeRecord
@@ -196,6 +198,9 @@
 	l.crew.join(ctx, l.node.record(), l.node.agent)
 	l.joinAgents(ctx, agents)
 	l.takeWorkers(listed)
+	l.mu.Lock()
+	l.recovered = true
+	l.mu.Unlock()
 	return jobsFrom, workersFrom, nil
 }
 
@@ -383,9 +388,17 @@
 	l.decide(func(d *aqdecider.Decider) { d.SetQueues(queues) })
 }
 
+// mayAnswer reports whether this leader knows what it is asked about.
+func (l *leader) mayAnswer() bool {
+	l.mu.Lock()
+	recovered := l.recovered
+	l.mu.Unlock()
+	return recovered && l.mayOrder()
+}
+
 // state answers a status call, false when the job is not known.
 func (l *leader) state(id aqjob.ID) (state aqjob.State, known, current bool) {
-	if !l.mayOrder() {
+	if !l.mayAnswer() {
 		return "", false, false
 	}
 	l.decide(func(d *aqdecider.Decider) {
@@ -397,7 +410,7 @@
 
 // pending counts a queue's jobs that have not begun.
 func (l *leader) pending(queue aqjob.QueueID) (count int, current bool) {
-	if !l.mayOrder() {
+	if !l.mayAnswer() {
 		return 0, false
 	}
 	l.decide(func(d *aqdecider.Decider) {
--- a/pkg/aqsite/leader_test.go
+++ b/pkg/aqsite/leader_test.go
@@ -47,7 +47,8 @@
 			}
 			return nil, false
 		}
-		l.storeRound(context.Background())
+		l.recovered = true
+	l.storeRound(context.Background())
 		if l.lost != nil {
 			t.Fatalf("leadership lost: %v", l.lost)
 		}
@@ -64,6 +65,7 @@
 	l := lead(t, n, store)
 	withJob(l)
 	lead(t, n, store)
+	l.recovered = true
 	l.storeRound(context.Background())
 	if l.lost == nil {
 		t.Fatal("the leader goes on")
@@ -121,3 +123,27 @@
 		t.Fatalf("a proof does not help: %v", err)
 	}
 }
+
+// A leader that has not read the stored jobs yet answers nothing about them.
+func TestNoAnswersBeforeRecovery(t *testing.T) {
+	store := newFakeStore()
+	n, _ := testNode(t, store)
+	n.routes.take(&Config{Version: 1})
+	if err := n.Submit(context.Background(), testJob()); err != nil {
+		t.Fatal(err)
+	}
+	l := lead(t, n, store)
+	if _, current := l.pending(testJob().Queue.ID); current {
+		t.Fatal("counts jobs before they are read")
+	}
+	if _, _, current := l.state(testJob().ID); current {
+		t.Fatal("tells states before they are read")
+	}
+	if _, _, err := l.recover(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	defer l.lose(errors.New("end of the test"))
+	if count, current := l.pending(testJob().Queue.ID); !current || count != 1 {
+		t.Fatalf("%d jobs wait, current %v", count, current)
+	}
+}
