--- a/cmd/acaciaquay/cmds/commands.go
+++ b/cmd/acaciaquay/cmds/commands.go
@@ -89,6 +89,7 @@
 	actions := map[string]action{}
 	addDaemons(app, e, actions)
 	addCtl(app, e, actions)
+	addExplain(app, e, actions)
 	return app, actions
 }
 
@@ -115,6 +116,16 @@
 		return aqprocess.RunSite(ctx, *siteFile, e.out)
 	}
 
+	checkSite := app.Command("check-site", "Check the settings file of a site's process and say what is wrong with it.")
+	checkSiteFile := checkSite.Arg("file", "The settings file.").Required().String()
+	actions[checkSite.FullCommand()] = func(context.Context) error {
+		if _, err := aqsettings.LoadSite(*checkSiteFile); err != nil {
+			return usageError{err}
+		}
+		_, err := fmt.Fprintf(e.out, "%s: ok\n", *checkSiteFile)
+		return err
+	}
+
 	check := app.Command("check-settings", "Check a settings file and say what is wrong with it.")
 	checkFile := check.Arg("file", "The settings file.").Required().String()
 	actions[check.FullCommand()] = func(context.Context) error {
