--- a/pkg/aqsite/agent.go
+++ b/pkg/aqsite/agent.go
@@ -38,6 +38,8 @@
 	sessions map[aqtype.WorkerID]*session
 	events   []eventWire
 	wake     chan struct{}
+	// heard is told of the leader that calls.
+	heard func(leadRecord, Fence)
 }
 
 func newAgent(workers Workers, clock aqclock.Clock, log *aqlog.Logger, metrics *aqmetric.Set) *agent {
@@ -139,6 +141,9 @@
 	if err := a.take(call); err != nil {
 		return pollAnswer{}, err
 	}
+	if a.heard != nil {
+		a.heard(call.Leader, call.Fence)
+	}
 	if !a.hasEvents() {
 		select {
 		case <-ctx.Done():
--- a/pkg/aqsite/agentwire.go
+++ b/pkg/aqsite/agentwire.go
@@ -51,8 +51,11 @@
 // pollCall asks an agent for its events. It waits for the first.
 type pollCall struct {
 	Fence Fence
-	Hints []hint
-	Wait  time.Duration
+	// Leader is who calls: an agent that the store turns away learns of a new
+	// leader by it.
+	Leader leadRecord
+	Hints  []hint
+	Wait   time.Duration
 }
 
 type pollAnswer struct {
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -141,8 +141,13 @@
 		}
 	}
 	n.mu.Lock()
+	if Fence(held.Changed) < n.seenFence && record != nil {
+		n.mu.Unlock()
+		return
+	}
 	changed := record != nil && (n.seen == nil || *n.seen != *record)
 	n.seen = record
+	n.seenFence = max(n.seenFence, Fence(held.Changed))
 	n.mu.Unlock()
 	if changed {
 		n.log.Write(aqlog.LeaderSeen, slog.String("Leader", record.Node), slog.Int64("Term", record.Term),
@@ -150,6 +155,16 @@
 	}
 }
 
+// heardOf takes a leader's own word, which may come before the store's.
+func (n *Node) heardOf(record leadRecord, fence Fence) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if fence > n.seenFence {
+		n.seen = &record
+		n.seenFence = fence
+	}
+}
+
 // claimable reports whether the lead key is free, or held by a process that is
 // certainly dead: an earlier one of this node, or one whose host refuses
 // connections, which followLead shows by a key without value.
@@ -288,12 +303,13 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	record, err := aqjob.Encode(leadRecord{
+	lead := leadRecord{
 		Node:        n.settings.Name,
 		Address:     n.settings.PeerAddress,
 		Incarnation: n.incarnation,
 		Term:        term.Term,
-	})
+	}
+	record, err := aqjob.Encode(lead)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -315,13 +331,14 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	return n.newLeader(changed, term.Term, proof), lease, nil
+	return n.newLeader(changed, lead, proof), lease, nil
 }
 
-func (n *Node) newLeader(changed aqstore.Revision, term int64, proof time.Time) *leader {
+func (n *Node) newLeader(changed aqstore.Revision, record leadRecord, proof time.Time) *leader {
 	l := &leader{
 		node:        n,
 		token:       Fence(changed),
+		record:      record,
 		leadChanged: changed,
 		proofAt:     proof,
 		fleet:       map[aqtype.WorkerID]bool{},
@@ -333,13 +350,13 @@
 		ended:       make(chan struct{}),
 		decider: aqdecider.New(aqdecider.Options{
 			Limits:       n.settings.Decider,
-			FirstAttempt: aqdecider.Attempt(term * attemptsPerTerm),
+			FirstAttempt: aqdecider.Attempt(record.Term * attemptsPerTerm),
 			Log:          n.log,
 			Metrics:      n.metrics,
 		}),
 	}
 	l.crew = newCrew(l)
-	n.log.Write(aqlog.LeadTaken, slog.Int64("Term", term), slog.Int64("Fence", int64(changed)))
+	n.log.Write(aqlog.LeadTaken, slog.Int64("Term", record.Term), slog.Int64("Fence", int64(changed)))
 	n.metrics.Inc(aqmetric.LeadTerms)
 	return l
 }
--- a/pkg/aqsite/forward.go
+++ b/pkg/aqsite/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -35,33 +36,37 @@
 }
 
 // create writes a key that must not exist, through the leader when the store
-// does not take it from this process. The write may be repeated: it takes effect
-// once.
+// does not take it from this process, and first through the leader while the
+// store turns this process away. The write may be repeated: it takes effect once.
 func (n *Node) create(ctx context.Context, key string, value []byte) (aqstore.Revision, error) {
-	changed, err := n.createHere(ctx, key, value)
-	n.storeAnswered(err)
-	var conflict *aqstore.ConflictError
-	if err == nil || errors.As(err, &conflict) {
-		return changed, err
+	ways := []func(context.Context, string, []byte) (aqstore.Revision, error){n.createHere}
+	if n.leading() == nil && n.leaderAddress() != "" {
+		ways = append(ways, n.createThere)
+		if n.storeDown.Load() {
+			slices.Reverse(ways)
+		}
 	}
-	if n.leading() != nil || n.leaderAddress() == "" {
-		return 0, err
-	}
-	forwarded, forwardErr := n.createThere(ctx, key, value)
-	switch {
-	case forwardErr == nil || errors.As(forwardErr, &conflict):
-		return forwarded, forwardErr
-	case errors.Is(err, aqstore.ErrUnknown) || errors.Is(forwardErr, aqstore.ErrUnknown):
-		return 0, errors.WithMessage(aqstore.ErrUnknown, forwardErr.Error())
+	var conflict *aqstore.ConflictError
+	var failed error
+	for _, way := range ways {
+		changed, err := way(ctx, key, value)
+		if err == nil || errors.As(err, &conflict) {
+			return changed, err
+		}
+		if failed == nil || !errors.Is(failed, aqstore.ErrUnknown) {
+			failed = err
+		}
 	}
-	return 0, forwardErr
+	return 0, failed
 }
 
 func (n *Node) createHere(ctx context.Context, key string, value []byte) (aqstore.Revision, error) {
-	return n.store.Commit(ctx, aqstore.Txn{
+	changed, err := n.store.Commit(ctx, aqstore.Txn{
 		If:     []aqstore.Condition{{Key: key}},
 		Writes: []aqstore.Write{{Key: key, Value: value}},
 	})
+	n.storeAnswered(err)
+	return changed, err
 }
 
 func (n *Node) createThere(ctx context.Context, key string, value []byte) (aqstore.Revision, error) {
@@ -92,7 +97,6 @@
 		return commitAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
 	}
 	changed, err := n.createHere(ctx, in.Key, in.Value)
-	n.storeAnswered(err)
 	var conflict *aqstore.ConflictError
 	switch {
 	case err == nil:
--- a/pkg/aqsite/intake_test.go
+++ b/pkg/aqsite/intake_test.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqstandin"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
 )
@@ -124,3 +125,32 @@
 		t.Fatal("found a route of another host")
 	}
 }
+
+// A process that the store turns away writes through the leader, of whom it hears
+// from the leader itself.
+func TestSubmissionThroughTheLeader(t *testing.T) {
+	store := newFakeStore()
+	leaderNode, _ := testNode(t, store)
+	leaderNode.current = lead(t, leaderNode, store)
+	address, err := aqstandin.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := leaderNode.server.Start(address); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(leaderNode.server.Stop)
+	cutOff := newFakeStore()
+	cutOff.fault = func(aqstore.Txn) (error, bool) { return aqstore.ErrUnknown, false }
+	n, _ := testNode(t, cutOff)
+	n.heardOf(leadRecord{Node: "leader", Address: address}, 9)
+	if err := n.Submit(context.Background(), testJob()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Get(context.Background(), jobKey(testJob().ID)); err != nil {
+		t.Fatalf("the leader has not stored the job: %v", err)
+	}
+	if n.heardOf(leadRecord{Node: "old", Address: "127.0.0.1:1"}, 8); n.leaderAddress() != address {
+		t.Fatal("an earlier leader was taken for the newer one")
+	}
+}
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -40,6 +40,8 @@
 type leader struct {
 	node  *Node
 	token Fence
+	// record is what the lead key holds.
+	record leadRecord
 	// leadChanged is the revision of the lead key in this term.
 	leadChanged aqstore.Revision
 
--- a/pkg/aqsite/leader_test.go
+++ b/pkg/aqsite/leader_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return n.newLeader(changed, 0, n.clock.Now())
+	return n.newLeader(changed, leadRecord{Node: "n1"}, n.clock.Now())
 }
 
 func withJob(l *leader) {
@@ -48,7 +48,7 @@
 			return nil, false
 		}
 		l.recovered = true
-	l.storeRound(context.Background())
+		l.storeRound(context.Background())
 		if l.lost != nil {
 			t.Fatalf("leadership lost: %v", l.lost)
 		}
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -73,8 +73,10 @@
 	mu      sync.Mutex
 	current *leader
 	// seen is the leader that the store names, nil while it names none.
-	seen     *leadRecord
-	stopping bool
+	seen *leadRecord
+	// seenFence is the highest fence of a leader that was seen or heard of.
+	seenFence Fence
+	stopping  bool
 
 	storeDown     atomic.Bool
 	storeFailedAt atomic.Int64
@@ -105,6 +107,7 @@
 		peers:       aqpeer.NewPool(aqpeer.ClientLimits{Dial: peerDial, Call: peerCall}),
 	}
 	n.agent = newAgent(n.workers, n.clock, n.log, n.metrics)
+	n.agent.heard = n.heardOf
 	n.agent.handle(n.server)
 	n.handlePeers()
 	return n
