--- a/pkg/aqexplain/explain.go
+++ b/pkg/aqexplain/explain.go
@@ -68,11 +68,11 @@
 	if !strings.Contains(text, "="+id) && !strings.Contains(text, "/"+id) {
 		return line{}, false
 	}
-	stamp := timePattern.FindStringSubmatch(text)
+	stamp := timePattern.FindStringSubmatchIndex(text)
 	if stamp == nil {
 		return line{}, false
 	}
-	at, err := time.Parse(time.RFC3339Nano, stamp[1])
+	at, err := time.Parse(time.RFC3339Nano, text[stamp[2]:stamp[3]])
 	if err != nil {
 		return line{}, false
 	}
@@ -84,7 +84,6 @@
 		l.message = message[1]
 	}
 	// A collector may have put something before the line.
-	rest := text[strings.Index(text, stamp[0]):]
-	l.rest = strings.TrimSpace(shownElsewhere.ReplaceAllString(rest, ""))
+	l.rest = strings.TrimSpace(shownElsewhere.ReplaceAllString(text[stamp[0]:], ""))
 	return l, true
 }
