--- /dev/null
+++ b/pkg/aqlog/async_test.go
@@ -0,0 +1,48 @@
+package aqlog
+
+import (
+	"strings"
+	"sync"
+	"testing"
+
+	"acaciaquay/pkg/aqmetric"
+)
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct {
+	release chan struct{}
+
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+// A reader that stops reading costs lines, which are counted and told, and
+// blocks nobody.
+func TestStuckReaderCostsLinesOnly(t *testing.T) {
+	out := &stuckWriter{release: make(chan struct{})}
+	metrics := aqmetric.New()
+	lines := NewAsync(out, metrics)
+	log, err := New(lines, "n1", "all")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 * asyncLines {
+		log.Write(ProcessStarted)
+	}
+	if dropped := metrics.Value(aqmetric.LogLinesDropped); dropped < asyncLines {
+		t.Fatalf("%d lines were dropped", dropped)
+	}
+	close(out.release)
+	lines.Close()
+	<-lines.Done()
+	if text := out.text.String(); !strings.Contains(text, LinesDropped.Message) {
+		t.Fatal("nothing tells that lines are missing")
+	}
+}
