--- /dev/null
+++ b/pkg/aqdecider/ends.go
@@ -0,0 +1,115 @@
+package aqdecider
+
+import (
+	"log/slog"
+	"slices"
+
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqtype"
+)
+
+// endRun takes the end of a run that this decider knows.
+func (d *Decider) endRun(r *run, how How, checkpoint string) {
+	t := r.task
+	w := r.worker
+	delete(w.runs, r.id)
+	w.used = w.used.Sub(r.size)
+	w.changed()
+	t.run = nil
+	t.seen = true
+	j := t.group.occurrence.job
+	d.options.Log.Write(aqlog.RunEnded, taskAttr(r.id.Task), workerAttr(w.listed.ID),
+		slog.Int("Attempt", int(r.id.Attempt)), slog.String("How", how.String()), slog.String("Why", r.why),
+		slog.Duration("Took", d.now.Sub(r.orderedAt)))
+	d.options.Metrics.Inc(aqmetric.TasksEnded)
+	if t.group.spec.Perpetual && t.awaySince.IsZero() {
+		t.awaySince = d.now
+	}
+	switch how {
+	case EndDone:
+		w.health.succeeded()
+		if !t.group.spec.Perpetual && !j.state.Final() {
+			d.taskDone(t)
+			d.release(j)
+			return
+		}
+	case EndFailed:
+		if !t.group.spec.Perpetual && !j.state.Final() {
+			d.keepCheckpoint(t, checkpoint)
+			d.taskFailed(t, w, r.id.Attempt)
+		}
+		w.health.failed(j.spec.ID, d.now)
+	case EndStopped, EndLapsed, EndBroken, EndAlone, EndLost:
+		d.keepCheckpoint(t, checkpoint)
+	}
+	if t.group.spec.Gang {
+		d.gangBroken(t.group, how)
+	}
+	d.requeue(t)
+	d.release(j)
+}
+
+func (d *Decider) keepCheckpoint(t *task, checkpoint string) {
+	if checkpoint != "" && checkpoint != t.checkpoint {
+		t.checkpoint = checkpoint
+		d.touch(t.group.occurrence.job)
+	}
+}
+
+// requeue offers a task for placement again.
+func (d *Decider) requeue(t *task) {
+	if !t.done && t.run == nil && t.group.ready && !t.group.occurrence.job.state.Final() {
+		d.waiting[t.group] = true
+	}
+}
+
+// taskFailed counts a failed run and ends the job when its tasks may not be
+// tried again.
+func (d *Decider) taskFailed(t *task, w *worker, attempt Attempt) {
+	j := t.group.occurrence.job
+	t.countFailure(attempt)
+	if t.group.spec.Gang {
+		for _, other := range t.group.tasks {
+			other.countFailure(attempt)
+		}
+	}
+	t.avoidWorker(w.listed.ID)
+	d.touch(j)
+	d.options.Metrics.Retried(aqmetric.RetryTaskFailed)
+	if len(t.failed) >= max(1, j.queue.MaxAttempts) && !t.group.spec.Perpetual {
+		d.finish(j, aqjob.StateFailed, "task "+t.id().String()+" failed as often as allowed")
+	}
+}
+
+// avoidWorker keeps the task off a worker while there are others.
+func (t *task) avoidWorker(id aqtype.WorkerID) {
+	if !slices.Contains(t.avoid, id) {
+		t.avoid = append(t.avoid, id)
+	}
+}
+
+// countFailure counts an attempt that has ended failed, once.
+func (t *task) countFailure(attempt Attempt) {
+	if !slices.Contains(t.failed, attempt) {
+		t.failed = append(t.failed, attempt)
+	}
+}
+
+// task finds a task of a job that is not in a final state.
+func (d *Decider) task(id aqjob.TaskID) *task {
+	j := d.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	o := j.occurrences[id.Occurrence]
+	if o == nil || id.Group >= len(o.groups) {
+		return nil
+	}
+	g := o.groups[id.Group]
+	if id.Index >= len(g.tasks) {
+		return nil
+	}
+	return g.tasks[id.Index]
+}
--- /dev/null
+++ b/pkg/aqdecider/gang.go
@@ -0,0 +1,76 @@
+package aqdecider
+
+import (
+	"slices"
+
+	"acaciaquay/pkg/aqtype"
+)
+
+// placeGang starts all members of a gang or none.
+func (d *Decider) placeGang(g *group, pending []*task) {
+	if len(pending) < len(g.tasks) {
+		return
+	}
+	chosen := d.gangWorkers(g, pending)
+	if chosen == nil {
+		return
+	}
+	var attempt Attempt
+	checkpoint := ""
+	for _, t := range pending {
+		attempt = max(attempt, t.attempt)
+		if t.checkpoint > checkpoint {
+			checkpoint = t.checkpoint
+		}
+	}
+	for i, t := range pending {
+		t.checkpoint = checkpoint
+		d.start(t, chosen[i], attempt+1)
+	}
+}
+
+// gangWorkers finds room for every member, on one rack when the gang wants it
+// and one has room.
+func (d *Decider) gangWorkers(g *group, pending []*task) []*worker {
+	if g.spec.SameRack {
+		for _, rack := range d.racks() {
+			if chosen := d.fitGang(g, pending, rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return d.fitGang(g, pending, "")
+}
+
+func (d *Decider) fitGang(g *group, pending []*task, rack aqtype.Rack) []*worker {
+	promised := map[*worker]aqtype.Resources{}
+	if rack != "" {
+		for _, w := range d.workers {
+			if w.rack != rack {
+				promised[w] = w.listed.Capacity
+			}
+		}
+	}
+	var chosen []*worker
+	for _, t := range pending {
+		w := d.choose(t, promised)
+		if w == nil {
+			return nil
+		}
+		promised[w] = promised[w].Add(g.spec.Reserved())
+		chosen = append(chosen, w)
+	}
+	return chosen
+}
+
+// racks lists the racks, ordered.
+func (d *Decider) racks() []aqtype.Rack {
+	var racks []aqtype.Rack
+	for _, w := range d.workers {
+		if w.rack != "" && !slices.Contains(racks, w.rack) {
+			racks = append(racks, w.rack)
+		}
+	}
+	slices.Sort(racks)
+	return racks
+}
--- /dev/null
+++ b/pkg/aqsite/crewlink.go
@@ -0,0 +1,264 @@
+package aqsite
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqtype"
+)
+
+// crewLink reaches one agent.
+type crewLink interface {
+	Orders(ctx context.Context, call ordersCall) error
+	Poll(ctx context.Context, call pollCall) (pollAnswer, error)
+}
+
+// remoteLink reaches an agent in another process.
+type remoteLink struct {
+	peers   *aqpeer.Pool
+	address string
+}
+
+// Orders implements crewLink.
+func (r remoteLink) Orders(ctx context.Context, call ordersCall) error {
+	var none struct{}
+	return r.peers.Call(ctx, r.address, methodOrders, call, &none)
+}
+
+// Poll implements crewLink.
+func (r remoteLink) Poll(ctx context.Context, call pollCall) (pollAnswer, error) {
+	var answer pollAnswer
+	err := r.peers.Call(ctx, r.address, methodPoll, call, &answer)
+	return answer, err
+}
+
+// dispatch queues orders for the agents of their workers.
+func (c *crew) dispatch(orders []aqdecider.Order) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range orders {
+		p := c.posts[o.Target()]
+		if p == nil || p.member == nil {
+			continue
+		}
+		p.member.pending.Orders = append(p.member.pending.Orders, wrapOrder(o))
+		signal(p.member.wake)
+	}
+}
+
+// sendLoop sends a member's orders, one call at a time.
+func (c *crew) sendLoop(m *member) {
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case <-m.wake:
+		}
+		c.mu.Lock()
+		call := m.pending
+		m.pending = ordersCall{}
+		c.mu.Unlock()
+		if len(call.Assign)+len(call.Drop)+len(call.Orders) == 0 {
+			continue
+		}
+		call.Fence = c.leader.token
+		call.Lease = c.leader.leaseLength()
+		if err := m.link.Orders(m.ctx, call); err != nil {
+			c.failed(m, err)
+		}
+	}
+}
+
+// pollLoop takes a member's events.
+func (c *crew) pollLoop(m *member) {
+	for m.ctx.Err() == nil {
+		if !c.leader.mayOrder() {
+			aqclock.Sleep(m.ctx, c.leader.node.clock, retryPause)
+			continue
+		}
+		answer, err := m.link.Poll(m.ctx, pollCall{
+			Fence:  c.leader.token,
+			Leader: c.leader.record,
+			Hints:  c.hints(m),
+			Wait:   pollWait,
+		})
+		if err != nil {
+			c.failed(m, err)
+			aqclock.Sleep(m.ctx, c.leader.node.clock, memberRetry)
+			c.revive(m)
+			continue
+		}
+		c.revive(m)
+		c.leader.acknowledged(m.record.Name)
+		c.take(m, answer.Events)
+	}
+}
+
+// failed notes that a member's agent does not answer: what it was to do, and
+// what it was about to tell, is unknown.
+func (c *crew) failed(m *member, err error) {
+	if m.ctx.Err() != nil {
+		return
+	}
+	if aqpeer.CodeOf(err) == aqpeer.CodeNotOwner {
+		c.leader.deposed(err)
+		return
+	}
+	c.mu.Lock()
+	was := m.up
+	m.up = false
+	c.mu.Unlock()
+	c.leader.node.metrics.Retried(aqmetric.RetryAgentLost)
+	if was {
+		c.leader.node.log.Write(aqlog.AgentLost, slog.String("Agent", m.record.Name), aqlog.Err(err))
+	}
+	c.abandon(m)
+}
+
+// revive uses a member again that has answered.
+func (c *crew) revive(m *member) {
+	c.mu.Lock()
+	was := m.up
+	m.up = true
+	c.mu.Unlock()
+	if !was {
+		c.leader.node.log.Write(aqlog.AgentBack, slog.String("Agent", m.record.Name))
+		c.rebalance()
+	}
+}
+
+// hints returns what has changed for a member's looks.
+func (c *crew) hints(m *member) []hint {
+	var changed []hint
+	c.leader.decide(func(d *aqdecider.Decider) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for id, p := range c.posts {
+			if p.member != m {
+				continue
+			}
+			h := hint{Worker: id, Wait: lookIdle, Renew: p.renew}
+			h.Forget, h.Life = d.Acknowledge(id)
+			if d.Occupied(id) {
+				h.Wait = lookBusy
+			}
+			if d.WatchClosely(id) {
+				h.Wait = lookClose
+			}
+			if h != p.hint {
+				p.hint = h
+				changed = append(changed, h)
+			}
+		}
+	})
+	return changed
+}
+
+// take passes a member's events on to the decider.
+func (c *crew) take(m *member, events []eventWire) {
+	if len(events) == 0 {
+		return
+	}
+	deposed := false
+	c.leader.decide(func(d *aqdecider.Decider) {
+		for _, wire := range events {
+			if !c.current(m, wire) {
+				continue
+			}
+			id := wire.Worker
+			switch e := wire.unwrap().(type) {
+			case looked:
+				c.heard(id)
+				d.Listed(id, e.Listing)
+			case silent:
+				d.Silent(id)
+				c.unheard(d, id, e)
+			case startAnswered:
+				d.StartAnswered(id, e.Life, e.Run, e.Outcome, e.At)
+			case stopAnswered:
+				if e.Taken {
+					d.StopAnswered(id, e.Life, e.Run, e.At)
+				} else {
+					d.StopUnanswered(id, e.Life, e.Run)
+				}
+			case fenced:
+				deposed = true
+			}
+		}
+	})
+	if deposed {
+		c.leader.lose(ErrFenced)
+	}
+}
+
+// current reports whether an event is of the assignment in force.
+func (c *crew) current(m *member, wire eventWire) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.posts[wire.Worker]
+	return p != nil && p.member == m && p.serial == wire.Serial
+}
+
+// heard notes that a worker answers.
+func (c *crew) heard(id aqtype.WorkerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.posts[id]; p != nil {
+		p.lapseAt = time.Time{}
+		p.tried = nil
+		p.renew = true
+	}
+}
+
+// unheard gives a silent worker to another member, which may reach it.
+func (c *crew) unheard(d *aqdecider.Decider, id aqtype.WorkerID, e silent) {
+	c.mu.Lock()
+	p := c.posts[id]
+	if p == nil || p.member == nil {
+		c.mu.Unlock()
+		return
+	}
+	if p.lapseAt.IsZero() {
+		lapseIn := e.LapseIn
+		if lapseIn < 0 {
+			lapseIn = c.longestLease()
+		}
+		p.lapseAt = c.leader.node.clock.Now().Add(lapseIn)
+	}
+	if p.tried == nil {
+		p.tried = map[string]bool{}
+	}
+	p.tried[p.member.record.Name] = true
+	p.renew = false
+	to := c.pick(p.worker, p.tried)
+	if to != nil {
+		c.assign(p, to)
+	}
+	c.mu.Unlock()
+	if to != nil {
+		d.Reassigned(id)
+	}
+}
+
+// lapse tells the decider of workers whose lease has certainly ended.
+func (c *crew) lapse(d *aqdecider.Decider) {
+	now := c.leader.node.clock.Now()
+	c.mu.Lock()
+	var ended []aqtype.WorkerID
+	for id, p := range c.posts {
+		if !p.lapseAt.IsZero() && now.After(p.lapseAt) {
+			p.lapseAt = time.Time{}
+			ended = append(ended, id)
+		}
+	}
+	c.mu.Unlock()
+	for _, id := range ended {
+		d.Lapsed(id)
+	}
+}
--- /dev/null
+++ b/pkg/aqsite/recover.go
@@ -0,0 +1,135 @@
+package aqsite
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqstore"
+	"acaciaquay/pkg/aqtype"
+)
+
+// recover reads the stored state and begins to look at the workers.
+func (l *leader) recover(ctx context.Context) (jobsFrom, workersFrom aqstore.Revision, err error) {
+	store := l.node.store
+	progress, _, err := store.Range(ctx, progressPrefix)
+	if err != nil {
+		return 0, 0, err
+	}
+	in, jobsFrom, err := store.Range(ctx, inPrefix)
+	if err != nil {
+		return 0, 0, err
+	}
+	listed, workersFrom, err := store.Range(ctx, l.node.catalog.WorkerPrefix)
+	if err != nil {
+		return 0, 0, err
+	}
+	fleet, agents, err := l.readFleet(ctx)
+	if err != nil {
+		return 0, 0, err
+	}
+	stored := map[aqjob.ID]aqstore.Item{}
+	for _, item := range progress {
+		if id, ok := idUnder(progressPrefix, item.Key); ok {
+			stored[id] = item
+		}
+	}
+	l.setQueues(l.node.routes.config())
+	l.decide(func(d *aqdecider.Decider) {
+		doubtfulUntil := l.node.clock.Now().Add(proofLimit + l.crew.longestLease())
+		d.Unsettle(fleet, doubtfulUntil)
+		for _, item := range listed {
+			if w, ok := l.decodeWorker(item); ok {
+				d.Unsettle([]aqtype.WorkerID{w.ID}, doubtfulUntil)
+			}
+		}
+		l.takeIn(d, in, stored)
+	})
+	l.crew.join(ctx, l.node.record(), l.node.agent)
+	l.joinAgents(ctx, agents)
+	l.takeWorkers(listed)
+	l.mu.Lock()
+	l.recovered = true
+	l.mu.Unlock()
+	return jobsFrom, workersFrom, nil
+}
+
+func (l *leader) readFleet(ctx context.Context) ([]aqtype.WorkerID, []nodeRecord, error) {
+	item, err := l.node.store.Get(ctx, fleetKey)
+	if errors.Is(err, aqstore.ErrNotFound) {
+		return nil, nil, nil
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	var record fleetRecord
+	if err := decode(item.Value, &record); err != nil {
+		return nil, nil, err
+	}
+	l.fleetChanged = item.Changed
+	return record.Workers, record.Agents, nil
+}
+
+// joinAgents tells the agents of an earlier leader of this one. Once each of
+// them has heard of it, nothing more is ordered for the earlier one.
+func (l *leader) joinAgents(ctx context.Context, agents []nodeRecord) {
+	l.mu.Lock()
+	for _, record := range agents {
+		l.awaited[record.Name] = true
+	}
+	l.mu.Unlock()
+	for _, record := range agents {
+		if record.Name != l.node.settings.Name {
+			l.crew.join(ctx, record, remoteLink{peers: l.node.peers, address: record.Address})
+		}
+	}
+}
+
+// acknowledged notes that an agent has heard of this leader.
+func (l *leader) acknowledged(name string) {
+	l.mu.Lock()
+	waited := l.awaited[name]
+	delete(l.awaited, name)
+	last := waited && len(l.awaited) == 0
+	l.mu.Unlock()
+	if !last {
+		return
+	}
+	ended := l.node.clock.Now().Add(leaseSpan(l.leaseLength()))
+	l.decide(func(d *aqdecider.Decider) { d.SettleBy(ended) })
+}
+
+// takeIn takes a reading of everything under inPrefix: jobs, and the
+// cancellations after them.
+func (l *leader) takeIn(d *aqdecider.Decider, items []aqstore.Item, stored map[aqjob.ID]aqstore.Item) {
+	for _, item := range items {
+		if id, ok := idUnder(jobPrefix, item.Key); ok {
+			l.takeJob(d, id, item, stored)
+		}
+	}
+	for _, item := range items {
+		if id, ok := idUnder(cancelPrefix, item.Key); ok {
+			d.Cancel(id)
+		}
+	}
+}
+
+func (l *leader) takeJob(d *aqdecider.Decider, id aqjob.ID, item aqstore.Item, stored map[aqjob.ID]aqstore.Item) {
+	spec, err := aqjob.DecodeJob(item.Value)
+	if err != nil {
+		l.node.ignoreEntry(item.Key, err)
+		return
+	}
+	var progress *aqjob.Progress
+	kept := stored[id]
+	if kept.Changed > 0 {
+		progress, err = aqjob.DecodeProgress(kept.Value)
+		if err != nil {
+			l.node.ignoreEntry(kept.Key, err)
+			return
+		}
+	}
+	d.AddJob(spec, progress, kept.Changed, item.Created < l.leadChanged)
+}
--- /dev/null
+++ b/pkg/aqsite/sessionorders.go
@@ -0,0 +1,214 @@
+package aqsite
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
+)
+
+// send carries out an order in the background. Stops go first.
+func (s *session) send(o aqdecider.Order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, first := o.(aqdecider.Stop); first {
+		s.queue = append([]aqdecider.Order{o}, s.queue...)
+	} else {
+		s.queue = append(s.queue, o)
+	}
+	if s.calls >= sessionCalls {
+		return
+	}
+	s.calls++
+	go s.carry()
+}
+
+func (s *session) carry() {
+	for {
+		s.mu.Lock()
+		if len(s.queue) == 0 || s.ctx.Err() != nil {
+			s.calls--
+			s.mu.Unlock()
+			return
+		}
+		o := s.queue[0]
+		s.queue = s.queue[1:]
+		s.mu.Unlock()
+		switch order := o.(type) {
+		case aqdecider.Start:
+			s.start(order)
+		case aqdecider.Stop:
+			s.stop(order)
+		case aqdecider.Pace:
+			s.pace(order)
+		}
+	}
+}
+
+// stopQueued takes a start out of the queue that a stop has overtaken, and
+// reports whether it was there. The lock is held.
+func (s *session) stopQueued(run aqdecider.RunID) bool {
+	for i, o := range s.queue {
+		if start, ok := o.(aqdecider.Start); ok && start.Run == run {
+			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (s *session) start(order aqdecider.Start) {
+	begun := s.agent.clock.Now()
+	to := s.address()
+	outcome := aqdecider.OutcomeNotSent
+	doubtful := false
+	s.awaitReading()
+	for range startTries {
+		err := s.tryStart(to, order)
+		if errors.Is(err, ErrFenced) {
+			s.agent.emit(s, fenced{})
+			return
+		}
+		if errors.Is(err, ErrUnanswered) || errors.Is(err, ErrTooLate) {
+			if errors.Is(err, ErrUnanswered) {
+				doubtful = true
+				outcome = aqdecider.OutcomeUnknown
+			}
+			s.agent.metrics.Retried(aqmetric.RetryOrderLost)
+			aqclock.Sleep(s.ctx, s.agent.clock, orderRetry)
+			continue
+		}
+		outcome = startOutcome(err, doubtful)
+		break
+	}
+	if s.ctx.Err() != nil {
+		return
+	}
+	s.agent.metrics.Observe(aqmetric.TimeStart, s.agent.clock.Now().Sub(begun))
+	s.mu.Lock()
+	at := s.tick()
+	s.mu.Unlock()
+	s.agent.emit(s, startAnswered{
+		Life:    to.Worker.Life,
+		Run:     order.Run,
+		Outcome: outcome,
+		At:      at,
+	})
+}
+
+// awaitReading gives a new session the time to learn the worker's clock.
+func (s *session) awaitReading() {
+	for range readingWaits {
+		s.mu.Lock()
+		known := s.reading.known && s.hint.Renew
+		s.mu.Unlock()
+		if known {
+			return
+		}
+		aqclock.Sleep(s.ctx, s.agent.clock, orderRetry)
+	}
+}
+
+// tryStart makes one try of a start. A worker that does not answer looks gets no
+// starts, which would prolong its lease.
+func (s *session) tryStart(to Address, order aqdecider.Start) error {
+	if !s.agent.permitted(s.fence) {
+		return ErrTooLate
+	}
+	s.mu.Lock()
+	end := s.nextLeaseEnd()
+	s.mu.Unlock()
+	if end == 0 {
+		return ErrTooLate
+	}
+	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	return s.agent.workers.Start(bounded, to, StartRequest{
+		Fence:    s.fence,
+		LeaseEnd: end,
+		Order:    order,
+	})
+}
+
+// startOutcome tells what an answer means. A refusal after a try without answer
+// says nothing of that try.
+func startOutcome(err error, doubtful bool) aqdecider.Outcome {
+	switch {
+	case err == nil:
+		return aqdecider.OutcomeAccepted
+	case doubtful, errors.Is(err, ErrSuperseded), errors.Is(err, ErrOtherLife):
+		return aqdecider.OutcomeUnknown
+	case errors.Is(err, ErrNoRoom):
+		return aqdecider.OutcomeNoRoom
+	case errors.Is(err, ErrNoTicket):
+		return aqdecider.OutcomeNoTicket
+	case errors.Is(err, ErrUnhealthy):
+		return aqdecider.OutcomeUnhealthy
+	}
+	return aqdecider.OutcomeInvalid
+}
+
+func (s *session) stop(order aqdecider.Stop) {
+	s.mu.Lock()
+	s.stopQueued(order.Run)
+	s.mu.Unlock()
+	to := s.address()
+	for range stopTries {
+		bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		err := s.agent.workers.Stop(bounded, to, StopRequest{Fence: s.fence, Run: order.Run})
+		cancel()
+		if errors.Is(err, ErrFenced) {
+			s.agent.emit(s, fenced{})
+			return
+		}
+		if err == nil || errors.Is(err, ErrSuperseded) {
+			s.stopDone(to, order, true)
+			return
+		}
+		s.agent.metrics.Retried(aqmetric.RetryOrderLost)
+		aqclock.Sleep(s.ctx, s.agent.clock, orderRetry)
+		if s.ctx.Err() != nil {
+			return
+		}
+	}
+	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "stop"),
+		slog.String("Task", order.Run.Task.String()))
+	aqclock.Sleep(s.ctx, s.agent.clock, lookRetry)
+	s.stopDone(to, order, false)
+}
+
+func (s *session) stopDone(to Address, order aqdecider.Stop, taken bool) {
+	s.mu.Lock()
+	at := s.tick()
+	s.mu.Unlock()
+	s.agent.emit(s, stopAnswered{
+		Life:  to.Worker.Life,
+		Run:   order.Run,
+		Taken: taken,
+		At:    at,
+	})
+}
+
+func (s *session) pace(order aqdecider.Pace) {
+	to := s.address()
+	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	err := s.agent.workers.Pace(bounded, to, PaceRequest{
+		Fence:   s.fence,
+		Run:     order.Run,
+		Percent: order.Percent,
+	})
+	if errors.Is(err, ErrFenced) {
+		s.agent.emit(s, fenced{})
+		return
+	}
+	if err != nil && s.ctx.Err() == nil {
+		s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "pace"),
+			slog.String("Task", order.Run.Task.String()), aqlog.Err(err))
+	}
+}
