--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -50,7 +50,11 @@
 	unsettled map[aqtype.WorkerID]time.Time
 	orders    []Order
 	dirty     map[aqjob.ID]*job
-	ended     []endedJob
+	// ahead holds the workers with ends that the store does not account for yet,
+	// unenlisted those that wait to be stored in the list of workers.
+	ahead      map[aqtype.WorkerID]bool
+	unenlisted map[aqtype.WorkerID]bool
+	ended      []endedJob
 	// early holds the cancellations of jobs that are not known yet.
 	early  map[aqjob.ID]time.Time
 	model  *interference
@@ -69,16 +73,18 @@
 // New returns a decider that knows nothing.
 func New(o Options) *Decider {
 	return &Decider{
-		options:   o,
-		queues:    map[aqjob.QueueID]aqjob.Queue{},
-		jobs:      map[aqjob.ID]*job{},
-		workers:   map[aqtype.WorkerID]*worker{},
-		waiting:   map[*group]bool{},
-		unsettled: map[aqtype.WorkerID]time.Time{},
-		dirty:     map[aqjob.ID]*job{},
-		early:     map[aqjob.ID]time.Time{},
-		model:     newInterference(),
-		advice:    map[GroupID]*advice{},
+		options:    o,
+		queues:     map[aqjob.QueueID]aqjob.Queue{},
+		jobs:       map[aqjob.ID]*job{},
+		workers:    map[aqtype.WorkerID]*worker{},
+		waiting:    map[*group]bool{},
+		unsettled:  map[aqtype.WorkerID]time.Time{},
+		dirty:      map[aqjob.ID]*job{},
+		ahead:      map[aqtype.WorkerID]bool{},
+		unenlisted: map[aqtype.WorkerID]bool{},
+		early:      map[aqjob.ID]time.Time{},
+		model:      newInterference(),
+		advice:     map[GroupID]*advice{},
 	}
 }
 
--- a/pkg/aqdecider/listing.go
+++ b/pkg/aqdecider/listing.go
@@ -27,6 +27,7 @@
 		listed[e.Run] = true
 		if e.Number > w.processed {
 			w.processed = e.Number
+			d.ahead[id] = true
 			d.runEnded(w, e)
 		}
 	}
--- a/pkg/aqdecider/records.go
+++ b/pkg/aqdecider/records.go
@@ -37,15 +37,7 @@
 
 // Dirty reports whether something is to be stored or acknowledged.
 func (d *Decider) Dirty() bool {
-	if len(d.dirty) > 0 || d.Unenlisted() {
-		return true
-	}
-	for _, w := range d.workers {
-		if w.processed > w.stored {
-			return true
-		}
-	}
-	return false
+	return len(d.dirty) > 0 || len(d.ahead) > 0 || d.Unenlisted()
 }
 
 // Urgent reports whether somebody waits for a final state to be stored.
@@ -73,8 +65,8 @@
 	}
 	sort.Slice(b.Records, func(i, k int) bool { return b.Records[i].Job < b.Records[k].Job })
 	d.dirty = map[aqjob.ID]*job{}
-	for id, w := range d.workers {
-		if w.processed > w.stored {
+	for id := range d.ahead {
+		if w := d.workers[id]; w != nil && w.processed > w.stored {
 			b.ends[id] = endMark{life: w.listed.Life, number: w.processed}
 		}
 	}
@@ -100,9 +92,13 @@
 // accounts for may be acknowledged to the workers.
 func (d *Decider) BatchStored(b Batch) {
 	for id, mark := range b.ends {
-		if w := d.workers[id]; w != nil && w.listed.Life == mark.life {
+		w := d.workers[id]
+		if w != nil && w.listed.Life == mark.life {
 			w.stored = max(w.stored, mark.number)
 		}
+		if w == nil || w.stored >= w.processed {
+			delete(d.ahead, id)
+		}
 	}
 }
 
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -62,6 +62,7 @@
 			strays: map[RunID]time.Time{},
 		}
 		d.workers[listed.ID] = w
+		d.unenlisted[listed.ID] = true
 		d.options.Log.Write(aqlog.WorkerListed, workerAttr(listed.ID), slog.String("Service", string(listed.Service)),
 			slog.Int64("Life", int64(listed.Life)))
 	}
@@ -106,6 +107,8 @@
 		return
 	}
 	delete(d.workers, w.listed.ID)
+	delete(d.unenlisted, w.listed.ID)
+	delete(d.ahead, w.listed.ID)
 }
 
 // Enlist notes that the stored list of workers names these: the next decider
@@ -114,19 +117,13 @@
 	for _, id := range ids {
 		if w := d.workers[id]; w != nil {
 			w.enlisted = true
+			delete(d.unenlisted, id)
 		}
 	}
 }
 
 // Unenlisted reports whether a worker waits to be stored in the list.
-func (d *Decider) Unenlisted() bool {
-	for _, w := range d.workers {
-		if !w.enlisted {
-			return true
-		}
-	}
-	return false
-}
+func (d *Decider) Unenlisted() bool { return len(d.unenlisted) > 0 }
 
 // Known reports whether a worker is still of interest.
 func (d *Decider) Known(id aqtype.WorkerID) bool { return d.workers[id] != nil }
--- a/pkg/aqsite/crew.go
+++ b/pkg/aqsite/crew.go
@@ -36,6 +36,10 @@
 	cancel   context.CancelFunc
 	ctx      context.Context
 	assigned int
+	// posts are those of its workers; there are as many as assigned says.
+	posts map[aqtype.WorkerID]*post
+	// busy wakes the poll of a member that gets its first worker.
+	busy chan struct{}
 
 	// pending is what the next orders call carries.
 	pending ordersCall
@@ -92,6 +96,8 @@
 		cancel: cancel,
 		ctx:    memberCtx,
 		wake:   make(chan struct{}, 1),
+		posts:  map[aqtype.WorkerID]*post{},
+		busy:   make(chan struct{}, 1),
 	}
 	c.members[record.Name] = m
 	c.mu.Unlock()
@@ -244,6 +250,7 @@
 func (c *crew) assign(p *post, to *member) {
 	if p.member != nil {
 		p.member.assigned--
+		delete(p.member.posts, p.worker.ID)
 		p.member.pending.Drop = append(p.member.pending.Drop, p.worker.ID)
 		signal(p.member.wake)
 	}
@@ -256,6 +263,8 @@
 	c.serial++
 	p.serial = c.serial
 	to.assigned++
+	to.posts[p.worker.ID] = p
+	signal(to.busy)
 	to.pending.Assign = append(to.pending.Assign, assignment{
 		Worker: p.worker,
 		Serial: p.serial,
@@ -291,11 +300,9 @@
 }
 
 func (c *crew) workersOf(m *member) []aqtype.WorkerID {
-	var ids []aqtype.WorkerID
-	for id, p := range c.posts {
-		if p.member == m {
-			ids = append(ids, id)
-		}
+	ids := make([]aqtype.WorkerID, 0, len(m.posts))
+	for id := range m.posts {
+		ids = append(ids, id)
 	}
 	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
 	return ids
--- a/pkg/aqsite/crewlink.go
+++ b/pkg/aqsite/crewlink.go
@@ -97,6 +97,25 @@
 		c.revive(m)
 		c.leader.acknowledged(m.record.Name)
 		c.take(m, answer.Events)
+		c.rest(m)
+	}
+}
+
+// idlePoll is how often a member without workers is polled.
+const idlePoll = 2 * time.Second
+
+// rest waits before the next poll of a member that deals with no worker.
+func (c *crew) rest(m *member) {
+	c.mu.Lock()
+	idle := m.assigned == 0
+	c.mu.Unlock()
+	if !idle {
+		return
+	}
+	select {
+	case <-m.ctx.Done():
+	case <-m.busy:
+	case <-c.leader.node.clock.After(idlePoll):
 	}
 }
 
@@ -139,10 +158,7 @@
 	c.leader.decide(func(d *aqdecider.Decider) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		for id, p := range c.posts {
-			if p.member != m {
-				continue
-			}
+		for id, p := range m.posts {
 			h := hint{Worker: id, Wait: lookIdle, Renew: p.renew}
 			h.Forget, h.Life = d.Acknowledge(id)
 			if d.Occupied(id) {
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -19,19 +19,26 @@
 // takeWorkers takes a whole reading of service discovery.
 func (l *leader) takeWorkers(items []aqstore.Item) {
 	seen := map[aqtype.WorkerID]bool{}
+	listed := make([]aqdecider.Worker, 0, len(items))
 	for _, item := range items {
 		if w, ok := l.decodeWorker(item); ok {
 			seen[w.ID] = true
-			l.listWorker(w)
+			listed = append(listed, w)
 		}
 	}
 	l.decide(func(d *aqdecider.Decider) {
+		for _, w := range listed {
+			d.ListWorker(w)
+		}
 		for _, id := range d.WorkerIDs() {
 			if !seen[id] {
 				d.UnlistWorker(id)
 			}
 		}
 	})
+	for _, w := range listed {
+		l.crew.place(w)
+	}
 	l.dropWorkers()
 }
 
@@ -51,12 +58,17 @@
 
 // dropWorkers ends the dealings with workers that are of no interest any more.
 func (l *leader) dropWorkers() {
-	for _, id := range l.crew.workers() {
-		known := true
-		l.decide(func(d *aqdecider.Decider) { known = d.Known(id) })
-		if !known {
-			l.crew.remove(id)
+	var unknown []aqtype.WorkerID
+	ids := l.crew.workers()
+	l.decide(func(d *aqdecider.Decider) {
+		for _, id := range ids {
+			if !d.Known(id) {
+				unknown = append(unknown, id)
+			}
 		}
+	})
+	for _, id := range unknown {
+		l.crew.remove(id)
 	}
 }
 
