--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -8,6 +8,7 @@
 
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqtype"
 )
 
@@ -347,6 +348,7 @@
 	t.run = r
 	t.seen = true
 	t.begun = true
+	d.options.Metrics.Observe(aqmetric.TimeWait, d.now.Sub(t.group.readyAt))
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 	w.changed()
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -67,7 +67,6 @@
 	SettingsKept  = Event{Number: 916, Layer: LayerSite, Level: slog.LevelWarn, Message: "settings reload refused", Meaning: "The changed settings file is not valid. The settings before it stay in force."}
 	SettingsTaken = Event{Number: 917, Layer: LayerSite, Level: slog.LevelInfo, Message: "settings reloaded", Meaning: "The settings file was read again."}
 	OrderFailed   = Event{Number: 918, Layer: LayerSite, Level: slog.LevelWarn, Message: "order not answered", Meaning: "A worker did not answer an order, which may still take effect. It is repeated or settled by a stop."}
-	PauseSeen     = Event{Number: 919, Layer: LayerSite, Level: slog.LevelWarn, Message: "process paused", Meaning: "This process did not run for the time in Paused. What it believed may be out of date."}
 
 	AdviceFailed     = Event{Number: 924, Layer: LayerSite, Level: slog.LevelWarn, Message: "advice failed", Meaning: "The advice service did not answer. Groups of its queues wait; the question is asked again."}
 	AgentJoined      = Event{Number: 920, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent joined", Meaning: "Another process is registered and deals with workers for this leader."}
@@ -99,6 +98,6 @@
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerReborn, WorkerSilent, WorkerAnswers, WorkerLapsed,
 	LeadTaken, LeadLost, LeadReleased, LeadRecovered, LeadTryFailed, LeaderSeen,
 	StoreLost, StoreRegained, WatchReset, EntryIgnored, CommitFailed, SiteConfig, SettingsKept, SettingsTaken,
-	OrderFailed, PauseSeen, AgentJoined, AgentLost, AgentBack, RegistrationKept, AdviceFailed,
+	OrderFailed, AgentJoined, AgentLost, AgentBack, RegistrationKept, AdviceFailed,
 	JobStored, JobTurnedAway, JobInDoubt, CancelStored, StateFromDisk, CallRefused,
 }
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -126,12 +126,10 @@
 	TimeWait Timing = "aq_task_wait_seconds"
 	// TimeCommit is from a decision to its storing.
 	TimeCommit Timing = "aq_commit_seconds"
-	// TimePause is a pause of the process.
-	TimePause Timing = "aq_process_pause_seconds"
 )
 
 // Timings lists every latency histogram.
-var Timings = []Timing{TimeStoreCall, TimeAccept, TimeStart, TimeWait, TimeCommit, TimePause}
+var Timings = []Timing{TimeStoreCall, TimeAccept, TimeStart, TimeWait, TimeCommit}
 
 // Set holds the metrics of one process.
 type Set struct {
