The clock of a test stands still while recovery's loops run

Cause: TestNoAnswersBeforeRecovery failed once; every wait of a background loop advanced the fake clock, so the proof of leadership grew too old.

--- a/pkg/aqsite/leader_test.go
+++ b/pkg/aqsite/leader_test.go
@@ -127,11 +127,13 @@
 // A leader that has not read the stored jobs yet answers nothing about them.
 func TestNoAnswersBeforeRecovery(t *testing.T) {
 	store := newFakeStore()
-	n, _ := testNode(t, store)
+	n, clock := testNode(t, store)
 	n.routes.take(&Config{Version: 1})
 	if err := n.Submit(context.Background(), testJob()); err != nil {
 		t.Fatal(err)
 	}
+	// The loops that recovery begins must not move the time.
+	n.clock, n.agent.clock = clock.Fake, clock.Fake
 	l := lead(t, n, store)
 	if _, current := l.pending(testJob().Queue.ID); current {
 		t.Fatal("counts jobs before they are read")
@@ -139,7 +141,9 @@
 	if _, _, current := l.state(testJob().ID); current {
 		t.Fatal("tells states before they are read")
 	}
-	if _, _, err := l.recover(context.Background()); err != nil {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if _, _, err := l.recover(ctx); err != nil {
 		t.Fatal(err)
 	}
 	defer l.lose(errors.New("end of the test"))
