A lapse takes back the orders that wait at the worker's agent

The assignment is renewed now, so that the agent drops what waits. Ruled out: the reckoning of the lease's end, which was right.

--- a/pkg/aqsite/crewlink.go
+++ b/pkg/aqsite/crewlink.go
@@ -270,6 +270,8 @@
 	for id, p := range c.posts {
 		if !p.lapseAt.IsZero() && now.After(p.lapseAt) {
 			p.lapseAt = time.Time{}
+			// An order that waits at the agent must not reach the worker later.
+			c.assign(p, p.member)
 			ended = append(ended, id)
 		}
 	}
