Read once more: dead state and methods go, one loop scores candidates

Removed: Job.Perpetual, Decider.NextDue and Unsettled, the write-only awaySince of tasks, an unused result. choose and candidates were two copies of one loop.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -141,9 +141,6 @@
 	return len(d.unsettled) > 0
 }
 
-// Unsettled counts the workers that may run unseen tasks.
-func (d *Decider) Unsettled() int { return len(d.unsettled) }
-
 // Tick does what is due by time and returns the orders that were decided since
 // the last call.
 func (d *Decider) Tick() []Order {
--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -24,9 +24,6 @@
 		slog.Int("Attempt", int(r.id.Attempt)), slog.String("How", how.String()), slog.String("Why", r.why),
 		slog.Duration("Took", d.now.Sub(r.orderedAt)))
 	d.options.Metrics.Inc(aqmetric.TasksEnded)
-	if t.group.spec.Perpetual && t.awaySince.IsZero() {
-		t.awaySince = d.now
-	}
 	switch how {
 	case EndDone:
 		w.health.succeeded()
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -135,22 +135,6 @@
 	return time.UnixMilli(j.spec.FirstAt).Add(time.Duration(k) * j.spec.Period)
 }
 
-// NextDue returns how long it is until the next occurrence begins.
-func (d *Decider) NextDue() (time.Duration, bool) {
-	var least time.Duration
-	found := false
-	for _, j := range d.jobs {
-		if j.spec.Repeats == 0 || j.state.Final() || int(j.next) >= j.spec.Repeats {
-			continue
-		}
-		wait := max(0, j.dueWall(j.next).Sub(d.wall))
-		if !found || wait < least {
-			least, found = wait, true
-		}
-	}
-	return least, found
-}
-
 func (d *Decider) newOccurrence(j *job, k aqjob.Occurrence) *occurrence {
 	o := &occurrence{job: j, number: k, dueAt: j.acceptedAt}
 	if j.spec.Repeats > 0 {
@@ -167,11 +151,10 @@
 		}
 		for index := range g.tasks {
 			g.tasks[index] = &task{
-				group:     g,
-				index:     index,
-				seen:      !j.inherited,
-				begun:     j.inherited,
-				awaySince: d.now,
+				group: g,
+				index: index,
+				seen:  !j.inherited,
+				begun: j.inherited,
 			}
 			if j.inherited {
 				g.tasks[index].attempt = d.options.FirstAttempt
--- a/pkg/aqdecider/listing.go
+++ b/pkg/aqdecider/listing.go
@@ -69,9 +69,6 @@
 	if report.Checkpoint != "" {
 		r.checkpoint = report.Checkpoint
 	}
-	if r.task.group.spec.Perpetual && report.Percent >= 100 {
-		r.task.awaySince = time.Time{}
-	}
 }
 
 // stopPatience is how much longer than its grace a stop may take before the
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -61,7 +61,7 @@
 		d.placeGang(g, pending)
 		return
 	}
-	candidates := d.candidates(g)
+	candidates := d.candidates(g, nil)
 	for _, t := range pending {
 		w := candidates.best(t)
 		if w == nil {
@@ -71,7 +71,7 @@
 			return
 		}
 		d.start(t, w, t.attempt+1)
-		d.rescore(candidates, g, w)
+		d.rescore(candidates, g, w, aqtype.Resources{})
 	}
 }
 
@@ -79,20 +79,22 @@
 // scores; the lowest score is best.
 type candidates map[*worker]float64
 
-func (d *Decider) candidates(g *group) candidates {
+// candidates looks at every worker. promised is what the same decision has given
+// away already.
+func (d *Decider) candidates(g *group, promised map[*worker]aqtype.Resources) candidates {
 	found := candidates{}
 	for _, w := range d.workers {
-		d.rescore(found, g, w)
+		d.rescore(found, g, w, promised[w])
 	}
 	return found
 }
 
-func (d *Decider) rescore(found candidates, g *group, w *worker) {
+func (d *Decider) rescore(found candidates, g *group, w *worker, promised aqtype.Resources) {
 	delete(found, w)
-	if !d.allowed(g, w, aqtype.Resources{}) {
+	if !d.allowed(g, w, promised) {
 		return
 	}
-	if score := d.score(g, w, aqtype.Resources{}); score < unsuited {
+	if score := d.score(g, w, promised); score < unsuited {
 		found[w] = score
 	}
 }
@@ -249,15 +251,7 @@
 // choose returns the best worker for a task, nil when none has room. promised is
 // what the same decision has given away already.
 func (d *Decider) choose(t *task, promised map[*worker]aqtype.Resources) *worker {
-	found := candidates{}
-	for _, w := range d.workers {
-		if d.allowed(t.group, w, promised[w]) {
-			if score := d.score(t.group, w, promised[w]); score < unsuited {
-				found[w] = score
-			}
-		}
-	}
-	return found.best(t)
+	return d.candidates(t.group, promised).best(t)
 }
 
 // allowed reports whether a worker may take a task of a group now.
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -79,8 +79,6 @@
 	avoid []aqtype.WorkerID
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
-	// awaySince is when a perpetual task stopped being at work.
-	awaySince time.Time
 }
 
 // runState is what is known of a run.
--- a/pkg/aqjob/job.go
+++ b/pkg/aqjob/job.go
@@ -150,16 +150,6 @@
 // Occurrences is the number of times the groups run.
 func (j *Job) Occurrences() int { return max(1, j.Repeats) }
 
-// Perpetual reports whether the job never ends by itself.
-func (j *Job) Perpetual() bool {
-	for _, g := range j.Groups {
-		if g.Perpetual {
-			return true
-		}
-	}
-	return false
-}
-
 // Chain is the longest chain of estimated run times through the graph.
 func (j *Job) Chain() time.Duration {
 	ends := make([]time.Duration, len(j.Groups))
--- a/pkg/aqsite/sessionorders.go
+++ b/pkg/aqsite/sessionorders.go
@@ -50,16 +50,15 @@
 	}
 }
 
-// stopQueued takes a start out of the queue that a stop has overtaken, and
-// reports whether it was there. The lock is held.
-func (s *session) stopQueued(run aqdecider.RunID) bool {
+// stopQueued takes a start out of the queue that a stop has overtaken. The lock
+// is held.
+func (s *session) stopQueued(run aqdecider.RunID) {
 	for i, o := range s.queue {
 		if start, ok := o.(aqdecider.Start); ok && start.Run == run {
 			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
-			return true
+			return
 		}
 	}
-	return false
 }
 
 func (s *session) start(order aqdecider.Start) {
