--- a/pkg/aqdecider/advice.go
+++ b/pkg/aqdecider/advice.go
@@ -119,7 +119,7 @@
 		score  float64
 	}
 	var open []scored
-	for _, w := range d.workers {
+	for _, w := range d.fleet {
 		answer, asked := a.asked[w.listed.ID]
 		if asked && answer.life == w.listed.Life && d.now.Before(answer.until) {
 			continue
--- /dev/null
+++ b/pkg/aqdecider/candidates.go
@@ -0,0 +1,151 @@
+package aqdecider
+
+import (
+	"container/heap"
+	"slices"
+
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqtype"
+)
+
+// candidate is a worker that may take a task of a group; the lowest score is
+// best.
+type candidate struct {
+	worker *worker
+	score  float64
+}
+
+func (c candidate) better(o candidate) bool {
+	if c.score != o.score {
+		return c.score < o.score
+	}
+	return c.worker.listed.ID < o.worker.listed.ID
+}
+
+// candidates are the workers that may take a task of a group, the best first in
+// the order of a heap.
+type candidates []candidate
+
+// Len implements heap.Interface.
+func (c candidates) Len() int { return len(c) }
+
+// Less implements heap.Interface.
+func (c candidates) Less(i, j int) bool { return c[i].better(c[j]) }
+
+// Swap implements heap.Interface.
+func (c candidates) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+
+// Push implements heap.Interface. Nothing is added to candidates.
+func (c *candidates) Push(any) {}
+
+// Pop implements heap.Interface.
+func (c *candidates) Pop() any {
+	last := len(*c) - 1
+	popped := (*c)[last]
+	*c = (*c)[:last]
+	return popped
+}
+
+// candidates looks at every worker. promised is what the same decision has given
+// away already. What it returns holds until the next call.
+func (d *Decider) candidates(g *group, promised map[*worker]aqtype.Resources) candidates {
+	found := d.found[:0]
+	for _, w := range d.fleet {
+		if score, ok := d.suitability(g, w, promised[w]); ok {
+			found = append(found, candidate{worker: w, score: score})
+		}
+	}
+	d.found = found
+	heap.Init(&found)
+	return found
+}
+
+// suitability returns the score of a worker, false when it must not get a task of
+// the group.
+func (d *Decider) suitability(g *group, w *worker, promised aqtype.Resources) (float64, bool) {
+	if !d.allowed(g, w, promised) {
+		return 0, false
+	}
+	score := d.score(g, w, promised)
+	return score, score < unsuited
+}
+
+// best returns the position of the best worker for a task of the group, -1 when
+// there is none.
+func (c candidates) best(t *task) int {
+	if len(c) == 0 {
+		return -1
+	}
+	if len(t.avoid) == 0 {
+		return 0
+	}
+	best := -1
+	var bestCandidate candidate
+	for i, each := range c {
+		if slices.Contains(t.avoid, each.worker.listed.ID) {
+			each.score += weightAvoided
+		}
+		if best < 0 || each.better(bestCandidate) {
+			best, bestCandidate = i, each
+		}
+	}
+	return best
+}
+
+// rescore looks at a worker again that has been given a task of the group.
+func (d *Decider) rescore(c *candidates, position int, g *group) {
+	score, ok := d.suitability(g, (*c)[position].worker, aqtype.Resources{})
+	if !ok {
+		heap.Remove(c, position)
+		return
+	}
+	(*c)[position].score = score
+	heap.Fix(c, position)
+}
+
+// choose returns the best worker for a task, nil when none has room. promised is
+// what the same decision has given away already.
+func (d *Decider) choose(t *task, promised map[*worker]aqtype.Resources) *worker {
+	found := d.candidates(t.group, promised)
+	if position := found.best(t); position >= 0 {
+		return found[position].worker
+	}
+	return nil
+}
+
+// kind is what groups have in common that find the same workers suitable, but
+// for the sizes of their tasks.
+type kind struct {
+	service aqjob.ServiceID
+	filler  bool
+	// image matters for fillers only.
+	image string
+}
+
+// shortage remembers, for one round of decisions, the sizes for which no worker
+// was found: a larger task of the same kind finds none either.
+type shortage map[kind]aqtype.Resources
+
+func (g *group) kind() kind {
+	k := kind{service: g.occurrence.job.queue.Service, filler: g.spec.Filler}
+	if k.filler {
+		k.image = g.spec.Image
+	}
+	return k
+}
+
+// note remembers that a task found no worker, unless that has other reasons than
+// its size.
+func (s shortage) note(t *task) {
+	g := t.group
+	if g.spec.Constraint != "" || g.spec.AntiAffinity > 0 || g.occurrence.job.queue.Advised {
+		return
+	}
+	s[g.kind()] = g.spec.Size
+}
+
+// covers reports whether a smaller task of the kind has found no worker.
+func (s shortage) covers(g *group) bool {
+	size, noted := s[g.kind()]
+	return noted && size.Fits(g.spec.Size)
+}
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"sort"
 	"time"
 
 	"acaciaquay/pkg/aqjob"
@@ -42,6 +41,14 @@
 	queues  map[aqjob.QueueID]aqjob.Queue
 	jobs    map[aqjob.ID]*job
 	workers map[aqtype.WorkerID]*worker
+	// fleet holds the same workers, ordered by id.
+	fleet []*worker
+	// timed holds the jobs with occurrences that are still to begin.
+	timed map[aqjob.ID]*job
+	// unbegun counts each queue's jobs of which no task has started.
+	unbegun map[aqjob.QueueID]int
+	// found is the memory of the last candidates.
+	found candidates
 	// waiting holds the groups that have tasks to place.
 	waiting map[*group]bool
 	// unsettled holds the workers that may run tasks of an earlier decider and
@@ -77,6 +84,8 @@
 		queues:     map[aqjob.QueueID]aqjob.Queue{},
 		jobs:       map[aqjob.ID]*job{},
 		workers:    map[aqtype.WorkerID]*worker{},
+		timed:      map[aqjob.ID]*job{},
+		unbegun:    map[aqjob.QueueID]int{},
 		waiting:    map[*group]bool{},
 		unsettled:  map[aqtype.WorkerID]time.Time{},
 		dirty:      map[aqjob.ID]*job{},
@@ -145,9 +154,7 @@
 // the last call.
 func (d *Decider) Tick() []Order {
 	d.beginOccurrences()
-	d.evacuate()
-	d.pace()
-	d.relocate()
+	d.review()
 	d.plan()
 	d.expire()
 	orders := d.orders
@@ -155,6 +162,23 @@
 	return orders
 }
 
+// reviewPeriod is how often a worker is reviewed of which nothing new is known.
+const reviewPeriod = 200 * time.Millisecond
+
+// review looks at what runs on the workers that have been listed lately, and now
+// and then at all others.
+func (d *Decider) review() {
+	for _, w := range d.fleet {
+		if !w.reachable || d.now.Before(w.reviewAt) {
+			continue
+		}
+		w.reviewAt = d.now.Add(reviewPeriod)
+		d.evacuate(w)
+		d.pace(w)
+		d.relocate(w)
+	}
+}
+
 func (d *Decider) order(o Order) { d.orders = append(d.orders, o) }
 
 // Wanted reports whether decisions wait for Tick.
@@ -198,22 +222,23 @@
 
 // Pending counts a queue's jobs of which no task has started.
 func (d *Decider) Pending(queue aqjob.QueueID) int {
-	n := 0
-	for _, j := range d.jobs {
-		if j.queue.ID == queue && !j.begun && !j.state.Final() {
-			n++
-		}
+	return d.unbegun[queue]
+}
+
+// countUnbegun adds to the number of a queue's jobs that have not begun.
+func (d *Decider) countUnbegun(queue aqjob.QueueID, change int) {
+	d.unbegun[queue] += change
+	if d.unbegun[queue] == 0 {
+		delete(d.unbegun, queue)
 	}
-	return n
 }
 
 // WorkerIDs lists the workers that may run something, ordered.
 func (d *Decider) WorkerIDs() []aqtype.WorkerID {
-	ids := make([]aqtype.WorkerID, 0, len(d.workers))
-	for id := range d.workers {
-		ids = append(ids, id)
+	ids := make([]aqtype.WorkerID, 0, len(d.fleet))
+	for _, w := range d.fleet {
+		ids = append(ids, w.listed.ID)
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
 	return ids
 }
 
--- a/pkg/aqdecider/gang.go
+++ b/pkg/aqdecider/gang.go
@@ -45,7 +45,7 @@
 func (d *Decider) fitGang(g *group, pending []*task, rack aqtype.Rack) []*worker {
 	promised := map[*worker]aqtype.Resources{}
 	if rack != "" {
-		for _, w := range d.workers {
+		for _, w := range d.fleet {
 			if w.rack != rack {
 				promised[w] = w.listed.Capacity
 			}
@@ -66,7 +66,7 @@
 // racks lists the racks, ordered.
 func (d *Decider) racks() []aqtype.Rack {
 	var racks []aqtype.Rack
-	for _, w := range d.workers {
+	for _, w := range d.fleet {
 		if w.rack != "" && !slices.Contains(racks, w.rack) {
 			racks = append(racks, w.rack)
 		}
--- a/pkg/aqdecider/headroom.go
+++ b/pkg/aqdecider/headroom.go
@@ -33,7 +33,7 @@
 func (d *Decider) spareFor(waiting []*group) spare {
 	free := spare{}
 	use := map[aqjob.ServiceID]float64{}
-	for _, w := range d.workers {
+	for _, w := range d.fleet {
 		service := w.listed.Service
 		use[service] += float64(w.current().short)
 		if w.present && w.reachable && !w.listed.Draining {
@@ -95,7 +95,7 @@
 func (d *Decider) slots(g *group) int {
 	size := g.spec.Reserved()
 	n := 0
-	for _, w := range d.workers {
+	for _, w := range d.fleet {
 		for used := w.used; n < ampleSlots && d.allowed(g, w, used.Sub(w.used)); used = used.Add(size) {
 			n++
 			if size.MilliCPU <= 0 {
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -27,6 +27,7 @@
 	j := &job{
 		spec:        spec,
 		queue:       spec.Queue,
+		chain:       spec.Chain(),
 		inherited:   inherited,
 		acceptedAt:  d.now.Add(-d.age(spec)),
 		state:       aqjob.StateQueued,
@@ -49,11 +50,17 @@
 	}
 	d.options.Log.Write(aqlog.JobKnown, jobAttr(spec.ID), slog.String("Queue", string(j.queue.ID)),
 		slog.Bool("Inherited", inherited), slog.Int("Groups", len(spec.Groups)))
+	if !j.begun {
+		d.countUnbegun(j.queue.ID, 1)
+	}
 	if _, cancelled := d.early[spec.ID]; cancelled {
 		delete(d.early, spec.ID)
 		d.finish(j, aqjob.StateCancelled, "submitter cancelled")
 		return
 	}
+	if spec.Repeats > 0 {
+		d.timed[spec.ID] = j
+	}
 	d.beginDue(j)
 }
 
@@ -111,10 +118,12 @@
 
 // beginOccurrences starts the occurrences that are due.
 func (d *Decider) beginOccurrences() {
-	for _, j := range d.jobs {
-		if j.spec.Repeats > 0 && !j.state.Final() {
-			d.beginDue(j)
+	for id, j := range d.timed {
+		if j.state.Final() || int(j.next) >= j.spec.Occurrences() {
+			delete(d.timed, id)
+			continue
 		}
+		d.beginDue(j)
 	}
 }
 
@@ -204,6 +213,9 @@
 
 // finish puts a job into a final state and stops what still runs of it.
 func (d *Decider) finish(j *job, state aqjob.State, why string) {
+	if !j.begun {
+		d.countUnbegun(j.queue.ID, -1)
+	}
 	j.state = state
 	j.finalAt = d.wall.UnixMilli()
 	d.ended = append(d.ended, endedJob{id: j.spec.ID, at: d.now})
--- a/pkg/aqdecider/listing.go
+++ b/pkg/aqdecider/listing.go
@@ -40,6 +40,7 @@
 	}
 	d.observe(w)
 	d.settle(id)
+	w.reviewAt = time.Time{}
 }
 
 // runSeen takes one running task of a listing.
@@ -84,6 +85,7 @@
 	if !j.begun {
 		j.begun = true
 		if !j.state.Final() {
+			d.countUnbegun(j.queue.ID, -1)
 			d.touch(j)
 		}
 	}
--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -97,17 +97,15 @@
 	}
 }
 
-// evacuate takes tasks off workers that are about to leave.
-func (d *Decider) evacuate() {
-	for _, w := range d.workers {
-		if !w.listed.Draining || !w.reachable {
-			continue
-		}
-		leaving := d.now.After(w.leavesAt.Add(-d.options.Limits.DrainMargin))
-		for _, r := range w.runs {
-			if r.state != runStopping && (leaving || r.task.group.spec.Perpetual) {
-				d.stop(r, "worker leaves")
-			}
+// evacuate takes tasks off a worker that is about to leave.
+func (d *Decider) evacuate(w *worker) {
+	if !w.listed.Draining {
+		return
+	}
+	leaving := d.now.After(w.leavesAt.Add(-d.options.Limits.DrainMargin))
+	for _, r := range w.runs {
+		if r.state != runStopping && (leaving || r.task.group.spec.Perpetual) {
+			d.stop(r, "worker leaves")
 		}
 	}
 }
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -43,15 +43,10 @@
 
 // pace slows fillers down beside serving tasks whose tails near their targets,
 // and lets them go again.
-func (d *Decider) pace() {
-	for _, w := range d.workers {
-		if !w.reachable {
-			continue
-		}
-		for _, r := range w.runs {
-			if r.task.group.spec.Filler && r.state == runRunning {
-				d.paceRun(w, r)
-			}
+func (d *Decider) pace(w *worker) {
+	for _, r := range w.runs {
+		if r.task.group.spec.Filler && r.state == runRunning {
+			d.paceRun(w, r)
 		}
 	}
 }
@@ -122,26 +117,21 @@
 	return false
 }
 
-// relocate moves checkpointing fillers that crawl to workers that suit them, and
-// tasks that stand still to others.
-func (d *Decider) relocate() {
-	for _, w := range d.workers {
-		if !w.reachable {
-			continue
-		}
-		for _, r := range w.runs {
-			switch {
-			case r.state != runRunning:
-			case d.standsStill(r):
-				d.options.Log.Write(aqlog.RunStuck, taskAttr(r.id.Task), workerAttr(w.listed.ID),
-					slog.Int("Percent", r.percent), slog.Duration("Since", d.now.Sub(r.movedAt)))
-				r.task.avoidWorker(w.listed.ID)
-				w.health.failed(r.id.Task.Job, d.now)
-				d.stop(r, "makes no progress")
-			case r.crawls(d.now):
-				if other := d.choose(r.task, nil); other != nil && other != w {
-					d.stop(r, "tails beside it are over their targets")
-				}
+// relocate moves a worker's checkpointing fillers that crawl to workers that suit
+// them, and tasks that stand still to others.
+func (d *Decider) relocate(w *worker) {
+	for _, r := range w.runs {
+		switch {
+		case r.state != runRunning:
+		case d.standsStill(r):
+			d.options.Log.Write(aqlog.RunStuck, taskAttr(r.id.Task), workerAttr(w.listed.ID),
+				slog.Int("Percent", r.percent), slog.Duration("Since", d.now.Sub(r.movedAt)))
+			r.task.avoidWorker(w.listed.ID)
+			w.health.failed(r.id.Task.Job, d.now)
+			d.stop(r, "makes no progress")
+		case r.crawls(d.now):
+			if other := d.choose(r.task, nil); other != nil && other != w {
+				d.stop(r, "tails beside it are over their targets")
 			}
 		}
 	}
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -6,7 +6,6 @@
 	"sort"
 	"time"
 
-	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqtype"
@@ -19,7 +18,7 @@
 		return
 	}
 	doubtful := d.inDoubt()
-	full := map[fillerKey]aqtype.MilliCPU{}
+	short := shortage{}
 	ordered := d.ordered()
 	spare := d.spareFor(ordered)
 	for _, g := range ordered {
@@ -27,8 +26,8 @@
 		if g.spec.Perpetual {
 			pending = pending[:d.admitted(spare, g, len(pending))]
 		}
-		if len(pending) > 0 && !g.hopeless(full) {
-			d.placeGroup(g, pending, full)
+		if len(pending) > 0 && !short.covers(g) {
+			d.placeGroup(g, pending, short)
 		}
 		if !g.wants() {
 			delete(d.waiting, g)
@@ -36,82 +35,21 @@
 	}
 }
 
-// fillerKey is what fillers that find the same workers suitable have in common.
-type fillerKey struct {
-	queue aqjob.QueueID
-	image string
-}
-
-// hopeless reports whether a smaller filler of the same image has found no
-// worker in this round.
-func (g *group) hopeless(full map[fillerKey]aqtype.MilliCPU) bool {
-	if !g.spec.Filler {
-		return false
-	}
-	size, tried := full[g.fillerKey()]
-	return tried && g.spec.Size.MilliCPU >= size
-}
-
-func (g *group) fillerKey() fillerKey {
-	return fillerKey{queue: g.occurrence.job.queue.ID, image: g.spec.Image}
-}
-
-func (d *Decider) placeGroup(g *group, pending []*task, full map[fillerKey]aqtype.MilliCPU) {
+func (d *Decider) placeGroup(g *group, pending []*task, short shortage) {
 	if g.spec.Gang {
 		d.placeGang(g, pending)
 		return
 	}
-	candidates := d.candidates(g, nil)
+	found := d.candidates(g, nil)
 	for _, t := range pending {
-		w := candidates.best(t)
-		if w == nil {
-			if g.spec.Filler && g.spec.Constraint == "" && g.spec.AntiAffinity == 0 && len(t.avoid) == 0 {
-				full[g.fillerKey()] = g.spec.Size.MilliCPU
-			}
+		position := found.best(t)
+		if position < 0 {
+			short.note(t)
 			return
 		}
-		d.start(t, w, t.attempt+1)
-		d.rescore(candidates, g, w, aqtype.Resources{})
-	}
-}
-
-// candidates are the workers that may take a task of a group, with their
-// scores; the lowest score is best.
-type candidates map[*worker]float64
-
-// candidates looks at every worker. promised is what the same decision has given
-// away already.
-func (d *Decider) candidates(g *group, promised map[*worker]aqtype.Resources) candidates {
-	found := candidates{}
-	for _, w := range d.workers {
-		d.rescore(found, g, w, promised[w])
-	}
-	return found
-}
-
-func (d *Decider) rescore(found candidates, g *group, w *worker, promised aqtype.Resources) {
-	delete(found, w)
-	if !d.allowed(g, w, promised) {
-		return
-	}
-	if score := d.score(g, w, promised); score < unsuited {
-		found[w] = score
-	}
-}
-
-// best returns the best worker for a task of the group, nil when there is none.
-func (c candidates) best(t *task) *worker {
-	var best *worker
-	var bestScore float64
-	for w, score := range c {
-		if slices.Contains(t.avoid, w.listed.ID) {
-			score += weightAvoided
-		}
-		if best == nil || score < bestScore || score == bestScore && w.listed.ID < best.listed.ID {
-			best, bestScore = w, score
-		}
+		d.start(t, found[position].worker, t.attempt+1)
+		d.rescore(&found, position, g)
 	}
-	return best
 }
 
 // mostUrgent goes before every priority of a queue.
@@ -172,7 +110,7 @@
 
 func (d *Decider) rank(g *group) rank {
 	j := g.occurrence.job
-	allowed := time.Duration(j.queue.Stretch*float64(j.spec.Chain())) + j.queue.Target
+	allowed := time.Duration(j.queue.Stretch*float64(j.chain)) + j.queue.Target
 	due := g.occurrence.dueAt.Add(allowed)
 	r := rank{class: classOnTime, priority: j.queue.Priority, due: due}
 	if g.spec.Perpetual {
@@ -248,12 +186,6 @@
 	weightAvoided = 8.0
 )
 
-// choose returns the best worker for a task, nil when none has room. promised is
-// what the same decision has given away already.
-func (d *Decider) choose(t *task, promised map[*worker]aqtype.Resources) *worker {
-	return d.candidates(t.group, promised).best(t)
-}
-
 // allowed reports whether a worker may take a task of a group now.
 func (d *Decider) allowed(g *group, w *worker, promised aqtype.Resources) bool {
 	return d.suits(g, w, promised) && (!g.occurrence.job.queue.Advised || d.ticket(g, w) != "")
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -12,6 +12,8 @@
 type job struct {
 	spec  *aqjob.Job
 	queue aqjob.Queue
+	// chain is the longest chain of estimated run times.
+	chain time.Duration
 	// inherited jobs were accepted before this decider began.
 	inherited bool
 	// acceptedAt is on the steady clock of this process.
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strings"
 	"time"
 
@@ -35,6 +36,8 @@
 	// avoidUntil keeps new tasks off after a refusal.
 	avoidUntil time.Time
 	health     health
+	// reviewAt is when what runs on the worker is to be reviewed.
+	reviewAt time.Time
 	// load is nil after a change.
 	load *load
 }
@@ -61,7 +64,7 @@
 			runs:   map[RunID]*run{},
 			strays: map[RunID]time.Time{},
 		}
-		d.workers[listed.ID] = w
+		d.addWorker(w)
 		d.unenlisted[listed.ID] = true
 		d.options.Log.Write(aqlog.WorkerListed, workerAttr(listed.ID), slog.String("Service", string(listed.Service)),
 			slog.Int64("Life", int64(listed.Life)))
@@ -78,6 +81,7 @@
 	w.rack = rackOf(listed.Labels)
 	w.present = true
 	if listed.Draining {
+		w.reviewAt = time.Time{}
 		w.leavesAt = d.now.Add(listed.Remaining)
 		if !wasDraining {
 			d.options.Log.Write(aqlog.WorkerDraining, workerAttr(listed.ID), slog.Duration("Remaining", listed.Remaining),
@@ -106,11 +110,30 @@
 	if _, doubtful := d.unsettled[w.listed.ID]; doubtful {
 		return
 	}
-	delete(d.workers, w.listed.ID)
+	d.removeWorker(w)
 	delete(d.unenlisted, w.listed.ID)
 	delete(d.ahead, w.listed.ID)
 }
 
+// place returns where a worker is in the fleet, or would be.
+func (d *Decider) place(id aqtype.WorkerID) int {
+	position, _ := slices.BinarySearchFunc(d.fleet, id, func(w *worker, id aqtype.WorkerID) int {
+		return strings.Compare(string(w.listed.ID), string(id))
+	})
+	return position
+}
+
+func (d *Decider) addWorker(w *worker) {
+	d.workers[w.listed.ID] = w
+	d.fleet = slices.Insert(d.fleet, d.place(w.listed.ID), w)
+}
+
+func (d *Decider) removeWorker(w *worker) {
+	delete(d.workers, w.listed.ID)
+	position := d.place(w.listed.ID)
+	d.fleet = slices.Delete(d.fleet, position, position+1)
+}
+
 // Enlist notes that the stored list of workers names these: the next decider
 // will look for tasks on them.
 func (d *Decider) Enlist(ids []aqtype.WorkerID) {
