--- a/pkg/aqpeer/client.go
+++ b/pkg/aqpeer/client.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Client calls one peer over one connection, which it opens anew after a
@@ -51,7 +50,7 @@
 // *Error from the peer, ErrNotSent or ErrNoAnswer. A caller that gives up early
 // leaves the connection to the others.
 func (c *Client) Call(parent context.Context, method Method, in, out any) error {
-	body, err := msgpack.Marshal(in)
+	body, err := Pack(in)
 	if err != nil {
 		return errors.WithMessage(ErrNotSent, err.Error())
 	}
@@ -71,7 +70,7 @@
 	if answer.Code != "" {
 		return &Error{Code: answer.Code, Detail: answer.Detail}
 	}
-	if err := msgpack.Unmarshal(answer.Body, out); err != nil {
+	if err := Unpack(answer.Body, out); err != nil {
 		return errors.WithMessage(ErrNoAnswer, err.Error())
 	}
 	return nil
--- a/pkg/aqpeer/frame.go
+++ b/pkg/aqpeer/frame.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Sizes of a frame.
@@ -18,7 +17,7 @@
 
 // WireVersion is raised when a frame of the version before could be
 // misunderstood. A frame of another version is refused.
-const WireVersion = 1
+const WireVersion = 2
 
 // Method names a call.
 type Method string
@@ -44,7 +43,7 @@
 
 func encodeFrame(f frame) ([]byte, error) {
 	f.Version = WireVersion
-	body, err := msgpack.Marshal(f)
+	body, err := Pack(f)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer: encode frame")
 	}
@@ -67,7 +66,7 @@
 
 func decodeFrame(body []byte) (frame, error) {
 	var f frame
-	if err := msgpack.Unmarshal(body, &f); err != nil {
+	if err := Unpack(body, &f); err != nil {
 		return f, errors.WithMessage(ErrFrameMalformed, err.Error())
 	}
 	if f.Version != WireVersion {
--- /dev/null
+++ b/pkg/aqpeer/pack.go
@@ -0,0 +1,26 @@
+package aqpeer
+
+import (
+	"bytes"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Pack encodes a struct as an array of its fields in order, without their names:
+// most of what processes tell each other is many small structs. A struct with
+// another number of fields is refused, so a change of one raises WireVersion.
+func Pack(value any) ([]byte, error) {
+	var out bytes.Buffer
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(&out)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(value); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// Unpack decodes what Pack has encoded into out, a pointer.
+func Unpack(data []byte, out any) error { return msgpack.Unmarshal(data, out) }
--- a/pkg/aqpeer/server.go
+++ b/pkg/aqpeer/server.go
@@ -8,7 +8,6 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
@@ -58,14 +57,14 @@
 func Handle[In, Out any](s *Server, method Method, serve func(context.Context, In) (Out, error)) {
 	s.handlers[method] = func(ctx context.Context, body []byte) ([]byte, error) {
 		var in In
-		if err := msgpack.Unmarshal(body, &in); err != nil {
+		if err := Unpack(body, &in); err != nil {
 			return nil, Errorf(CodeInvalid, "body of %s: %v", method, err)
 		}
 		out, err := serve(ctx, in)
 		if err != nil {
 			return nil, err
 		}
-		data, err := msgpack.Marshal(out)
+		data, err := Pack(out)
 		return data, errors.Wrap(err, "peer: encode answer")
 	}
 }
