Older readings of service discovery no longer undo newer entries

Cause: the whole list is read every 1.2 s beside a watch.

TestOlderReadingKeepsADrainingWorker failed before. Entries that have not changed are no longer decoded and listed anew, 3,000 every 1.2 s before.

--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -151,6 +151,12 @@
 // Known reports whether a worker is still of interest.
 func (d *Decider) Known(id aqtype.WorkerID) bool { return d.workers[id] != nil }
 
+// Draining reports whether the worker is about to leave.
+func (d *Decider) Draining(id aqtype.WorkerID) bool {
+	w := d.workers[id]
+	return w != nil && w.listed.Draining
+}
+
 // Occupied reports whether the worker runs anything or is about to.
 func (d *Decider) Occupied(id aqtype.WorkerID) bool {
 	w := d.workers[id]
--- a/pkg/aqsite/crew.go
+++ b/pkg/aqsite/crew.go
@@ -231,11 +231,26 @@
 	signal(p.member.wake)
 }
 
-// workers lists the workers that somebody deals with.
+// placeIdle assigns the workers that nobody deals with.
+func (c *crew) placeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.posts {
+		if p.member == nil {
+			c.assign(p, c.pick(p.worker, nil))
+		}
+	}
+}
+
+// workers lists the workers that somebody deals with, in no order.
 func (c *crew) workers() []aqtype.WorkerID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sortedPosts()
+	ids := make([]aqtype.WorkerID, 0, len(c.posts))
+	for id := range c.posts {
+		ids = append(ids, id)
+	}
+	return ids
 }
 
 // answers reports whether a member's agent answers.
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -261,6 +261,7 @@
 		record:      record,
 		leadChanged: changed,
 		proofAt:     proof,
+		directory:   newDirectory(),
 		fleet:       map[aqtype.WorkerID]bool{},
 		fleetAgents: map[string]nodeRecord{},
 		awaited:     map[string]bool{},
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -16,44 +16,41 @@
 	"acaciaquay/pkg/aqtype"
 )
 
-// takeWorkers takes a whole reading of service discovery.
-func (l *leader) takeWorkers(items []aqstore.Item) {
-	seen := map[aqtype.WorkerID]bool{}
-	listed := make([]aqdecider.Worker, 0, len(items))
-	for _, item := range items {
-		if w, ok := l.decodeWorker(item); ok {
-			seen[w.ID] = true
-			listed = append(listed, w)
-		}
-	}
+// takeWorkers takes a reading of service discovery that began at a revision.
+func (l *leader) takeWorkers(items []aqstore.Item, began aqstore.Revision) {
+	var listed []aqdecider.Worker
 	l.decide(func(d *aqdecider.Decider) {
-		for _, w := range listed {
-			d.ListWorker(w)
-		}
-		for _, id := range d.WorkerIDs() {
-			if !seen[id] {
-				d.UnlistWorker(id)
+		news, removed := l.directory.read(items, began)
+		for _, item := range news {
+			if w, ok := l.listWorker(d, item); ok {
+				listed = append(listed, w)
 			}
 		}
+		for _, key := range removed {
+			d.UnlistWorker(l.workerOf(key))
+		}
 	})
 	for _, w := range listed {
 		l.crew.place(w)
 	}
+	l.crew.placeIdle()
 	l.dropWorkers()
 }
 
-func (l *leader) decodeWorker(item aqstore.Item) (aqdecider.Worker, bool) {
+// listWorker takes one entry, false when it names no worker.
+func (l *leader) listWorker(d *aqdecider.Decider, item aqstore.Item) (aqdecider.Worker, bool) {
 	w, err := l.node.catalog.DecodeWorker(item)
 	if err != nil {
 		l.node.ignoreEntry(item.Key, err)
+		d.UnlistWorker(l.workerOf(item.Key))
 		return w, false
 	}
+	d.ListWorker(w)
 	return w, true
 }
 
-func (l *leader) listWorker(w aqdecider.Worker) {
-	l.decide(func(d *aqdecider.Decider) { d.ListWorker(w) })
-	l.crew.place(w)
+func (l *leader) workerOf(key string) aqtype.WorkerID {
+	return aqtype.WorkerID(l.node.catalog.WorkerIDOf(key))
 }
 
 // dropWorkers ends the dealings with workers that are of no interest any more.
@@ -83,7 +80,7 @@
 			var items []aqstore.Item
 			items, next, err = l.node.store.Range(ctx, prefix)
 			if err == nil {
-				l.takeWorkers(items)
+				l.takeWorkers(items, next)
 			}
 		}
 		l.node.storeAnswered(err)
@@ -107,22 +104,28 @@
 func (l *leader) resyncLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		aqclock.Sleep(ctx, l.node.clock, resyncPeriod)
-		items, _, err := l.node.store.Range(ctx, l.node.catalog.WorkerPrefix)
+		items, began, err := l.node.store.Range(ctx, l.node.catalog.WorkerPrefix)
 		l.node.storeAnswered(err)
 		if err == nil {
-			l.takeWorkers(items)
+			l.takeWorkers(items, began)
 		}
 	}
 }
 
 func (l *leader) takeWorkerEvent(e aqstore.Event) {
-	if e.Deleted {
-		id := aqtype.WorkerID(l.node.catalog.WorkerIDOf(e.Key))
-		l.decide(func(d *aqdecider.Decider) { d.UnlistWorker(id) })
-		return
-	}
-	if w, ok := l.decodeWorker(e.Item); ok {
-		l.listWorker(w)
+	var listed aqdecider.Worker
+	known := false
+	l.decide(func(d *aqdecider.Decider) {
+		switch {
+		case !l.directory.takes(e):
+		case e.Deleted:
+			d.UnlistWorker(l.workerOf(e.Key))
+		default:
+			listed, known = l.listWorker(d, e.Item)
+		}
+	})
+	if known {
+		l.crew.place(listed)
 	}
 }
 
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -53,6 +53,7 @@
 	lost    error
 	// recovered is set once the stored jobs have been read.
 	recovered bool
+	directory directory
 	// fleet is the stored list of workers with its revision.
 	fleet       map[aqtype.WorkerID]bool
 	fleetAgents map[string]nodeRecord
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -41,7 +41,7 @@
 		doubtfulUntil := l.node.clock.Now().Add(proofLimit + l.crew.longestLease())
 		d.Unsettle(fleet, doubtfulUntil)
 		for _, item := range listed {
-			if w, ok := l.decodeWorker(item); ok {
+			if w, err := l.node.catalog.DecodeWorker(item); err == nil {
 				d.Unsettle([]aqtype.WorkerID{w.ID}, doubtfulUntil)
 			}
 		}
@@ -49,7 +49,7 @@
 	})
 	l.crew.join(ctx, l.node.record(), l.node.agent)
 	l.joinAgents(ctx, agents)
-	l.takeWorkers(listed)
+	l.takeWorkers(listed, workersFrom)
 	l.mu.Lock()
 	l.recovered = true
 	l.mu.Unlock()
