The leader finds out whether watches are deaf; agents need no checks of their own

The leader's check, now every 0.45 s, leaves a beat under the prefix that it watches. A beat that the watch has not told of within 0.4 s has the list of workers read at once; a list of more than 400 workers is read less often otherwise. Polls of agents carry the leader's last check, so they ask only when that is old, or at once when the leader knows a newer configuration.

--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -68,6 +68,7 @@
 	SettingsTaken = Event{Number: 917, Layer: LayerSite, Level: slog.LevelInfo, Message: "settings reloaded", Meaning: "The settings file was read again."}
 	OrderFailed   = Event{Number: 918, Layer: LayerSite, Level: slog.LevelWarn, Message: "order not answered", Meaning: "A worker did not answer an order, which may still take effect. It is repeated or settled by a stop."}
 
+	WatchDeaf        = Event{Number: 925, Layer: LayerSite, Level: slog.LevelWarn, Message: "watch deaf", Meaning: "The store's watch does not tell of what the leader has written, or does again when Deaf is false. The list of workers is read whole meanwhile."}
 	AdviceFailed     = Event{Number: 924, Layer: LayerSite, Level: slog.LevelWarn, Message: "advice failed", Meaning: "The advice service did not answer. Groups of its queues wait; the question is asked again."}
 	AgentJoined      = Event{Number: 920, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent joined", Meaning: "Another process is registered and deals with workers for this leader."}
 	AgentLost        = Event{Number: 921, Layer: LayerSite, Level: slog.LevelWarn, Message: "agent lost", Meaning: "A process does not answer its leader. Its workers are given to others."}
@@ -98,6 +99,6 @@
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerReborn, WorkerSilent, WorkerAnswers, WorkerLapsed,
 	LeadTaken, LeadLost, LeadReleased, LeadRecovered, LeadTryFailed, LeaderSeen,
 	StoreLost, StoreRegained, WatchReset, EntryIgnored, CommitFailed, SiteConfig, SettingsKept, SettingsTaken,
-	OrderFailed, AgentJoined, AgentLost, AgentBack, RegistrationKept, AdviceFailed,
+	OrderFailed, AgentJoined, AgentLost, AgentBack, RegistrationKept, AdviceFailed, WatchDeaf,
 	JobStored, JobTurnedAway, JobInDoubt, CancelStored, StateFromDisk, CallRefused,
 }
--- a/pkg/aqsite/agent.go
+++ b/pkg/aqsite/agent.go
@@ -39,7 +39,7 @@
 	events   []eventWire
 	wake     chan struct{}
 	// heard is told of the leader that calls.
-	heard func(leadRecord, Fence)
+	heard func(pollCall)
 }
 
 func newAgent(workers Workers, clock aqclock.Clock, log *aqlog.Logger, metrics *aqmetric.Set) *agent {
@@ -142,7 +142,7 @@
 		return pollAnswer{}, err
 	}
 	if a.heard != nil {
-		a.heard(call.Leader, call.Fence)
+		a.heard(call)
 	}
 	if !a.hasEvents() {
 		select {
--- a/pkg/aqsite/agentwire.go
+++ b/pkg/aqsite/agentwire.go
@@ -54,8 +54,10 @@
 	// Leader is who calls: an agent that the store turns away learns of a new
 	// leader by it.
 	Leader leadRecord
-	Hints  []hint
-	Wait   time.Duration
+	// Checked spares the agent checks of its own.
+	Checked checkedWord
+	Hints   []hint
+	Wait    time.Duration
 }
 
 type pollAnswer struct {
--- a/pkg/aqsite/check.go
+++ b/pkg/aqsite/check.go
@@ -7,13 +7,19 @@
 
 	"github.com/pkg/errors"
 
-	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqstore"
 )
 
-// checkPeriod is how often a process asks whether the configuration and the
-// leader are those that it knows. Watches may hear nothing for seconds.
-const checkPeriod = 900 * time.Millisecond
+// Timing of the checks.
+const (
+	// checkPeriod is how often a process asks whether the configuration and the
+	// leader are those that it knows. Watches may hear nothing for seconds.
+	checkPeriod = 900 * time.Millisecond
+	// leaderCheckPeriod is the same for the leader, which tells its agents.
+	leaderCheckPeriod = 450 * time.Millisecond
+	// beatPatience is how long a watch may take to tell of the leader's beat.
+	beatPatience = 400 * time.Millisecond
+)
 
 // known is the last state of a key that this process has seen.
 type known struct {
@@ -55,30 +61,114 @@
 // checkLoop finds changes that the watches did not tell.
 func (n *Node) checkLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		aqclock.Sleep(ctx, n.clock, checkPeriod)
-		if ctx.Err() != nil || n.configSeen.get() == 0 {
-			continue
+		n.awaitCheck(ctx)
+		if ctx.Err() == nil && n.configSeen.get() > 0 {
+			n.check(ctx)
+		}
+	}
+}
+
+// awaitCheck returns when the next check is due: a period after the last one,
+// this process's or one that a leader has told of.
+func (n *Node) awaitCheck(ctx context.Context) {
+	begun := n.clock.Now()
+	for {
+		period := checkPeriod
+		if n.leading() != nil {
+			period = leaderCheckPeriod
+		}
+		due := later(begun, n.checked.get()).Add(period)
+		wait := due.Sub(n.clock.Now())
+		if wait <= 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.checkNow:
+			return
+		case <-n.clock.After(wait):
 		}
-		n.check(ctx)
+	}
+}
+
+// moment is a time that only moves forward.
+type moment struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (m *moment) set(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.at = later(m.at, at)
+}
+
+func (m *moment) get() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.at
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// checkedWord is what a leader tells of its last check.
+type checkedWord struct {
+	// Config is the revision of the configuration that was found in force.
+	Config aqstore.Revision
+	// Age is the time since the check.
+	Age time.Duration
+}
+
+// checkedLately returns what a leader tells its agents of its last check.
+func (n *Node) checkedLately() checkedWord {
+	return checkedWord{Config: n.configSeen.get(), Age: n.clock.Now().Sub(n.checked.get())}
+}
+
+// heardChecked takes a leader's word for a check, or looks for the configuration
+// that it knows and this process does not.
+func (n *Node) heardChecked(word checkedWord) {
+	switch seen := n.configSeen.get(); {
+	case word.Config == seen:
+		n.checked.set(n.clock.Now().Add(-word.Age))
+	case word.Config > seen:
+		signal(n.checkNow)
 	}
 }
 
 // check asks for both keys in one call, whose conditions hold while nothing has
-// changed.
+// changed. A leader's check leaves a beat, by which it finds out whether its
+// watches hear anything.
 func (n *Node) check(ctx context.Context) {
 	lead := n.leadSeen.get()
 	sent := n.clock.Now()
-	_, err := n.store.Commit(ctx, aqstore.Txn{
+	txn := aqstore.Txn{
 		If: []aqstore.Condition{
 			{Key: n.catalog.ConfigKey, Changed: n.configSeen.get()},
 			{Key: leadKey, Changed: lead},
 		},
-	})
+	}
+	l := n.leading()
+	if l != nil {
+		l.beat.review(l)
+		txn.Writes = []aqstore.Write{{Key: beatKey, Value: []byte{}}}
+	}
+	changed, err := n.store.Commit(ctx, txn)
 	var conflict *aqstore.ConflictError
 	if !errors.As(err, &conflict) {
 		n.storeAnswered(err)
-		if l := n.leading(); l != nil && err == nil && l.leadChanged == lead {
+		if err != nil {
+			return
+		}
+		n.checked.set(sent)
+		if l != nil && l.leadChanged == lead {
 			l.proved(sent)
+			l.beat.written(changed, n.clock.Now())
 		}
 		return
 	}
@@ -88,11 +178,11 @@
 			n.takeConfig(item)
 		}
 	}
-	changed := currentOf(conflict, leadKey)
-	if l := n.leading(); l != nil && changed != l.leadChanged {
-		l.lose(errors.Errorf("lead key changed at revision %d", changed))
+	now := currentOf(conflict, leadKey)
+	if l := n.leading(); l != nil && now != l.leadChanged {
+		l.lose(errors.Errorf("lead key changed at revision %d", now))
 	}
-	if changed != lead {
+	if now != lead {
 		signal(n.leadMoved)
 	}
 }
--- a/pkg/aqsite/crewlink.go
+++ b/pkg/aqsite/crewlink.go
@@ -83,10 +83,11 @@
 			continue
 		}
 		answer, err := m.link.Poll(m.ctx, pollCall{
-			Fence:  c.leader.token,
-			Leader: c.leader.record,
-			Hints:  c.hints(m),
-			Wait:   pollWait,
+			Fence:   c.leader.token,
+			Leader:  c.leader.record,
+			Checked: c.leader.node.checkedLately(),
+			Hints:   c.hints(m),
+			Wait:    pollWait,
 		})
 		if err != nil {
 			c.failed(m, err)
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -266,6 +266,7 @@
 		fleetAgents: map[string]nodeRecord{},
 		awaited:     map[string]bool{},
 		toldJobs:    map[aqjob.ID]toldJob{},
+		resync:      make(chan struct{}, 1),
 		wakeTick:    make(chan struct{}, 1),
 		wakeStore:   make(chan struct{}, 1),
 		ended:       make(chan struct{}),
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -96,14 +96,29 @@
 	}
 }
 
-// resyncPeriod is how often the list of workers is read whole: watches may hear
-// nothing for seconds, and a worker that drains must get nothing new.
-const resyncPeriod = 1200 * time.Millisecond
+// Timing of the readings of the whole list of workers.
+const (
+	// resyncPeriod is how often a list of resyncWorkers is read whole: watches
+	// may hear nothing for seconds, and a worker that drains must get nothing new.
+	// A longer list is read less often, so that its bytes do not grow, and at once
+	// when the leader's beat shows that watches are deaf.
+	resyncPeriod  = 1200 * time.Millisecond
+	resyncWorkers = 400
+	// resyncPause is the least time between two readings.
+	resyncPause = 600 * time.Millisecond
+)
 
-// resyncLoop reads the list of workers whole while the watch tells nothing.
+// resyncLoop reads the list of workers whole, beside the watch.
 func (l *leader) resyncLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		aqclock.Sleep(ctx, l.node.clock, resyncPeriod)
+		aqclock.Sleep(ctx, l.node.clock, resyncPause)
+		period := resyncPeriod * time.Duration(max(resyncWorkers, l.workerCount())) / resyncWorkers
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.resync:
+		case <-l.node.clock.After(period - resyncPause):
+		}
 		items, began, err := l.node.store.Range(ctx, l.node.catalog.WorkerPrefix)
 		l.node.storeAnswered(err)
 		if err == nil {
--- a/pkg/aqsite/keys.go
+++ b/pkg/aqsite/keys.go
@@ -14,6 +14,8 @@
 	jobPrefix    = inPrefix + "job/"
 	// leadKey sorts after the jobs: a reading of the whole prefix sees it last.
 	leadKey = inPrefix + "lead"
+	// beatKey is written by the leader, whose watch must tell of it.
+	beatKey = inPrefix + "beat"
 	// termKey counts the leaders' terms.
 	termKey = "acaciaquay/term"
 	// fleetKey lists the workers that the leader may have started tasks on.
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -54,6 +54,9 @@
 	// recovered is set once the stored jobs have been read.
 	recovered bool
 	directory directory
+	beat      beat
+	// resync wakes the reading of the whole list of workers.
+	resync chan struct{}
 	// fleet is the stored list of workers with its revision.
 	fleet       map[aqtype.WorkerID]bool
 	fleetAgents map[string]nodeRecord
@@ -189,6 +192,7 @@
 		return
 	}
 	for _, e := range events {
+		l.beat.told(e.Changed)
 		if e.Key == leadKey && e.Changed != l.leadChanged {
 			l.lose(errors.Errorf("lead key changed at revision %d", e.Changed))
 			return
@@ -226,6 +230,7 @@
 		l.lose(errors.New("lead key is another's"))
 		return from, nil
 	}
+	l.beat.told(from)
 	l.decide(func(d *aqdecider.Decider) { l.takeIn(d, items, nil) })
 	return from, nil
 }
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -69,6 +69,10 @@
 	leadSeen   leadRevision
 	// leadMoved wakes the election when the lead key was found changed.
 	leadMoved chan struct{}
+	// checked is when the store last said that the known configuration and leader
+	// are current, checkNow asks it again at once.
+	checked  moment
+	checkNow chan struct{}
 
 	mu      sync.Mutex
 	current *leader
@@ -103,11 +107,15 @@
 		metrics:     o.Metrics,
 		incarnation: o.Incarnation,
 		leadMoved:   make(chan struct{}, 1),
+		checkNow:    make(chan struct{}, 1),
 		server:      aqpeer.NewServer(o.Log, o.Metrics),
 		peers:       aqpeer.NewPool(aqpeer.ClientLimits{Dial: peerDial, Call: peerCall}),
 	}
 	n.agent = newAgent(n.workers, n.clock, n.log, n.metrics)
-	n.agent.heard = n.heardOf
+	n.agent.heard = func(call pollCall) {
+		n.heardOf(call.Leader, call.Fence)
+		n.heardChecked(call.Checked)
+	}
 	n.agent.handle(n.server)
 	n.handlePeers()
 	return n
