Agents tell of a worker that runs nothing once, not at every look

Cause: 3,000 workers of which most are idle bring the leader 1,500 listings a second that say nothing, on machines with 0.16 core. Ruled out: longer waits at the worker (2,000 ms is the most that it grants).

TestIdleWorkerIsToldOnce failed before. Leader and session agree on what must still be told: anything after an order, a failure, a restart, or while tasks are expected.

--- a/pkg/aqsite/session.go
+++ b/pkg/aqsite/session.go
@@ -74,8 +74,17 @@
 	queue    []aqdecider.Order
 	calls    int
 	failed   int
+	// answeredAt is the moment of the last answer to an order.
+	answeredAt aqdecider.Moment
+	// quietSince is when the leader was told that the worker runs nothing, zero
+	// when something may have changed since.
+	quietSince time.Time
 }
 
+// quietTime is how long the leader is not told again of a worker that runs
+// nothing, is not expected to, and has had no orders since.
+const quietTime = 10 * time.Second
+
 // clockReading is a worker's clock at a time of ours; it was read before.
 type clockReading struct {
 	at    time.Time
@@ -112,6 +121,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hint = h
+	if h.Wait < lookIdle {
+		s.quietSince = time.Time{}
+	}
 }
 
 // forgetLife drops what was known of an earlier life. The lock is held.
@@ -119,6 +131,7 @@
 	s.reading = clockReading{}
 	s.leaseEnd = 0
 	s.queue = nil
+	s.quietSince = time.Time{}
 }
 
 // tick returns the next moment. The lock is held.
@@ -207,8 +220,27 @@
 		// Another agent may have prolonged the lease until now.
 		s.leaseEnd = answer.Clock + WorkerTime(s.lease)
 	}
+	known := s.noteQuiet(answer.Listing)
 	s.mu.Unlock()
-	s.agent.emit(s, looked{Listing: answer.Listing})
+	if !known {
+		s.agent.emit(s, looked{Listing: answer.Listing})
+	}
+}
+
+// noteQuiet reports whether a listing is one that the leader knows already: of a
+// worker that runs nothing. The lock is held.
+func (s *session) noteQuiet(l aqdecider.Listing) bool {
+	now := s.agent.clock.Now()
+	settled := s.calls == 0 && len(s.queue) == 0 && l.Sent > s.answeredAt
+	if !settled || len(l.Running) > 0 || len(l.Ended) > 0 || s.hint.Wait < lookIdle {
+		s.quietSince = time.Time{}
+		return false
+	}
+	if !s.quietSince.IsZero() && now.Sub(s.quietSince) < quietTime {
+		return true
+	}
+	s.quietSince = now
+	return false
 }
 
 func (s *session) lookFailed(to Address, err error) {
@@ -225,6 +257,7 @@
 		return
 	}
 	s.failed++
+	s.quietSince = time.Time{}
 	failed := s.failed
 	lapse := time.Duration(-1)
 	if s.reading.known {
--- a/pkg/aqsite/session_test.go
+++ b/pkg/aqsite/session_test.go
@@ -132,3 +132,57 @@
 		t.Fatal("the session of the earlier leader goes on")
 	}
 }
+
+// A worker that runs nothing is told of once, until an order or a failure makes
+// the leader wait for news.
+func TestIdleWorkerIsToldOnce(t *testing.T) {
+	fail := false
+	workers := &fakeWorkers{
+		look: func(LookRequest) (LookAnswer, error) {
+			if fail {
+				return LookAnswer{}, ErrUnanswered
+			}
+			return LookAnswer{Listing: aqdecider.Listing{Life: 1, Whole: true}}, nil
+		},
+		stop: func(StopRequest) error { return nil },
+	}
+	for _, test := range []struct {
+		name  string
+		hint  hint
+		event func(*session)
+		want  int
+	}{
+		{name: "nothing happens", hint: hint{Wait: lookIdle}, want: 1},
+		{name: "tasks are expected", hint: hint{Wait: lookBusy}, want: 3},
+		{
+			name:  "an order is answered",
+			hint:  hint{Wait: lookIdle},
+			event: func(s *session) { s.stop(aqdecider.Stop{Worker: "w1"}) },
+			want:  3,
+		},
+		{
+			name: "the worker was silent",
+			hint: hint{Wait: lookIdle},
+			event: func(s *session) {
+				fail = true
+				s.look()
+				fail = false
+			},
+			want: 2,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, a, _ := testSession(t, workers)
+			s.advise(test.hint)
+			s.look()
+			if test.event != nil {
+				test.event(s)
+			}
+			s.look()
+			s.look()
+			if got := len(a.events); got != test.want {
+				t.Errorf("%d events, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/pkg/aqsite/sessionorders.go
+++ b/pkg/aqsite/sessionorders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,6 +17,7 @@
 func (s *session) send(o aqdecider.Order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.quietSince = time.Time{}
 	if _, first := o.(aqdecider.Stop); first {
 		s.queue = append([]aqdecider.Order{o}, s.queue...)
 	} else {
@@ -89,9 +91,7 @@
 		return
 	}
 	s.agent.metrics.Observe(aqmetric.TimeStart, s.agent.clock.Now().Sub(begun))
-	s.mu.Lock()
-	at := s.tick()
-	s.mu.Unlock()
+	at := s.answeredOrder()
 	s.agent.emit(s, startAnswered{
 		Life:    to.Worker.Life,
 		Run:     order.Run,
@@ -100,6 +100,15 @@
 	})
 }
 
+// answeredOrder returns the moment of an answer to an order.
+func (s *session) answeredOrder() aqdecider.Moment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answeredAt = s.tick()
+	s.quietSince = time.Time{}
+	return s.answeredAt
+}
+
 // awaitReading gives a new session the time to learn the worker's clock.
 func (s *session) awaitReading() {
 	for range readingWaits {
@@ -182,9 +191,7 @@
 }
 
 func (s *session) stopDone(to Address, order aqdecider.Stop, taken bool) {
-	s.mu.Lock()
-	at := s.tick()
-	s.mu.Unlock()
+	at := s.answeredOrder()
 	s.agent.emit(s, stopAnswered{
 		Life:  to.Worker.Life,
 		Run:   order.Run,
