A reload signal during the start does not end the process; a soak of real processes

Ruled out: ports in use (they are reported), settings.

The soak: aqsoak runs four processes of a site before stand-ins that speak the platform's formats (platform/aqfake), harms them from outside (signals, links, store, workers), and checks runs and answers.

--- /dev/null
+++ b/cmd/aqsoak/main.go
@@ -0,0 +1,58 @@
+// Command aqsoak runs randomized soaks of the real processes under faults.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"acaciaquay/pkg/aqsoak"
+)
+
+func main() {
+	app := kingpin.New("aqsoak", "Runs a site's processes before stand-ins, harms them, and checks what workers and submitters see.")
+	program := app.Flag("program", "The built acaciaquay.").Default(".bin/acaciaquay").String()
+	first := app.Flag("seed", "The first seed.").Default("1").Int64()
+	count := app.Flag("count", "How many seeds.").Default("1").Int64()
+	harm := app.Flag("harm", "How long faults are played.").Default("15s").Duration()
+	processes := app.Flag("processes", "Processes of the site.").Default("4").Int()
+	workers := app.Flag("workers", "Workers.").Default("6").Int()
+	dir := app.Flag("dir", "Where settings and logs go.").Default(".run/soak").String()
+	verbose := app.Flag("verbose", "Print each fault.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	out := io.Discard
+	if *verbose {
+		out = os.Stdout
+	}
+	failed := 0
+	for seed := *first; seed < *first+*count; seed++ {
+		result, err := aqsoak.Run(aqsoak.Options{
+			Seed:      seed,
+			Program:   *program,
+			Dir:       filepath.Join(*dir, fmt.Sprintf("seed%d", seed)),
+			Harm:      *harm,
+			Processes: *processes,
+			Workers:   *workers,
+			Out:       out,
+		})
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+		fmt.Printf("seed %d: %s\n", seed, result.Summary)
+		for _, each := range result.Broken {
+			fmt.Printf("  broken: %s\n", each)
+		}
+		if len(result.Broken) > 0 {
+			failed++
+		}
+	}
+	fmt.Printf("%d passed, %d failed\n", *count-int64(failed), failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -41,6 +41,10 @@
 
 // RunSite runs one process of a site until ctx ends, and then stops gracefully.
 func RunSite(ctx context.Context, file string, logs io.Writer) error {
+	// A reload signal that comes during the start must not end the process.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	s, err := aqsettings.LoadSite(file)
 	if err != nil {
 		return err
@@ -79,7 +83,7 @@
 	}
 	log.Write(aqlog.ProcessStarted, slog.String("Zone", string(s.Zone)), slog.String("Front", s.FrontAddress))
 	reloading, stopReloading := context.WithCancel(ctx)
-	go watchSettings(reloading, file, log)
+	go watchSettings(reloading, reloads, file, log)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	ended := make(chan error, 1)
 	go func() { ended <- node.Run(running) }()
@@ -140,10 +144,7 @@
 
 // watchSettings checks the settings file after a signal and after a change. A
 // file that is not valid is reported; the settings in force stay.
-func watchSettings(ctx context.Context, file string, log *aqlog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func watchSettings(ctx context.Context, signals <-chan os.Signal, file string, log *aqlog.Logger) {
 	before := modified(file)
 	for {
 		select {
--- /dev/null
+++ b/pkg/aqsoak/load.go
@@ -0,0 +1,126 @@
+package aqsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"acaciaquay/platform/aqfake"
+)
+
+// Figures of a soak's jobs.
+const (
+	// submitPeriod is the time between two submissions.
+	submitPeriod = 150 * time.Millisecond
+	// callLimit bounds one call of a submitter, callPause is the pause before the
+	// next.
+	callLimit = 3 * time.Second
+	callPause = 300 * time.Millisecond
+	// submitTries bounds the tries of one submission.
+	submitTries = 5
+	// cancelShare and poisonShare are the parts of the jobs that are cancelled and
+	// that can never be done, lastShare those that last until they are cancelled.
+	cancelShare = 0.1
+	poisonShare = 0.05
+	lastShare   = 0.05
+	// cancelDelay bounds the time from acceptance to cancellation.
+	cancelDelay = 3 * time.Second
+)
+
+// drawJob makes up a job.
+func drawJob(random *rand.Rand, number int) *job {
+	j := &job{
+		ID:        fmt.Sprintf("%016x", number+1),
+		cancelled: random.Float64() < cancelShare,
+	}
+	if random.Float64() < lastShare {
+		j.cancelled = true
+		j.Groups = []group{{
+			Count:    2,
+			MilliCPU: 1000,
+			Work:     aqfake.Work{Lasts: true},
+		}}
+		return j
+	}
+	groups := 1 + random.Intn(3)
+	for n := range groups {
+		g := group{
+			Count:    1 + random.Intn(4),
+			MilliCPU: int64(1000 * (1 + random.Intn(3))),
+			Work: aqfake.Work{
+				Length:        time.Duration(100+random.Intn(900)) * time.Millisecond,
+				Checkpointing: random.Intn(2) == 0,
+			},
+		}
+		if n > 0 && random.Intn(3) > 0 {
+			g.After = []int{n - 1}
+		}
+		j.Groups = append(j.Groups, g)
+	}
+	if random.Float64() < poisonShare {
+		j.Groups[groups-1].Work.Fails = true
+	}
+	return j
+}
+
+func (j *job) steps() []aqfake.Step {
+	steps := make([]aqfake.Step, 0, len(j.Groups))
+	for _, g := range j.Groups {
+		steps = append(steps, aqfake.Step{
+			Count:         g.Count,
+			MilliCPU:      g.MilliCPU,
+			Estimate:      g.Work.Length,
+			After:         g.After,
+			Checkpointing: g.Work.Checkpointing,
+			Perpetual:     g.Work.Lasts,
+		})
+	}
+	return steps
+}
+
+// front returns the front address of the process that a job's try goes to.
+func (s *soak) front(j *job, try int) string {
+	first := int(j.ID[len(j.ID)-1])
+	return s.processes[(first+try)%len(s.processes)].front
+}
+
+// play is the life of one job's submitter: it hands the job in, at another
+// process after each failure, and may cancel it later.
+func (s *soak) play(ctx context.Context, j *job, cancelAfter time.Duration) {
+	if !s.submit(ctx, j) || !j.cancelled {
+		return
+	}
+	sleep(ctx, cancelAfter)
+	for try := 0; ctx.Err() == nil; try++ {
+		switch s.submitter.Cancel(ctx, s.front(j, try), j.ID) {
+		case aqfake.OutcomeTaken, aqfake.OutcomeGone:
+			return
+		case aqfake.OutcomeRefused, aqfake.OutcomeUnknown:
+			sleep(ctx, callPause)
+		}
+	}
+}
+
+func (s *soak) submit(ctx context.Context, j *job) bool {
+	for try := range submitTries {
+		result, err := s.submitter.Submit(ctx, s.front(j, try), j.ID, j.payload(), j.steps())
+		if err != nil {
+			s.ledger.Breaks("job %s: %v", j.ID, err)
+			return false
+		}
+		s.ledger.submitted(j, result)
+		if result == aqfake.OutcomeTaken {
+			return true
+		}
+		sleep(ctx, callPause)
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/pkg/aqsoak/process.go
@@ -0,0 +1,139 @@
+package aqsoak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// process is one process of the site with its settings and its link to the store.
+type process struct {
+	name    string
+	program string
+	file    string
+	log     string
+	front   string
+	store   *Proxy
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
+	// stopping is set while the soak wants the process gone.
+	stopping bool
+	// deaths counts the ends that the soak did not ask for.
+	deaths int
+}
+
+func newProcess(program, dir string, number int, store string) (*process, error) {
+	link, err := NewProxy(store)
+	if err != nil {
+		return nil, err
+	}
+	var addresses [4]string
+	for i := range addresses {
+		if addresses[i], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	p := &process{
+		name:    fmt.Sprintf("node%d", number),
+		program: program,
+		front:   addresses[0],
+		store:   link,
+	}
+	p.file = filepath.Join(dir, p.name+".ini")
+	p.log = filepath.Join(dir, p.name+".log")
+	settings := fmt.Sprintf(`[Site]
+Name = %s
+Zone = zone%d
+FrontAddress = %s
+ReadyAddress = %s
+PeerAddress = %s
+MetricsAddress = %s
+Store = %s
+Processors = 1
+
+[Bounds]
+LeaseMax = 6s
+StopGrace = 100ms
+StopLimit = 6s
+`, p.name, number%2, addresses[0], addresses[1], addresses[2], addresses[3], link.Address())
+	return p, errors.Wrap(os.WriteFile(p.file, []byte(settings), 0o600), "soak: settings")
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "soak: free address")
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// start starts the process, and again whenever it ends by itself.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "soak: log")
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(p.program, "site", "--settings", p.file)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrapf(err, "soak: start %s", p.name)
+	}
+	p.cmd, p.stopping, p.ended = cmd, false, make(chan struct{})
+	go p.wait(cmd, p.ended)
+	return nil
+}
+
+func (p *process) wait(cmd *exec.Cmd, ended chan struct{}) {
+	_ = cmd.Wait()
+	p.mu.Lock()
+	p.cmd = nil
+	own := !p.stopping
+	if own {
+		p.deaths++
+	}
+	p.mu.Unlock()
+	close(ended)
+}
+
+// signal sends a signal, with gone set one after which the process is to end, and
+// returns what is closed when it has.
+func (p *process) signal(s syscall.Signal, gone bool) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	p.stopping = p.stopping || gone
+	// A process that has just ended takes no signal.
+	_ = p.cmd.Process.Signal(s)
+	return p.ended
+}
+
+// answers reports whether the process has come far enough to take connections,
+// and so signals.
+func (p *process) answers() bool {
+	conn, err := net.Dial("tcp", p.front)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
