Tasks that last are moved only within their group's disruption budget

A checkpointing filler that lasts and crawls beside a serving task was stopped whatever else of its group was away. Ruled out: workers that leave (allowed), tasks that are not at work. TestMovesKeepTheDisruptionBudget failed before (every case but the first).

--- a/pkg/aqdecider/decider_test.go
+++ b/pkg/aqdecider/decider_test.go
@@ -422,3 +422,37 @@
 		t.Fatalf("started %v", b.started)
 	}
 }
+
+// Tasks that last are moved only while no more of their group are away than it
+// bears.
+func TestMovesKeepTheDisruptionBudget(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		budget int
+		away   int
+		ends   bool
+		want   bool
+	}{
+		{name: "all at work", budget: 1, want: true},
+		{name: "one away", budget: 1, away: 1, want: false},
+		{name: "one of two away", budget: 2, away: 1, want: true},
+		{name: "no budget is one at a time", budget: 0, away: 1, want: false},
+		{name: "tasks that end", budget: 0, away: 3, ends: true, want: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			spec := tasks(3, 100)
+			spec.Perpetual, spec.DisruptionBudget = !test.ends, test.budget
+			g := &group{spec: &spec}
+			for n := range spec.Count {
+				placed := &task{group: g}
+				if n >= test.away {
+					placed.run = &run{state: runRunning, report: RunReport{Percent: atWork}}
+				}
+				g.tasks = append(g.tasks, placed)
+			}
+			if got := g.mayDisturb(); got != test.want {
+				t.Errorf("a task may be moved: %v", got)
+			}
+		})
+	}
+}
--- a/pkg/aqdecider/interference.go
+++ b/pkg/aqdecider/interference.go
@@ -243,7 +243,7 @@
 	var fillers map[string]float64
 	for _, r := range w.runs {
 		target := r.task.group.spec.TailTarget
-		if target <= 0 || !r.reportAt.Equal(d.now) || r.report.Percent < 100 || r.report.Tail <= 0 {
+		if target <= 0 || !r.reportAt.Equal(d.now) || r.report.Percent < atWork || r.report.Tail <= 0 {
 			continue
 		}
 		if fillers == nil {
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -11,6 +11,8 @@
 // Shares of a task's speed, in percent.
 const (
 	fullPace = 100
+	// atWork is the progress of a perpetual task that is at work.
+	atWork = 100
 	// crawlPace is the share below which a filler is moved when another worker
 	// suits it.
 	crawlPace = 40
@@ -60,7 +62,7 @@
 	worst, over := 0.0, 0.0
 	for _, r := range w.runs {
 		target := r.task.group.spec.TailTarget
-		if target <= 0 || r.state != runRunning || d.now.Sub(r.reportAt) > staleReport || r.report.Percent < 100 {
+		if target <= 0 || r.state != runRunning || d.now.Sub(r.reportAt) > staleReport || r.report.Percent < atWork {
 			continue
 		}
 		ratio := float64(r.report.Tail) / float64(target)
@@ -100,7 +102,7 @@
 func (r *run) noteTail(now time.Time) {
 	target := r.task.group.spec.TailTarget
 	switch {
-	case target <= 0 || r.report.Percent < 100 || r.report.Tail < target:
+	case target <= 0 || r.report.Percent < atWork || r.report.Tail < target:
 		r.overSince = time.Time{}
 	case r.overSince.IsZero():
 		r.overSince = now
@@ -129,7 +131,7 @@
 			r.task.avoidWorker(w.listed.ID)
 			w.health.failed(r.id.Task.Job, d.now)
 			d.stop(r, "makes no progress")
-		case r.crawls(d.now):
+		case r.crawls(d.now) && r.task.group.mayDisturb():
 			if other := d.choose(r.task, nil); other != nil && other != w {
 				d.stop(r, "tails beside it are over their targets")
 			}
@@ -137,6 +139,21 @@
 	}
 }
 
+// mayDisturb reports whether a sound task of the group may be stopped to run
+// elsewhere: of those that last, no more may be away than the group bears.
+func (g *group) mayDisturb() bool {
+	if !g.spec.Perpetual {
+		return true
+	}
+	away := 0
+	for _, t := range g.tasks {
+		if t.run == nil || t.run.state != runRunning || t.run.report.Percent < atWork {
+			away++
+		}
+	}
+	return away < max(1, g.spec.DisruptionBudget)
+}
+
 // crawls reports whether a filler that can be moved has been slowed down for a
 // while.
 func (r *run) crawls(now time.Time) bool {
@@ -163,7 +180,7 @@
 	}
 	spec := r.task.group.spec
 	if spec.Perpetual {
-		return r.report.Percent < 100 && d.now.Sub(r.movedAt) > atWorkLeast
+		return r.report.Percent < atWork && d.now.Sub(r.movedAt) > atWorkLeast
 	}
 	return d.now.Sub(r.movedAt) > max(stuckLeast, time.Duration(stuckPart*float64(spec.Estimate)))
 }
