One loop follows the store; members that a watch missed leave

Cause: followConfig, followMembers, watchWorkers and watchJobs were variations of one loop, and only followMembers forgot that a reading after a compaction also tells who is gone: the leader went on polling processes that had left while the watch was deaf. The election keeps a loop of its own: it also follows the leader's connection. Soaks take ports below those of outgoing connections; processes that end by themselves are reported with their status.

--- a/pkg/aqsite/crew.go
+++ b/pkg/aqsite/crew.go
@@ -84,13 +84,14 @@
 	}
 }
 
-// join adds a member, or replaces one that has restarted.
-func (c *crew) join(ctx context.Context, record nodeRecord, link crewLink) {
+// join adds a member, or replaces one that has restarted. It returns false for one
+// that is known.
+func (c *crew) join(ctx context.Context, record nodeRecord, link crewLink) bool {
 	c.mu.Lock()
 	before := c.members[record.Name]
 	if before != nil && before.record == record {
 		c.mu.Unlock()
-		return
+		return false
 	}
 	memberCtx, cancel := context.WithCancel(ctx)
 	m := &member{
@@ -117,6 +118,7 @@
 		}()
 	}
 	signal(c.leader.wakeStore)
+	return true
 }
 
 // records lists the members for the stored list of agents, with the number of
@@ -131,6 +133,17 @@
 	return records, c.changes
 }
 
+// names lists the members.
+func (c *crew) names() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := make([]string, 0, len(c.ordered))
+	for _, m := range c.ordered {
+		names = append(names, m.record.Name)
+	}
+	return names
+}
+
 // changesSoFar counts the changes of the members.
 func (c *crew) changesSoFar() uint64 {
 	c.mu.Lock()
--- a/pkg/aqsite/crew_test.go
+++ b/pkg/aqsite/crew_test.go
@@ -16,16 +16,7 @@
 	store := newFakeStore()
 	n, clock := testNode(t, store)
 	l := lead(t, n, store)
-	m := &member{
-		record:   nodeRecord{Name: "a1", Processors: 1},
-		up:       true,
-		enlisted: true,
-		ctx:      context.Background(),
-		wake:     make(chan struct{}, 1),
-		posts:    map[aqtype.WorkerID]*post{},
-		busy:     make(chan struct{}, 1),
-	}
-	l.crew.add(m)
+	m := addMember(l, "a1", true)
 	l.crew.place(aqdecider.Worker{ID: "w1", Life: 1})
 	before := l.crew.posts["w1"].serial
 	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
@@ -47,3 +38,34 @@
 		t.Fatal("events of the ended assignment are taken")
 	}
 }
+
+// addMember gives a leader a member whose loops do not run.
+func addMember(l *leader, name string, up bool) *member {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{
+		record:   nodeRecord{Name: name, Processors: 1},
+		up:       up,
+		enlisted: true,
+		ctx:      ctx,
+		cancel:   cancel,
+		wake:     make(chan struct{}, 1),
+		posts:    map[aqtype.WorkerID]*post{},
+		busy:     make(chan struct{}, 1),
+	}
+	l.crew.add(m)
+	return m
+}
+
+// A reading of all registered processes drops those whose removal the watch has
+// not told of, unless their agents still answer.
+func TestMissedRemovalOfAMember(t *testing.T) {
+	store := newFakeStore()
+	n, _ := testNode(t, store)
+	l := lead(t, n, store)
+	addMember(l, "gone", false)
+	addMember(l, "turned away by the store", true)
+	l.takeMembers(context.Background(), nil)
+	if names := l.crew.names(); len(names) != 1 || names[0] != "turned away by the store" {
+		t.Errorf("members %v", names)
+	}
+}
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,8 +9,6 @@
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
-	"acaciaquay/pkg/aqlog"
-	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
 )
@@ -71,29 +68,16 @@
 
 // watchWorkers follows service discovery.
 func (l *leader) watchWorkers(ctx context.Context, from aqstore.Revision) {
-	prefix := l.node.catalog.WorkerPrefix
-	for ctx.Err() == nil {
-		events, next, err := l.node.store.Watch(ctx, prefix, from, watchWait)
-		if errors.Is(err, aqstore.ErrCompacted) {
-			l.node.metrics.Retried(aqmetric.RetryWatchReset)
-			l.node.log.Write(aqlog.WatchReset, slog.String("Prefix", prefix))
-			var items []aqstore.Item
-			items, next, err = l.node.store.Range(ctx, prefix)
-			if err == nil {
-				l.takeWorkers(items, next)
+	l.node.follow(ctx, feed{
+		prefix: l.node.catalog.WorkerPrefix,
+		whole:  l.takeWorkers,
+		news: func(events []aqstore.Event) {
+			for _, e := range events {
+				l.takeWorkerEvent(e)
 			}
-		}
-		l.node.storeAnswered(err)
-		if err != nil {
-			aqclock.Sleep(ctx, l.node.clock, retryPause)
-			continue
-		}
-		from = next
-		for _, e := range events {
-			l.takeWorkerEvent(e)
-		}
-		l.dropWorkers()
-	}
+			l.dropWorkers()
+		},
+	}, from)
 }
 
 // Timing of the readings of the whole list of workers.
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -12,7 +12,6 @@
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
-	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
 )
@@ -175,19 +174,11 @@
 
 // watchJobs follows submissions, cancellations and the leadership.
 func (l *leader) watchJobs(ctx context.Context, from aqstore.Revision) {
-	for ctx.Err() == nil {
-		events, next, err := l.node.store.Watch(ctx, inPrefix, from, watchWait)
-		if errors.Is(err, aqstore.ErrCompacted) {
-			next, err = l.rereadJobs(ctx)
-		}
-		l.node.storeAnswered(err)
-		if err != nil {
-			aqclock.Sleep(ctx, l.node.clock, retryPause)
-			continue
-		}
-		from = next
-		l.takeEvents(events)
-	}
+	l.node.follow(ctx, feed{
+		prefix: inPrefix,
+		whole:  l.rereadJobs,
+		news:   l.takeEvents,
+	}, from)
 }
 
 func (l *leader) takeEvents(events []aqstore.Event) {
@@ -216,26 +207,19 @@
 	})
 }
 
-// rereadJobs reads everything anew after the history was lost. The lead key is
-// read last, so no job of a later leader's term is taken.
-func (l *leader) rereadJobs(ctx context.Context) (aqstore.Revision, error) {
-	l.node.metrics.Retried(aqmetric.RetryWatchReset)
-	l.node.log.Write(aqlog.WatchReset, slog.String("Prefix", inPrefix))
-	items, from, err := l.node.store.Range(ctx, inPrefix)
-	if err != nil {
-		return 0, err
-	}
+// rereadJobs takes a reading of everything under inPrefix after the history was
+// lost. The lead key is read last, so no job of a later leader's term is taken.
+func (l *leader) rereadJobs(items []aqstore.Item, began aqstore.Revision) {
 	held := false
 	for _, item := range items {
 		held = held || item.Key == leadKey && item.Changed == l.leadChanged
 	}
 	if !held {
 		l.lose(errors.New("lead key is another's"))
-		return from, nil
+		return
 	}
-	l.beat.told(from)
+	l.beat.told(began)
 	l.decide(func(d *aqdecider.Decider) { l.takeIn(d, items, nil) })
-	return from, nil
 }
 
 // tickLoop turns decisions into orders.
--- a/pkg/aqsite/members.go
+++ b/pkg/aqsite/members.go
@@ -11,7 +11,6 @@
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
-	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
 )
@@ -99,44 +98,33 @@
 
 // watchMembers follows the registered processes.
 func (l *leader) watchMembers(ctx context.Context) {
-	var from aqstore.Revision
-	for ctx.Err() == nil {
-		next, err := l.followMembers(ctx, from)
-		l.node.storeAnswered(err)
-		if err != nil {
-			aqclock.Sleep(ctx, l.node.clock, retryPause)
-		}
-		from = next
-	}
+	l.node.follow(ctx, feed{
+		prefix: nodePrefix,
+		whole:  func(items []aqstore.Item, _ aqstore.Revision) { l.takeMembers(ctx, items) },
+		news: func(events []aqstore.Event) {
+			for _, e := range events {
+				if e.Deleted {
+					l.memberGone(strings.TrimPrefix(e.Key, nodePrefix))
+					continue
+				}
+				l.takeMember(ctx, e.Item)
+			}
+		},
+	}, 0)
 }
 
-func (l *leader) followMembers(ctx context.Context, from aqstore.Revision) (aqstore.Revision, error) {
-	if from == 0 {
-		items, as, err := l.node.store.Range(ctx, nodePrefix)
-		if err != nil {
-			return 0, err
-		}
-		for _, item := range items {
-			l.takeMember(ctx, item)
-		}
-		return as, nil
-	}
-	events, next, err := l.node.store.Watch(ctx, nodePrefix, from, watchWait)
-	if errors.Is(err, aqstore.ErrCompacted) {
-		l.node.metrics.Retried(aqmetric.RetryWatchReset)
-		return 0, nil
-	}
-	if err != nil {
-		return from, err
+// takeMembers takes a reading of all registered processes.
+func (l *leader) takeMembers(ctx context.Context, items []aqstore.Item) {
+	listed := map[string]bool{}
+	for _, item := range items {
+		listed[strings.TrimPrefix(item.Key, nodePrefix)] = true
+		l.takeMember(ctx, item)
 	}
-	for _, e := range events {
-		if e.Deleted {
-			l.memberGone(strings.TrimPrefix(e.Key, nodePrefix))
-			continue
+	for _, name := range l.crew.names() {
+		if !listed[name] {
+			l.memberGone(name)
 		}
-		l.takeMember(ctx, e.Item)
 	}
-	return next, nil
 }
 
 // memberGone removes a process whose registration has ended, unless its agent
@@ -157,6 +145,7 @@
 	if record.Name == l.node.settings.Name {
 		return
 	}
-	l.node.log.Write(aqlog.AgentJoined, slog.String("Agent", record.Name), slog.String("Zone", string(record.Zone)))
-	l.crew.join(ctx, record, remoteLink{peers: l.node.peers, address: record.Address})
+	if l.crew.join(ctx, record, remoteLink{peers: l.node.peers, address: record.Address}) {
+		l.node.log.Write(aqlog.AgentJoined, slog.String("Agent", record.Name), slog.String("Zone", string(record.Zone)))
+	}
 }
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -216,44 +216,21 @@
 
 // watchConfig follows the operators' configuration.
 func (n *Node) watchConfig(ctx context.Context) {
-	var from aqstore.Revision
-	for ctx.Err() == nil {
-		next, err := n.followConfig(ctx, from)
-		n.storeAnswered(err)
-		if err != nil {
-			aqclock.Sleep(ctx, n.clock, retryPause)
-		}
-		from = next
-	}
-}
-
-// followConfig reads the configuration when from is zero and waits for the next
-// otherwise. It returns the revision to go on from, zero to read anew.
-func (n *Node) followConfig(ctx context.Context, from aqstore.Revision) (aqstore.Revision, error) {
-	if from == 0 {
-		items, as, err := n.store.Range(ctx, n.catalog.ConfigKey)
-		if err != nil {
-			return 0, err
-		}
-		for _, item := range items {
-			n.takeConfig(item)
-		}
-		return as, nil
-	}
-	events, next, err := n.store.Watch(ctx, n.catalog.ConfigKey, from, watchWait)
-	if errors.Is(err, aqstore.ErrCompacted) {
-		n.metrics.Retried(aqmetric.RetryWatchReset)
-		return 0, nil
-	}
-	if err != nil {
-		return from, err
-	}
-	for _, e := range events {
-		if !e.Deleted {
-			n.takeConfig(e.Item)
-		}
-	}
-	return next, nil
+	n.follow(ctx, feed{
+		prefix: n.catalog.ConfigKey,
+		whole: func(items []aqstore.Item, _ aqstore.Revision) {
+			for _, item := range items {
+				n.takeConfig(item)
+			}
+		},
+		news: func(events []aqstore.Event) {
+			for _, e := range events {
+				if !e.Deleted {
+					n.takeConfig(e.Item)
+				}
+			}
+		},
+	}, 0)
 }
 
 func (n *Node) takeConfig(item aqstore.Item) {
--- a/pkg/aqsoak/process.go
+++ b/pkg/aqsoak/process.go
@@ -7,7 +7,9 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -27,8 +29,8 @@
 	ended chan struct{}
 	// stopping is set while the soak wants the process gone.
 	stopping bool
-	// deaths counts the ends that the soak did not ask for.
-	deaths int
+	// deaths are the ends that the soak did not ask for.
+	deaths []string
 }
 
 func newProcess(program, dir string, number int, store string) (*process, error) {
@@ -68,13 +70,27 @@
 	return p, errors.Wrap(os.WriteFile(p.file, []byte(settings), 0o600), "soak: settings")
 }
 
+// The ports that processes listen on lie below those that the kernel gives to
+// outgoing connections, so that none is taken while a process is away.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+	// portStride keeps soaks that run side by side apart.
+	portStride = 997
+)
+
+// nextPort is the port that is tried next.
+var nextPort atomic.Int64
+
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "soak: free address")
+	for range lastPort - firstPort {
+		port := firstPort + (nextPort.Add(1)+portStride*int64(os.Getpid()))%(lastPort-firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return listener.Addr().String(), listener.Close()
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", errors.New("soak: no free port")
 }
 
 // start starts the process, and again whenever it ends by itself.
@@ -100,12 +116,13 @@
 }
 
 func (p *process) wait(cmd *exec.Cmd, ended chan struct{}) {
+	begun := time.Now()
 	_ = cmd.Wait()
 	p.mu.Lock()
 	p.cmd = nil
 	own := !p.stopping
 	if own {
-		p.deaths++
+		p.deaths = append(p.deaths, fmt.Sprintf("%v, %s after its start", cmd.ProcessState, time.Since(begun)))
 	}
 	p.mu.Unlock()
 	close(ended)
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -106,8 +106,8 @@
 	s.heal()
 	s.settle(settling)
 	for _, p := range s.processes {
-		if p.deaths > 0 {
-			s.ledger.Breaks("%s ended by itself %d times", p.name, p.deaths)
+		for _, death := range p.deaths {
+			s.ledger.Breaks("%s ended by itself: %s", p.name, death)
 		}
 	}
 	return Result{Seed: o.Seed, Broken: s.ledger.Broken(), Summary: s.ledger.Summary()}, nil
