Orders to stop survive a worker's restart, and lost orders are given again

The leader heard of a worker's restart from service discovery and ordered the four runs to be stopped in the new life; three were carried, the fourth waited at the agent, which then heard of the restart itself and dropped everything that waited. The run stayed in the state of stopping for ever, so its task never ran again: LOST. Ruled out: the store (states of other jobs were stored), the leadership, links.

An agent keeps orders to stop. Besides, an order of which nothing is heard for longer than an agent tries is given again. TestRestartKeepsOrdersToStop and TestLostOrdersAreRepeated failed before.

--- a/cmd/aqsoak/main.go
+++ b/cmd/aqsoak/main.go
@@ -21,6 +21,7 @@
 	processes := app.Flag("processes", "Processes of the site.").Default("4").Int()
 	workers := app.Flag("workers", "Workers.").Default("6").Int()
 	dir := app.Flag("dir", "Where settings and logs go.").Default(".run/soak").String()
+	again := app.Flag("regressions", "Play the seeds that have failed before, in place of others.").Bool()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -28,8 +29,18 @@
 	if *verbose {
 		out = os.Stdout
 	}
+	var seeds []int64
+	if *again {
+		for _, each := range aqsoak.Regressions {
+			seeds = append(seeds, each.Seed)
+		}
+	} else {
+		for seed := *first; seed < *first+*count; seed++ {
+			seeds = append(seeds, seed)
+		}
+	}
 	failed := 0
-	for seed := *first; seed < *first+*count; seed++ {
+	for _, seed := range seeds {
 		result, err := aqsoak.Run(aqsoak.Options{
 			Seed:      seed,
 			Program:   *program,
@@ -51,7 +62,7 @@
 			failed++
 		}
 	}
-	fmt.Printf("%d passed, %d failed\n", *count-int64(failed), failed)
+	fmt.Printf("%d passed, %d failed\n", len(seeds)-failed, failed)
 	if failed > 0 {
 		os.Exit(1)
 	}
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -182,6 +182,7 @@
 		}
 		w.reviewAt = d.now.Add(reviewPeriod)
 		d.evacuate(w)
+		d.repeat(w)
 		d.pace(w)
 		d.relocate(w)
 	}
--- a/pkg/aqdecider/decider_test.go
+++ b/pkg/aqdecider/decider_test.go
@@ -456,3 +456,24 @@
 		})
 	}
 }
+
+// Orders of which nothing is heard are not waited for without end.
+func TestLostOrdersAreRepeated(t *testing.T) {
+	b := newBench(t, poolWorker("w1", "r1-1", 4000))
+	b.d.AddJob(benchJob(1, tasks(1, 1000)), nil, 0, false)
+	orders := b.d.Tick()
+	if len(orders) != 1 {
+		t.Fatalf("ordered %v", orders)
+	}
+	stop := Stop{Worker: "w1", Run: orders[0].(Start).Run}
+	for _, patience := range []time.Duration{startPatience, stopOrderPatience, stopOrderPatience} {
+		b.pass(patience)
+		if orders := b.d.Tick(); len(orders) > 0 {
+			t.Fatalf("ordered %v before %s are over", orders, patience)
+		}
+		b.pass(reviewPeriod)
+		if orders := b.d.Tick(); len(orders) != 1 || orders[0] != Order(stop) {
+			t.Fatalf("ordered %v after %s", orders, patience)
+		}
+	}
+}
--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -110,6 +110,27 @@
 	}
 }
 
+// Bounds of the time without any word of an order. An agent's own tries end
+// before, so the order or its answer is lost.
+const (
+	startPatience     = 10 * time.Second
+	stopOrderPatience = 5 * time.Second
+)
+
+// repeat gives orders again whose answers are overdue, and settles starts.
+func (d *Decider) repeat(w *worker) {
+	for _, r := range w.runs {
+		switch {
+		case r.state == runStarting && d.now.Sub(r.orderedAt) > startPatience:
+			d.stop(r, "no answer to its start")
+		case r.state == runStopping && r.stopped == 0 && d.now.Sub(r.stopAt) > stopOrderPatience:
+			d.options.Metrics.Retried(aqmetric.RetryStopLost)
+			r.stopAt = d.now
+			d.order(Stop{Worker: w.listed.ID, Run: r.id})
+		}
+	}
+}
+
 // gangBroken stops the other members of a gang of which one has ended.
 func (d *Decider) gangBroken(g *group, how How) {
 	if how == EndDone {
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -67,6 +67,7 @@
 	RetryWorkerLost     RetryReason = "WorkerLost"
 	RetryBudgetSpent    RetryReason = "BudgetSpent"
 	RetryStartUnknown   RetryReason = "StartUnknown"
+	RetryStopLost       RetryReason = "StopLost"
 	RetryOrderLost      RetryReason = "OrderUnanswered"
 	RetryCommitLost     RetryReason = "CommitUnanswered"
 	RetryLeaderLost     RetryReason = "LeaderLost"
@@ -79,7 +80,7 @@
 var RetryReasons = []RetryReason{
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
-	RetryStartUnknown, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
+	RetryStartUnknown, RetryStopLost, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
 }
 
 // Count names an ordinary counter.
--- a/pkg/aqsite/session.go
+++ b/pkg/aqsite/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,11 +127,15 @@
 	}
 }
 
-// forgetLife drops what was known of an earlier life. The lock is held.
+// forgetLife drops what was known of an earlier life, and what was to be started
+// or slowed down in it. Orders to stop hold in every life. The lock is held.
 func (s *session) forgetLife() {
 	s.reading = clockReading{}
 	s.leaseEnd = 0
-	s.queue = nil
+	s.queue = slices.DeleteFunc(s.queue, func(o aqdecider.Order) bool {
+		_, stops := o.(aqdecider.Stop)
+		return !stops
+	})
 	s.quietSince = time.Time{}
 }
 
--- a/pkg/aqsite/session_test.go
+++ b/pkg/aqsite/session_test.go
@@ -186,3 +186,17 @@
 		})
 	}
 }
+
+// A restart of the worker drops the orders of its earlier life but those to stop,
+// which the leader may have given for the new one.
+func TestRestartKeepsOrdersToStop(t *testing.T) {
+	s, _, _ := testSession(t, &fakeWorkers{})
+	run := aqdecider.RunID{Attempt: 3}
+	s.calls = sessionCalls
+	s.send(aqdecider.Start{Worker: "w1", Run: aqdecider.RunID{Attempt: 4}})
+	s.send(aqdecider.Stop{Worker: "w1", Run: run})
+	s.relist(aqdecider.Worker{ID: "w1", Life: 2})
+	if len(s.queue) != 1 || s.queue[0] != (aqdecider.Stop{Worker: "w1", Run: run}) {
+		t.Errorf("queued %v", s.queue)
+	}
+}
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -25,7 +25,7 @@
 	hostCapacity = 8000
 	maxAttempts  = 3
 	// settleLimit is how long accepted work may take once all faults are over.
-	settleLimit = 60 * time.Second
+	settleLimit = 3 * time.Minute
 	// restTime is how long the end of the last run may take after the last job.
 	restTime = 5 * time.Second
 )
