Suspended time counts against permits and proofs; a waking agent acknowledges nothing

Permits and proofs of leadership were measured by the steady clock, which stands still while a machine is suspended, so a waking leader or agent went on for seconds.

Permits and proofs use the time elapsed since boot. TestSuspensionEndsThePermit and TestLeaderNeedsProof (extended) failed before.

--- a/pkg/aqclock/clock.go
+++ b/pkg/aqclock/clock.go
@@ -5,6 +5,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clock is the only source of time in the product. Now carries a monotonic
@@ -12,6 +14,9 @@
 type Clock interface {
 	Now() time.Time
 	After(d time.Duration) <-chan time.Time
+	// Elapsed is the time since some fixed moment. It also counts while the machine
+	// is suspended, which intervals of Now do not.
+	Elapsed() time.Duration
 }
 
 // Sleep waits for a time, or until ctx ends.
@@ -31,11 +36,22 @@
 // After implements Clock.
 func (System) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
+// Elapsed implements Clock.
+func (System) Elapsed() time.Duration {
+	var reading unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &reading); err != nil {
+		// Every supported kernel has this clock.
+		panic(err)
+	}
+	return time.Duration(reading.Nano())
+}
+
 // Fake is a clock that moves only when it is told to.
 type Fake struct {
-	mu     sync.Mutex
-	now    time.Time
-	timers []timer
+	mu        sync.Mutex
+	now       time.Time
+	suspended time.Duration
+	timers    []timer
 }
 
 type timer struct {
@@ -48,6 +64,20 @@
 	return &Fake{now: time.Unix(1_700_000_000, 0)}
 }
 
+// Elapsed implements Clock.
+func (f *Fake) Elapsed() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now.Sub(time.Unix(0, 0)) + f.suspended
+}
+
+// Suspend lets time pass that only Elapsed counts.
+func (f *Fake) Suspend(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspended += d
+}
+
 // Now implements Clock.
 func (f *Fake) Now() time.Time {
 	f.mu.Lock()
--- a/pkg/aqsite/agent.go
+++ b/pkg/aqsite/agent.go
@@ -31,10 +31,11 @@
 	log     *aqlog.Logger
 	metrics *aqmetric.Set
 
-	mu       sync.Mutex
-	fence    Fence
-	lease    time.Duration
-	permitAt time.Time
+	mu    sync.Mutex
+	fence Fence
+	lease time.Duration
+	// permitAt is the time elapsed when a leader was last heard of.
+	permitAt time.Duration
 	sessions map[aqtype.WorkerID]*session
 	events   []eventWire
 	wake     chan struct{}
@@ -62,7 +63,7 @@
 		a.dropAll()
 		a.fence = fence
 	}
-	a.permitAt = a.clock.Now()
+	a.permitAt = a.clock.Elapsed()
 	return nil
 }
 
@@ -78,7 +79,7 @@
 func (a *agent) permitted(fence Fence) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return fence == a.fence && a.clock.Now().Sub(a.permitAt) < permitTime
+	return fence == a.fence && a.clock.Elapsed()-a.permitAt < permitTime
 }
 
 // Orders implements crewLink.
--- a/pkg/aqsite/check.go
+++ b/pkg/aqsite/check.go
@@ -146,7 +146,7 @@
 // watches hear anything.
 func (n *Node) check(ctx context.Context) {
 	lead := n.leadSeen.get()
-	sent := n.clock.Now()
+	sent, elapsed := n.clock.Now(), n.clock.Elapsed()
 	txn := aqstore.Txn{
 		If: []aqstore.Condition{
 			{Key: n.catalog.ConfigKey, Changed: n.configSeen.get()},
@@ -167,7 +167,7 @@
 		}
 		n.checked.set(sent)
 		if l != nil && l.leadChanged == lead {
-			l.proved(sent)
+			l.proved(elapsed)
 			l.beat.written(changed, n.clock.Now())
 		}
 		return
--- a/pkg/aqsite/directory_test.go
+++ b/pkg/aqsite/directory_test.go
@@ -56,7 +56,7 @@
 		}, nil
 	}
 	n.catalog.WorkerIDOf = func(key string) string { return key }
-	l := n.newLeader(1, leadRecord{Node: "n1"}, clock.Now())
+	l := n.newLeader(1, leadRecord{Node: "n1"}, clock.Elapsed())
 	before := []aqstore.Item{entry("workers/1", 5, "ready")}
 	l.takeWorkers(before, 5)
 	l.takeWorkerEvent(aqstore.Event{Item: entry("workers/1", 7, "draining")})
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -236,7 +236,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	proof := n.clock.Now()
+	proof := n.clock.Elapsed()
 	changed, err := n.store.Commit(ctx, aqstore.Txn{
 		If: []aqstore.Condition{
 			{Key: leadKey, Changed: held.Changed},
@@ -253,7 +253,7 @@
 	return n.newLeader(changed, lead, proof), lease, nil
 }
 
-func (n *Node) newLeader(changed aqstore.Revision, record leadRecord, proof time.Time) *leader {
+func (n *Node) newLeader(changed aqstore.Revision, record leadRecord, proof time.Duration) *leader {
 	l := &leader{
 		node:        n,
 		token:       Fence(changed),
@@ -324,7 +324,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		sent := n.clock.Now()
+		sent := n.clock.Elapsed()
 		err := n.store.KeepAlive(ctx, lease)
 		n.storeAnswered(err)
 		if errors.Is(err, aqstore.ErrNotFound) {
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -48,7 +48,8 @@
 
 	mu      sync.Mutex
 	decider *aqdecider.Decider
-	proofAt time.Time
+	// proofAt is the time elapsed when the leadership was last proved.
+	proofAt time.Duration
 	lost    error
 	// recovered is set once the stored jobs have been read.
 	recovered bool
@@ -88,7 +89,7 @@
 func (l *leader) mayOrder() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lost == nil && l.node.clock.Now().Sub(l.proofAt) < proofLimit
+	return l.lost == nil && l.node.clock.Elapsed()-l.proofAt < proofLimit
 }
 
 // deposed is called when somebody has seen a higher fence.
--- a/pkg/aqsite/leader_test.go
+++ b/pkg/aqsite/leader_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return n.newLeader(changed, leadRecord{Node: "n1"}, n.clock.Now())
+	return n.newLeader(changed, leadRecord{Node: "n1"}, n.clock.Elapsed())
 }
 
 func withJob(l *leader) {
@@ -122,6 +122,10 @@
 	if err := l.prove(context.Background()); err != nil || !l.mayOrder() {
 		t.Fatalf("a proof does not help: %v", err)
 	}
+	clock.Suspend(proofLimit)
+	if l.mayOrder() {
+		t.Fatal("a leader orders after its host was suspended")
+	}
 }
 
 // A leader that has not read the stored jobs yet answers nothing about them.
--- a/pkg/aqsite/session.go
+++ b/pkg/aqsite/session.go
@@ -185,12 +185,14 @@
 	defer s.mu.Unlock()
 	to := Address{Worker: s.worker, HostPort: s.worker.Address}
 	request := LookRequest{Fence: s.fence}
-	if s.hint.Life == s.worker.Life {
-		request.Forget = s.hint.Forget
-	}
 	if permitted {
 		request.LeaseEnd = s.nextLeaseEnd()
 	}
+	// An agent that was away may not know that the worker has restarted and counts
+	// its ends anew.
+	if permitted && s.failed == 0 && s.hint.Life == s.worker.Life {
+		request.Forget = s.hint.Forget
+	}
 	if request.LeaseEnd > 0 {
 		request.Wait = s.hint.Wait
 	}
--- a/pkg/aqsite/session_test.go
+++ b/pkg/aqsite/session_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
@@ -200,3 +202,32 @@
 		t.Errorf("queued %v", s.queue)
 	}
 }
+
+// Time during which the host was suspended counts: an agent that wakes up starts
+// nothing, prolongs no lease and acknowledges no ends before it hears of its
+// leader.
+func TestSuspensionEndsThePermit(t *testing.T) {
+	var last LookRequest
+	workers := &fakeWorkers{look: func(r LookRequest) (LookAnswer, error) {
+		last = r
+		return LookAnswer{Listing: aqdecider.Listing{Life: 1}, Clock: WorkerTime(100 * time.Second)}, nil
+	}}
+	s, a, clock := testSession(t, workers)
+	s.look()
+	s.advise(hint{Worker: "w1", Wait: time.Second, Renew: true, Life: 1, Forget: 6})
+	s.look()
+	if last.LeaseEnd == 0 || last.Forget != 6 {
+		t.Fatalf("with a permit: %+v", last)
+	}
+	clock.Suspend(permitTime)
+	s.look()
+	if last.LeaseEnd != 0 || last.Forget != 0 {
+		t.Errorf("after a suspension: %+v", last)
+	}
+	if err := s.tryStart(s.address(), aqdecider.Start{Worker: "w1"}); !errors.Is(err, ErrTooLate) {
+		t.Errorf("a start after a suspension: %v", err)
+	}
+	if a.permitted(5) {
+		t.Error("the agent goes on")
+	}
+}
--- a/pkg/aqsite/tell.go
+++ b/pkg/aqsite/tell.go
@@ -119,7 +119,7 @@
 
 // prove asks the store whether the leadership is still this one's.
 func (l *leader) prove(ctx context.Context) error {
-	sent := l.node.clock.Now()
+	sent := l.node.clock.Elapsed()
 	_, err := l.node.store.Commit(ctx, aqstore.Txn{
 		If: []aqstore.Condition{{Key: leadKey, Changed: l.leadChanged}},
 	})
@@ -135,11 +135,10 @@
 	return err
 }
 
-// proved notes that a call sent at a time has found the leadership in force.
-func (l *leader) proved(sent time.Time) {
+// proved notes that a call has found the leadership in force, sent after
+// some time had elapsed.
+func (l *leader) proved(sent time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if sent.After(l.proofAt) {
-		l.proofAt = sent
-	}
+	l.proofAt = max(l.proofAt, sent)
 }
--- a/pkg/aqsoak/faults.go
+++ b/pkg/aqsoak/faults.go
@@ -107,7 +107,7 @@
 	}},
 	{name: "worker crash", play: func(ctx context.Context, s *soak, random *rand.Rand) {
 		h := s.anyWorker(random)
-		h.worker.Crash()
+		h.crash()
 		sleep(ctx, upTo(random, 4*time.Second))
 		h.worker.Restart()
 		s.list(h)
@@ -117,7 +117,7 @@
 		h.worker.Drain()
 		s.list(h)
 		sleep(ctx, workerDrain)
-		h.worker.Crash()
+		h.crash()
 		s.store.Remove(aqfake.WorkerKey(h.worker.ID))
 		sleep(ctx, upTo(random, 2*time.Second))
 		h.worker.Restart()
@@ -163,6 +163,12 @@
 	}
 }
 
+// crash ends the worker with its connections: what was held up on them is lost.
+func (h *host) crash() {
+	h.worker.Crash()
+	h.link.Reset()
+}
+
 func (s *soak) startProcess(p *process) {
 	if err := p.start(); err != nil {
 		s.ledger.Breaks("%v", err)
