Log lines are written in pieces that a pipe takes whole

The writer joined all that waited into one write; the reader got the first 8 kB of it. Ruled out: the bounded queue (event 104 did not come, the counter stood still).

At most 4,096 bytes are written at once, unless a line is longer. TestStuckReaderCostsLinesOnly failed before: 401,508 bytes at once.

--- a/pkg/aqlog/async.go
+++ b/pkg/aqlog/async.go
@@ -67,13 +67,11 @@
 		if dropped > 0 {
 			lines = append(lines, droppedLine(dropped))
 		}
-		var joined []byte
-		for _, line := range lines {
-			joined = append(joined, line...)
-		}
-		if len(joined) > 0 {
-			if _, err := a.out.Write(joined); err != nil {
-				a.metrics.Add(aqmetric.LogLinesDropped, len(lines))
+		for len(lines) > 0 {
+			piece, count := nextPiece(lines)
+			lines = lines[count:]
+			if _, err := a.out.Write(piece); err != nil {
+				a.metrics.Add(aqmetric.LogLinesDropped, count)
 			}
 		}
 		if closed {
@@ -82,6 +80,22 @@
 	}
 }
 
+// pieceBytes is what a pipe takes whole or not at all. Readers of larger writes
+// may get only a part.
+const pieceBytes = 4096
+
+// nextPiece joins the lines that fit into one write, one line at least.
+func nextPiece(lines [][]byte) (piece []byte, count int) {
+	for _, line := range lines {
+		if count > 0 && len(piece)+len(line) > pieceBytes {
+			break
+		}
+		piece = append(piece, line...)
+		count++
+	}
+	return piece, count
+}
+
 func (a *Async) take() (lines [][]byte, dropped int, closed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/aqlog/async_test.go
+++ b/pkg/aqlog/async_test.go
@@ -12,14 +12,16 @@
 type stuckWriter struct {
 	release chan struct{}
 
-	mu   sync.Mutex
-	text strings.Builder
+	mu      sync.Mutex
+	text    strings.Builder
+	largest int
 }
 
 func (w *stuckWriter) Write(p []byte) (int, error) {
 	<-w.release
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.largest = max(w.largest, len(p))
 	return w.text.Write(p)
 }
 
@@ -42,6 +44,9 @@
 	close(out.release)
 	lines.Close()
 	<-lines.Done()
+	if out.largest > pieceBytes {
+		t.Errorf("%d bytes were written at once", out.largest)
+	}
 	if text := out.text.String(); !strings.Contains(text, LinesDropped.Message) {
 		t.Fatal("nothing tells that lines are missing")
 	}
