--- a/pkg/aqsite/beat.go
+++ b/pkg/aqsite/beat.go
@@ -47,8 +47,12 @@
 	return overdue, news
 }
 
-// review has the list of workers read while the watch is deaf.
+// review has the list of workers read while the watch is deaf. A leader begins
+// to watch once it has read the store.
 func (b *beat) review(l *leader) {
+	if !l.hasRecovered() {
+		return
+	}
 	overdue, news := b.overdue(l.node.clock.Now())
 	if news {
 		l.node.log.Write(aqlog.WatchDeaf, slog.Bool("Deaf", overdue))
--- a/pkg/aqsite/check_test.go
+++ b/pkg/aqsite/check_test.go
@@ -26,6 +26,7 @@
 			n, clock := testNode(t, store)
 			l := lead(t, n, store)
 			n.current = l
+			l.recovered = true
 			n.leadSeen.set(l.leadChanged)
 			n.check(context.Background())
 			item := store.items[beatKey]
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -261,14 +261,16 @@
 	l.decide(func(d *aqdecider.Decider) { d.SetQueues(queues) })
 }
 
-// mayAnswer reports whether this leader knows what it is asked about.
-func (l *leader) mayAnswer() bool {
+// hasRecovered reports whether the stored jobs have been read.
+func (l *leader) hasRecovered() bool {
 	l.mu.Lock()
-	recovered := l.recovered
-	l.mu.Unlock()
-	return recovered && l.mayOrder()
+	defer l.mu.Unlock()
+	return l.recovered
 }
 
+// mayAnswer reports whether this leader knows what it is asked about.
+func (l *leader) mayAnswer() bool { return l.hasRecovered() && l.mayOrder() }
+
 // state answers a status call, false when the job is not known.
 func (l *leader) state(id aqjob.ID) (state aqjob.State, known, current bool) {
 	if !l.mayAnswer() {
