--- a/pkg/aqsite/check.go
+++ b/pkg/aqsite/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,43 +20,6 @@
 	beatPatience = 400 * time.Millisecond
 )
 
-// known is the last state of a key that this process has seen.
-type known struct {
-	mu       sync.Mutex
-	revision aqstore.Revision
-}
-
-func (k *known) set(revision aqstore.Revision) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.revision = max(k.revision, revision)
-}
-
-func (k *known) get() aqstore.Revision {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.revision
-}
-
-// leadRevision is the last revision of the lead key that this process has seen.
-// It goes back to zero when the key is removed.
-type leadRevision struct {
-	mu       sync.Mutex
-	revision aqstore.Revision
-}
-
-func (l *leadRevision) set(revision aqstore.Revision) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.revision = revision
-}
-
-func (l *leadRevision) get() aqstore.Revision {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.revision
-}
-
 // checkLoop finds changes that the watches did not tell.
 func (n *Node) checkLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -92,31 +54,6 @@
 	}
 }
 
-// moment is a time that only moves forward.
-type moment struct {
-	mu sync.Mutex
-	at time.Time
-}
-
-func (m *moment) set(at time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.at = later(m.at, at)
-}
-
-func (m *moment) get() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.at
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // checkedWord is what a leader tells of its last check.
 type checkedWord struct {
 	// Config is the revision of the configuration that was found in force.
--- a/pkg/aqsite/crew.go
+++ b/pkg/aqsite/crew.go
@@ -10,20 +10,8 @@
 	"acaciaquay/pkg/aqtype"
 )
 
-const (
-	// memberRetry is the pause before a member whose agent failed is tried again.
-	memberRetry = 700 * time.Millisecond
-	// leaderWeight makes the leader's own process deal with fewer workers.
-	leaderWeight = 0.3
-	// workersPerCore is how many workers an agent deals with for each core that
-	// it has; see docs/CAPACITY.md for what one costs.
-	workersPerCore = 100
-	// overfull, opened and foreignZone are added to a member's load: beyond what
-	// it can carry, for its first worker, and for a worker in another zone.
-	overfull    = 10
-	opened      = 1
-	foreignZone = 1.5
-)
+// memberRetry is the pause before a member whose agent failed is tried again.
+const memberRetry = 700 * time.Millisecond
 
 // member is one process that the leader may have as an agent.
 type member struct {
@@ -180,49 +168,6 @@
 	}
 }
 
-// weight is how many workers a member should deal with, relative to others.
-func (c *crew) weight(m *member) float64 {
-	weight := m.record.Processors
-	if m.record.Name == c.leader.node.settings.Name {
-		weight *= leaderWeight
-	}
-	return max(weight, 0.01)
-}
-
-// pick returns the member that a worker should be with: the least loaded one,
-// in its zone if possible. The lock is held.
-func (c *crew) pick(w aqdecider.Worker, tried map[string]bool) *member {
-	var best *member
-	var bestLoad float64
-	for _, m := range c.ordered {
-		if !m.up || !m.enlisted || tried[m.record.Name] {
-			continue
-		}
-		load := c.load(m, w)
-		if best == nil || load < bestLoad {
-			best, bestLoad = m, load
-		}
-	}
-	return best
-}
-
-// load compares members for one more worker. Members that have workers already
-// are filled up first: few agents with many workers each gather more into one
-// message.
-func (c *crew) load(m *member, w aqdecider.Worker) float64 {
-	used := float64(m.assigned+1) / (workersPerCore * c.weight(m))
-	if used > 1 {
-		used += overfull
-	}
-	if m.assigned == 0 {
-		used += opened
-	}
-	if m.record.Zone != w.Zone {
-		used += foreignZone
-	}
-	return used
-}
-
 // add puts a member in place of one of the same name. The lock is held.
 func (c *crew) add(m *member) {
 	c.members[m.record.Name] = m
@@ -331,74 +276,6 @@
 	}
 }
 
-// abandon gives the workers of a member that does not answer to others.
-func (c *crew) abandon(m *member) {
-	now := c.leader.node.clock.Now()
-	var moved []aqtype.WorkerID
-	c.mu.Lock()
-	for _, id := range c.workersOf(m) {
-		p := c.posts[id]
-		p.lapseAt = now.Add(c.longestLease())
-		c.assign(p, c.pick(p.worker, nil))
-		moved = append(moved, id)
-	}
-	m.pending = ordersCall{}
-	c.mu.Unlock()
-	c.reassigned(moved)
-}
-
-func (c *crew) workersOf(m *member) []aqtype.WorkerID {
-	ids := make([]aqtype.WorkerID, 0, len(m.posts))
-	for id := range m.posts {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
-func (c *crew) reassigned(ids []aqtype.WorkerID) {
-	if len(ids) == 0 {
-		return
-	}
-	c.leader.decide(func(d *aqdecider.Decider) {
-		for _, id := range ids {
-			d.Reassigned(id)
-		}
-	})
-}
-
-// rebalance gives workers without an agent to members, and moves some from
-// members that have more than they can carry.
-func (c *crew) rebalance() {
-	var moved []aqtype.WorkerID
-	now := c.leader.node.clock.Now()
-	c.mu.Lock()
-	for _, id := range c.sortedPosts() {
-		p := c.posts[id]
-		if p.member != nil && float64(p.member.assigned) <= workersPerCore*c.weight(p.member) {
-			continue
-		}
-		to := c.pick(p.worker, nil)
-		if to == nil || to == p.member || (p.member != nil && c.load(to, p.worker) > overfull) {
-			continue
-		}
-		if p.member != nil {
-			p.lapseAt = now.Add(c.longestLease())
-		}
-		c.assign(p, to)
-		moved = append(moved, id)
-	}
-	c.mu.Unlock()
-	c.reassigned(moved)
-}
-
-// longestLease is how long a worker may keep its tasks after its agent was last
-// heard of: the agent goes on until its permit ends, and the worker until its
-// lease.
-func (c *crew) longestLease() time.Duration {
-	return permitTime + leaseSpan(c.leader.leaseLength())
-}
-
 func (c *crew) sortedPosts() []aqtype.WorkerID {
 	ids := make([]aqtype.WorkerID, 0, len(c.posts))
 	for id := range c.posts {
