--- a/cmd/acaciaquay/cmds/commands.go
+++ b/cmd/acaciaquay/cmds/commands.go
@@ -90,6 +90,7 @@
 	addDaemons(app, e, actions)
 	addCtl(app, e, actions)
 	addExplain(app, e, actions)
+	addShow(app, e, actions)
 	return app, actions
 }
 
--- a/cmd/acaciaquay/cmds/print.go
+++ b/cmd/acaciaquay/cmds/print.go
@@ -16,8 +16,10 @@
 const tablePadding = 2
 
 // table prints rows of cells in columns.
-func (c *ctl) table(rows [][]string) error {
-	w := tabwriter.NewWriter(c.env.out, 0, 0, tablePadding, ' ', 0)
+func (c *ctl) table(rows [][]string) error { return c.env.table(rows) }
+
+func (e *env) table(rows [][]string) error {
+	w := tabwriter.NewWriter(e.out, 0, 0, tablePadding, ' ', 0)
 	for _, row := range rows {
 		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
 			return err
--- /dev/null
+++ b/pkg/aqdecider/view.go
@@ -0,0 +1,230 @@
+package aqdecider
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqtype"
+)
+
+// WorkerView is what an operator sees of a worker.
+type WorkerView struct {
+	Worker  aqtype.WorkerID
+	Service aqjob.ServiceID
+	Zone    aqtype.Zone
+	// Condition is Usable, Draining, Silent, Unlisted, Unstored, Suspected or
+	// Avoided.
+	Condition string
+	Runs      int
+	Used      aqtype.Resources
+	Capacity  aqtype.Resources
+}
+
+// JobView is what an operator sees of a job.
+type JobView struct {
+	Job   aqjob.ID
+	Queue aqjob.QueueID
+	State aqjob.State
+	Age   time.Duration
+	// Running and Waiting count tasks that have a run and tasks that need one.
+	Running int
+	Waiting int
+}
+
+// GroupView says how far a group is, and why its next task waits.
+type GroupView struct {
+	Group   string
+	Tasks   int
+	Done    int
+	Running int
+	// Why is empty when no task waits.
+	Why string
+}
+
+// ViewWorkers lists all workers, ordered.
+func (d *Decider) ViewWorkers() []WorkerView {
+	views := make([]WorkerView, 0, len(d.fleet))
+	for _, w := range d.fleet {
+		condition := d.obstacle(w)
+		if condition == "" {
+			condition = "Usable"
+		}
+		views = append(views, WorkerView{
+			Worker:    w.listed.ID,
+			Service:   w.listed.Service,
+			Zone:      w.listed.Zone,
+			Condition: condition,
+			Runs:      len(w.runs),
+			Used:      w.used,
+			Capacity:  w.listed.Capacity,
+		})
+	}
+	return views
+}
+
+// obstacle says why a worker takes no task at all, empty when it does.
+func (d *Decider) obstacle(w *worker) string {
+	switch {
+	case !w.present:
+		return "Unlisted"
+	case !w.reachable:
+		return "Silent"
+	case !w.enlisted:
+		return "Unstored"
+	case w.listed.Draining:
+		return "Draining"
+	case len(w.strays) > 0 || d.now.Before(w.avoidUntil):
+		return "Avoided"
+	case !w.health.usable(d.now, len(w.runs)):
+		return "Suspected"
+	}
+	return ""
+}
+
+// ViewJobs lists up to most jobs that are not in a final state, the oldest first.
+func (d *Decider) ViewJobs(most int) []JobView {
+	var views []JobView
+	for _, j := range d.jobs {
+		if !j.shown.Final() {
+			views = append(views, d.viewJob(j))
+		}
+	}
+	slices.SortFunc(views, func(a, b JobView) int {
+		if a.Age != b.Age {
+			return int(min(1, max(-1, b.Age-a.Age)))
+		}
+		return strings.Compare(string(a.Job), string(b.Job))
+	})
+	return views[:min(most, len(views))]
+}
+
+func (d *Decider) viewJob(j *job) JobView {
+	state, _ := d.State(j.spec.ID)
+	view := JobView{
+		Job:   j.spec.ID,
+		Queue: j.queue.ID,
+		State: state,
+		Age:   d.now.Sub(j.acceptedAt),
+	}
+	for _, o := range j.occurrences {
+		for _, g := range o.groups {
+			running, waiting := g.counts()
+			view.Running += running
+			view.Waiting += waiting
+		}
+	}
+	return view
+}
+
+// counts returns how many tasks have a run, and how many need one.
+func (g *group) counts() (running, waiting int) {
+	for _, t := range g.tasks {
+		switch {
+		case t.run != nil:
+			running++
+		case !t.done:
+			waiting++
+		}
+	}
+	return running, waiting
+}
+
+// ViewJob returns a job with its groups, false when it is not known.
+func (d *Decider) ViewJob(id aqjob.ID) (JobView, []GroupView, bool) {
+	j := d.jobs[id]
+	if j == nil {
+		return JobView{}, nil, false
+	}
+	numbers := make([]aqjob.Occurrence, 0, len(j.occurrences))
+	for number := range j.occurrences {
+		numbers = append(numbers, number)
+	}
+	slices.Sort(numbers)
+	var groups []GroupView
+	for _, number := range numbers {
+		for _, g := range j.occurrences[number].groups {
+			running, waiting := g.counts()
+			view := GroupView{
+				Group:   g.key().String(),
+				Tasks:   len(g.tasks),
+				Done:    len(g.tasks) - running - waiting,
+				Running: running,
+			}
+			if waiting > 0 {
+				view.Why = d.why(g)
+			}
+			groups = append(groups, view)
+		}
+	}
+	return d.viewJob(j), groups, true
+}
+
+// why says what the next task of a group waits for.
+func (d *Decider) why(g *group) string {
+	doubtful := d.inDoubt()
+	switch {
+	case g.occurrence.job.state.Final():
+		return "the job has ended"
+	case !g.ready:
+		return "earlier groups are not done"
+	case doubtful && len(g.pending(d.now, true)) == 0:
+		return fmt.Sprintf("it may still run on %d workers that have not been heard of", len(d.unsettled))
+	case len(g.pending(d.now, doubtful)) == 0:
+		return "a pause after a refusal"
+	case !d.anySuits(g):
+		return d.whyNoWorker(g)
+	case g.spec.Gang:
+		return "room for the whole gang"
+	case g.spec.Perpetual:
+		return "room is kept for tasks that end"
+	}
+	return "the next round of decisions"
+}
+
+func (d *Decider) anySuits(g *group) bool {
+	return slices.ContainsFunc(d.fleet, func(w *worker) bool {
+		_, suits := d.suitability(g, w, aqtype.Resources{})
+		return suits
+	})
+}
+
+// whyNoWorker counts the workers of the service by what keeps them from taking a
+// task of the group.
+func (d *Decider) whyNoWorker(g *group) string {
+	count := map[string]int{}
+	for _, w := range d.fleet {
+		if w.listed.Service == g.occurrence.job.queue.Service {
+			count[d.whyNot(g, w)]++
+		}
+	}
+	if len(count) == 0 {
+		return "no worker of service " + string(g.occurrence.job.queue.Service)
+	}
+	reasons := make([]string, 0, len(count))
+	for reason, n := range count {
+		reasons = append(reasons, fmt.Sprintf("%s: %d", reason, n))
+	}
+	slices.Sort(reasons)
+	return "no worker takes it; " + strings.Join(reasons, ", ")
+}
+
+func (d *Decider) whyNot(g *group, w *worker) string {
+	if obstacle := d.obstacle(w); obstacle != "" {
+		return obstacle
+	}
+	var none aqtype.Resources
+	switch {
+	case !w.used.Add(g.spec.Reserved()).Fits(w.listed.Capacity):
+		return "NoRoom"
+	case g.spec.Constraint != "" && !slices.Contains(w.listed.Labels, g.spec.Constraint):
+		return "OtherLabel"
+	case !d.suits(g, w, none):
+		return "AntiAffinity"
+	case !d.allowed(g, w, none):
+		return "NoTicket"
+	}
+	return "HarmsOthers"
+}
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -77,7 +77,9 @@
 	})
 	front := newHTTPServer(s.FrontAddress, platform.NewFront(node, log, metrics))
 	ready := newHTTPServer(s.ReadyAddress, platform.NewReady(node.Ready))
-	operators := newHTTPServer(s.MetricsAddress, metricsMux(metrics))
+	operatorsMux := metricsMux(metrics)
+	addViews(operatorsMux, node)
+	operators := newHTTPServer(s.MetricsAddress, operatorsMux)
 	if err := serve(front, ready, operators); err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/aqsite/view.go
@@ -0,0 +1,83 @@
+package aqsite
+
+import (
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
+)
+
+// ErrNotLeading means that another process decides; Overview names it.
+var ErrNotLeading = errors.New("site: this process does not lead")
+
+// Overview is what a process knows of itself and of its leader.
+type Overview struct {
+	Process string
+	Leading bool
+	// Leader is empty while none is known.
+	Leader        string
+	Term          int64
+	Fence         Fence
+	StoreServes   bool
+	ConfigVersion int64
+	Ready         bool
+}
+
+// JobDetail is a job with its groups.
+type JobDetail struct {
+	Job    aqdecider.JobView
+	Groups []aqdecider.GroupView
+}
+
+// Overview tells of this process.
+func (n *Node) Overview() Overview {
+	view := Overview{
+		Process:     n.settings.Name,
+		StoreServes: !n.storeDown.Load(),
+		Ready:       n.Ready(),
+	}
+	if config := n.routes.config(); config != nil {
+		view.ConfigVersion = config.Version
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	view.Leading = n.current != nil
+	view.Fence = n.seenFence
+	if n.seen != nil {
+		view.Leader = n.seen.Node
+		view.Term = n.seen.Term
+	}
+	return view
+}
+
+// view runs one look at the leader's decider.
+func (n *Node) view(look func(*aqdecider.Decider)) error {
+	l := n.leading()
+	if l == nil || !l.mayAnswer() {
+		return ErrNotLeading
+	}
+	l.decide(look)
+	return nil
+}
+
+// ViewWorkers lists the workers as the leader sees them.
+func (n *Node) ViewWorkers() (workers []aqdecider.WorkerView, err error) {
+	err = n.view(func(d *aqdecider.Decider) { workers = d.ViewWorkers() })
+	return workers, err
+}
+
+// ViewJobs lists up to most jobs that have not ended, the oldest first.
+func (n *Node) ViewJobs(most int) (jobs []aqdecider.JobView, err error) {
+	err = n.view(func(d *aqdecider.Decider) { jobs = d.ViewJobs(most) })
+	return jobs, err
+}
+
+// ViewJob returns one job with its groups, and ErrNoJob when it is not known.
+func (n *Node) ViewJob(id aqjob.ID) (detail JobDetail, err error) {
+	known := false
+	err = n.view(func(d *aqdecider.Decider) { detail.Job, detail.Groups, known = d.ViewJob(id) })
+	if err == nil && !known {
+		err = ErrNoJob
+	}
+	return detail, err
+}
