--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -53,8 +53,10 @@
 	lost    error
 	// recovered is set once the stored jobs have been read.
 	recovered bool
+	// directory orders what is read of service discovery.
 	directory directory
-	beat      beat
+	// beat finds out whether the watches hear anything.
+	beat beat
 	// resync wakes the reading of the whole list of workers.
 	resync chan struct{}
 	// fleetChanged is the revision of the stored list of workers and agents,
