--- a/pkg/aqdecider/decider_test.go
+++ b/pkg/aqdecider/decider_test.go
@@ -477,3 +477,23 @@
 		}
 	}
 }
+
+// A failed attempt that the store accounts for counts once when its worker lists
+// it again to the next leader.
+func TestRepeatedFailureCountsOnce(t *testing.T) {
+	b := newBench(t, poolWorker("w1", "r1-1", 4000))
+	job := benchJob(1, tasks(1, 1000))
+	progress := &aqjob.Progress{
+		State: aqjob.StateRunning,
+		Occurrences: map[aqjob.Occurrence]*aqjob.OccurrenceProgress{
+			0: {Done: []byte{0}, Failed: map[int][]int{0: {5}}},
+		},
+	}
+	b.d.AddJob(job, progress, 1, true)
+	run := RunID{Task: aqjob.TaskID{Job: job.ID}, Attempt: 5}
+	b.look("w1", EndReport{Number: 1, Run: run, How: EndFailed})
+	b.tick()
+	if len(b.started) != 1 {
+		t.Fatalf("one of two attempts has failed, started %v", b.started)
+	}
+}
