A poll permits an agent from the answer that it acknowledges, not from its arrival

The leader names the last answer that it has received; the permit counts from when that answer was sent. TestLatePollGivesNoPermit failed before.

--- a/pkg/aqsite/agent.go
+++ b/pkg/aqsite/agent.go
@@ -34,11 +34,15 @@
 	mu    sync.Mutex
 	fence Fence
 	lease time.Duration
-	// permitAt is the time elapsed when a leader was last heard of.
+	// permitAt is the time elapsed when the last answer was sent that the leader is
+	// known to have received.
 	permitAt time.Duration
-	sessions map[aqtype.WorkerID]*session
-	events   []eventWire
-	wake     chan struct{}
+	// answers counts the answers to polls, answeredAt is when the last was sent.
+	answers    uint64
+	answeredAt time.Duration
+	sessions   map[aqtype.WorkerID]*session
+	events     []eventWire
+	wake       chan struct{}
 	// heard is told of the leader that calls.
 	heard func(pollCall)
 }
@@ -54,7 +58,7 @@
 	}
 }
 
-// admit checks a leader's fence and renews its permit. The lock is held.
+// admit checks a leader's fence. The lock is held.
 func (a *agent) admit(fence Fence) error {
 	if fence < a.fence {
 		return aqpeer.Errorf(aqpeer.CodeNotOwner, "fence %d is below %d", fence, a.fence)
@@ -62,8 +66,9 @@
 	if fence > a.fence {
 		a.dropAll()
 		a.fence = fence
+		a.permitAt = noPermit
+		a.answers++
 	}
-	a.permitAt = a.clock.Elapsed()
 	return nil
 }
 
@@ -75,6 +80,9 @@
 	a.events = nil
 }
 
+// noPermit is before every time that counts.
+const noPermit = -permitTime
+
 // permitted reports whether the leader of a fence was heard of lately.
 func (a *agent) permitted(fence Fence) bool {
 	a.mu.Lock()
@@ -145,7 +153,7 @@
 	if a.heard != nil {
 		a.heard(call)
 	}
-	if !a.hasEvents() {
+	if !a.hasEvents() && a.permitted(call.Fence) {
 		select {
 		case <-ctx.Done():
 		case <-a.wake:
@@ -158,7 +166,9 @@
 	if call.Fence != a.fence {
 		return pollAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "fence %d is below %d", call.Fence, a.fence)
 	}
-	answer := pollAnswer{Events: a.events}
+	a.answers++
+	a.answeredAt = a.clock.Elapsed()
+	answer := pollAnswer{Number: a.answers, Events: a.events}
 	a.events = nil
 	return answer, nil
 }
@@ -169,6 +179,9 @@
 	if err := a.admit(call.Fence); err != nil {
 		return err
 	}
+	if call.Heard == a.answers {
+		a.permitAt = a.answeredAt
+	}
 	for _, h := range call.Hints {
 		if s := a.sessions[h.Worker]; s != nil {
 			s.advise(h)
--- a/pkg/aqsite/agentwire.go
+++ b/pkg/aqsite/agentwire.go
@@ -54,6 +54,10 @@
 	// Leader is who calls: an agent that the store turns away learns of a new
 	// leader by it.
 	Leader leadRecord
+	// Heard is the number of the last answer that the leader has received from the
+	// agent, zero before the first. It permits the agent to go on for a while after
+	// that answer: a poll itself may come late.
+	Heard uint64
 	// Checked spares the agent checks of its own.
 	Checked checkedWord
 	Hints   []hint
@@ -61,6 +65,8 @@
 }
 
 type pollAnswer struct {
+	// Number counts the agent's answers.
+	Number uint64
 	Events []eventWire
 }
 
--- a/pkg/aqsite/crew.go
+++ b/pkg/aqsite/crew.go
@@ -23,6 +23,8 @@
 	enlisted bool
 	cancel   context.CancelFunc
 	ctx      context.Context
+	// heard is the number of the last answer to a poll. Only the poll loop uses it.
+	heard    uint64
 	assigned int
 	// posts are those of its workers; there are as many as assigned says.
 	posts map[aqtype.WorkerID]*post
--- a/pkg/aqsite/crewlink.go
+++ b/pkg/aqsite/crewlink.go
@@ -85,6 +85,7 @@
 		answer, err := m.link.Poll(m.ctx, pollCall{
 			Fence:   c.leader.token,
 			Leader:  c.leader.record,
+			Heard:   m.heard,
 			Checked: c.leader.node.checkedLately(),
 			Hints:   c.hints(m),
 			Wait:    pollWait,
@@ -95,6 +96,7 @@
 			c.revive(m)
 			continue
 		}
+		m.heard = answer.Number
 		c.revive(m)
 		c.leader.acknowledged(m.record.Name)
 		c.take(m, answer.Events)
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -114,7 +114,9 @@
 	n.agent = newAgent(n.workers, n.clock, n.log, n.metrics)
 	n.agent.heard = func(call pollCall) {
 		n.heardOf(call.Leader, call.Fence)
-		n.heardChecked(call.Checked)
+		if n.agent.permitted(call.Fence) {
+			n.heardChecked(call.Checked)
+		}
 	}
 	n.agent.handle(n.server)
 	n.handlePeers()
--- a/pkg/aqsite/session_test.go
+++ b/pkg/aqsite/session_test.go
@@ -21,6 +21,7 @@
 	if err := a.admit(5); err != nil {
 		t.Fatal(err)
 	}
+	a.permitAt = clock.Elapsed()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	s := &session{
@@ -231,3 +232,40 @@
 		t.Error("the agent goes on")
 	}
 }
+
+// A poll permits an agent to go on from the answer that it acknowledges, not from
+// its arrival: after a pause the agent finds polls that were sent long ago.
+func TestLatePollGivesNoPermit(t *testing.T) {
+	clock := instantClock{Fake: aqclock.NewFake()}
+	a := newAgent(&fakeWorkers{}, clock, aqlog.Discard(), aqmetric.New())
+	poll := func(heard uint64) uint64 {
+		t.Helper()
+		answer, err := a.Poll(context.Background(), pollCall{Fence: 5, Heard: heard})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return answer.Number
+	}
+	first := poll(0)
+	if a.permitted(5) {
+		t.Fatal("a permit before the leader has heard of the agent")
+	}
+	second := poll(first)
+	if !a.permitted(5) {
+		t.Fatal("no permit after an answer was received")
+	}
+	clock.Suspend(permitTime)
+	lost := poll(second)
+	if a.permitted(5) {
+		t.Fatal("a poll that came late permits the agent to go on")
+	}
+	poll(second)
+	if a.permitted(5) {
+		t.Fatal("a poll permits the agent though an answer was lost")
+	}
+	third := poll(lost)
+	poll(third)
+	if !a.permitted(5) {
+		t.Fatal("no permit once answers are received again")
+	}
+}
--- a/pkg/aqsoak/regressions.go
+++ b/pkg/aqsoak/regressions.go
@@ -13,4 +13,5 @@
 	{Seed: 9, Cause: "an outgoing connection took the port of a process that was away"},
 	{Seed: 14, Cause: "calls that a link held up reached the next life of a stand-in worker, whose connections had not ended"},
 	{Seed: 18, Cause: "orders to stop were dropped when the worker's agent heard of its restart after the leader"},
+	{Seed: 323, Cause: "a paused agent took polls that came late for a permit to go on"},
 }
