--- a/pkg/aqpeer/server.go
+++ b/pkg/aqpeer/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -32,7 +31,7 @@
 	handlers map[Method]handler
 	engine   gnet.Engine
 	booted   chan struct{}
-	calls    sync.WaitGroup
+	calls    progress
 	slots    chan struct{}
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -97,13 +96,8 @@
 
 // Stop lets the calls in progress end and closes every connection.
 func (s *Server) Stop() {
-	done := make(chan struct{})
-	go func() {
-		s.calls.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-s.calls.wait():
 	case <-time.After(stopLimit):
 	}
 	s.cancel()
@@ -182,9 +176,9 @@
 		})
 		return
 	}
-	s.calls.Add(1)
+	s.calls.begin()
 	go func() {
-		defer s.calls.Done()
+		defer s.calls.end()
 		defer func() { <-s.slots }()
 		s.answer(c, s.serve(f))
 	}()
--- a/pkg/aqsoak/process.go
+++ b/pkg/aqsoak/process.go
@@ -7,11 +7,12 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqstandin"
 )
 
 // process is one process of the site with its settings and its link to the store.
@@ -40,7 +41,7 @@
 	}
 	var addresses [4]string
 	for i := range addresses {
-		if addresses[i], err = freeAddress(); err != nil {
+		if addresses[i], err = aqstandin.FreeAddress(); err != nil {
 			return nil, err
 		}
 	}
@@ -70,29 +71,6 @@
 	return p, errors.Wrap(os.WriteFile(p.file, []byte(settings), 0o600), "soak: settings")
 }
 
-// The ports that processes listen on lie below those that the kernel gives to
-// outgoing connections, so that none is taken while a process is away.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-	// portStride keeps soaks that run side by side apart.
-	portStride = 997
-)
-
-// nextPort is the port that is tried next.
-var nextPort atomic.Int64
-
-func freeAddress() (string, error) {
-	for range lastPort - firstPort {
-		port := firstPort + (nextPort.Add(1)+portStride*int64(os.Getpid()))%(lastPort-firstPort)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			return listener.Addr().String(), listener.Close()
-		}
-	}
-	return "", errors.New("soak: no free port")
-}
-
 // start starts the process, and again whenever it ends by itself.
 func (p *process) start() error {
 	p.mu.Lock()
