--- a/pkg/aqsoak/ledger.go
+++ b/pkg/aqsoak/ledger.go
@@ -43,7 +43,7 @@
 	return false
 }
 
-// runs are the lives of one task.
+// taskLedger follows the runs of one task.
 type taskLedger struct {
 	// where holds the workers that run it now.
 	where map[string]int
