--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 SHELL := /bin/bash
 BIN := $(CURDIR)/.bin
-GO_FILES := $(shell find cmd pkg platform -name '*.go' -not -path '*/aqproto/*')
+GO_FILES := $(shell find cmd internal pkg platform -name '*.go' -not -path '*/aqproto/*')
 
 .PHONY: all build demo test lint generate tools model model-mutants capacity lab bench-requests bench-urgent soak clean
 
--- a/pkg/aqsite/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -1,10 +1,12 @@
-package aqsite
+package aqagent
 
 import (
 	"context"
 	"sync"
 	"time"
 
+	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
@@ -14,26 +16,26 @@
 
 // Timing between a leader and its agents.
 const (
-	// pollWait is how long an agent holds a poll while it has no events. A poll that
+	// PollWait is how long an agent holds a poll while it has no events. A poll that
 	// acknowledges the last answer renews the agent's permit.
-	pollWait = 500 * time.Millisecond
-	// permitTime is how long an agent starts runs, renews leases and acknowledges ends
+	PollWait = 500 * time.Millisecond
+	// PermitTime is how long an agent starts runs, renews leases and acknowledges ends
 	// without contact with its leader.
-	permitTime = 1500 * time.Millisecond
+	PermitTime = 1500 * time.Millisecond
 	// batchDelay is how long an agent collects further events into one answer.
 	batchDelay = 30 * time.Millisecond
 )
 
-// agent manages workers for the leader with the highest fencing token that it has
+// Agent manages workers for the leader with the highest fencing token that it has
 // received.
-type agent struct {
-	workers Workers
+type Agent struct {
+	workers aqworker.Client
 	clock   aqclock.Clock
 	log     *aqlog.Logger
 	metrics *aqmetric.Set
 
 	mu    sync.Mutex
-	fence Fence
+	fence aqworker.Fence
 	lease time.Duration
 	// permitAt is the elapsed time at which the agent sent the last answer that the
 	// leader has acknowledged.
@@ -43,14 +45,15 @@
 	answers    uint64
 	answeredAt time.Duration
 	sessions   map[aqtype.WorkerID]*session
-	events     []eventWire
+	events     []EventWire
 	wake       chan struct{}
-	// onPoll is called with every accepted poll.
-	onPoll func(pollCall)
+	// OnPoll is called with every accepted poll.
+	OnPoll func(PollCall)
 }
 
-func newAgent(workers Workers, clock aqclock.Clock, log *aqlog.Logger, metrics *aqmetric.Set) *agent {
-	return &agent{
+// New returns an agent that manages no workers yet.
+func New(workers aqworker.Client, clock aqclock.Clock, log *aqlog.Logger, metrics *aqmetric.Set) *Agent {
+	return &Agent{
 		workers:  workers,
 		clock:    clock,
 		log:      log,
@@ -62,7 +65,7 @@
 
 // acceptFence refuses a fencing token below the highest one received. For a higher one
 // it ends the sessions of the earlier leader. The caller holds the lock.
-func (a *agent) acceptFence(fence Fence) error {
+func (a *Agent) acceptFence(fence aqworker.Fence) error {
 	if fence < a.fence {
 		return aqpeer.Errorf(aqpeer.CodeNotOwner, "fence %d is below %d", fence, a.fence)
 	}
@@ -78,7 +81,7 @@
 }
 
 // endSessions ends all sessions and drops their events. The caller holds the lock.
-func (a *agent) endSessions() {
+func (a *Agent) endSessions() {
 	for id, s := range a.sessions {
 		s.cancel()
 		delete(a.sessions, id)
@@ -87,18 +90,18 @@
 }
 
 // noPermit is a value of permitAt that gives no permit at any elapsed time.
-const noPermit = -permitTime
+const noPermit = -PermitTime
 
-// permitted reports whether the agent has a permit of the leader with this fencing
-// token: the leader has acknowledged an answer that was sent within permitTime.
-func (a *agent) permitted(fence Fence) bool {
+// Permitted reports whether the agent has a permit of the leader with this fencing
+// token: the leader has acknowledged an answer that was sent within PermitTime.
+func (a *Agent) Permitted(fence aqworker.Fence) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return fence == a.fence && a.clock.Elapsed()-a.permitAt < permitTime
+	return fence == a.fence && a.clock.Elapsed()-a.permitAt < PermitTime
 }
 
 // Orders implements agentLink.
-func (a *agent) Orders(_ context.Context, call ordersCall) error {
+func (a *Agent) Orders(_ context.Context, call OrdersCall) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err := a.acceptFence(call.Fence); err != nil {
@@ -115,7 +118,7 @@
 		a.assign(next)
 	}
 	for _, wire := range call.Orders {
-		order := wire.unwrap()
+		order := wire.Unwrap()
 		if order == nil {
 			continue
 		}
@@ -127,7 +130,7 @@
 }
 
 // assign starts or updates a session. The caller holds the lock.
-func (a *agent) assign(next assignment) {
+func (a *Agent) assign(next Assignment) {
 	id := next.Worker.ID
 	if s := a.sessions[id]; s != nil {
 		if s.serial == next.Serial {
@@ -153,14 +156,14 @@
 }
 
 // Poll implements agentLink.
-func (a *agent) Poll(ctx context.Context, call pollCall) (pollAnswer, error) {
+func (a *Agent) Poll(ctx context.Context, call PollCall) (PollAnswer, error) {
 	if err := a.acceptPoll(call); err != nil {
-		return pollAnswer{}, err
+		return PollAnswer{}, err
 	}
-	if a.onPoll != nil {
-		a.onPoll(call)
+	if a.OnPoll != nil {
+		a.OnPoll(call)
 	}
-	if !a.hasEvents() && a.permitted(call.Fence) {
+	if !a.hasEvents() && a.Permitted(call.Fence) {
 		select {
 		case <-ctx.Done():
 		case <-a.wake:
@@ -171,18 +174,18 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if call.Fence != a.fence {
-		return pollAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "fence %d is below %d", call.Fence, a.fence)
+		return PollAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "fence %d is below %d", call.Fence, a.fence)
 	}
 	a.answers++
 	a.answeredAt = a.clock.Elapsed()
-	answer := pollAnswer{Number: a.answers, Events: a.events}
+	answer := PollAnswer{Number: a.answers, Events: a.events}
 	a.events = nil
 	return answer, nil
 }
 
 // acceptPoll checks a poll's fencing token, renews the permit when the poll acknowledges
 // the last answer, and applies the parameters of heartbeats.
-func (a *agent) acceptPoll(call pollCall) error {
+func (a *Agent) acceptPoll(call PollCall) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err := a.acceptFence(call.Fence); err != nil {
@@ -199,34 +202,34 @@
 	return nil
 }
 
-func (a *agent) hasEvents() bool {
+func (a *Agent) hasEvents() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return len(a.events) > 0
 }
 
 // emit queues an event for the leader, unless the session has ended.
-func (a *agent) emit(s *session, e event) {
+func (a *Agent) emit(s *session, e event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.sessions[s.id] != s {
 		return
 	}
-	a.events = append(a.events, wrapEvent(s.id, s.serial, e))
-	signal(a.wake)
+	a.events = append(a.events, WrapEvent(s.id, s.serial, e))
+	aqsignal.Send(a.wake)
 }
 
-// stop ends every session.
-func (a *agent) stop() {
+// Stop ends every session.
+func (a *Agent) Stop() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.endSessions()
 }
 
-// registerHandlers registers the handlers of a leader's calls.
-func (a *agent) registerHandlers(server *aqpeer.Server) {
-	aqpeer.Handle(server, methodOrders, func(ctx context.Context, in ordersCall) (struct{}, error) {
+// RegisterHandlers registers the handlers of a leader's calls.
+func (a *Agent) RegisterHandlers(server *aqpeer.Server) {
+	aqpeer.Handle(server, MethodOrders, func(ctx context.Context, in OrdersCall) (struct{}, error) {
 		return struct{}{}, a.Orders(ctx, in)
 	})
-	aqpeer.Handle(server, methodPoll, a.Poll)
+	aqpeer.Handle(server, MethodPoll, a.Poll)
 }
--- a/pkg/aqsite/sessionorders.go
+++ b/internal/site/aqagent/orders.go
@@ -1,4 +1,4 @@
-package aqsite
+package aqagent
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
@@ -72,12 +73,12 @@
 	s.awaitWorkerClock()
 	for range startTries {
 		err := s.tryStart(to, order)
-		if errors.Is(err, ErrFenced) {
-			s.agent.emit(s, fenced{})
+		if errors.Is(err, aqworker.ErrFenced) {
+			s.agent.emit(s, Fenced{})
 			return
 		}
-		if errors.Is(err, ErrUnanswered) || errors.Is(err, ErrTooLate) {
-			if errors.Is(err, ErrUnanswered) {
+		if errors.Is(err, aqworker.ErrUnanswered) || errors.Is(err, aqworker.ErrTooLate) {
+			if errors.Is(err, aqworker.ErrUnanswered) {
 				uncertain = true
 				outcome = aqdecider.OutcomeUnknown
 			}
@@ -93,7 +94,7 @@
 	}
 	s.agent.metrics.Observe(aqmetric.TimeStart, s.agent.clock.Now().Sub(started))
 	at := s.recordOrderDone()
-	s.agent.emit(s, startResult{
+	s.agent.emit(s, StartResult{
 		Incarnation: to.Worker.Incarnation,
 		Run:         order.Run,
 		Outcome:     outcome,
@@ -127,19 +128,19 @@
 
 // tryStart makes one attempt to deliver a start. A worker that does not answer
 // heartbeats gets no starts, since a start renews its lease.
-func (s *session) tryStart(to Address, order aqdecider.Start) error {
-	if !s.agent.permitted(s.fence) {
-		return ErrTooLate
+func (s *session) tryStart(to aqworker.Address, order aqdecider.Start) error {
+	if !s.agent.Permitted(s.fence) {
+		return aqworker.ErrTooLate
 	}
 	s.mu.Lock()
 	end := s.nextLeaseEnd()
 	s.mu.Unlock()
 	if end == 0 {
-		return ErrTooLate
+		return aqworker.ErrTooLate
 	}
 	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
-	return s.agent.workers.Start(bounded, to, StartRequest{
+	return s.agent.workers.Start(bounded, to, aqworker.StartRequest{
 		Fence:    s.fence,
 		LeaseEnd: end,
 		Order:    order,
@@ -152,13 +153,13 @@
 	switch {
 	case err == nil:
 		return aqdecider.OutcomeAccepted
-	case uncertain, errors.Is(err, ErrSuperseded), errors.Is(err, ErrOtherWorker):
+	case uncertain, errors.Is(err, aqworker.ErrSuperseded), errors.Is(err, aqworker.ErrOtherWorker):
 		return aqdecider.OutcomeUnknown
-	case errors.Is(err, ErrNoRoom):
+	case errors.Is(err, aqworker.ErrNoRoom):
 		return aqdecider.OutcomeNoRoom
-	case errors.Is(err, ErrNoTicket):
+	case errors.Is(err, aqworker.ErrNoTicket):
 		return aqdecider.OutcomeNoTicket
-	case errors.Is(err, ErrUnhealthy):
+	case errors.Is(err, aqworker.ErrUnhealthy):
 		return aqdecider.OutcomeUnhealthy
 	}
 	return aqdecider.OutcomeInvalid
@@ -171,13 +172,13 @@
 	to := s.address()
 	for range stopTries {
 		bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
-		err := s.agent.workers.Stop(bounded, to, StopRequest{Fence: s.fence, Run: order.Run})
+		err := s.agent.workers.Stop(bounded, to, aqworker.StopRequest{Fence: s.fence, Run: order.Run})
 		cancel()
-		if errors.Is(err, ErrFenced) {
-			s.agent.emit(s, fenced{})
+		if errors.Is(err, aqworker.ErrFenced) {
+			s.agent.emit(s, Fenced{})
 			return
 		}
-		if err == nil || errors.Is(err, ErrSuperseded) {
+		if err == nil || errors.Is(err, aqworker.ErrSuperseded) {
 			s.reportStop(to, order, true)
 			return
 		}
@@ -193,9 +194,9 @@
 	s.reportStop(to, order, false)
 }
 
-func (s *session) reportStop(to Address, order aqdecider.Stop, answered bool) {
+func (s *session) reportStop(to aqworker.Address, order aqdecider.Stop, answered bool) {
 	at := s.recordOrderDone()
-	s.agent.emit(s, stopResult{
+	s.agent.emit(s, StopResult{
 		Incarnation: to.Worker.Incarnation,
 		Run:         order.Run,
 		Answered:    answered,
@@ -207,13 +208,13 @@
 	to := s.address()
 	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
-	err := s.agent.workers.Pace(bounded, to, PaceRequest{
+	err := s.agent.workers.Pace(bounded, to, aqworker.PaceRequest{
 		Fence:   s.fence,
 		Run:     order.Run,
 		Percent: order.Percent,
 	})
-	if errors.Is(err, ErrFenced) {
-		s.agent.emit(s, fenced{})
+	if errors.Is(err, aqworker.ErrFenced) {
+		s.agent.emit(s, Fenced{})
 		return
 	}
 	if err != nil && s.ctx.Err() == nil {
--- a/pkg/aqsite/session.go
+++ b/internal/site/aqagent/session.go
@@ -1,4 +1,4 @@
-package aqsite
+package aqagent
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
@@ -18,12 +19,12 @@
 
 // Timing and limits of the calls to one worker.
 const (
-	// heartbeatWaitIdle, heartbeatWaitBusy and heartbeatWaitTail are how long a worker
+	// HeartbeatWaitIdle, HeartbeatWaitBusy and HeartbeatWaitTail are how long a worker
 	// may hold a heartbeat while it has no ended run to report: with nothing running,
 	// with running tasks, and while the leader follows the tail latency of its tasks.
-	heartbeatWaitIdle = 2 * time.Second
-	heartbeatWaitBusy = time.Second
-	heartbeatWaitTail = 500 * time.Millisecond
+	HeartbeatWaitIdle = 2 * time.Second
+	HeartbeatWaitBusy = time.Second
+	HeartbeatWaitTail = 500 * time.Millisecond
 	// heartbeatMargin is how much longer than its wait a heartbeat may take.
 	heartbeatMargin = 700 * time.Millisecond
 	// heartbeatPause is the pause between two heartbeats, so that one answer reports
@@ -44,7 +45,7 @@
 	// maxOrdersInFlight limits the concurrent orders to one worker.
 	maxOrdersInFlight = 3
 	// failedHeartbeatLimit is how many heartbeats in a row must fail before a worker
-	// counts as unresponsive.
+	// counts as Unresponsive.
 	failedHeartbeatLimit = 2
 )
 
@@ -56,26 +57,31 @@
 // inaccurate.
 const expiryMargin = 100 * time.Millisecond
 
-// session manages one worker for an agent during one assignment: a loop of
+// MaxLeaseSpan is the longest time that a lease can last by this process's clock.
+func MaxLeaseSpan(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-clockDrift)) + expiryMargin
+}
+
+// session manages one worker for an agent during one Assignment: a loop of
 // heartbeats that renew the worker's lease, and the delivery of orders.
 type session struct {
 	id     aqtype.WorkerID
 	serial Serial
-	fence  Fence
+	fence  aqworker.Fence
 	lease  time.Duration
-	agent  *agent
+	agent  *Agent
 	ctx    context.Context
 	// cancel ends the session. Its caller holds the agent's lock.
 	cancel context.CancelFunc
 
 	mu          sync.Mutex
 	worker      aqdecider.Worker
-	params      heartbeatParams
+	params      HeartbeatParams
 	logicalTime aqdecider.LogicalTime
 	workerClock clockReading
 	// leaseEnd is the latest lease end that this session sent to this incarnation, or
 	// that another agent may have sent before the worker first answered this one.
-	leaseEnd         WorkerTime
+	leaseEnd         aqworker.Time
 	queue            []aqdecider.Order
 	inFlight         int
 	failedHeartbeats int
@@ -95,18 +101,18 @@
 // that time.
 type clockReading struct {
 	at    time.Time
-	value WorkerTime
+	value aqworker.Time
 	known bool
 }
 
 // lowerBoundAt returns a lower bound of the worker's clock at a local time.
-func (c clockReading) lowerBoundAt(at time.Time) WorkerTime {
-	return c.value + WorkerTime(float64(at.Sub(c.at))*(1-clockDrift))
+func (c clockReading) lowerBoundAt(at time.Time) aqworker.Time {
+	return c.value + aqworker.Time(float64(at.Sub(c.at))*(1-clockDrift))
 }
 
 // passedBy returns a local time at which the worker's clock is certainly past a
 // value.
-func (c clockReading) passedBy(value WorkerTime) time.Time {
+func (c clockReading) passedBy(value aqworker.Time) time.Time {
 	return c.at.Add(time.Duration(float64(value-c.value) / (1 - clockDrift))).Add(expiryMargin)
 }
 
@@ -124,11 +130,11 @@
 }
 
 // setParams applies the leader's parameters for the heartbeats.
-func (s *session) setParams(p heartbeatParams) {
+func (s *session) setParams(p HeartbeatParams) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.params = p
-	if p.Wait < heartbeatWaitIdle {
+	if p.Wait < HeartbeatWaitIdle {
 		s.idleReportedAt = time.Time{}
 	}
 }
@@ -152,10 +158,10 @@
 	return s.logicalTime
 }
 
-func (s *session) address() Address {
+func (s *session) address() aqworker.Address {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Address{Worker: s.worker, HostPort: s.worker.Address}
+	return aqworker.Address{Worker: s.worker, HostPort: s.worker.Address}
 }
 
 // run sends heartbeats to the worker until the session ends.
@@ -186,18 +192,18 @@
 
 // nextHeartbeat builds a heartbeat request. It does not renew the lease of a worker that
 // did not answer the last heartbeat, so that the lease can expire.
-func (s *session) nextHeartbeat() (Address, HeartbeatRequest, aqdecider.LogicalTime) {
-	permitted := s.agent.permitted(s.fence)
+func (s *session) nextHeartbeat() (aqworker.Address, aqworker.HeartbeatRequest, aqdecider.LogicalTime) {
+	Permitted := s.agent.Permitted(s.fence)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	to := Address{Worker: s.worker, HostPort: s.worker.Address}
-	request := HeartbeatRequest{Fence: s.fence}
-	if permitted {
+	to := aqworker.Address{Worker: s.worker, HostPort: s.worker.Address}
+	request := aqworker.HeartbeatRequest{Fence: s.fence}
+	if Permitted {
 		request.LeaseEnd = s.nextLeaseEnd()
 	}
 	// An agent that was suspended or partitioned may not know that the worker has
 	// restarted and numbers its ends from one again.
-	if permitted && s.failedHeartbeats == 0 && s.params.Incarnation == s.worker.Incarnation {
+	if Permitted && s.failedHeartbeats == 0 && s.params.Incarnation == s.worker.Incarnation {
 		request.AckedEnd = s.params.AckedEnd
 	}
 	if request.LeaseEnd > 0 {
@@ -208,16 +214,16 @@
 
 // nextLeaseEnd returns the lease end to request, zero while the lease must not be
 // renewed. The caller holds the lock.
-func (s *session) nextLeaseEnd() WorkerTime {
+func (s *session) nextLeaseEnd() aqworker.Time {
 	if !s.workerClock.known || !s.params.Renew || s.failedHeartbeats > 0 {
 		return 0
 	}
-	end := s.workerClock.lowerBoundAt(s.agent.clock.Now()) + WorkerTime(s.lease)
+	end := s.workerClock.lowerBoundAt(s.agent.clock.Now()) + aqworker.Time(s.lease)
 	s.leaseEnd = max(s.leaseEnd, end)
 	return end
 }
 
-func (s *session) heartbeatAnswered(to Address, answer HeartbeatAnswer) {
+func (s *session) heartbeatAnswered(to aqworker.Address, answer aqworker.HeartbeatAnswer) {
 	s.mu.Lock()
 	incarnation := answer.Report.Incarnation
 	if incarnation < s.worker.Incarnation {
@@ -232,12 +238,12 @@
 	s.workerClock = clockReading{at: s.agent.clock.Now(), value: answer.Clock, known: true}
 	if s.leaseEnd == 0 {
 		// Another agent may have renewed the lease until now.
-		s.leaseEnd = answer.Clock + WorkerTime(s.lease)
+		s.leaseEnd = answer.Clock + aqworker.Time(s.lease)
 	}
 	reported := s.alreadyReported(answer.Report)
 	s.mu.Unlock()
 	if !reported {
-		s.agent.emit(s, reportReceived{Report: answer.Report})
+		s.agent.emit(s, ReportReceived{Report: answer.Report})
 	}
 }
 
@@ -246,7 +252,7 @@
 func (s *session) alreadyReported(r aqdecider.WorkerReport) bool {
 	now := s.agent.clock.Now()
 	ordersDone := s.inFlight == 0 && len(s.queue) == 0 && r.Sent > s.orderDoneAt
-	if !ordersDone || len(r.Running) > 0 || len(r.Ended) > 0 || s.params.Wait < heartbeatWaitIdle {
+	if !ordersDone || len(r.Running) > 0 || len(r.Ended) > 0 || s.params.Wait < HeartbeatWaitIdle {
 		s.idleReportedAt = time.Time{}
 		return false
 	}
@@ -257,12 +263,12 @@
 	return false
 }
 
-func (s *session) heartbeatFailed(to Address, err error) {
+func (s *session) heartbeatFailed(to aqworker.Address, err error) {
 	if s.ctx.Err() != nil {
 		return
 	}
-	if errors.Is(err, ErrFenced) {
-		s.agent.emit(s, fenced{})
+	if errors.Is(err, aqworker.ErrFenced) {
+		s.agent.emit(s, Fenced{})
 		return
 	}
 	s.mu.Lock()
@@ -283,5 +289,5 @@
 		return
 	}
 	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "look"), aqlog.Err(err))
-	s.agent.emit(s, unresponsive{ExpiresIn: expiresIn})
+	s.agent.emit(s, Unresponsive{ExpiresIn: expiresIn})
 }
--- a/pkg/aqsite/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -1,4 +1,4 @@
-package aqsite
+package aqagent
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
@@ -14,10 +15,10 @@
 	"acaciaquay/pkg/aqpeer"
 )
 
-func testSession(t *testing.T, workers Workers) (*session, *agent, *aqclock.Fake) {
+func testSession(t *testing.T, workers aqworker.Client) (*session, *Agent, *aqclock.Fake) {
 	t.Helper()
-	clock := instantClock{Fake: aqclock.NewFake()}
-	a := newAgent(workers, clock, aqlog.Discard(), aqmetric.New())
+	clock := aqclock.NewInstant()
+	a := New(workers, clock, aqlog.Discard(), aqmetric.New())
 	if err := a.acceptFence(5); err != nil {
 		t.Fatal(err)
 	}
@@ -33,24 +34,24 @@
 		ctx:    ctx,
 		cancel: cancel,
 		worker: aqdecider.Worker{ID: "w1", Incarnation: 1},
-		params: heartbeatParams{Worker: "w1", Wait: time.Second},
+		params: HeartbeatParams{Worker: "w1", Wait: time.Second},
 	}
 	a.sessions["w1"] = s
 	return s, a, clock.Fake
 }
 
 // An agent renews a worker's lease only once the leader has received a report of the
-// worker in this assignment, and not after the worker has failed to answer or while the
+// worker in this Assignment, and not after the worker has failed to answer or while the
 // agent has no permit. Otherwise the leader could not tell when the lease expires.
 func TestLeaseIsProlongedOnlyWhenTheLeaderKnows(t *testing.T) {
-	var last HeartbeatRequest
+	var last aqworker.HeartbeatRequest
 	fail := false
-	workers := &fakeWorkers{heartbeat: func(r HeartbeatRequest) (HeartbeatAnswer, error) {
+	workers := &fakeWorkers{heartbeat: func(r aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
 		last = r
 		if fail {
-			return HeartbeatAnswer{}, ErrUnanswered
+			return aqworker.HeartbeatAnswer{}, aqworker.ErrUnanswered
 		}
-		return HeartbeatAnswer{Report: aqdecider.WorkerReport{Incarnation: 1}, Clock: WorkerTime(100 * time.Second)}, nil
+		return aqworker.HeartbeatAnswer{Report: aqdecider.WorkerReport{Incarnation: 1}, Clock: aqworker.Time(100 * time.Second)}, nil
 	}}
 	s, _, clock := testSession(t, workers)
 	s.heartbeat()
@@ -58,20 +59,20 @@
 	if last.LeaseEnd != 0 {
 		t.Fatal("the lease was renewed before the leader received a report of the worker")
 	}
-	s.setParams(heartbeatParams{Worker: "w1", Wait: time.Second, Renew: true})
+	s.setParams(HeartbeatParams{Worker: "w1", Wait: time.Second, Renew: true})
 	s.heartbeat()
-	if last.LeaseEnd != WorkerTime(105*time.Second) {
+	if last.LeaseEnd != aqworker.Time(105*time.Second) {
 		t.Fatalf("lease end %s, want 105s", time.Duration(last.LeaseEnd))
 	}
 	fail = true
 	s.heartbeat()
 	s.heartbeat()
 	if last.LeaseEnd != 0 {
-		t.Fatal("the lease of an unresponsive worker was renewed")
+		t.Fatal("the lease of an Unresponsive worker was renewed")
 	}
 	fail = false
 	s.heartbeat()
-	clock.Advance(permitTime)
+	clock.Advance(PermitTime)
 	s.heartbeat()
 	if last.LeaseEnd != 0 {
 		t.Fatal("the lease was renewed without a permit of the leader")
@@ -82,13 +83,13 @@
 // clockDrift.
 func TestLapseAllowsForASlowClock(t *testing.T) {
 	now := time.Unix(1000, 0)
-	reading := clockReading{at: now, value: WorkerTime(50 * time.Second), known: true}
-	expiry := reading.passedBy(WorkerTime(55 * time.Second))
+	reading := clockReading{at: now, value: aqworker.Time(50 * time.Second), known: true}
+	expiry := reading.passedBy(aqworker.Time(55 * time.Second))
 	slow := 50*time.Second + time.Duration(0.98*float64(expiry.Sub(now)))
 	if slow < 55*time.Second {
 		t.Fatalf("a clock that is 2%% slow shows %s at the computed expiry", slow)
 	}
-	if ahead := reading.lowerBoundAt(now.Add(10 * time.Second)); ahead > WorkerTime(60*time.Second) {
+	if ahead := reading.lowerBoundAt(now.Add(10 * time.Second)); ahead > aqworker.Time(60*time.Second) {
 		t.Fatalf("the lower bound %s is above an accurate clock", time.Duration(ahead))
 	}
 }
@@ -102,16 +103,16 @@
 		want    aqdecider.Outcome
 	}{
 		{name: "accepted", answers: []error{nil}, want: aqdecider.OutcomeAccepted},
-		{name: "accepted on the second attempt", answers: []error{ErrUnanswered, nil}, want: aqdecider.OutcomeAccepted},
-		{name: "no answer", answers: []error{ErrUnanswered, ErrUnanswered, ErrUnanswered}, want: aqdecider.OutcomeUnknown},
-		{name: "no room", answers: []error{ErrNoRoom}, want: aqdecider.OutcomeNoRoom},
-		{name: "no room after no answer", answers: []error{ErrUnanswered, ErrNoRoom}, want: aqdecider.OutcomeUnknown},
-		{name: "unhealthy", answers: []error{ErrUnhealthy}, want: aqdecider.OutcomeUnhealthy},
-		{name: "superseded", answers: []error{ErrSuperseded}, want: aqdecider.OutcomeUnknown},
-		{name: "too late", answers: []error{ErrTooLate, ErrTooLate, ErrTooLate}, want: aqdecider.OutcomeNotSent},
+		{name: "accepted on the second attempt", answers: []error{aqworker.ErrUnanswered, nil}, want: aqdecider.OutcomeAccepted},
+		{name: "no answer", answers: []error{aqworker.ErrUnanswered, aqworker.ErrUnanswered, aqworker.ErrUnanswered}, want: aqdecider.OutcomeUnknown},
+		{name: "no room", answers: []error{aqworker.ErrNoRoom}, want: aqdecider.OutcomeNoRoom},
+		{name: "no room after no answer", answers: []error{aqworker.ErrUnanswered, aqworker.ErrNoRoom}, want: aqdecider.OutcomeUnknown},
+		{name: "unhealthy", answers: []error{aqworker.ErrUnhealthy}, want: aqdecider.OutcomeUnhealthy},
+		{name: "superseded", answers: []error{aqworker.ErrSuperseded}, want: aqdecider.OutcomeUnknown},
+		{name: "too late", answers: []error{aqworker.ErrTooLate, aqworker.ErrTooLate, aqworker.ErrTooLate}, want: aqdecider.OutcomeNotSent},
 	} {
 		next := 0
-		workers := &fakeWorkers{start: func(StartRequest) error {
+		workers := &fakeWorkers{start: func(aqworker.StartRequest) error {
 			next++
 			return test.answers[next-1]
 		}}
@@ -134,7 +135,7 @@
 	if err := a.acceptFence(6); err != nil {
 		t.Fatal(err)
 	}
-	if s.ctx.Err() == nil || len(a.sessions) != 0 || a.permitted(5) {
+	if s.ctx.Err() == nil || len(a.sessions) != 0 || a.Permitted(5) {
 		t.Fatal("the session of the earlier leader continues")
 	}
 }
@@ -144,31 +145,31 @@
 func TestIdleWorkerIsToldOnce(t *testing.T) {
 	fail := false
 	workers := &fakeWorkers{
-		heartbeat: func(HeartbeatRequest) (HeartbeatAnswer, error) {
+		heartbeat: func(aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
 			if fail {
-				return HeartbeatAnswer{}, ErrUnanswered
+				return aqworker.HeartbeatAnswer{}, aqworker.ErrUnanswered
 			}
-			return HeartbeatAnswer{Report: aqdecider.WorkerReport{Incarnation: 1, Complete: true}}, nil
+			return aqworker.HeartbeatAnswer{Report: aqdecider.WorkerReport{Incarnation: 1, Complete: true}}, nil
 		},
-		stop: func(StopRequest) error { return nil },
+		stop: func(aqworker.StopRequest) error { return nil },
 	}
 	for _, test := range []struct {
 		name   string
-		params heartbeatParams
+		params HeartbeatParams
 		event  func(*session)
 		want   int
 	}{
-		{name: "nothing happens", params: heartbeatParams{Wait: heartbeatWaitIdle}, want: 1},
-		{name: "tasks are expected", params: heartbeatParams{Wait: heartbeatWaitBusy}, want: 3},
+		{name: "nothing happens", params: HeartbeatParams{Wait: HeartbeatWaitIdle}, want: 1},
+		{name: "tasks are expected", params: HeartbeatParams{Wait: HeartbeatWaitBusy}, want: 3},
 		{
 			name:   "an order is answered",
-			params: heartbeatParams{Wait: heartbeatWaitIdle},
+			params: HeartbeatParams{Wait: HeartbeatWaitIdle},
 			event:  func(s *session) { s.stop(aqdecider.Stop{Worker: "w1"}) },
 			want:   3,
 		},
 		{
-			name:   "the worker was unresponsive",
-			params: heartbeatParams{Wait: heartbeatWaitIdle},
+			name:   "the worker was Unresponsive",
+			params: HeartbeatParams{Wait: HeartbeatWaitIdle},
 			event: func(s *session) {
 				fail = true
 				s.heartbeat()
@@ -211,27 +212,27 @@
 // nothing, renews no lease and acknowledges no ends before its leader has polled it
 // again.
 func TestSuspensionEndsThePermit(t *testing.T) {
-	var last HeartbeatRequest
-	workers := &fakeWorkers{heartbeat: func(r HeartbeatRequest) (HeartbeatAnswer, error) {
+	var last aqworker.HeartbeatRequest
+	workers := &fakeWorkers{heartbeat: func(r aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
 		last = r
-		return HeartbeatAnswer{Report: aqdecider.WorkerReport{Incarnation: 1}, Clock: WorkerTime(100 * time.Second)}, nil
+		return aqworker.HeartbeatAnswer{Report: aqdecider.WorkerReport{Incarnation: 1}, Clock: aqworker.Time(100 * time.Second)}, nil
 	}}
 	s, a, clock := testSession(t, workers)
 	s.heartbeat()
-	s.setParams(heartbeatParams{Worker: "w1", Wait: time.Second, Renew: true, Incarnation: 1, AckedEnd: 6})
+	s.setParams(HeartbeatParams{Worker: "w1", Wait: time.Second, Renew: true, Incarnation: 1, AckedEnd: 6})
 	s.heartbeat()
 	if last.LeaseEnd == 0 || last.AckedEnd != 6 {
 		t.Fatalf("with a permit: %+v", last)
 	}
-	clock.Suspend(permitTime)
+	clock.Suspend(PermitTime)
 	s.heartbeat()
 	if last.LeaseEnd != 0 || last.AckedEnd != 0 {
 		t.Errorf("after a suspension: %+v", last)
 	}
-	if err := s.tryStart(s.address(), aqdecider.Start{Worker: "w1"}); !errors.Is(err, ErrTooLate) {
+	if err := s.tryStart(s.address(), aqdecider.Start{Worker: "w1"}); !errors.Is(err, aqworker.ErrTooLate) {
 		t.Errorf("a start after a suspension: %v", err)
 	}
-	if a.permitted(5) {
+	if a.Permitted(5) {
 		t.Error("the agent still has a permit")
 	}
 }
@@ -239,36 +240,36 @@
 // A permit starts when the acknowledged answer was sent, not when the poll arrives: after
 // a pause the agent receives polls that were sent long ago.
 func TestLatePollGivesNoPermit(t *testing.T) {
-	clock := instantClock{Fake: aqclock.NewFake()}
-	a := newAgent(&fakeWorkers{}, clock, aqlog.Discard(), aqmetric.New())
+	clock := aqclock.NewInstant()
+	a := New(&fakeWorkers{}, clock, aqlog.Discard(), aqmetric.New())
 	poll := func(acked uint64) uint64 {
 		t.Helper()
-		answer, err := a.Poll(context.Background(), pollCall{Fence: 5, AckedAnswer: acked})
+		answer, err := a.Poll(context.Background(), PollCall{Fence: 5, AckedAnswer: acked})
 		if err != nil {
 			t.Fatal(err)
 		}
 		return answer.Number
 	}
 	first := poll(0)
-	if a.permitted(5) {
+	if a.Permitted(5) {
 		t.Fatal("a permit before the leader has acknowledged an answer")
 	}
 	second := poll(first)
-	if !a.permitted(5) {
+	if !a.Permitted(5) {
 		t.Fatal("no permit after an answer was received")
 	}
-	clock.Suspend(permitTime)
+	clock.Suspend(PermitTime)
 	lost := poll(second)
-	if a.permitted(5) {
+	if a.Permitted(5) {
 		t.Fatal("a delayed poll renewed the permit")
 	}
 	poll(second)
-	if a.permitted(5) {
+	if a.Permitted(5) {
 		t.Fatal("a poll renewed the permit though an answer was lost")
 	}
 	third := poll(lost)
 	poll(third)
-	if !a.permitted(5) {
+	if !a.Permitted(5) {
 		t.Fatal("no permit once answers are received again")
 	}
 }
--- a/pkg/aqsite/agentwire.go
+++ b/internal/site/aqagent/wire.go
@@ -1,32 +1,50 @@
-package aqsite
+package aqagent
 
 import (
 	"time"
 
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
 )
 
 // Methods by which a leader has its agents manage workers.
 const (
-	methodOrders aqpeer.Method = "Agent.Orders"
-	methodPoll   aqpeer.Method = "Agent.Poll"
+	MethodOrders aqpeer.Method = "Agent.Orders"
+	MethodPoll   aqpeer.Method = "Agent.Poll"
 )
 
 // Serial numbers the assignments of workers to agents in one term. The leader drops
-// events of an earlier assignment.
+// events of an earlier Assignment.
 type Serial uint64
 
-// assignment makes an agent manage a worker.
-type assignment struct {
+// LeadRecord is the value of the lead key.
+type LeadRecord struct {
+	Node        string
+	Address     string
+	Incarnation int64
+	Term        int64
+}
+
+// CheckReport is a leader's report of its last check.
+type CheckReport struct {
+	// Config is the revision of the configuration that the check found current.
+	Config aqstore.Revision
+	// Age is the time since the check.
+	Age time.Duration
+}
+
+// Assignment makes an agent manage a worker.
+type Assignment struct {
 	Worker aqdecider.Worker
 	Serial Serial
-	Params heartbeatParams
+	Params HeartbeatParams
 }
 
-// heartbeatParams are the leader's parameters for the heartbeats to a worker.
-type heartbeatParams struct {
+// HeartbeatParams are the leader's parameters for the heartbeats to a worker.
+type HeartbeatParams struct {
 	Worker aqtype.WorkerID
 	// AckedEnd is the number of the last end that the leader acknowledges; the worker
 	// may discard the ends up to it. Incarnation is the incarnation of the worker that
@@ -35,66 +53,66 @@
 	Incarnation aqdecider.Incarnation
 	Wait        time.Duration
 	// Renew is set once the leader has received a report of the worker in this
-	// assignment. The agent does not renew the lease before, so that the leader knows
+	// Assignment. The agent does not renew the lease before, so that the leader knows
 	// when it expires.
 	Renew bool
 }
 
-// ordersCall gives assignments and orders to an agent. The leader makes one call at a
+// OrdersCall gives assignments and orders to an agent. The leader makes one call at a
 // time to one agent.
-type ordersCall struct {
-	Fence Fence
+type OrdersCall struct {
+	Fence aqworker.Fence
 	Lease time.Duration
 	// Assign is applied before Orders.
-	Assign []assignment
+	Assign []Assignment
 	Drop   []aqtype.WorkerID
-	Orders []orderWire
+	Orders []OrderWire
 }
 
-// pollCall asks an agent for its events. The agent holds the call for up to Wait until
+// PollCall asks an agent for its events. The agent holds the call for up to Wait until
 // it has one, but answers at once while it has no permit.
-type pollCall struct {
-	Fence Fence
+type PollCall struct {
+	Fence aqworker.Fence
 	// Leader is the calling leader. An agent that the store does not serve learns of a
 	// new leader from it.
-	Leader leadRecord
+	Leader LeadRecord
 	// AckedAnswer is the number of the last answer that the leader has received from the
-	// agent, zero before the first. The agent's permit lasts for permitTime from when it
+	// agent, zero before the first. The agent's permit lasts for PermitTime from when it
 	// sent that answer, not from the poll's arrival, since a poll may be delayed.
 	AckedAnswer uint64
 	// Checked reports the leader's last check, which the agent may count as its own.
-	Checked checkReport
-	Params  []heartbeatParams
+	Checked CheckReport
+	Params  []HeartbeatParams
 	Wait    time.Duration
 }
 
-type pollAnswer struct {
+type PollAnswer struct {
 	// Number identifies the answer. The leader's next poll acknowledges it.
 	Number uint64
-	Events []eventWire
+	Events []EventWire
 }
 
-// orderWire carries one order; exactly one of the pointers is set.
-type orderWire struct {
+// OrderWire carries one order; exactly one of the pointers is set.
+type OrderWire struct {
 	Start *aqdecider.Start `msgpack:",omitempty"`
 	Stop  *aqdecider.Stop  `msgpack:",omitempty"`
 	Pace  *aqdecider.Pace  `msgpack:",omitempty"`
 }
 
-func wrapOrder(o aqdecider.Order) orderWire {
+func WrapOrder(o aqdecider.Order) OrderWire {
 	switch order := o.(type) {
 	case aqdecider.Start:
-		return orderWire{Start: &order}
+		return OrderWire{Start: &order}
 	case aqdecider.Stop:
-		return orderWire{Stop: &order}
+		return OrderWire{Stop: &order}
 	case aqdecider.Pace:
-		return orderWire{Pace: &order}
+		return OrderWire{Pace: &order}
 	}
-	return orderWire{}
+	return OrderWire{}
 }
 
-// unwrap returns nil for an order of an unknown kind.
-func (w orderWire) unwrap() aqdecider.Order {
+// Unwrap returns nil for an order of an unknown kind.
+func (w OrderWire) Unwrap() aqdecider.Order {
 	switch {
 	case w.Start != nil:
 		return *w.Start
@@ -109,28 +127,28 @@
 // event is what an agent reports about a worker. Only the types below implement it.
 type event interface{ isEvent() }
 
-// reportReceived carries a worker's report.
-type reportReceived struct {
+// ReportReceived carries a worker's report.
+type ReportReceived struct {
 	Report aqdecider.WorkerReport
 }
 
-// unresponsive means that a worker does not answer.
-type unresponsive struct {
+// Unresponsive means that a worker does not answer.
+type Unresponsive struct {
 	// ExpiresIn is how long until the worker's lease has certainly expired, negative
 	// when the agent does not know.
 	ExpiresIn time.Duration
 }
 
-// startResult carries the outcome of an order to start.
-type startResult struct {
+// StartResult carries the outcome of an order to start.
+type StartResult struct {
 	Incarnation aqdecider.Incarnation
 	Run         aqdecider.RunID
 	Outcome     aqdecider.Outcome
 	At          aqdecider.LogicalTime
 }
 
-// stopResult carries the outcome of an order to stop.
-type stopResult struct {
+// StopResult carries the outcome of an order to stop.
+type StopResult struct {
 	Incarnation aqdecider.Incarnation
 	Run         aqdecider.RunID
 	// Answered is false when the worker has not confirmed the stop.
@@ -138,45 +156,45 @@
 	At       aqdecider.LogicalTime
 }
 
-// fenced means that the worker has received a higher fencing token.
-type fenced struct{}
+// Fenced means that the worker has received a higher fencing token.
+type Fenced struct{}
 
-func (reportReceived) isEvent() {}
-func (unresponsive) isEvent()   {}
-func (startResult) isEvent()    {}
-func (stopResult) isEvent()     {}
-func (fenced) isEvent()         {}
+func (ReportReceived) isEvent() {}
+func (Unresponsive) isEvent()   {}
+func (StartResult) isEvent()    {}
+func (StopResult) isEvent()     {}
+func (Fenced) isEvent()         {}
 
-// eventWire carries one event; exactly one of the pointers is set.
-type eventWire struct {
+// EventWire carries one event; exactly one of the pointers is set.
+type EventWire struct {
 	Worker       aqtype.WorkerID
 	Serial       Serial
-	Report       *reportReceived `msgpack:",omitempty"`
-	Unresponsive *unresponsive   `msgpack:",omitempty"`
-	StartResult  *startResult    `msgpack:",omitempty"`
-	StopResult   *stopResult     `msgpack:",omitempty"`
-	Fenced       *fenced         `msgpack:",omitempty"`
+	Report       *ReportReceived `msgpack:",omitempty"`
+	Unresponsive *Unresponsive   `msgpack:",omitempty"`
+	StartResult  *StartResult    `msgpack:",omitempty"`
+	StopResult   *StopResult     `msgpack:",omitempty"`
+	Fenced       *Fenced         `msgpack:",omitempty"`
 }
 
-func wrapEvent(worker aqtype.WorkerID, serial Serial, e event) eventWire {
-	w := eventWire{Worker: worker, Serial: serial}
+func WrapEvent(worker aqtype.WorkerID, serial Serial, e event) EventWire {
+	w := EventWire{Worker: worker, Serial: serial}
 	switch e := e.(type) {
-	case reportReceived:
+	case ReportReceived:
 		w.Report = &e
-	case unresponsive:
+	case Unresponsive:
 		w.Unresponsive = &e
-	case startResult:
+	case StartResult:
 		w.StartResult = &e
-	case stopResult:
+	case StopResult:
 		w.StopResult = &e
-	case fenced:
+	case Fenced:
 		w.Fenced = &e
 	}
 	return w
 }
 
-// unwrap returns nil for an event of an unknown kind.
-func (w eventWire) unwrap() event {
+// Unwrap returns nil for an event of an unknown kind.
+func (w EventWire) Unwrap() event {
 	switch {
 	case w.Report != nil:
 		return *w.Report
--- a/pkg/aqsite/agentwire_test.go
+++ b/internal/site/aqagent/wire_test.go
@@ -1,4 +1,4 @@
-package aqsite
+package aqagent
 
 import (
 	"fmt"
@@ -12,8 +12,8 @@
 )
 
 // busyAnswer returns an agent's answer with reports of workers that run 12 tasks each.
-func busyAnswer(workers int) pollAnswer {
-	var answer pollAnswer
+func busyAnswer(workers int) PollAnswer {
+	var answer PollAnswer
 	for n := range workers {
 		report := aqdecider.WorkerReport{Incarnation: 1_790_000_000_000, Sent: 200, Complete: true}
 		for index := range 12 {
@@ -33,7 +33,7 @@
 			})
 		}
 		id := aqtype.WorkerID(fmt.Sprintf("worker-%04d", n))
-		answer.Events = append(answer.Events, wrapEvent(id, 7, reportReceived{Report: report}))
+		answer.Events = append(answer.Events, WrapEvent(id, 7, ReportReceived{Report: report}))
 	}
 	return answer
 }
@@ -48,7 +48,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		var out pollAnswer
+		var out PollAnswer
 		if err := aqpeer.Unpack(data, &out); err != nil {
 			b.Fatal(err)
 		}
--- a/pkg/aqclock/clock.go
+++ b/pkg/aqclock/clock.go
@@ -115,3 +115,17 @@
 	}
 	f.timers = kept
 }
+
+// Instant is a fake clock whose waits end at once and advance it.
+type Instant struct{ *Fake }
+
+// NewInstant returns a clock that starts at an arbitrary fixed time.
+func NewInstant() Instant { return Instant{Fake: NewFake()} }
+
+// After implements Clock.
+func (c Instant) After(d time.Duration) <-chan time.Time {
+	c.Advance(d)
+	done := make(chan time.Time, 1)
+	done <- c.Now()
+	return done
+}
--- a/pkg/aqscheduler/commit.go
+++ b/pkg/aqscheduler/commit.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqjournal"
 	"acaciaquay/pkg/aqlog"
@@ -38,7 +39,7 @@
 		return false
 	}
 	s.open.records = append(s.open.records, record)
-	signal(s.wakeCommit)
+	aqsignal.Send(s.wakeCommit)
 	return true
 }
 
@@ -103,7 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing && len(s.open.records) > 0 {
-		signal(s.wakeCommit)
+		aqsignal.Send(s.wakeCommit)
 	}
 	return s.closing && len(s.open.records) == 0
 }
--- a/pkg/aqscheduler/offload.go
+++ b/pkg/aqscheduler/offload.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
 	"acaciaquay/pkg/aqplacement"
@@ -116,7 +117,7 @@
 		return r.keepQueued(d, reason)
 	}
 	if waited < offerAfter {
-		signal(s.wakePlan)
+		aqsignal.Send(s.wakePlan)
 		return r.keepQueued(d, reason)
 	}
 	to, ok := r.reservePeer(d.Size)
@@ -240,7 +241,7 @@
 	for _, g := range answer.Ended {
 		s.applyEnd(to, g)
 	}
-	signal(s.wakePlan)
+	aqsignal.Send(s.wakePlan)
 }
 
 // applyEnd decides on the reported end of an offloaded task. If the end is already
@@ -311,5 +312,5 @@
 			s.dequeue(key, len(w.Tasks))
 		}
 	}
-	signal(s.wakePlan)
+	aqsignal.Send(s.wakePlan)
 }
--- a/pkg/aqscheduler/plan.go
+++ b/pkg/aqscheduler/plan.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqconfig"
 	"acaciaquay/pkg/aqplacement"
 	"acaciaquay/pkg/aqplatform"
@@ -185,7 +186,7 @@
 func (r *round) place(queued aqplacement.QueuedTask) aqplacement.Verdict {
 	s := r.shard
 	if r.starts >= maxStartsPerRound || len(s.open.records) >= maxUncommitted {
-		signal(s.wakePlan)
+		aqsignal.Send(s.wakePlan)
 		return aqplacement.SkipTeam
 	}
 	d := queued.Demand
--- a/pkg/aqscheduler/shard.go
+++ b/pkg/aqscheduler/shard.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqconfig"
 	"acaciaquay/pkg/aqjournal"
@@ -372,7 +373,7 @@
 	s.mu.Lock()
 	s.closing = true
 	s.mu.Unlock()
-	signal(s.wakeCommit)
+	aqsignal.Send(s.wakeCommit)
 	select {
 	case <-s.runDone:
 	case <-ctx.Done():
@@ -394,14 +395,7 @@
 // RequestProof makes the commit loop prove ownership now, because a worker or a peer
 // knows a higher epoch. An owner that has nothing to commit would otherwise
 // notice only at the next periodic proof.
-func (s *Shard) RequestProof() { signal(s.wakeProve) }
-
-func signal(wake chan struct{}) {
-	select {
-	case wake <- struct{}{}:
-	default:
-	}
-}
+func (s *Shard) RequestProof() { aqsignal.Send(s.wakeProve) }
 
 // shardAttr returns the log attribute with the shard's number.
 func (s *Shard) shardAttr() slog.Attr { return slog.Int("Shard", int(s.options.ID)) }
--- a/pkg/aqscheduler/submit.go
+++ b/pkg/aqscheduler/submit.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
 	"acaciaquay/pkg/aqshard"
@@ -63,7 +64,7 @@
 	for i := range spec.TaskCount() {
 		s.enqueue(aqtype.TaskID{Workload: spec.Base().Key, Index: i}, time.Time{})
 	}
-	signal(s.wakePlan)
+	aqsignal.Send(s.wakePlan)
 	return nil
 }
 
--- a/pkg/aqscheduler/workers.go
+++ b/pkg/aqscheduler/workers.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqplatform"
 	"acaciaquay/pkg/aqsession"
@@ -177,7 +178,7 @@
 	}
 	s.throttled = true
 	s.recordKinds(id, s.options.Clock.Now())
-	signal(s.wakePlan)
+	aqsignal.Send(s.wakePlan)
 }
 
 // resendResize sends a task's size again in a new session. The order may have been lost
@@ -195,7 +196,7 @@
 	for _, r := range runs {
 		s.applyRun(id, r)
 	}
-	signal(s.wakePlan)
+	aqsignal.Send(s.wakePlan)
 }
 
 // Refused implements aqsession.Owner.
@@ -334,7 +335,7 @@
 	if t.State == aqshard.TaskQueued {
 		s.enqueue(id, now.Add(backoff(t.Failures, outcome)))
 	}
-	signal(s.wakePlan)
+	aqsignal.Send(s.wakePlan)
 }
 
 func backoff(failures int, outcome aqshard.Outcome) time.Duration {
--- a/pkg/aqsite/agentbalance.go
+++ b/pkg/aqsite/agentbalance.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqtype"
 )
@@ -76,7 +77,7 @@
 		p.assign(a, p.pickMember(a.worker, nil))
 		moved = append(moved, id)
 	}
-	m.pending = ordersCall{}
+	m.pending = aqagent.OrdersCall{}
 	p.mu.Unlock()
 	p.reportReassigned(moved)
 }
@@ -130,5 +131,5 @@
 // the leader: the agent renews leases until its permit ends, and the worker keeps
 // its tasks until its lease expires.
 func (p *agentPool) longestLease() time.Duration {
-	return permitTime + maxLeaseSpan(p.leader.leaseDuration())
+	return aqagent.PermitTime + aqagent.MaxLeaseSpan(p.leader.leaseDuration())
 }
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -5,6 +5,9 @@
 	"log/slog"
 	"time"
 
+	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
@@ -15,8 +18,8 @@
 
 // agentLink calls one agent.
 type agentLink interface {
-	Orders(ctx context.Context, call ordersCall) error
-	Poll(ctx context.Context, call pollCall) (pollAnswer, error)
+	Orders(ctx context.Context, call aqagent.OrdersCall) error
+	Poll(ctx context.Context, call aqagent.PollCall) (aqagent.PollAnswer, error)
 }
 
 // remoteLink calls an agent in another process.
@@ -26,15 +29,15 @@
 }
 
 // Orders implements agentLink.
-func (r remoteLink) Orders(ctx context.Context, call ordersCall) error {
+func (r remoteLink) Orders(ctx context.Context, call aqagent.OrdersCall) error {
 	var none struct{}
-	return r.peers.Call(ctx, r.address, methodOrders, call, &none)
+	return r.peers.Call(ctx, r.address, aqagent.MethodOrders, call, &none)
 }
 
 // Poll implements agentLink.
-func (r remoteLink) Poll(ctx context.Context, call pollCall) (pollAnswer, error) {
-	var answer pollAnswer
-	err := r.peers.Call(ctx, r.address, methodPoll, call, &answer)
+func (r remoteLink) Poll(ctx context.Context, call aqagent.PollCall) (aqagent.PollAnswer, error) {
+	var answer aqagent.PollAnswer
+	err := r.peers.Call(ctx, r.address, aqagent.MethodPoll, call, &answer)
 	return answer, err
 }
 
@@ -47,8 +50,8 @@
 		if a == nil || a.member == nil {
 			continue
 		}
-		a.member.pending.Orders = append(a.member.pending.Orders, wrapOrder(o))
-		signal(a.member.wakeSend)
+		a.member.pending.Orders = append(a.member.pending.Orders, aqagent.WrapOrder(o))
+		aqsignal.Send(a.member.wakeSend)
 	}
 }
 
@@ -62,7 +65,7 @@
 		}
 		p.mu.Lock()
 		call := m.pending
-		m.pending = ordersCall{}
+		m.pending = aqagent.OrdersCall{}
 		p.mu.Unlock()
 		if len(call.Assign)+len(call.Drop)+len(call.Orders) == 0 {
 			continue
@@ -82,13 +85,13 @@
 			aqclock.Sleep(m.ctx, p.leader.node.clock, retryPause)
 			continue
 		}
-		answer, err := m.link.Poll(m.ctx, pollCall{
+		answer, err := m.link.Poll(m.ctx, aqagent.PollCall{
 			Fence:       p.leader.fence,
 			Leader:      p.leader.record,
 			AckedAnswer: m.lastAnswer,
 			Checked:     p.leader.node.lastCheck(),
 			Params:      p.changedParams(m),
-			Wait:        pollWait,
+			Wait:        aqagent.PollWait,
 		})
 		if err != nil {
 			p.agentFailed(m, err)
@@ -159,19 +162,19 @@
 
 // changedParams returns the heartbeat parameters that have changed for a member's
 // workers.
-func (p *agentPool) changedParams(m *member) []heartbeatParams {
-	var changed []heartbeatParams
+func (p *agentPool) changedParams(m *member) []aqagent.HeartbeatParams {
+	var changed []aqagent.HeartbeatParams
 	p.leader.decide(func(d *aqdecider.Decider) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		for id, a := range m.workers {
-			h := heartbeatParams{Worker: id, Wait: heartbeatWaitIdle, Renew: a.renew}
+			h := aqagent.HeartbeatParams{Worker: id, Wait: aqagent.HeartbeatWaitIdle, Renew: a.renew}
 			h.AckedEnd, h.Incarnation = d.AckedEnds(id)
 			if d.Occupied(id) {
-				h.Wait = heartbeatWaitBusy
+				h.Wait = aqagent.HeartbeatWaitBusy
 			}
 			if d.NeedsFrequentHeartbeats(id) {
-				h.Wait = heartbeatWaitTail
+				h.Wait = aqagent.HeartbeatWaitTail
 			}
 			if h != a.params {
 				a.params = h
@@ -183,7 +186,7 @@
 }
 
 // applyEvents passes a member's events on to the decider.
-func (p *agentPool) applyEvents(m *member, events []eventWire) {
+func (p *agentPool) applyEvents(m *member, events []aqagent.EventWire) {
 	if len(events) == 0 {
 		return
 	}
@@ -194,33 +197,33 @@
 				continue
 			}
 			id := wire.Worker
-			switch e := wire.unwrap().(type) {
-			case reportReceived:
+			switch e := wire.Unwrap().(type) {
+			case aqagent.ReportReceived:
 				p.workerAnswered(id)
 				d.WorkerReported(id, e.Report)
-			case unresponsive:
+			case aqagent.Unresponsive:
 				d.WorkerUnresponsive(id)
 				p.workerUnresponsive(d, id, e)
-			case startResult:
+			case aqagent.StartResult:
 				d.StartAnswered(id, e.Incarnation, e.Run, e.Outcome, e.At)
-			case stopResult:
+			case aqagent.StopResult:
 				if e.Answered {
 					d.StopAnswered(id, e.Incarnation, e.Run, e.At)
 				} else {
 					d.StopUnanswered(id, e.Incarnation, e.Run)
 				}
-			case fenced:
+			case aqagent.Fenced:
 				deposed = true
 			}
 		}
 	})
 	if deposed {
-		p.leader.lose(ErrFenced)
+		p.leader.lose(aqworker.ErrFenced)
 	}
 }
 
 // isCurrent reports whether an event belongs to the worker's current assignment.
-func (p *agentPool) isCurrent(m *member, wire eventWire) bool {
+func (p *agentPool) isCurrent(m *member, wire aqagent.EventWire) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.assignments[wire.Worker]
@@ -240,7 +243,7 @@
 
 // workerUnresponsive assigns an unresponsive worker to another member, which may
 // reach it.
-func (p *agentPool) workerUnresponsive(d *aqdecider.Decider, id aqtype.WorkerID, e unresponsive) {
+func (p *agentPool) workerUnresponsive(d *aqdecider.Decider, id aqtype.WorkerID, e aqagent.Unresponsive) {
 	p.mu.Lock()
 	a := p.assignments[id]
 	if a == nil || a.member == nil {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqtype"
 )
@@ -35,7 +37,7 @@
 	wakePoll chan struct{}
 
 	// pending is the content of the next orders call.
-	pending  ordersCall
+	pending  aqagent.OrdersCall
 	wakeSend chan struct{}
 }
 
@@ -43,7 +45,7 @@
 type workerAssignment struct {
 	worker aqdecider.Worker
 	member *member
-	serial Serial
+	serial aqagent.Serial
 	// leaseExpiresAt is when the lease has certainly expired, set while no agent
 	// reaches the worker and zero otherwise.
 	leaseExpiresAt time.Time
@@ -51,7 +53,7 @@
 	tried map[string]bool
 	// renew is set once the worker has answered in this assignment.
 	renew  bool
-	params heartbeatParams
+	params aqagent.HeartbeatParams
 }
 
 // agentPool assigns workers to agents. Its lock may be taken while the leader's is
@@ -66,7 +68,7 @@
 	// changes counts the changes of the members.
 	changes     uint64
 	assignments map[aqtype.WorkerID]*workerAssignment
-	serial      Serial
+	serial      aqagent.Serial
 }
 
 func newAgentPool(l *leader) *agentPool {
@@ -110,7 +112,7 @@
 			loop(m)
 		}()
 	}
-	signal(p.leader.wakeStore)
+	aqsignal.Send(p.leader.wakeStore)
 	return true
 }
 
@@ -208,12 +210,12 @@
 		p.assign(a, p.pickMember(w, nil))
 		return
 	}
-	a.member.pending.Assign = append(a.member.pending.Assign, assignment{
+	a.member.pending.Assign = append(a.member.pending.Assign, aqagent.Assignment{
 		Worker: w,
 		Serial: a.serial,
 		Params: a.params,
 	})
-	signal(a.member.wakeSend)
+	aqsignal.Send(a.member.wakeSend)
 }
 
 // assignUnassigned assigns the workers that no member manages.
@@ -253,7 +255,7 @@
 		a.member.assigned--
 		delete(a.member.workers, a.worker.ID)
 		a.member.pending.Drop = append(a.member.pending.Drop, a.worker.ID)
-		signal(a.member.wakeSend)
+		aqsignal.Send(a.member.wakeSend)
 	}
 	a.member = to
 	a.params.Renew = false
@@ -265,13 +267,13 @@
 	a.serial = p.serial
 	to.assigned++
 	to.workers[a.worker.ID] = a
-	signal(to.wakePoll)
-	to.pending.Assign = append(to.pending.Assign, assignment{
+	aqsignal.Send(to.wakePoll)
+	to.pending.Assign = append(to.pending.Assign, aqagent.Assignment{
 		Worker: a.worker,
 		Serial: a.serial,
 		Params: a.params,
 	})
-	signal(to.wakeSend)
+	aqsignal.Send(to.wakeSend)
 }
 
 // removeWorker ends the assignment of a worker and removes it.
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqtype"
@@ -22,21 +23,21 @@
 	before := l.agents.assignments["w1"].serial
 	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
 	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}})
-	m.pending = ordersCall{}
+	m.pending = aqagent.OrdersCall{}
 	l.decide(func(d *aqdecider.Decider) {
 		d.UpdateWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
-		l.agents.workerUnresponsive(d, "w1", unresponsive{ExpiresIn: time.Second})
+		l.agents.workerUnresponsive(d, "w1", aqagent.Unresponsive{ExpiresIn: time.Second})
 	})
 	clock.Advance(2 * time.Second)
 	l.decide(l.agents.expireLeases)
 	if after := l.agents.assignments["w1"].serial; after <= before {
-		t.Fatalf("lease expired, but the assignment number is still %d", after)
+		t.Fatalf("lease expired, but the aqagent.Assignment number is still %d", after)
 	}
 	if len(m.pending.Drop) != 1 || len(m.pending.Assign) != 1 {
-		t.Fatalf("the agent gets %+v, want one drop and one assignment", m.pending)
+		t.Fatalf("the agent gets %+v, want one drop and one aqagent.Assignment", m.pending)
 	}
-	if l.agents.isCurrent(m, eventWire{Worker: "w1", Serial: before}) {
-		t.Fatal("events of the previous assignment are applied")
+	if l.agents.isCurrent(m, aqagent.EventWire{Worker: "w1", Serial: before}) {
+		t.Fatal("events of the previous aqagent.Assignment are applied")
 	}
 }
 
--- a/pkg/aqsite/check.go
+++ b/pkg/aqsite/check.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqstore"
 )
 
@@ -56,28 +58,20 @@
 	}
 }
 
-// checkReport is a leader's report of its last check.
-type checkReport struct {
-	// Config is the revision of the configuration that the check found current.
-	Config aqstore.Revision
-	// Age is the time since the check.
-	Age time.Duration
-}
-
 // lastCheck returns the report of the last check for the agents.
-func (n *Node) lastCheck() checkReport {
-	return checkReport{Config: n.configRevision.get(), Age: n.clock.Now().Sub(n.checkedAt.get())}
+func (n *Node) lastCheck() aqagent.CheckReport {
+	return aqagent.CheckReport{Config: n.configRevision.get(), Age: n.clock.Now().Sub(n.checkedAt.get())}
 }
 
 // applyCheckReport counts a leader's check as this process's own when both know the
 // same configuration. When the leader knows a newer configuration, it triggers a
 // check at once.
-func (n *Node) applyCheckReport(report checkReport) {
+func (n *Node) applyCheckReport(report aqagent.CheckReport) {
 	switch seen := n.configRevision.get(); {
 	case report.Config == seen:
 		n.checkedAt.set(n.clock.Now().Add(-report.Age))
 	case report.Config > seen:
-		signal(n.checkNow)
+		aqsignal.Send(n.checkNow)
 	}
 }
 
@@ -123,6 +117,6 @@
 		l.lose(errors.Errorf("lead key changed at revision %d", currentLead))
 	}
 	if currentLead != lead {
-		signal(n.leadKeyChanged)
+		aqsignal.Send(n.leadKeyChanged)
 	}
 }
--- a/pkg/aqsite/check_test.go
+++ b/pkg/aqsite/check_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqstore"
 )
 
@@ -51,13 +52,13 @@
 func TestLeadersCheckSparesOthers(t *testing.T) {
 	for _, test := range []struct {
 		name   string
-		report checkReport
+		report aqagent.CheckReport
 		want   time.Duration
 	}{
-		{name: "fresh", report: checkReport{Config: 3, Age: 100 * time.Millisecond}, want: checkPeriod - 100*time.Millisecond},
-		{name: "old", report: checkReport{Config: 3, Age: time.Minute}, want: 0},
-		{name: "older configuration", report: checkReport{Config: 2}, want: 0},
-		{name: "newer configuration", report: checkReport{Config: 4}, want: 0},
+		{name: "fresh", report: aqagent.CheckReport{Config: 3, Age: 100 * time.Millisecond}, want: checkPeriod - 100*time.Millisecond},
+		{name: "old", report: aqagent.CheckReport{Config: 3, Age: time.Minute}, want: 0},
+		{name: "older configuration", report: aqagent.CheckReport{Config: 2}, want: 0},
+		{name: "newer configuration", report: aqagent.CheckReport{Config: 4}, want: 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			n, clock := testNode(t, newFakeStore())
--- a/pkg/aqsite/commit.go
+++ b/pkg/aqsite/commit.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -31,7 +32,7 @@
 		}
 		if err := l.storeFleet(ctx); err != nil {
 			l.commitFailed(ctx, err)
-			signal(l.wakeStore)
+			aqsignal.Send(l.wakeStore)
 			continue
 		}
 		if !l.urgent() {
--- a/pkg/aqsite/directory_test.go
+++ b/pkg/aqsite/directory_test.go
@@ -4,6 +4,7 @@
 	"reflect"
 	"testing"
 
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
@@ -56,7 +57,7 @@
 		}, nil
 	}
 	n.catalog.WorkerIDOf = func(key string) string { return key }
-	l := n.newLeader(1, leadRecord{Node: "n1"}, clock.Elapsed())
+	l := n.newLeader(1, aqagent.LeadRecord{Node: "n1"}, clock.Elapsed())
 	before := []aqstore.Item{entry("workers/1", 5, "ready")}
 	l.applyWorkerSnapshot(before, 5)
 	l.applyWorkerEvent(aqstore.Event{Item: entry("workers/1", 7, "draining")})
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -41,14 +43,6 @@
 // term.
 const attemptsPerTerm = 1 << 12
 
-// leadRecord is the value of the lead key.
-type leadRecord struct {
-	Node        string
-	Address     string
-	Incarnation int64
-	Term        int64
-}
-
 // termRecord is the value of the term key.
 type termRecord struct {
 	Term int64
@@ -130,32 +124,32 @@
 // observeLead records the current value of the lead key.
 func (n *Node) observeLead(leadItem aqstore.Item) {
 	n.leadRevision.set(leadItem.ModRevision)
-	var record *leadRecord
+	var record *aqagent.LeadRecord
 	if len(leadItem.Value) > 0 {
-		record = &leadRecord{}
+		record = &aqagent.LeadRecord{}
 		if err := decode(leadItem.Value, record); err != nil {
 			n.ignoreEntry(leadKey, err)
 			record = nil
 		}
 	}
 	n.mu.Lock()
-	if Fence(leadItem.ModRevision) < n.seenFence && record != nil {
+	if aqworker.Fence(leadItem.ModRevision) < n.seenFence && record != nil {
 		n.mu.Unlock()
 		return
 	}
 	changed := record != nil && (n.seenLeader == nil || *n.seenLeader != *record)
 	n.seenLeader = record
-	n.seenFence = max(n.seenFence, Fence(leadItem.ModRevision))
+	n.seenFence = max(n.seenFence, aqworker.Fence(leadItem.ModRevision))
 	n.mu.Unlock()
 	if changed {
 		n.log.Write(aqlog.LeaderSeen, slog.String("Leader", record.Node), slog.Int64("Term", record.Term),
-			slog.Int64("Fence", int64(leadItem.ModRevision)))
+			slog.Int64("aqworker.Fence", int64(leadItem.ModRevision)))
 	}
 }
 
 // learnLeader records a leader from its own poll, which may arrive before the
 // store's watch reports the leader.
-func (n *Node) learnLeader(record leadRecord, fence Fence) {
+func (n *Node) learnLeader(record aqagent.LeadRecord, fence aqworker.Fence) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if fence > n.seenFence {
@@ -171,7 +165,7 @@
 	if len(leadItem.Value) == 0 {
 		return true
 	}
-	var record leadRecord
+	var record aqagent.LeadRecord
 	if err := decode(leadItem.Value, &record); err != nil {
 		return true
 	}
@@ -225,7 +219,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	lead := leadRecord{
+	lead := aqagent.LeadRecord{
 		Node:        n.settings.Name,
 		Address:     n.settings.PeerAddress,
 		Incarnation: n.incarnation,
@@ -256,10 +250,10 @@
 	return n.newLeader(revision, lead, proofAt), lease, nil
 }
 
-func (n *Node) newLeader(revision aqstore.Revision, record leadRecord, proofAt time.Duration) *leader {
+func (n *Node) newLeader(revision aqstore.Revision, record aqagent.LeadRecord, proofAt time.Duration) *leader {
 	l := &leader{
 		node:            n,
-		fence:           Fence(revision),
+		fence:           aqworker.Fence(revision),
 		record:          record,
 		leadKeyRevision: revision,
 		proofAt:         proofAt,
@@ -278,7 +272,7 @@
 		}),
 	}
 	l.agents = newAgentPool(l)
-	n.log.Write(aqlog.LeadershipAcquired, slog.Int64("Term", record.Term), slog.Int64("Fence", int64(revision)))
+	n.log.Write(aqlog.LeadershipAcquired, slog.Int64("Term", record.Term), slog.Int64("aqworker.Fence", int64(revision)))
 	n.metrics.Inc(aqmetric.LeadTerms)
 	return l
 }
@@ -301,7 +295,7 @@
 	n.current = nil
 	n.mu.Unlock()
 	if ctx.Err() == nil {
-		n.log.Write(aqlog.LeadershipLost, slog.Int64("Fence", int64(l.fence)), aqlog.Err(err))
+		n.log.Write(aqlog.LeadershipLost, slog.Int64("aqworker.Fence", int64(l.fence)), aqlog.Err(err))
 		return
 	}
 	n.releaseLead(lease)
--- a/pkg/aqsite/fake_test.go
+++ b/pkg/aqsite/fake_test.go
@@ -112,34 +112,9 @@
 func (s *fakeStore) KeepAlive(context.Context, aqstore.LeaseID) error              { return nil }
 func (s *fakeStore) Revoke(context.Context, aqstore.LeaseID) error                 { return nil }
 
-// fakeWorkers answers each call with a function.
-type fakeWorkers struct {
-	heartbeat func(HeartbeatRequest) (HeartbeatAnswer, error)
-	start     func(StartRequest) error
-	stop      func(StopRequest) error
-}
-
-func (f *fakeWorkers) Heartbeat(_ context.Context, _ Address, r HeartbeatRequest) (HeartbeatAnswer, error) {
-	return f.heartbeat(r)
-}
-
-func (f *fakeWorkers) Start(_ context.Context, _ Address, r StartRequest) error { return f.start(r) }
-func (f *fakeWorkers) Stop(_ context.Context, _ Address, r StopRequest) error   { return f.stop(r) }
-func (f *fakeWorkers) Pace(context.Context, Address, PaceRequest) error         { return nil }
-
-// instantClock is a fake clock whose waits end at once and advance it.
-type instantClock struct{ *aqclock.Fake }
-
-func (c instantClock) After(d time.Duration) <-chan time.Time {
-	c.Advance(d)
-	done := make(chan time.Time, 1)
-	done <- c.Now()
-	return done
-}
-
-func testNode(t *testing.T, store aqstore.Store) (*Node, instantClock) {
+func testNode(t *testing.T, store aqstore.Store) (*Node, aqclock.Instant) {
 	t.Helper()
-	clock := instantClock{Fake: aqclock.NewFake()}
+	clock := aqclock.NewInstant()
 	n := NewNode(Options{
 		Catalog: Catalog{WorkerPrefix: "workers/"},
 		Settings: Settings{
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -188,7 +189,7 @@
 		return err
 	}
 	l.fleetRevision = currentRevision(conflict, fleetKey)
-	signal(l.wakeStore)
+	aqsignal.Send(l.wakeStore)
 	return nil
 }
 
--- a/pkg/aqsite/intake_test.go
+++ b/pkg/aqsite/intake_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstandin"
 	"acaciaquay/pkg/aqstore"
@@ -145,14 +146,14 @@
 	failingStore := newFakeStore()
 	failingStore.fault = func(aqstore.Txn) (error, bool) { return aqstore.ErrUnknown, false }
 	n, _ := testNode(t, failingStore)
-	n.learnLeader(leadRecord{Node: "leader", Address: address}, 9)
+	n.learnLeader(aqagent.LeadRecord{Node: "leader", Address: address}, 9)
 	if err := n.Submit(context.Background(), testJob()); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := store.Get(context.Background(), jobKey(testJob().ID)); err != nil {
 		t.Fatalf("the leader has not stored the job: %v", err)
 	}
-	if n.learnLeader(leadRecord{Node: "old", Address: "127.0.0.1:1"}, 8); n.leaderAddress() != address {
+	if n.learnLeader(aqagent.LeadRecord{Node: "old", Address: "127.0.0.1:1"}, 8); n.leaderAddress() != address {
 		t.Fatal("a poll of an earlier leader replaced the newer leader")
 	}
 }
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -8,6 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -39,9 +42,9 @@
 // leader is one term of leadership.
 type leader struct {
 	node  *Node
-	fence Fence
+	fence aqworker.Fence
 	// record is the value of the lead key.
-	record leadRecord
+	record aqagent.LeadRecord
 	// leadKeyRevision is the revision of the lead key in this term.
 	leadKeyRevision aqstore.Revision
 
@@ -121,17 +124,10 @@
 	l.decider.SetTime(l.node.clock.Now(), l.node.wallTime())
 	change(l.decider)
 	if l.decider.HasWork() {
-		signal(l.wakeTick)
+		aqsignal.Send(l.wakeTick)
 	}
 	if l.decider.Dirty() {
-		signal(l.wakeStore)
-	}
-}
-
-func signal(wake chan struct{}) {
-	select {
-	case wake <- struct{}{}:
-	default:
+		aqsignal.Send(l.wakeStore)
 	}
 }
 
@@ -174,11 +170,6 @@
 	return l.lost
 }
 
-// maxLeaseSpan is the longest time that a lease can last by this process's clock.
-func maxLeaseSpan(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease)/(1-clockDrift)) + expiryMargin
-}
-
 // watchJobs follows submissions, cancellations and the lead key.
 func (l *leader) watchJobs(ctx context.Context, from aqstore.Revision) {
 	l.node.watchPrefix(ctx, prefixWatch{
--- a/pkg/aqsite/leader_test.go
+++ b/pkg/aqsite/leader_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
@@ -21,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return n.newLeader(revision, leadRecord{Node: "n1"}, n.clock.Elapsed())
+	return n.newLeader(revision, aqagent.LeadRecord{Node: "n1"}, n.clock.Elapsed())
 }
 
 func addCancelledJob(l *leader) {
@@ -138,7 +139,8 @@
 		t.Fatal(err)
 	}
 	// The loops that recovery starts must not advance the clock.
-	n.clock, n.agent.clock = clock.Fake, clock.Fake
+	n.clock = clock.Fake
+	n.agent = aqagent.New(n.workers, clock.Fake, n.log, n.metrics)
 	l := lead(t, n, store)
 	if _, current := l.pending(testJob().Queue.ID); current {
 		t.Fatal("leader counts jobs before they are read")
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -10,6 +10,8 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
@@ -37,7 +39,7 @@
 type Options struct {
 	Settings Settings
 	Store    aqstore.Store
-	Workers  Workers
+	Workers  aqworker.Client
 	// Advisor is nil where there is no advice service.
 	Advisor Advisor
 	Catalog Catalog
@@ -52,7 +54,7 @@
 type Node struct {
 	settings    Settings
 	store       aqstore.Store
-	workers     Workers
+	workers     aqworker.Client
 	advisor     Advisor
 	catalog     Catalog
 	clock       aqclock.Clock
@@ -62,7 +64,7 @@
 
 	server *aqpeer.Server
 	peers  *aqpeer.Pool
-	agent  *agent
+	agent  *aqagent.Agent
 	routes routes
 	// configRevision and leadRevision are the last known revisions of the configuration
 	// and of the lead key; a lead key that does not exist has revision zero.
@@ -80,9 +82,9 @@
 	current *leader
 	// seenLeader is the leader that the lead key or a leader's poll last named, nil while
 	// the lead key names none.
-	seenLeader *leadRecord
+	seenLeader *aqagent.LeadRecord
 	// seenFence is the highest fencing token of a leader that the lead key or a poll named.
-	seenFence Fence
+	seenFence aqworker.Fence
 	stopping  bool
 
 	storeDown     atomic.Bool
@@ -93,7 +95,7 @@
 // Timeouts of calls between processes.
 const (
 	peerDialTimeout = 400 * time.Millisecond
-	// peerCallTimeout is longer than pollWait.
+	// peerCallTimeout is longer than aqagent.PollWait.
 	peerCallTimeout = 1200 * time.Millisecond
 )
 
@@ -114,14 +116,14 @@
 		server:         aqpeer.NewServer(o.Log, o.Metrics),
 		peers:          aqpeer.NewPool(aqpeer.ClientTimeouts{Dial: peerDialTimeout, Call: peerCallTimeout}),
 	}
-	n.agent = newAgent(n.workers, n.clock, n.log, n.metrics)
-	n.agent.onPoll = func(call pollCall) {
+	n.agent = aqagent.New(n.workers, n.clock, n.log, n.metrics)
+	n.agent.OnPoll = func(call aqagent.PollCall) {
 		n.learnLeader(call.Leader, call.Fence)
-		if n.agent.permitted(call.Fence) {
+		if n.agent.Permitted(call.Fence) {
 			n.applyCheckReport(call.Checked)
 		}
 	}
-	n.agent.registerHandlers(n.server)
+	n.agent.RegisterHandlers(n.server)
 	n.registerHandlers()
 	return n
 }
@@ -158,7 +160,7 @@
 
 // Close ends the agent's sessions and the calls between processes.
 func (n *Node) Close() {
-	n.agent.stop()
+	n.agent.Stop()
 	n.server.Stop()
 	n.peers.Close()
 }
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
@@ -90,7 +91,7 @@
 
 // acknowledged records that an agent has answered a poll of this leader. Once the last
 // one has, no agent renews a lease for an earlier leader any more, so all leases that
-// this leader does not renew end within maxLeaseSpan.
+// this leader does not renew end within aqagent.MaxLeaseSpan.
 func (l *leader) acknowledged(name string) {
 	l.mu.Lock()
 	waited := l.unacknowledged[name]
@@ -100,7 +101,7 @@
 	if !last {
 		return
 	}
-	leasesEnd := l.node.clock.Now().Add(maxLeaseSpan(l.leaseDuration()))
+	leasesEnd := l.node.clock.Now().Add(aqagent.MaxLeaseSpan(l.leaseDuration()))
 	l.decide(func(d *aqdecider.Decider) { d.LimitReportWait(leasesEnd) })
 }
 
--- a/pkg/aqsite/view.go
+++ b/pkg/aqsite/view.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 )
@@ -18,7 +19,7 @@
 	// Leader is empty while none is known.
 	Leader        string
 	Term          int64
-	Fence         Fence
+	Fence         aqworker.Fence
 	StoreServes   bool
 	ConfigVersion int64
 	Ready         bool
--- a/pkg/aqsite/watchprobe.go
+++ b/pkg/aqsite/watchprobe.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqstore"
 )
@@ -59,6 +60,6 @@
 		l.node.log.Write(aqlog.WatchStalled, slog.Bool("Deaf", overdue))
 	}
 	if overdue {
-		signal(l.resync)
+		aqsignal.Send(l.resync)
 	}
 }
