Send payloads once, reports as differences, and acknowledgements at once

Each start carried its job's payload (1.2 kB), each heartbeat's answer was passed to the leader in full, and a worker answers at once while it has ends that the leader has not acknowledged, so the same ends and runs crossed the wire every 90 ms until the next poll brought the acknowledgement.

Change: an agent keeps the payload of a job; the leader sends it with the job's first start there. A worker's report is reduced to what it changes (Difference), measurements at most every 0.25 or 0.9 s, everything every 10 s. Acknowledgements go out as soon as the ends are stored, and a heartbeat waits for them up to 0.2 s.

TestIdleWorkerIsToldOnce: a worker that is expected to run tasks is now reported once an interval and not with every heartbeat; the test advances the clock by that interval and has a case that advances it by half.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -8,6 +8,8 @@
 	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
@@ -45,8 +47,10 @@
 	answers    uint64
 	answeredAt time.Duration
 	sessions   map[aqtype.WorkerID]*session
-	events     []EventWire
-	wake       chan struct{}
+	// payloads holds what the tasks of jobs are started with, as the leader sent it.
+	payloads map[aqjob.ID]string
+	events   []EventWire
+	wake     chan struct{}
 	// OnPoll is called with every accepted poll.
 	OnPoll func(PollCall)
 }
@@ -59,6 +63,7 @@
 		log:      log,
 		metrics:  metrics,
 		sessions: map[aqtype.WorkerID]*session{},
+		payloads: map[aqjob.ID]string{},
 		wake:     make(chan struct{}, 1),
 	}
 }
@@ -86,6 +91,7 @@
 		s.cancel()
 		delete(a.sessions, id)
 	}
+	a.payloads = map[aqjob.ID]string{}
 	a.events = nil
 }
 
@@ -117,18 +123,51 @@
 	for _, next := range call.Assign {
 		a.assign(next)
 	}
+	a.setParams(call.Params)
+	for _, id := range call.Forget {
+		delete(a.payloads, id)
+	}
+	for _, p := range call.Payloads {
+		a.payloads[p.Job] = p.Payload
+	}
 	for _, wire := range call.Orders {
 		order := wire.Unwrap()
 		if order == nil {
 			continue
 		}
 		if s := a.sessions[order.Target()]; s != nil {
-			s.send(order)
+			a.order(s, order)
 		}
 	}
 	return nil
 }
 
+// order passes an order to a session. A start whose payload is missing is refused, so
+// that the leader sends the payload again. The caller holds the lock.
+func (a *Agent) order(s *session, o aqdecider.Order) {
+	start, isStart := o.(aqdecider.Start)
+	if !isStart {
+		s.send(o)
+		return
+	}
+	payload, known := a.payloads[start.Run.Task.Job]
+	if !known {
+		a.addEvent(s, s.refuseStart(start))
+		return
+	}
+	start.Payload = payload
+	s.send(start)
+}
+
+// setParams applies the leader's parameters. The caller holds the lock.
+func (a *Agent) setParams(params []HeartbeatParams) {
+	for _, p := range params {
+		if s := a.sessions[p.Worker]; s != nil {
+			s.setParams(p)
+		}
+	}
+}
+
 // assign starts or updates a session. The caller holds the lock.
 func (a *Agent) assign(next Assignment) {
 	id := next.Worker.ID
@@ -150,6 +189,7 @@
 		params: next.Params,
 		ctx:    ctx,
 		cancel: cancel,
+		acked:  make(chan struct{}, 1),
 	}
 	a.sessions[id] = s
 	go s.run()
@@ -194,11 +234,7 @@
 	if call.AckedAnswer == a.answers {
 		a.permitAt = a.answeredAt
 	}
-	for _, p := range call.Params {
-		if s := a.sessions[p.Worker]; s != nil {
-			s.setParams(p)
-		}
-	}
+	a.setParams(call.Params)
 	return nil
 }
 
@@ -209,13 +245,18 @@
 }
 
 // emit queues an event for the leader, unless the session has ended.
-func (a *Agent) emit(s *session, e event) {
+func (a *Agent) emit(s *session, e Event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.addEvent(s, e)
+}
+
+// addEvent is emit for callers that hold the lock.
+func (a *Agent) addEvent(s *session, e Event) {
 	if a.sessions[s.id] != s {
 		return
 	}
-	a.events = append(a.events, WrapEvent(s.id, s.serial, e))
+	a.events = append(a.events, wrapEvent(s.id, s.serial, e))
 	aqsignal.Send(a.wake)
 }
 
--- /dev/null
+++ b/internal/site/aqagent/difference.go
@@ -0,0 +1,223 @@
+package aqagent
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Slot is a short name of one run within the differences of one session.
+type Slot uint32
+
+// Measurements are the values of a run that change while it runs.
+type Measurements struct {
+	// Checkpoint is empty when it has not changed.
+	Checkpoint string
+	Percent    int
+	Tail       time.Duration
+	Usage      aqtype.MilliCPU
+}
+
+// NewRun is a run that the last difference of the session did not include.
+type NewRun struct {
+	Slot         Slot
+	Run          aqdecider.RunID
+	Measurements Measurements
+}
+
+// ChangedRun holds new measurements of a run.
+type ChangedRun struct {
+	Slot         Slot
+	Measurements Measurements
+}
+
+// Difference is what a worker's report changes against the last one of the same session.
+type Difference struct {
+	Incarnation aqdecider.Incarnation
+	Sent        aqdecider.LogicalTime
+	Complete    bool
+	// Whole is set when New lists every run, whatever earlier differences said.
+	Whole   bool
+	New     []NewRun
+	Changed []ChangedRun
+	Gone    []Slot
+	// Ended lists the ends that no earlier difference of the session included.
+	Ended []aqdecider.EndReport
+}
+
+// wholeReportInterval is the interval between differences that list every run.
+const wholeReportInterval = 10 * time.Second
+
+// reportDiffer reduces the reports of one session to differences. It is used under the
+// session's lock.
+type reportDiffer struct {
+	incarnation aqdecider.Incarnation
+	listed      map[aqdecider.RunID]*listedRun
+	lastSlot    Slot
+	// lastEnd is the highest number of an end that a difference has included.
+	lastEnd int
+	// sent is the logical time of the last report that became a difference, zero when
+	// the next one must list every run.
+	sent       aqdecider.LogicalTime
+	wholeAt    time.Time
+	measuredAt time.Time
+}
+
+type listedRun struct {
+	slot   Slot
+	report aqdecider.RunReport
+	// seen is the logical time of the last report that included the run.
+	seen aqdecider.LogicalTime
+}
+
+// reset makes the next difference list every run.
+func (f *reportDiffer) reset() { f.sent = 0 }
+
+// difference returns what the leader does not know of a report yet. Unless forced, it
+// returns false when that is nothing, or nothing but measurements and the last ones were
+// sent less than interval ago.
+func (f *reportDiffer) difference(
+	report aqdecider.WorkerReport, now time.Time, interval time.Duration, force bool,
+) (Difference, bool) {
+	out := Difference{
+		Incarnation: report.Incarnation,
+		Sent:        report.Sent,
+		Complete:    report.Complete,
+	}
+	if f.sent == 0 || report.Incarnation != f.incarnation || now.Sub(f.wholeAt) >= wholeReportInterval {
+		out.Whole = true
+		f.wholeAt = now
+		f.listed = make(map[aqdecider.RunID]*listedRun, len(report.Running))
+		if f.sent == 0 || report.Incarnation != f.incarnation {
+			f.lastEnd = 0
+		}
+		f.incarnation = report.Incarnation
+	}
+	measure := now.Sub(f.measuredAt) >= interval
+	for _, r := range report.Running {
+		f.add(&out, r, report.Sent, measure)
+	}
+	for run, known := range f.listed {
+		if known.seen != report.Sent {
+			out.Gone = append(out.Gone, known.slot)
+			delete(f.listed, run)
+		}
+	}
+	slices.Sort(out.Gone)
+	for _, e := range report.Ended {
+		if e.Number > f.lastEnd {
+			out.Ended = append(out.Ended, e)
+		}
+	}
+	for _, e := range out.Ended {
+		f.lastEnd = max(f.lastEnd, e.Number)
+	}
+	if !force && !out.Whole && !measure && len(out.New)+len(out.Gone)+len(out.Ended) == 0 {
+		return Difference{}, false
+	}
+	if out.Whole || measure {
+		f.measuredAt = now
+	}
+	f.sent = report.Sent
+	return out, true
+}
+
+// add adds one run of a report to a difference.
+func (f *reportDiffer) add(out *Difference, r aqdecider.RunReport, sent aqdecider.LogicalTime, measure bool) {
+	known := f.listed[r.Run]
+	if known == nil {
+		f.lastSlot++
+		f.listed[r.Run] = &listedRun{slot: f.lastSlot, report: r, seen: sent}
+		out.New = append(out.New, NewRun{
+			Slot: f.lastSlot,
+			Run:  r.Run,
+			Measurements: Measurements{
+				Checkpoint: r.Checkpoint,
+				Percent:    r.Percent,
+				Tail:       r.Tail,
+				Usage:      r.Usage,
+			},
+		})
+		return
+	}
+	known.seen = sent
+	if !measure || known.report == r {
+		return
+	}
+	changed := Measurements{
+		Percent: r.Percent,
+		Tail:    r.Tail,
+		Usage:   r.Usage,
+	}
+	if r.Checkpoint != known.report.Checkpoint {
+		changed.Checkpoint = r.Checkpoint
+	}
+	known.report = r
+	out.Changed = append(out.Changed, ChangedRun{Slot: known.slot, Measurements: changed})
+}
+
+// ErrNoBase means that a difference refers to a run that no earlier one has named.
+var ErrNoBase = errors.New("agent: difference without its base")
+
+// Listing rebuilds the reports of one assignment from their differences.
+type Listing struct {
+	// runs are ordered by slot.
+	runs []slotRun
+	// begun is set by the first difference that lists every run.
+	begun bool
+}
+
+type slotRun struct {
+	slot   Slot
+	report aqdecider.RunReport
+}
+
+// Apply applies the next difference and returns the report that it stands for. After
+// ErrNoBase only a new assignment brings the listing up to date.
+func (l *Listing) Apply(d Difference) (aqdecider.WorkerReport, error) {
+	if d.Whole {
+		l.runs = l.runs[:0]
+		l.begun = true
+	}
+	if !l.begun {
+		return aqdecider.WorkerReport{}, ErrNoBase
+	}
+	if len(d.Gone) > 0 {
+		l.runs = slices.DeleteFunc(l.runs, func(r slotRun) bool { return slices.Contains(d.Gone, r.slot) })
+	}
+	for _, c := range d.Changed {
+		position, known := slices.BinarySearchFunc(l.runs, c.Slot, func(r slotRun, slot Slot) int { return cmp.Compare(r.slot, slot) })
+		if !known {
+			return aqdecider.WorkerReport{}, ErrNoBase
+		}
+		c.Measurements.applyTo(&l.runs[position].report)
+	}
+	for _, n := range d.New {
+		r := slotRun{slot: n.Slot, report: aqdecider.RunReport{Run: n.Run}}
+		n.Measurements.applyTo(&r.report)
+		l.runs = append(l.runs, r)
+	}
+	report := aqdecider.WorkerReport{
+		Incarnation: d.Incarnation,
+		Running:     make([]aqdecider.RunReport, 0, len(l.runs)),
+		Ended:       d.Ended,
+		Sent:        d.Sent,
+		Complete:    d.Complete,
+	}
+	for _, r := range l.runs {
+		report.Running = append(report.Running, r.report)
+	}
+	return report, nil
+}
+
+func (m Measurements) applyTo(r *aqdecider.RunReport) {
+	r.Percent, r.Tail, r.Usage = m.Percent, m.Tail, m.Usage
+	if m.Checkpoint != "" {
+		r.Checkpoint = m.Checkpoint
+	}
+}
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -18,7 +17,6 @@
 func (s *session) send(o aqdecider.Order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.idleReportedAt = time.Time{}
 	if _, isStop := o.(aqdecider.Stop); isStop {
 		s.queue = append([]aqdecider.Order{o}, s.queue...)
 	} else {
@@ -102,13 +100,23 @@
 	})
 }
 
+// refuseStart returns the outcome of a start that is not sent to the worker.
+func (s *session) refuseStart(order aqdecider.Start) StartResult {
+	s.agent.metrics.Retried(aqmetric.RetryPayloadMissing)
+	return StartResult{
+		Incarnation: s.address().Worker.Incarnation,
+		Run:         order.Run,
+		Outcome:     aqdecider.OutcomeNotSent,
+		At:          s.recordOrderDone(),
+	}
+}
+
 // recordOrderDone records that a start or stop was answered or abandoned, and returns
 // the logical time.
 func (s *session) recordOrderDone() aqdecider.LogicalTime {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.orderDoneAt = s.nextLogicalTime()
-	s.idleReportedAt = time.Time{}
 	return s.orderDoneAt
 }
 
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
@@ -30,6 +31,9 @@
 	// heartbeatPause is the pause between two heartbeats, so that one answer reports
 	// all runs that ended meanwhile.
 	heartbeatPause = 90 * time.Millisecond
+	// maxAckWait limits the pause while the leader has not acknowledged all reported
+	// ends. A worker answers at once while it has such ends.
+	maxAckWait = 200 * time.Millisecond
 	// heartbeatRetry is the pause after a failed heartbeat.
 	heartbeatRetry = 150 * time.Millisecond
 	// orderTimeout limits one attempt to deliver an order.
@@ -88,14 +92,33 @@
 	// orderDoneAt is the logical time at which the last start or stop was answered or
 	// abandoned.
 	orderDoneAt aqdecider.LogicalTime
-	// idleReportedAt is when the agent last reported to the leader that the worker runs
-	// nothing, zero when something may have changed since.
-	idleReportedAt time.Time
+	// differ holds what the leader knows of the worker's reports.
+	differ reportDiffer
+	// lastEnd is the highest number of an end that this incarnation has reported.
+	lastEnd int
+	// acked wakes the heartbeat that waits for the acknowledgement of ends.
+	acked chan struct{}
 }
 
-// idleReportInterval is the interval between reports of a worker that runs nothing, is
-// not expected to run anything, and has had no orders since the last report.
-const idleReportInterval = 10 * time.Second
+// Intervals of the reports in which nothing but measurements has changed: of a worker
+// that runs nothing and has had no orders, of one that runs tasks, and while the leader
+// follows the tail latency of its tasks.
+const (
+	idleReportInterval = 10 * time.Second
+	busyReportInterval = 900 * time.Millisecond
+	tailReportInterval = 250 * time.Millisecond
+)
+
+// reportInterval returns the interval for the wait of the heartbeats.
+func reportInterval(wait time.Duration) time.Duration {
+	switch {
+	case wait <= HeartbeatWaitTail:
+		return tailReportInterval
+	case wait < HeartbeatWaitIdle:
+		return busyReportInterval
+	}
+	return idleReportInterval
+}
 
 // clockReading is a worker's clock at a local time. The worker read its clock before
 // that time.
@@ -133,12 +156,24 @@
 func (s *session) setParams(p HeartbeatParams) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if p.Number < s.params.Number {
+		return
+	}
+	if p.Wait < HeartbeatWaitIdle && s.params.Wait >= HeartbeatWaitIdle {
+		s.differ.reset()
+	}
 	s.params = p
-	if p.Wait < HeartbeatWaitIdle {
-		s.idleReportedAt = time.Time{}
+	if s.endsAcked() {
+		aqsignal.Send(s.acked)
 	}
 }
 
+// endsAcked reports whether the leader has acknowledged all reported ends. The caller
+// holds the lock.
+func (s *session) endsAcked() bool {
+	return s.params.Incarnation == s.worker.Incarnation && s.params.AckedEnd >= s.lastEnd
+}
+
 // resetIncarnation drops what was known of an earlier incarnation, and the queued
 // orders to start or pace runs in it. Orders to stop apply to every incarnation. The
 // caller holds the lock.
@@ -149,7 +184,8 @@
 		_, isStop := o.(aqdecider.Stop)
 		return !isStop
 	})
-	s.idleReportedAt = time.Time{}
+	s.differ.reset()
+	s.lastEnd = 0
 }
 
 // nextLogicalTime advances the logical time and returns it. The caller holds the lock.
@@ -167,11 +203,27 @@
 // run sends heartbeats to the worker until the session ends.
 func (s *session) run() {
 	for s.ctx.Err() == nil {
-		pause := heartbeatPause
 		if !s.heartbeat() {
-			pause = heartbeatRetry
+			aqclock.Sleep(s.ctx, s.agent.clock, heartbeatRetry)
+			continue
 		}
-		aqclock.Sleep(s.ctx, s.agent.clock, pause)
+		aqclock.Sleep(s.ctx, s.agent.clock, heartbeatPause)
+		s.awaitAck()
+	}
+}
+
+// awaitAck waits up to maxAckWait in all for the acknowledgement of the reported ends.
+func (s *session) awaitAck() {
+	s.mu.Lock()
+	acked := s.endsAcked()
+	s.mu.Unlock()
+	if acked {
+		return
+	}
+	select {
+	case <-s.ctx.Done():
+	case <-s.acked:
+	case <-s.agent.clock.After(maxAckWait - heartbeatPause):
 	}
 }
 
@@ -240,27 +292,16 @@
 		// Another agent may have renewed the lease until now.
 		s.leaseEnd = answer.Clock + aqworker.Time(s.lease)
 	}
-	reported := s.alreadyReported(answer.Report)
-	s.mu.Unlock()
-	if !reported {
-		s.agent.emit(s, ReportReceived{Report: answer.Report})
+	for _, e := range answer.Report.Ended {
+		s.lastEnd = max(s.lastEnd, e.Number)
 	}
-}
-
-// alreadyReported reports whether the leader already knows what a report says: that the
-// worker runs nothing. The caller holds the lock.
-func (s *session) alreadyReported(r aqdecider.WorkerReport) bool {
-	now := s.agent.clock.Now()
-	ordersDone := s.inFlight == 0 && len(s.queue) == 0 && r.Sent > s.orderDoneAt
-	if !ordersDone || len(r.Running) > 0 || len(r.Ended) > 0 || s.params.Wait < HeartbeatWaitIdle {
-		s.idleReportedAt = time.Time{}
-		return false
-	}
-	if !s.idleReportedAt.IsZero() && now.Sub(s.idleReportedAt) < idleReportInterval {
-		return true
+	// The leader waits for a report of the time after an order.
+	afterOrder := answer.Report.Sent > s.orderDoneAt && s.differ.sent <= s.orderDoneAt
+	difference, news := s.differ.difference(answer.Report, s.agent.clock.Now(), reportInterval(s.params.Wait), afterOrder)
+	s.mu.Unlock()
+	if news {
+		s.agent.emit(s, ReportReceived{Difference: difference})
 	}
-	s.idleReportedAt = now
-	return false
 }
 
 func (s *session) heartbeatFailed(to aqworker.Address, err error) {
@@ -277,7 +318,7 @@
 		return
 	}
 	s.failedHeartbeats++
-	s.idleReportedAt = time.Time{}
+	s.differ.reset()
 	failed := s.failedHeartbeats
 	expiresIn := time.Duration(-1)
 	if s.workerClock.known {
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -10,6 +10,7 @@
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
@@ -33,6 +34,7 @@
 		agent:  a,
 		ctx:    ctx,
 		cancel: cancel,
+		acked:  make(chan struct{}, 1),
 		worker: aqdecider.Worker{ID: "w1", Incarnation: 1},
 		params: HeartbeatParams{Worker: "w1", Wait: time.Second},
 	}
@@ -141,7 +143,8 @@
 }
 
 // An agent reports a worker that runs nothing only once, until an order, a failure or
-// expected tasks make the leader wait for a new report.
+// expected tasks make the leader wait for a new report. Expected tasks do so once a
+// busyReportInterval.
 func TestIdleWorkerIsToldOnce(t *testing.T) {
 	fail := false
 	workers := &fakeWorkers{
@@ -156,11 +159,13 @@
 	for _, test := range []struct {
 		name   string
 		params HeartbeatParams
+		pause  time.Duration
 		event  func(*session)
 		want   int
 	}{
 		{name: "nothing happens", params: HeartbeatParams{Wait: HeartbeatWaitIdle}, want: 1},
 		{name: "tasks are expected", params: HeartbeatParams{Wait: HeartbeatWaitBusy}, want: 3},
+		{name: "tasks are expected soon", params: HeartbeatParams{Wait: HeartbeatWaitBusy}, pause: busyReportInterval / 2, want: 2},
 		{
 			name:   "an order is answered",
 			params: HeartbeatParams{Wait: HeartbeatWaitIdle},
@@ -179,14 +184,20 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			s, a, _ := testSession(t, workers)
+			s, a, clock := testSession(t, workers)
+			pause := busyReportInterval
+			if test.pause > 0 {
+				pause = test.pause
+			}
 			s.setParams(test.params)
 			s.heartbeat()
 			if test.event != nil {
 				test.event(s)
 			}
-			s.heartbeat()
-			s.heartbeat()
+			for range 2 {
+				clock.Advance(pause)
+				s.heartbeat()
+			}
 			if got := len(a.events); got != test.want {
 				t.Errorf("%d events, want %d", got, test.want)
 			}
@@ -273,3 +284,73 @@
 		t.Fatal("no permit once answers are received again")
 	}
 }
+
+// An agent starts a task with the payload that the leader sent before, and refuses a start
+// without one, so that the leader sends it again.
+func TestStartNeedsItsPayload(t *testing.T) {
+	s, a, _ := testSession(t, &fakeWorkers{})
+	s.inFlight = maxOrdersInFlight
+	start := func(job aqjob.ID) OrderWire {
+		return WrapOrder(aqdecider.Start{Worker: "w1", Run: aqdecider.RunID{Task: aqjob.TaskID{Job: job}}, Payload: "x"})
+	}
+	for _, call := range []OrdersCall{
+		{Payloads: []JobPayload{{Job: "j1", Payload: "one"}}, Orders: []OrderWire{start("j1"), start("j2")}},
+		{Orders: []OrderWire{start("j1")}},
+		{Forget: []aqjob.ID{"j1"}, Orders: []OrderWire{start("j1")}},
+	} {
+		call.Fence = 5
+		if err := a.Orders(context.Background(), call); err != nil {
+			t.Fatal(err)
+		}
+	}
+	queued := 0
+	for _, o := range s.queue {
+		if o.(aqdecider.Start).Payload != "one" {
+			t.Errorf("queued %+v", o)
+		}
+		queued++
+	}
+	refused := 0
+	for _, e := range a.events {
+		if e.StartResult != nil && e.StartResult.Outcome == aqdecider.OutcomeNotSent {
+			refused++
+		}
+	}
+	if queued != 2 || refused != 2 {
+		t.Errorf("%d starts queued and %d refused, want 2 and 2", queued, refused)
+	}
+}
+
+// An agent does not ask a worker again at once while the leader has not acknowledged the
+// worker's ends, and goes on as soon as it has.
+func TestHeartbeatWaitsForTheAcknowledgement(t *testing.T) {
+	workers := &fakeWorkers{heartbeat: func(aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
+		return aqworker.HeartbeatAnswer{Report: aqdecider.WorkerReport{
+			Incarnation: 1,
+			Ended:       []aqdecider.EndReport{{Number: 3, Reason: aqdecider.EndDone}},
+			Complete:    true,
+		}}, nil
+	}}
+	s, _, clock := testSession(t, workers)
+	waited := func() time.Duration {
+		before := clock.Now()
+		s.awaitAck()
+		return clock.Now().Sub(before)
+	}
+	s.setParams(HeartbeatParams{Worker: "w1", Number: 1, Incarnation: 1})
+	if got := waited(); got != 0 {
+		t.Errorf("waited %s without unacknowledged ends", got)
+	}
+	s.heartbeat()
+	if got := waited(); got != maxAckWait-heartbeatPause {
+		t.Errorf("waited %s for an acknowledgement that does not come", got)
+	}
+	s.setParams(HeartbeatParams{Worker: "w1", Number: 2, Incarnation: 1, AckedEnd: 3})
+	if got := waited(); got != 0 {
+		t.Errorf("waited %s after the acknowledgement", got)
+	}
+	s.setParams(HeartbeatParams{Worker: "w1", Number: 1, Incarnation: 1, AckedEnd: 2})
+	if s.params.AckedEnd != 3 {
+		t.Error("parameters that were overtaken have been applied")
+	}
+}
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -5,6 +5,7 @@
 
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqpeer"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
@@ -17,7 +18,7 @@
 )
 
 // Serial numbers the assignments of workers to agents in one term. The leader drops
-// events of an earlier Assignment.
+// events of an earlier assignment.
 type Serial uint64
 
 // LeadRecord is the value of the lead key.
@@ -46,6 +47,9 @@
 // HeartbeatParams are the leader's parameters for the heartbeats to a worker.
 type HeartbeatParams struct {
 	Worker aqtype.WorkerID
+	// Number orders the parameters of one assignment: polls and orders calls carry them
+	// and may overtake each other.
+	Number uint64
 	// AckedEnd is the number of the last end that the leader acknowledges; the worker
 	// may discard the ends up to it. Incarnation is the incarnation of the worker that
 	// numbered them.
@@ -53,7 +57,7 @@
 	Incarnation aqdecider.Incarnation
 	Wait        time.Duration
 	// Renew is set once the leader has received a report of the worker in this
-	// Assignment. The agent does not renew the lease before, so that the leader knows
+	// assignment. The agent does not renew the lease before, so that the leader knows
 	// when it expires.
 	Renew bool
 }
@@ -66,7 +70,18 @@
 	// Assign is applied before Orders.
 	Assign []Assignment
 	Drop   []aqtype.WorkerID
-	Orders []OrderWire
+	Params []HeartbeatParams
+	// Payloads are applied before Orders. They belong to jobs that the agent has no
+	// payload of; it keeps them until Forget names the job.
+	Payloads []JobPayload
+	Forget   []aqjob.ID
+	Orders   []OrderWire
+}
+
+// JobPayload is what the tasks of a job are started with.
+type JobPayload struct {
+	Job     aqjob.ID
+	Payload string
 }
 
 // PollCall asks an agent for its events. The agent holds the call for up to Wait until
@@ -83,25 +98,45 @@
 	// Checked reports the leader's last check, which the agent may count as its own.
 	Checked CheckReport
 	Params  []HeartbeatParams
+	// Pending are the leader's counts of jobs that have not started.
+	Pending PendingCounts
 	Wait    time.Duration
 }
 
+// PendingCounts holds the number of jobs of each queue of which no task has started.
+type PendingCounts struct {
+	// Known is unset when the leader has not counted.
+	Known bool
+	// Queues lists the queues with a count above zero.
+	Queues []QueueCount
+}
+
+// QueueCount is the number of a queue's jobs of which no task has started.
+type QueueCount struct {
+	Queue aqjob.QueueID
+	Count int
+}
+
+// PollAnswer holds the events since the last answer.
 type PollAnswer struct {
 	// Number identifies the answer. The leader's next poll acknowledges it.
 	Number uint64
 	Events []EventWire
 }
 
-// OrderWire carries one order; exactly one of the pointers is set.
+// OrderWire carries one order; exactly one of the pointers is set. A start carries no
+// payload.
 type OrderWire struct {
 	Start *aqdecider.Start `msgpack:",omitempty"`
 	Stop  *aqdecider.Stop  `msgpack:",omitempty"`
 	Pace  *aqdecider.Pace  `msgpack:",omitempty"`
 }
 
+// WrapOrder returns the wire form of an order, without the payload of a start.
 func WrapOrder(o aqdecider.Order) OrderWire {
 	switch order := o.(type) {
 	case aqdecider.Start:
+		order.Payload = ""
 		return OrderWire{Start: &order}
 	case aqdecider.Stop:
 		return OrderWire{Stop: &order}
@@ -124,12 +159,12 @@
 	return nil
 }
 
-// event is what an agent reports about a worker. Only the types below implement it.
-type event interface{ isEvent() }
+// Event is what an agent reports about a worker. Only the types below implement it.
+type Event interface{ isEvent() }
 
-// ReportReceived carries a worker's report.
+// ReportReceived carries what a worker's report changes.
 type ReportReceived struct {
-	Report aqdecider.WorkerReport
+	Difference Difference
 }
 
 // Unresponsive means that a worker does not answer.
@@ -176,7 +211,7 @@
 	Fenced       *Fenced         `msgpack:",omitempty"`
 }
 
-func WrapEvent(worker aqtype.WorkerID, serial Serial, e event) EventWire {
+func wrapEvent(worker aqtype.WorkerID, serial Serial, e Event) EventWire {
 	w := EventWire{Worker: worker, Serial: serial}
 	switch e := e.(type) {
 	case ReportReceived:
@@ -194,7 +229,7 @@
 }
 
 // Unwrap returns nil for an event of an unknown kind.
-func (w EventWire) Unwrap() event {
+func (w EventWire) Unwrap() Event {
 	switch {
 	case w.Report != nil:
 		return *w.Report
--- a/internal/site/aqagent/wire_test.go
+++ b/internal/site/aqagent/wire_test.go
@@ -33,7 +33,9 @@
 			})
 		}
 		id := aqtype.WorkerID(fmt.Sprintf("worker-%04d", n))
-		answer.Events = append(answer.Events, WrapEvent(id, 7, ReportReceived{Report: report}))
+		var differ reportDiffer
+		difference, _ := differ.difference(report, time.Unix(1_800_000_000, 0), 0, false)
+		answer.Events = append(answer.Events, wrapEvent(id, 7, ReportReceived{Difference: difference}))
 	}
 	return answer
 }
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -236,6 +236,10 @@
 	return d.unstartedJobs[queue]
 }
 
+// PendingByQueue returns the counts above zero of all queues. The caller must not change
+// or keep the result.
+func (d *Decider) PendingByQueue() map[aqjob.QueueID]int { return d.unstartedJobs }
+
 // countUnstarted changes the number of a queue's unstarted jobs.
 func (d *Decider) countUnstarted(queue aqjob.QueueID, change int) {
 	d.unstartedJobs[queue] += change
--- a/pkg/aqdecider/records.go
+++ b/pkg/aqdecider/records.go
@@ -1,6 +1,8 @@
 package aqdecider
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"acaciaquay/pkg/aqjob"
@@ -104,6 +106,11 @@
 	}
 }
 
+// WorkersWithEnds lists the workers of whose ends the batch includes the effects.
+func (b Batch) WorkersWithEnds() []aqtype.WorkerID {
+	return slices.Sorted(maps.Keys(b.ends))
+}
+
 // AckedEnds returns the number up to which a worker may discard its ends, and the
 // incarnation for which it holds.
 func (d *Decider) AckedEnds(id aqtype.WorkerID) (int, Incarnation) {
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -73,6 +73,8 @@
 	RetryLeaderLost     RetryReason = "LeaderLost"
 	RetryWatchReset     RetryReason = "WatchReset"
 	RetryAgentLost      RetryReason = "AgentLost"
+	RetryPayloadMissing RetryReason = "PayloadMissing"
+	RetryReportBase     RetryReason = "ReportBaseMissing"
 )
 
 // RetryReasons lists every retry reason. BudgetSpent counts the retries that
@@ -81,6 +83,7 @@
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
 	RetryStartUnknown, RetryStopLost, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
+	RetryPayloadMissing, RetryReportBase,
 }
 
 // Counter names a counter without a reason.
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -10,6 +10,7 @@
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
@@ -43,6 +44,7 @@
 
 // dispatch queues orders for the agents of their workers.
 func (p *agentPool) dispatch(orders []aqdecider.Order) {
+	now := p.leader.node.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range orders {
@@ -50,6 +52,9 @@
 		if a == nil || a.member == nil {
 			continue
 		}
+		if start, isStart := o.(aqdecider.Start); isStart {
+			a.member.payloads.add(&a.member.pending, start, now)
+		}
 		a.member.pending.Orders = append(a.member.pending.Orders, aqagent.WrapOrder(o))
 		aqsignal.Send(a.member.wakeSend)
 	}
@@ -67,7 +72,7 @@
 		call := m.pending
 		m.pending = aqagent.OrdersCall{}
 		p.mu.Unlock()
-		if len(call.Assign)+len(call.Drop)+len(call.Orders) == 0 {
+		if len(call.Assign)+len(call.Drop)+len(call.Params)+len(call.Orders) == 0 {
 			continue
 		}
 		call.Fence = p.leader.fence
@@ -91,6 +96,7 @@
 			AckedAnswer: m.lastAnswer,
 			Checked:     p.leader.node.lastCheck(),
 			Params:      p.changedParams(m),
+			Pending:     p.leader.pendingCounts(),
 			Wait:        aqagent.PollWait,
 		})
 		if err != nil {
@@ -167,24 +173,58 @@
 	p.leader.decide(func(d *aqdecider.Decider) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		for id, a := range m.workers {
-			h := aqagent.HeartbeatParams{Worker: id, Wait: aqagent.HeartbeatWaitIdle, Renew: a.renew}
-			h.AckedEnd, h.Incarnation = d.AckedEnds(id)
-			if d.Occupied(id) {
-				h.Wait = aqagent.HeartbeatWaitBusy
-			}
-			if d.NeedsFrequentHeartbeats(id) {
-				h.Wait = aqagent.HeartbeatWaitTail
-			}
-			if h != a.params {
-				a.params = h
-				changed = append(changed, h)
+		for _, a := range m.workers {
+			if a.updateParams(d) {
+				changed = append(changed, a.params)
 			}
 		}
 	})
 	return changed
 }
 
+// updateParams updates the heartbeat parameters of a worker and reports whether they have
+// changed. The caller holds the pool's lock.
+func (a *workerAssignment) updateParams(d *aqdecider.Decider) bool {
+	id := a.worker.ID
+	h := aqagent.HeartbeatParams{
+		Worker: id,
+		Number: a.params.Number,
+		Wait:   aqagent.HeartbeatWaitIdle,
+		Renew:  a.renew,
+	}
+	h.AckedEnd, h.Incarnation = d.AckedEnds(id)
+	if d.Occupied(id) {
+		h.Wait = aqagent.HeartbeatWaitBusy
+	}
+	if d.NeedsFrequentHeartbeats(id) {
+		h.Wait = aqagent.HeartbeatWaitTail
+	}
+	if h == a.params {
+		return false
+	}
+	h.Number++
+	a.params = h
+	return true
+}
+
+// sendAcks sends the agents of workers the acknowledgements of their stored ends. An agent
+// may hold its poll until something ends, and a worker answers every heartbeat at once
+// until its ends are acknowledged.
+func (p *agentPool) sendAcks(ids []aqtype.WorkerID) {
+	p.leader.decide(func(d *aqdecider.Decider) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, id := range ids {
+			a := p.assignments[id]
+			if a == nil || a.member == nil || !a.updateParams(d) {
+				continue
+			}
+			a.member.pending.Params = append(a.member.pending.Params, a.params)
+			aqsignal.Send(a.member.wakeSend)
+		}
+	})
+}
+
 // applyEvents passes a member's events on to the decider.
 func (p *agentPool) applyEvents(m *member, events []aqagent.EventWire) {
 	if len(events) == 0 {
@@ -199,12 +239,14 @@
 			id := wire.Worker
 			switch e := wire.Unwrap().(type) {
 			case aqagent.ReportReceived:
-				p.workerAnswered(id)
-				d.WorkerReported(id, e.Report)
+				p.reportReceived(d, id, e.Difference)
 			case aqagent.Unresponsive:
 				d.WorkerUnresponsive(id)
 				p.workerUnresponsive(d, id, e)
 			case aqagent.StartResult:
+				if e.Outcome == aqdecider.OutcomeNotSent {
+					p.payloadMissing(m, e.Run.Task.Job)
+				}
 				d.StartAnswered(id, e.Incarnation, e.Run, e.Outcome, e.At)
 			case aqagent.StopResult:
 				if e.Answered {
@@ -230,15 +272,33 @@
 	return a != nil && a.member == m && a.serial == wire.Serial
 }
 
-// workerAnswered records that a worker has answered.
-func (p *agentPool) workerAnswered(id aqtype.WorkerID) {
+// reportReceived rebuilds a worker's report and passes it on to the decider. A difference
+// without its base makes the worker's agent report everything again.
+func (p *agentPool) reportReceived(d *aqdecider.Decider, id aqtype.WorkerID, difference aqagent.Difference) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if a := p.assignments[id]; a != nil {
-		a.leaseExpiresAt = time.Time{}
-		a.tried = nil
-		a.renew = true
+	a := p.assignments[id]
+	report, err := a.listing.Apply(difference)
+	if err != nil {
+		a.leaseExpiresAt = p.leader.node.clock.Now().Add(p.longestLease())
+		p.assign(a, a.member)
+		p.mu.Unlock()
+		p.leader.node.metrics.Retried(aqmetric.RetryReportBase)
+		d.WorkerReassigned(id)
+		return
 	}
+	a.leaseExpiresAt = time.Time{}
+	a.tried = nil
+	a.renew = true
+	p.mu.Unlock()
+	d.WorkerReported(id, report)
+}
+
+// payloadMissing records that a member did not start a task, possibly for want of the
+// payload.
+func (p *agentPool) payloadMissing(m *member, id aqjob.ID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.payloads.missing(id)
 }
 
 // workerUnresponsive assigns an unresponsive worker to another member, which may
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -38,6 +38,7 @@
 
 	// pending is the content of the next orders call.
 	pending  aqagent.OrdersCall
+	payloads payloadLedger
 	wakeSend chan struct{}
 }
 
@@ -54,6 +55,8 @@
 	// renew is set once the worker has answered in this assignment.
 	renew  bool
 	params aqagent.HeartbeatParams
+	// listing is what the worker runs according to the reports of this assignment.
+	listing aqagent.Listing
 }
 
 // agentPool assigns workers to agents. Its lock may be taken while the leader's is
@@ -260,6 +263,7 @@
 	a.member = to
 	a.params.Renew = false
 	a.renew = false
+	a.listing = aqagent.Listing{}
 	if to == nil {
 		return
 	}
--- a/pkg/aqsite/commit.go
+++ b/pkg/aqsite/commit.go
@@ -97,6 +97,7 @@
 		return
 	}
 	l.decide(func(d *aqdecider.Decider) { d.BatchStored(batch) })
+	l.agents.sendAcks(batch.WorkersWithEnds())
 	l.node.metrics.Observe(aqmetric.TimeCommit, l.node.clock.Now().Sub(started))
 }
 
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -226,22 +226,6 @@
 	return aqjob.StateQueued, nil
 }
 
-// Pending counts a queue's jobs of which no task has started.
-func (n *Node) Pending(ctx context.Context, queue aqjob.QueueID) (int, error) {
-	if l := n.leading(); l != nil {
-		if count, current := l.pending(queue); current {
-			return count, nil
-		}
-		return 0, ErrOutcomeUnknown
-	}
-	var answer pendingAnswer
-	if err := n.callLeader(ctx, methodPending, pendingCall{Queue: queue}, &answer); err != nil {
-		n.metrics.Refused(aqmetric.RefusedNoLeader)
-		return 0, errors.WithMessage(ErrOutcomeUnknown, err.Error())
-	}
-	return answer.Count, nil
-}
-
 // registerHandlers registers the handlers of calls by other processes.
 func (n *Node) registerHandlers() {
 	aqpeer.Handle(n.server, methodCommit, n.handleCommit)
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -66,6 +66,8 @@
 	peers  *aqpeer.Pool
 	agent  *aqagent.Agent
 	routes routes
+	// pendingJobs are the leader's counts for submitters.
+	pendingJobs pendingCounts
 	// configRevision and leadRevision are the last known revisions of the configuration
 	// and of the lead key; a lead key that does not exist has revision zero.
 	configRevision maxRevision
@@ -121,6 +123,7 @@
 		n.learnLeader(call.Leader, call.Fence)
 		if n.agent.Permitted(call.Fence) {
 			n.applyCheckReport(call.Checked)
+			n.pendingJobs.set(call.Pending, n.clock.Elapsed())
 		}
 	}
 	n.agent.RegisterHandlers(n.server)
