--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -143,7 +143,7 @@
 	n.mu.Unlock()
 	if changed {
 		n.log.Write(aqlog.LeaderSeen, slog.String("Leader", record.Node), slog.Int64("Term", record.Term),
-			slog.Int64("aqworker.Fence", int64(leadItem.ModRevision)))
+			slog.Int64("Fence", int64(leadItem.ModRevision)))
 	}
 }
 
@@ -272,7 +272,7 @@
 		}),
 	}
 	l.agents = newAgentPool(l)
-	n.log.Write(aqlog.LeadershipAcquired, slog.Int64("Term", record.Term), slog.Int64("aqworker.Fence", int64(revision)))
+	n.log.Write(aqlog.LeadershipAcquired, slog.Int64("Term", record.Term), slog.Int64("Fence", int64(revision)))
 	n.metrics.Inc(aqmetric.LeadTerms)
 	return l
 }
@@ -295,7 +295,7 @@
 	n.current = nil
 	n.mu.Unlock()
 	if ctx.Err() == nil {
-		n.log.Write(aqlog.LeadershipLost, slog.Int64("aqworker.Fence", int64(l.fence)), aqlog.Err(err))
+		n.log.Write(aqlog.LeadershipLost, slog.Int64("Fence", int64(l.fence)), aqlog.Err(err))
 		return
 	}
 	n.releaseLead(lease)
