Contain panics, and pass over stored values that cannot be right

Cause, by reading: a stored progress with an empty occurrence made restore dereference nil, which ended the leader's process and every next leader's; a fleet list that cannot be decoded kept a leader from recovering; a panic in a peer's call, a loop or a session ended the process.

Change: progress is validated when it is decoded and against its job; without a fleet list a leader waits until every lease has expired; internal/base/aqguard contains panics of calls, loops and sessions, counts them and logs event 105. A panic in a leader's loop ends its term.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"acaciaquay/internal/base/aqguard"
 	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
@@ -35,6 +36,7 @@
 	clock   aqclock.Clock
 	log     *aqlog.Logger
 	metrics *aqmetric.Set
+	guard   aqguard.Guard
 
 	mu    sync.Mutex
 	fence aqworker.Fence
@@ -62,6 +64,7 @@
 		clock:    clock,
 		log:      log,
 		metrics:  metrics,
+		guard:    aqguard.New(log, metrics),
 		sessions: map[aqtype.WorkerID]*session{},
 		payloads: map[aqjob.ID]string{},
 		wake:     make(chan struct{}, 1),
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -26,7 +26,13 @@
 		return
 	}
 	s.inFlight++
-	go s.deliverOrders()
+	go func() {
+		if err := s.agent.guard.Run("delivery of orders", s.deliverOrders); err != nil {
+			s.mu.Lock()
+			s.inFlight--
+			s.mu.Unlock()
+		}
+	}()
 }
 
 // deliverOrders delivers queued orders one after the other until the queue is empty.
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -203,7 +203,8 @@
 // run sends heartbeats to the worker until the session ends.
 func (s *session) run() {
 	for s.ctx.Err() == nil {
-		if !s.heartbeat() {
+		answered := false
+		if err := s.agent.guard.Run("heartbeat", func() { answered = s.heartbeat() }); err != nil || !answered {
 			aqclock.Sleep(s.ctx, s.agent.clock, heartbeatRetry)
 			continue
 		}
--- a/pkg/aqjob/progress.go
+++ b/pkg/aqjob/progress.go
@@ -63,11 +63,43 @@
 	return &j, j.Validate()
 }
 
-// DecodeProgress decodes a stored progress record.
+// DecodeProgress decodes and validates a stored progress record.
 func DecodeProgress(data []byte) (*Progress, error) {
 	var p Progress
 	if err := msgpack.Unmarshal(data, &p); err != nil {
 		return nil, errors.Wrap(err, "job: decode progress")
 	}
-	return &p, nil
+	return &p, p.validate()
+}
+
+// validate checks what does not depend on the job.
+func (p *Progress) validate() error {
+	switch p.State {
+	case StateQueued, StateRunning, StateCompleted, StateFailed, StateCancelled:
+	default:
+		return errors.Errorf("job: progress has unknown state %q", p.State)
+	}
+	if p.DoneBelow < 0 {
+		return errors.Errorf("job: progress has %d done occurrences", p.DoneBelow)
+	}
+	for k, o := range p.Occurrences {
+		if k < 0 || o == nil {
+			return errors.Errorf("job: progress of occurrence %d is not valid", k)
+		}
+	}
+	return nil
+}
+
+// ValidateFor checks that the progress can be that of a job.
+func (p *Progress) ValidateFor(j *Job) error {
+	last := Occurrence(j.Occurrences())
+	if p.DoneBelow > last {
+		return errors.Errorf("job: %d occurrences are done of %d", p.DoneBelow, last)
+	}
+	for k := range p.Occurrences {
+		if k >= last {
+			return errors.Errorf("job: progress of occurrence %d of %d", k, last)
+		}
+	}
+	return nil
 }
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -87,9 +87,12 @@
 // accept them.
 var LinesDropped = Event{Number: 104, Layer: LayerProcess, Level: slog.LevelWarn, Message: "log lines dropped", Meaning: "Standard output did not accept lines fast enough. Count lines are missing before this one."}
 
+// PanicContained reports a panic that cost one call or loop and not the process.
+var PanicContained = Event{Number: 105, Layer: LayerProcess, Level: slog.LevelWarn, Message: "panic contained", Meaning: "A call or loop met a value that it could not handle. Where names it, Stack shows the place in the code. The call failed, or the loop began again; a leader gave up its term. Report it as a fault."}
+
 // Events lists every event.
 var Events = []Event{
-	ProcessStarted, ProcessStopping, ProcessStopped, TLSOff, LinesDropped,
+	ProcessStarted, ProcessStopping, ProcessStopped, TLSOff, LinesDropped, PanicContained,
 	MemberJoined, MemberLeft, LeaseLost, StoreUnavailable, StoreBack,
 	SegmentInDoubt, OwnershipLost, ShardTaken, ShardReleased, SnapshotWritten, TakeoverFailed,
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -106,13 +106,14 @@
 	TasksEnded        Counter = "aq_tasks_ended_total"
 	LeadTerms         Counter = "aq_lead_terms_total"
 	LogLinesDropped   Counter = "aq_log_lines_dropped_total"
+	PanicsContained   Counter = "aq_panics_contained_total"
 )
 
 // Counters lists every counter without a reason.
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, LeadTerms, LogLinesDropped,
+	JobsAccepted, TasksEnded, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
--- a/pkg/aqpeer/server.go
+++ b/pkg/aqpeer/server.go
@@ -8,6 +8,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqguard"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 )
@@ -28,6 +29,7 @@
 	gnet.BuiltinEventEngine
 	log      *aqlog.Logger
 	metrics  *aqmetric.Set
+	guard    aqguard.Guard
 	handlers map[Method]handler
 	engine   gnet.Engine
 	booted   chan struct{}
@@ -43,6 +45,7 @@
 	return &Server{
 		log:      log,
 		metrics:  metrics,
+		guard:    aqguard.New(log, metrics),
 		handlers: map[Method]handler{},
 		booted:   make(chan struct{}),
 		slots:    make(chan struct{}, maxCallsInFlight),
@@ -195,7 +198,11 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
 	defer cancel()
-	body, err := serve(ctx, f.Body)
+	var body []byte
+	var err error
+	if failure := s.guard.Run(string(f.Method), func() { body, err = serve(ctx, f.Body) }); failure != nil {
+		err = Errorf(CodeInternal, "%v", failure)
+	}
 	if err != nil {
 		return frame{
 			CallID: f.CallID,
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -108,13 +108,8 @@
 		before.cancel()
 		p.reassignWorkersOf(before)
 	}
-	for _, loop := range []func(*member){p.sendLoop, p.pollLoop} {
-		p.leader.work.Add(1)
-		go func() {
-			defer p.leader.work.Done()
-			loop(m)
-		}()
-	}
+	p.leader.spawn("orders", func() { p.sendLoop(m) })
+	p.leader.spawn("polls", func() { p.pollLoop(m) })
 	aqsignal.Send(p.leader.wakeStore)
 	return true
 }
--- a/pkg/aqsite/commit.go
+++ b/pkg/aqsite/commit.go
@@ -82,10 +82,10 @@
 	for first := 0; first < len(batch.Records); first += recordsPerTxn {
 		records := batch.Records[first:min(first+recordsPerTxn, len(batch.Records))]
 		group.Add(1)
-		go func() {
+		l.spawn("store records", func() {
 			defer group.Done()
 			l.storeRecords(ctx, records)
-		}()
+		})
 	}
 	group.Wait()
 	select {
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -289,7 +289,11 @@
 		defer n.work.Done()
 		n.renewLead(running, l, lease)
 	}()
-	err := l.run(running)
+	var err error
+	if failure := n.guard.Run("term", func() { err = l.run(running) }); failure != nil {
+		err = failure
+		l.lose(failure)
+	}
 	cancel()
 	n.mu.Lock()
 	n.current = nil
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -143,22 +143,17 @@
 	}
 	l.node.log.Write(aqlog.StateRecovered, slog.Duration("Took", l.node.clock.Now().Sub(started)),
 		slog.Int("Workers", l.workerCount()))
-	loops := []func(context.Context){
-		func(ctx context.Context) { l.watchJobs(ctx, jobsFrom) },
-		func(ctx context.Context) { l.watchWorkers(ctx, workersFrom) },
-		l.watchMembers,
-		l.notifiedJobsLoop,
-		l.resyncLoop,
-		l.adviceLoop,
-		l.tickLoop,
-		l.storeLoop,
-	}
-	for _, loop := range loops {
-		l.work.Add(1)
-		go func() {
-			defer l.work.Done()
-			loop(ctx)
-		}()
+	for _, loop := range []namedLoop{
+		{name: "job watch", run: func(ctx context.Context) { l.watchJobs(ctx, jobsFrom) }},
+		{name: "worker watch", run: func(ctx context.Context) { l.watchWorkers(ctx, workersFrom) }},
+		{name: "member watch", run: l.watchMembers},
+		{name: "notified jobs", run: l.notifiedJobsLoop},
+		{name: "resync", run: l.resyncLoop},
+		{name: "advice", run: l.adviceLoop},
+		{name: "decisions", run: l.tickLoop},
+		{name: "store writes", run: l.storeLoop},
+	} {
+		l.spawn(loop.name, func() { loop.run(ctx) })
 	}
 	select {
 	case <-ctx.Done():
@@ -170,6 +165,18 @@
 	return l.lost
 }
 
+// spawn runs f in the background until the term ends. A panic ends the term: the state
+// of the decisions may be inconsistent, and the next leader reads the stored one.
+func (l *leader) spawn(name string, f func()) {
+	l.work.Add(1)
+	go func() {
+		defer l.work.Done()
+		if err := l.node.guard.Run(name, f); err != nil {
+			l.lose(err)
+		}
+	}()
+}
+
 // watchJobs follows submissions, cancellations and the lead key.
 func (l *leader) watchJobs(ctx context.Context, from aqstore.Revision) {
 	l.node.watchPrefix(ctx, prefixWatch{
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"acaciaquay/internal/base/aqguard"
 	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
@@ -60,6 +61,7 @@
 	clock       aqclock.Clock
 	log         *aqlog.Logger
 	metrics     *aqmetric.Set
+	guard       aqguard.Guard
 	incarnation int64
 
 	server *aqpeer.Server
@@ -112,6 +114,7 @@
 		clock:          o.Clock,
 		log:            o.Log,
 		metrics:        o.Metrics,
+		guard:          aqguard.New(o.Log, o.Metrics),
 		incarnation:    o.Incarnation,
 		leadKeyChanged: make(chan struct{}, 1),
 		checkNow:       make(chan struct{}, 1),
@@ -140,27 +143,38 @@
 	if err := n.server.Start(n.settings.PeerAddress); err != nil {
 		return err
 	}
-	n.work.Add(4)
-	go func() {
-		defer n.work.Done()
-		n.checkLoop(ctx)
-	}()
-	go func() {
-		defer n.work.Done()
-		n.register(ctx)
-	}()
-	go func() {
-		defer n.work.Done()
-		n.watchConfig(ctx)
-	}()
-	go func() {
-		defer n.work.Done()
-		n.elect(ctx)
-	}()
+	for _, loop := range []namedLoop{
+		{name: "check loop", run: n.checkLoop},
+		{name: "registration", run: n.register},
+		{name: "configuration watch", run: n.watchConfig},
+		{name: "election", run: n.elect},
+	} {
+		n.work.Add(1)
+		go func() {
+			defer n.work.Done()
+			n.runLoop(ctx, loop)
+		}()
+	}
 	n.work.Wait()
 	return nil
 }
 
+// namedLoop is a loop that runs until its context ends.
+type namedLoop struct {
+	name string
+	run  func(context.Context)
+}
+
+// runLoop runs a loop until ctx ends, and begins it again after a panic.
+func (n *Node) runLoop(ctx context.Context, loop namedLoop) {
+	for ctx.Err() == nil {
+		if err := n.guard.Run(loop.name, func() { loop.run(ctx) }); err == nil {
+			return
+		}
+		aqclock.Sleep(ctx, n.clock, retryPause)
+	}
+}
+
 // Close ends the agent's sessions and the calls between processes.
 func (n *Node) Close() {
 	n.agent.Stop()
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -58,6 +58,10 @@
 	return jobsFrom, workersFrom, nil
 }
 
+// unlistedWorkers stands for the workers of a stored list that cannot be decoded. It
+// never reports, so tasks that may run on them wait until every lease has expired.
+const unlistedWorkers aqtype.WorkerID = "unlisted"
+
 func (l *leader) readFleet(ctx context.Context) ([]aqtype.WorkerID, []nodeRecord, error) {
 	item, err := l.node.store.Get(ctx, fleetKey)
 	if errors.Is(err, aqstore.ErrNotFound) {
@@ -66,11 +70,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	l.fleetRevision = item.ModRevision
 	var record fleetRecord
 	if err := decode(item.Value, &record); err != nil {
-		return nil, nil, err
+		l.node.ignoreEntry(item.Key, err)
+		return []aqtype.WorkerID{unlistedWorkers}, nil, nil
 	}
-	l.fleetRevision = item.ModRevision
 	return record.Workers, record.Agents, nil
 }
 
@@ -129,10 +134,18 @@
 	storedItem := stored[id]
 	if storedItem.ModRevision > 0 {
 		progress, err = aqjob.DecodeProgress(storedItem.Value)
+		if err == nil {
+			err = progress.ValidateFor(spec)
+		}
 		if err != nil {
 			l.node.ignoreEntry(storedItem.Key, err)
 			return
 		}
 	}
-	d.AddJob(spec, progress, storedItem.ModRevision, item.CreateRevision < l.leadKeyRevision)
+	failure := l.node.guard.Run("adding a job", func() {
+		d.AddJob(spec, progress, storedItem.ModRevision, item.CreateRevision < l.leadKeyRevision)
+	})
+	if failure != nil {
+		l.node.ignoreEntry(item.Key, failure)
+	}
 }
