Recover in two stages, over slow links, and keep less of ended jobs

A new leader first takes over the workers, so that their leases are renewed, and holds their reports back until it has read the jobs; it repeats reads that fail and keeps its term. A stored job is reduced to a remainder when it ends, so that recovery reads the payloads of open jobs only.

--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -21,7 +21,7 @@
 // took over; progress is what the store holds of them, nil if nothing. A known job
 // is left unchanged.
 func (d *Decider) AddJob(spec *aqjob.Job, progress *aqjob.Progress, revision aqstore.Revision, inherited bool) {
-	if d.jobs[spec.ID] != nil {
+	if d.jobs[spec.ID] != nil || (spec.Closed && (progress == nil || !progress.State.Final())) {
 		return
 	}
 	j := &job{
@@ -75,7 +75,7 @@
 
 // dropDetails frees the groups, the payload and the task state of an ended job.
 func (j *job) dropDetails() {
-	j.spec = &aqjob.Job{ID: j.spec.ID, Queue: j.spec.Queue, AcceptedAt: j.spec.AcceptedAt}
+	j.spec = j.spec.Remainder()
 	j.occurrences = nil
 	j.doneAbove = nil
 }
--- a/pkg/aqdecider/records.go
+++ b/pkg/aqdecider/records.go
@@ -18,6 +18,8 @@
 	Progress *aqjob.Progress
 	// Delete is set if the job's records are to be deleted instead.
 	Delete bool
+	// Remainder replaces the stored job that has ended, nil for any other.
+	Remainder *aqjob.Job
 	// state is the job's state once the record is stored.
 	state aqjob.State
 }
@@ -59,13 +61,17 @@
 func (d *Decider) TakeBatch() Batch {
 	b := Batch{ends: map[aqtype.WorkerID]endCursor{}}
 	for id, j := range d.dirty {
-		b.Records = append(b.Records, Record{
+		r := Record{
 			Job:      id,
 			Expect:   j.revision,
 			Progress: j.progress(),
 			Delete:   j.toDelete,
 			state:    j.state,
-		})
+		}
+		if j.state.Final() {
+			r.Remainder = j.spec.Remainder()
+		}
+		b.Records = append(b.Records, r)
 	}
 	sort.Slice(b.Records, func(i, k int) bool { return b.Records[i].Job < b.Records[k].Job })
 	d.dirty = map[aqjob.ID]*job{}
--- a/pkg/aqjob/job.go
+++ b/pkg/aqjob/job.go
@@ -147,11 +147,23 @@
 	FirstAt int64 `msgpack:",omitempty"`
 	// Period is the time between two occurrences.
 	Period time.Duration `msgpack:",omitempty"`
+	// Closed marks the remainder of a job that has ended: only ID and the id of its queue
+	// are set. It keeps a repeated submission from storing the job again.
+	Closed bool `msgpack:",omitempty"`
 	// AcceptedAt is the wall-clock time of acceptance in milliseconds since
 	// 1970, by the clock of the host that accepted it.
 	AcceptedAt int64
 }
 
+// Remainder returns what is kept of a job that has ended.
+func (j *Job) Remainder() *Job {
+	return &Job{
+		ID:     j.ID,
+		Queue:  Queue{ID: j.Queue.ID},
+		Closed: true,
+	}
+}
+
 // Occurrences returns how often the groups run.
 func (j *Job) Occurrences() int { return max(1, j.Repeats) }
 
@@ -184,6 +196,9 @@
 	if err := validateID(j.ID); err != nil {
 		return err
 	}
+	if j.Closed {
+		return nil
+	}
 	switch {
 	case len(j.Payload) > maxPayloadBytes:
 		return errors.Errorf("payload is longer than %d bytes", maxPayloadBytes)
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -75,6 +75,7 @@
 	RetryAgentLost      RetryReason = "AgentLost"
 	RetryPayloadMissing RetryReason = "PayloadMissing"
 	RetryReportBase     RetryReason = "ReportBaseMissing"
+	RetryRecovery       RetryReason = "RecoveryRead"
 )
 
 // RetryReasons lists every retry reason. BudgetSpent counts the retries that
@@ -83,7 +84,7 @@
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
 	RetryStartUnknown, RetryStopLost, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
-	RetryPayloadMissing, RetryReportBase,
+	RetryPayloadMissing, RetryReportBase, RetryRecovery,
 }
 
 // Counter names a counter without a reason.
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"acaciaquay/internal/base/aqsignal"
@@ -289,10 +291,38 @@
 	a.leaseExpiresAt = time.Time{}
 	a.tried = nil
 	a.renew = true
+	if !p.reportsReleased {
+		if a.held != nil && a.held.Incarnation == report.Incarnation {
+			report.Ended = append(a.held.Ended, report.Ended...)
+		}
+		a.held = &report
+		p.mu.Unlock()
+		return
+	}
 	p.mu.Unlock()
 	d.WorkerReported(id, report)
 }
 
+// releaseReports passes the reports on that were held back while the stored jobs were
+// read, and no longer holds any back.
+func (p *agentPool) releaseReports() {
+	p.leader.decide(func(d *aqdecider.Decider) {
+		p.mu.Lock()
+		p.reportsReleased = true
+		held := map[aqtype.WorkerID]*aqdecider.WorkerReport{}
+		for _, id := range p.sortedWorkers() {
+			if a := p.assignments[id]; a.held != nil {
+				held[id] = a.held
+				a.held = nil
+			}
+		}
+		p.mu.Unlock()
+		for _, id := range slices.Sorted(maps.Keys(held)) {
+			d.WorkerReported(id, *held[id])
+		}
+	})
+}
+
 // payloadMissing records that a member did not start a task, possibly for want of the
 // payload.
 func (p *agentPool) payloadMissing(m *member, id aqjob.ID) {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -57,6 +57,9 @@
 	params aqagent.HeartbeatParams
 	// listing is what the worker runs according to the reports of this assignment.
 	listing aqagent.Listing
+	// held is the last report with all ends since the assignment, nil once the leader has
+	// read the stored jobs: without them every run would be an orphan.
+	held *aqdecider.WorkerReport
 }
 
 // agentPool assigns workers to agents. Its lock may be taken while the leader's is
@@ -68,6 +71,8 @@
 	members map[string]*member
 	// ordered holds the same members by name. It is replaced when they change.
 	ordered []*member
+	// reportsReleased is set once workers' reports go to the decider.
+	reportsReleased bool
 	// changes counts the changes of the members.
 	changes     uint64
 	assignments map[aqtype.WorkerID]*workerAssignment
@@ -259,6 +264,7 @@
 	a.params.Renew = false
 	a.renew = false
 	a.listing = aqagent.Listing{}
+	a.held = nil
 	if to == nil {
 		return
 	}
--- a/pkg/aqsite/commit.go
+++ b/pkg/aqsite/commit.go
@@ -17,7 +17,7 @@
 )
 
 // recordsPerTxn keeps a transaction within aqstore.MaxTxnEntries: each record takes two
-// entries, or three when it is removed, in addition to the condition on the lead key.
+// or three entries in addition to the condition on the lead key.
 const recordsPerTxn = 10
 
 // storeLoop stores decisions in rounds, one round at a time.
@@ -117,6 +117,15 @@
 			continue
 		}
 		txn.Puts = append(txn.Puts, aqstore.Put{Key: key, Value: value})
+		if r.Remainder == nil {
+			continue
+		}
+		remainder, err := aqjob.Encode(r.Remainder)
+		if err != nil {
+			l.lose(err)
+			return
+		}
+		txn.Puts = append(txn.Puts, aqstore.Put{Key: jobKey(r.Job), Value: remainder})
 	}
 	for ctx.Err() == nil {
 		revision, err := l.node.store.Commit(ctx, txn)
@@ -162,6 +171,11 @@
 	}
 	var revision aqstore.Revision
 	for _, w := range txn.Puts {
+		if _, isProgress := jobIDFromKey(progressPrefix, w.Key); !isProgress {
+			// The conditions cover the progress of each job, which changes together with
+			// the job itself.
+			continue
+		}
 		if !bytes.Equal(current[w.Key].Value, w.Value) {
 			return false
 		}
--- a/pkg/aqsite/fake_test.go
+++ b/pkg/aqsite/fake_test.go
@@ -25,6 +25,8 @@
 	// nevertheless.
 	fault   func(aqstore.Txn) (err error, applied bool)
 	commits int
+	// rangeFault, if set, may fail a full read.
+	rangeFault func(prefix string) error
 }
 
 func newFakeStore() *fakeStore {
@@ -42,6 +44,11 @@
 }
 
 func (s *fakeStore) Range(_ context.Context, prefix string) ([]aqstore.Item, aqstore.Revision, error) {
+	if s.rangeFault != nil {
+		if err := s.rangeFault(prefix); err != nil {
+			return nil, 0, err
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var items []aqstore.Item
--- a/pkg/aqsite/poison_test.go
+++ b/pkg/aqsite/poison_test.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"acaciaquay/pkg/aqclock"
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
 )
@@ -51,11 +51,12 @@
 			}}); err != nil {
 				t.Fatal(err)
 			}
-			n.clock = aqclock.NewFake()
+			// The loops that recovery starts must not advance the clock.
+			n.clock = clock.Fake
+			n.agent = aqagent.New(n.workers, clock.Fake, n.log, n.metrics)
 			l := lead(t, n, store)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			_ = clock
 			if _, _, err := l.recover(ctx); err != nil {
 				t.Fatal(err)
 			}
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -8,27 +8,25 @@
 	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
 )
 
-// recover reads the stored state, and adds the known agents and the listed workers. The
-// leader assigns the workers once storeFleet has stored the list of agents.
+// recover begins a term in two stages. First it takes over the workers, so that their
+// leases are renewed however long the rest takes; what they report is held back. Then it
+// reads the stored jobs, and the decider gets the reports.
 func (l *leader) recover(ctx context.Context) (jobsFrom, workersFrom aqstore.Revision, err error) {
-	store := l.node.store
-	progress, _, err := store.Range(ctx, progressPrefix)
+	workersFrom, err = l.takeOverWorkers(ctx)
 	if err != nil {
 		return 0, 0, err
 	}
-	jobItems, jobsFrom, err := store.Range(ctx, inPrefix)
+	progress, _, err := l.readAll(ctx, progressPrefix)
 	if err != nil {
 		return 0, 0, err
 	}
-	listed, workersFrom, err := store.Range(ctx, l.node.catalog.WorkerPrefix)
-	if err != nil {
-		return 0, 0, err
-	}
-	fleet, agents, err := l.readFleet(ctx)
+	jobItems, jobsFrom, err := l.readAll(ctx, inPrefix)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -38,6 +36,30 @@
 			stored[id] = item
 		}
 	}
+	l.decide(func(d *aqdecider.Decider) { l.addJobs(d, jobItems, stored) })
+	l.mu.Lock()
+	l.recovered = true
+	l.mu.Unlock()
+	l.agents.releaseReports()
+	return jobsFrom, workersFrom, nil
+}
+
+// takeOverWorkers reads the stored list of workers and agents and service discovery, and
+// makes the agents manage the workers.
+func (l *leader) takeOverWorkers(ctx context.Context) (aqstore.Revision, error) {
+	var fleet []aqtype.WorkerID
+	var agents []nodeRecord
+	err := l.persist(ctx, func() (err error) {
+		fleet, agents, err = l.readFleet(ctx)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	listed, workersFrom, err := l.readAll(ctx, l.node.catalog.WorkerPrefix)
+	if err != nil {
+		return 0, err
+	}
 	l.setQueues(l.node.routes.config())
 	l.decide(func(d *aqdecider.Decider) {
 		reportDeadline := l.node.clock.Now().Add(proofLimit + l.agents.longestLease())
@@ -47,15 +69,41 @@
 				d.AwaitReports([]aqtype.WorkerID{w.ID}, reportDeadline)
 			}
 		}
-		l.addJobs(d, jobItems, stored)
 	})
 	l.agents.join(ctx, l.node.ownRecord(), l.node.agent)
 	l.joinAgents(ctx, agents)
 	l.applyWorkerSnapshot(listed, workersFrom)
-	l.mu.Lock()
-	l.recovered = true
-	l.mu.Unlock()
-	return jobsFrom, workersFrom, nil
+	return workersFrom, l.persist(ctx, func() error { return l.storeFleet(ctx) })
+}
+
+// readAll reads every item under a prefix.
+func (l *leader) readAll(ctx context.Context, prefix string) (items []aqstore.Item, from aqstore.Revision, err error) {
+	err = l.persist(ctx, func() (err error) {
+		items, from, err = l.node.store.Range(ctx, prefix)
+		return err
+	})
+	return items, from, err
+}
+
+// persist repeats a call to the store until it succeeds or the term ends. A slow store or
+// link does not end the term: the next leader would meet the same one.
+func (l *leader) persist(ctx context.Context, call func() error) error {
+	for {
+		err := call()
+		l.node.recordStoreResult(err)
+		if err == nil {
+			return nil
+		}
+		l.node.metrics.Retried(aqmetric.RetryRecovery)
+		l.node.log.Write(aqlog.RecoveryDelayed, aqlog.Err(err))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.ended:
+			return err
+		case <-l.node.clock.After(retryPause):
+		}
+	}
 }
 
 // unlistedWorkers stands for the workers of a stored list that cannot be decoded. It
