Fetch payloads from the process that accepted the job; gather polls and worker changes

Cause: with one payload for each job and agent the leader of the small twin still sent 80 kB/s of payloads, and a backlog after a recovery choked its link (two changes of the leadership in 7 s).

Change: a start names the process that accepted its job; the agent fetches the payload from there, else from the store, once for all starts of the job, and stops do not wait for it. Agents gather events for 30 to 90 ms, the longer the more agents there are. A poll looks at the workers that may have changed. The watch of service discovery pauses 0.1 s between calls. Acknowledgements ride on the next poll unless the agent holds the last one.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -9,8 +9,6 @@
 	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
-	"acaciaquay/pkg/aqdecider"
-	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
@@ -25,8 +23,8 @@
 	// PermitTime is how long an agent starts runs, renews leases and acknowledges ends
 	// without contact with its leader.
 	PermitTime = 1500 * time.Millisecond
-	// batchDelay is how long an agent collects further events into one answer.
-	batchDelay = 30 * time.Millisecond
+	// MinGatherTime is the minimum time for which an agent gathers events into one answer.
+	MinGatherTime = 30 * time.Millisecond
 )
 
 // Agent manages workers for the leader with the highest fencing token that it has
@@ -49,24 +47,33 @@
 	answers    uint64
 	answeredAt time.Duration
 	sessions   map[aqtype.WorkerID]*session
-	// payloads holds what the tasks of jobs are started with, as the leader sent it.
-	payloads map[aqjob.ID]string
-	events   []EventWire
-	wake     chan struct{}
+	payloads   *payloadCache
+	events     []EventWire
+	wake       chan struct{}
 	// OnPoll is called with every accepted poll.
 	OnPoll func(PollCall)
 }
 
+// Options configure an agent.
+type Options struct {
+	Workers  aqworker.Client
+	Payloads PayloadSource
+	Clock    aqclock.Clock
+	Log      *aqlog.Logger
+	Metrics  *aqmetric.Set
+}
+
 // New returns an agent that manages no workers yet.
-func New(workers aqworker.Client, clock aqclock.Clock, log *aqlog.Logger, metrics *aqmetric.Set) *Agent {
+func New(o Options) *Agent {
+	guard := aqguard.New(o.Log, o.Metrics)
 	return &Agent{
-		workers:  workers,
-		clock:    clock,
-		log:      log,
-		metrics:  metrics,
-		guard:    aqguard.New(log, metrics),
+		workers:  o.Workers,
+		clock:    o.Clock,
+		log:      o.Log,
+		metrics:  o.Metrics,
+		guard:    guard,
 		sessions: map[aqtype.WorkerID]*session{},
-		payloads: map[aqjob.ID]string{},
+		payloads: newPayloadCache(o.Payloads, o.Clock, guard),
 		wake:     make(chan struct{}, 1),
 	}
 }
@@ -94,7 +101,6 @@
 		s.cancel()
 		delete(a.sessions, id)
 	}
-	a.payloads = map[aqjob.ID]string{}
 	a.events = nil
 }
 
@@ -127,41 +133,18 @@
 		a.assign(next)
 	}
 	a.setParams(call.Params)
-	for _, id := range call.Forget {
-		delete(a.payloads, id)
-	}
-	for _, p := range call.Payloads {
-		a.payloads[p.Job] = p.Payload
-	}
 	for _, wire := range call.Orders {
 		order := wire.Unwrap()
 		if order == nil {
 			continue
 		}
 		if s := a.sessions[order.Target()]; s != nil {
-			a.order(s, order)
+			s.send(order)
 		}
 	}
 	return nil
 }
 
-// order passes an order to a session. A start whose payload is missing is refused, so
-// that the leader sends the payload again. The caller holds the lock.
-func (a *Agent) order(s *session, o aqdecider.Order) {
-	start, isStart := o.(aqdecider.Start)
-	if !isStart {
-		s.send(o)
-		return
-	}
-	payload, known := a.payloads[start.Run.Task.Job]
-	if !known {
-		a.addEvent(s, s.refuseStart(start))
-		return
-	}
-	start.Payload = payload
-	s.send(start)
-}
-
 // setParams applies the leader's parameters. The caller holds the lock.
 func (a *Agent) setParams(params []HeartbeatParams) {
 	for _, p := range params {
@@ -206,13 +189,8 @@
 	if a.OnPoll != nil {
 		a.OnPoll(call)
 	}
-	if !a.hasEvents() && a.Permitted(call.Fence) {
-		select {
-		case <-ctx.Done():
-		case <-a.wake:
-			aqclock.Sleep(ctx, a.clock, batchDelay)
-		case <-a.clock.After(call.Wait):
-		}
+	if a.Permitted(call.Fence) {
+		a.gather(ctx, call)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -223,9 +201,33 @@
 	a.answeredAt = a.clock.Elapsed()
 	answer := PollAnswer{Number: a.answers, Events: a.events}
 	a.events = nil
+	select {
+	case <-a.wake:
+	default:
+	}
 	return answer, nil
 }
 
+// gather waits until there are events to answer with, and for the leader's gather time
+// after the first of them and after the last answer, whichever ends first.
+func (a *Agent) gather(ctx context.Context, call PollCall) {
+	pause := max(MinGatherTime, call.Gather)
+	a.mu.Lock()
+	waiting := len(a.events) > 0
+	sinceAnswer := a.clock.Elapsed() - a.answeredAt
+	a.mu.Unlock()
+	if waiting {
+		aqclock.Sleep(ctx, a.clock, pause-sinceAnswer)
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-a.wake:
+		aqclock.Sleep(ctx, a.clock, pause)
+	case <-a.clock.After(call.Wait):
+	}
+}
+
 // acceptPoll checks a poll's fencing token, renews the permit when the poll acknowledges
 // the last answer, and applies the parameters of heartbeats.
 func (a *Agent) acceptPoll(call PollCall) error {
@@ -241,21 +243,10 @@
 	return nil
 }
 
-func (a *Agent) hasEvents() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.events) > 0
-}
-
 // emit queues an event for the leader, unless the session has ended.
 func (a *Agent) emit(s *session, e Event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.addEvent(s, e)
-}
-
-// addEvent is emit for callers that hold the lock.
-func (a *Agent) addEvent(s *session, e Event) {
 	if a.sessions[s.id] != s {
 		return
 	}
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -13,16 +13,37 @@
 	"acaciaquay/pkg/aqmetric"
 )
 
-// send queues an order for delivery in the background. Stops go first.
+// send queues an order for delivery in the background. Stops go first; a start waits for
+// the payload of its job.
 func (s *session) send(o aqdecider.Order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if start, isStart := o.(aqdecider.Start); isStart {
+		s.queue = append(s.queue, o)
+		if s.agent.payloads.prepare(s.id, start.Run.Task.Job, start.PayloadSource, s.payloadReady) {
+			s.deliver()
+		}
+		return
+	}
 	if _, isStop := o.(aqdecider.Stop); isStop {
 		s.queue = append([]aqdecider.Order{o}, s.queue...)
 	} else {
 		s.queue = append(s.queue, o)
 	}
-	if s.inFlight >= maxOrdersInFlight {
+	s.deliver()
+}
+
+// payloadReady delivers the starts that waited for a payload.
+func (s *session) payloadReady() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver()
+}
+
+// deliver starts one more delivery of queued orders, unless there are enough. The caller
+// holds the lock.
+func (s *session) deliver() {
+	if s.inFlight >= maxOrdersInFlight || s.ctx.Err() != nil {
 		return
 	}
 	s.inFlight++
@@ -35,18 +56,14 @@
 	}()
 }
 
-// deliverOrders delivers queued orders one after the other until the queue is empty.
+// deliverOrders delivers queued orders one after the other until none is left that can be
+// delivered.
 func (s *session) deliverOrders() {
 	for {
-		s.mu.Lock()
-		if len(s.queue) == 0 || s.ctx.Err() != nil {
-			s.inFlight--
-			s.mu.Unlock()
+		o, ok := s.nextOrder()
+		if !ok {
 			return
 		}
-		o := s.queue[0]
-		s.queue = s.queue[1:]
-		s.mu.Unlock()
 		switch order := o.(type) {
 		case aqdecider.Start:
 			s.start(order)
@@ -58,6 +75,26 @@
 	}
 }
 
+// nextOrder takes the first order from the queue that can be delivered. Without one it
+// ends the delivery and returns false.
+func (s *session) nextOrder() (aqdecider.Order, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, o := range s.queue {
+		if start, isStart := o.(aqdecider.Start); isStart {
+			if _, fetched, _ := s.agent.payloads.get(start.Run.Task.Job); !fetched {
+				continue
+			}
+		}
+		if s.ctx.Err() == nil {
+			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
+			return o, true
+		}
+	}
+	s.inFlight--
+	return nil, false
+}
+
 // dropQueuedStart removes a queued start that a stop of the same run has overtaken. The
 // caller holds the lock.
 func (s *session) dropQueuedStart(run aqdecider.RunID) {
@@ -74,9 +111,14 @@
 	to := s.address()
 	outcome := aqdecider.OutcomeNotSent
 	uncertain := false
+	payload, _, err := s.agent.payloads.get(order.Run.Task.Job)
+	if err != nil {
+		s.reportNotSent(to, order, err)
+		return
+	}
 	s.awaitWorkerClock()
 	for range startTries {
-		err := s.tryStart(to, order)
+		err := s.tryStart(to, order, payload)
 		if errors.Is(err, aqworker.ErrFenced) {
 			s.agent.emit(s, Fenced{})
 			return
@@ -106,15 +148,17 @@
 	})
 }
 
-// refuseStart returns the outcome of a start that is not sent to the worker.
-func (s *session) refuseStart(order aqdecider.Start) StartResult {
+// reportNotSent reports that a start was not sent, since its payload cannot be had.
+func (s *session) reportNotSent(to aqworker.Address, order aqdecider.Start, err error) {
 	s.agent.metrics.Retried(aqmetric.RetryPayloadMissing)
-	return StartResult{
-		Incarnation: s.address().Worker.Incarnation,
+	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "start"),
+		slog.String("Task", order.Run.Task.String()), aqlog.Err(err))
+	s.agent.emit(s, StartResult{
+		Incarnation: to.Worker.Incarnation,
 		Run:         order.Run,
 		Outcome:     aqdecider.OutcomeNotSent,
 		At:          s.recordOrderDone(),
-	}
+	})
 }
 
 // recordOrderDone records that a start or stop was answered or abandoned, and returns
@@ -142,7 +186,7 @@
 
 // tryStart makes one attempt to deliver a start. A worker that does not answer
 // heartbeats gets no starts, since a start renews its lease.
-func (s *session) tryStart(to aqworker.Address, order aqdecider.Start) error {
+func (s *session) tryStart(to aqworker.Address, order aqdecider.Start, payload string) error {
 	if !s.agent.Permitted(s.fence) {
 		return aqworker.ErrTooLate
 	}
@@ -158,6 +202,7 @@
 		Fence:    s.fence,
 		LeaseEnd: end,
 		Order:    order,
+		Payload:  payload,
 	})
 }
 
--- /dev/null
+++ b/internal/site/aqagent/payloads_test.go
@@ -0,0 +1,88 @@
+package aqagent
+
+import (
+	"testing"
+
+	"acaciaquay/internal/site/aqworker"
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
+)
+
+func startOf(job aqjob.ID, index int) aqdecider.Start {
+	return aqdecider.Start{
+		Worker:        "w1",
+		Run:           aqdecider.RunID{Task: aqjob.TaskID{Job: job, Index: index}, Attempt: 1},
+		PayloadSource: "acceptor",
+	}
+}
+
+// All starts of a job share one fetch of its payload. An order to stop does not wait for
+// it, and a start that the stop has overtaken is not sent.
+func TestStartsShareOnePayload(t *testing.T) {
+	started := make(chan aqworker.StartRequest, 8)
+	stopped := make(chan aqdecider.RunID, 1)
+	workers := &fakeWorkers{
+		start: func(r aqworker.StartRequest) error {
+			started <- r
+			return nil
+		},
+		stop: func(r aqworker.StopRequest) error {
+			stopped <- r.Run
+			return nil
+		},
+	}
+	s, a, clock := testSession(t, workers)
+	payloads := &fakePayloads{hold: make(chan struct{})}
+	a.payloads = newPayloadCache(payloads, clock, a.guard)
+	s.workerClock = clockReading{at: clock.Now(), value: 1, known: true}
+	s.params.Renew = true
+	for index := range 4 {
+		s.send(startOf("j1", index))
+	}
+	s.send(aqdecider.Stop{Worker: "w1", Run: startOf("j1", 3).Run})
+	if run := <-stopped; run != startOf("j1", 3).Run {
+		t.Fatalf("stopped %+v", run)
+	}
+	close(payloads.hold)
+	for range 3 {
+		if r := <-started; r.Payload != "payload of j1 from acceptor" || r.Order.Run.Task.Index == 3 {
+			t.Errorf("started %+v", r)
+		}
+	}
+	if payloads.fetches != 1 {
+		t.Errorf("%d fetches, want one", payloads.fetches)
+	}
+}
+
+// A start whose payload cannot be fetched is reported as not sent, and the next start of
+// the job fetches again.
+func TestMissingPayloadIsFetchedAgain(t *testing.T) {
+	s, a, clock := testSession(t, &fakeWorkers{start: func(aqworker.StartRequest) error { return nil }})
+	payloads := &fakePayloads{failures: 1}
+	a.payloads = newPayloadCache(payloads, clock, a.guard)
+	s.workerClock = clockReading{at: clock.Now(), value: 1, known: true}
+	s.params.Renew = true
+	for _, want := range []aqdecider.Outcome{aqdecider.OutcomeNotSent, aqdecider.OutcomeAccepted} {
+		awaitPayload(t, s, "j1")
+		s.start(startOf("j1", 0))
+		last := a.events[len(a.events)-1]
+		if last.StartResult == nil || last.StartResult.Outcome != want {
+			t.Errorf("event %+v, want outcome %s", last, want)
+		}
+	}
+}
+
+// Payloads that start nothing for payloadIdleTime are dropped.
+func TestIdlePayloadIsDropped(t *testing.T) {
+	s, a, _ := testSession(t, &fakeWorkers{})
+	clock := aqclock.NewFake()
+	payloads := &fakePayloads{}
+	a.payloads = newPayloadCache(payloads, clock, a.guard)
+	awaitPayload(t, s, "j1")
+	clock.Advance(payloadIdleTime + payloadSweepPeriod)
+	awaitPayload(t, s, "j2")
+	if len(a.payloads.entries) != 1 {
+		t.Errorf("%d payloads are kept, want the new one", len(a.payloads.entries))
+	}
+}
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -71,17 +71,7 @@
 	Assign []Assignment
 	Drop   []aqtype.WorkerID
 	Params []HeartbeatParams
-	// Payloads are applied before Orders. They belong to jobs that the agent has no
-	// payload of; it keeps them until Forget names the job.
-	Payloads []JobPayload
-	Forget   []aqjob.ID
-	Orders   []OrderWire
-}
-
-// JobPayload is what the tasks of a job are started with.
-type JobPayload struct {
-	Job     aqjob.ID
-	Payload string
+	Orders []OrderWire
 }
 
 // PollCall asks an agent for its events. The agent holds the call for up to Wait until
@@ -100,7 +90,10 @@
 	Params  []HeartbeatParams
 	// Pending are the leader's counts of jobs that have not started.
 	Pending PendingCounts
-	Wait    time.Duration
+	// Gather is how long the agent gathers events after its last answer, and after the
+	// first event.
+	Gather time.Duration
+	Wait   time.Duration
 }
 
 // PendingCounts holds the number of jobs of each queue of which no task has started.
@@ -124,19 +117,17 @@
 	Events []EventWire
 }
 
-// OrderWire carries one order; exactly one of the pointers is set. A start carries no
-// payload.
+// OrderWire carries one order; exactly one of the pointers is set.
 type OrderWire struct {
 	Start *aqdecider.Start `msgpack:",omitempty"`
 	Stop  *aqdecider.Stop  `msgpack:",omitempty"`
 	Pace  *aqdecider.Pace  `msgpack:",omitempty"`
 }
 
-// WrapOrder returns the wire form of an order, without the payload of a start.
+// WrapOrder returns the wire form of an order.
 func WrapOrder(o aqdecider.Order) OrderWire {
 	switch order := o.(type) {
 	case aqdecider.Start:
-		order.Payload = ""
 		return OrderWire{Start: &order}
 	case aqdecider.Stop:
 		return OrderWire{Stop: &order}
--- a/internal/site/aqworker/worker.go
+++ b/internal/site/aqworker/worker.go
@@ -58,6 +58,8 @@
 	Fence    Fence
 	LeaseEnd Time
 	Order    aqdecider.Start
+	// Payload is the payload of the task's job.
+	Payload string
 }
 
 // StopRequest ends a run, or forbids its start if that has not arrived yet.
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -289,10 +289,10 @@
 
 func (d *Decider) startOrder(r *run) Start {
 	return Start{
-		Worker:     r.worker.info.ID,
-		Run:        r.id,
-		Payload:    r.task.group.occurrence.job.spec.Payload,
-		Checkpoint: r.resumeFrom,
-		Ticket:     d.ticket(r.task.group, r.worker),
+		Worker:        r.worker.info.ID,
+		Run:           r.id,
+		PayloadSource: r.task.group.occurrence.job.spec.AcceptedBy,
+		Checkpoint:    r.resumeFrom,
+		Ticket:        d.ticket(r.task.group, r.worker),
 	}
 }
--- a/pkg/aqdecider/types.go
+++ b/pkg/aqdecider/types.go
@@ -124,10 +124,12 @@
 
 // Start starts one attempt.
 type Start struct {
-	Worker     aqtype.WorkerID
-	Run        RunID
-	Payload    string
-	Checkpoint string
+	Worker aqtype.WorkerID
+	Run    RunID
+	// PayloadSource is the peer address of the process that accepted the job and has its
+	// payload, empty if that is not known.
+	PayloadSource string
+	Checkpoint    string
 	// Ticket is the permission of the advice service, empty if none is needed.
 	Ticket string
 }
--- a/pkg/aqjob/job.go
+++ b/pkg/aqjob/job.go
@@ -147,6 +147,9 @@
 	FirstAt int64 `msgpack:",omitempty"`
 	// Period is the time between two occurrences.
 	Period time.Duration `msgpack:",omitempty"`
+	// AcceptedBy is the peer address of the process that accepted the job. It keeps the
+	// payload for a while.
+	AcceptedBy string `msgpack:",omitempty"`
 	// Closed marks the remainder of a job that has ended: only ID and the id of its queue
 	// are set. It keeps a repeated submission from storing the job again.
 	Closed bool `msgpack:",omitempty"`
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -67,7 +67,7 @@
 	SiteConfigApplied       = Event{Number: 915, Layer: LayerSite, Level: slog.LevelInfo, Message: "site configuration in force", Meaning: "This process uses the configuration version in the attribute Version."}
 	SettingsReloadRefused   = Event{Number: 916, Layer: LayerSite, Level: slog.LevelWarn, Message: "settings reload refused", Meaning: "The changed settings file is not valid. The earlier settings stay in force."}
 	SettingsReloaded        = Event{Number: 917, Layer: LayerSite, Level: slog.LevelInfo, Message: "settings reloaded", Meaning: "The process read the settings file again."}
-	OrderFailed             = Event{Number: 918, Layer: LayerSite, Level: slog.LevelWarn, Message: "order not answered", Meaning: "A worker did not answer, or refused, a heartbeat (Order is look) or an order (stop, pace). An unanswered order may still take effect. The leader repeats a stop."}
+	OrderFailed             = Event{Number: 918, Layer: LayerSite, Level: slog.LevelWarn, Message: "order not answered", Meaning: "A worker did not answer, or refused, a heartbeat (Order is look) or an order (stop, pace), or the payload of a start could not be fetched (start). An unanswered order may still take effect. The leader repeats a stop."}
 
 	WatchStalled     = Event{Number: 925, Layer: LayerSite, Level: slog.LevelWarn, Message: "watch stalled", Meaning: "While Deaf is true, the store's watch does not report what the leader writes, and the leader reads the full list of workers instead. Deaf is false when the watch works again."}
 	AdviceFailed     = Event{Number: 924, Layer: LayerSite, Level: slog.LevelWarn, Message: "advice request failed", Meaning: "The advice service did not answer. Groups of queues that require advice wait, and the request is repeated."}
--- a/pkg/aqsite/agentbalance.go
+++ b/pkg/aqsite/agentbalance.go
@@ -78,7 +78,6 @@
 		moved = append(moved, id)
 	}
 	m.pending = aqagent.OrdersCall{}
-	m.payloads.reset()
 	p.mu.Unlock()
 	p.reportReassigned(moved)
 }
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -12,7 +12,6 @@
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
-	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
@@ -46,7 +45,6 @@
 
 // dispatch queues orders for the agents of their workers.
 func (p *agentPool) dispatch(orders []aqdecider.Order) {
-	now := p.leader.node.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range orders {
@@ -54,9 +52,7 @@
 		if a == nil || a.member == nil {
 			continue
 		}
-		if start, isStart := o.(aqdecider.Start); isStart {
-			a.member.payloads.add(&a.member.pending, start, now)
-		}
+		a.member.stale[o.Target()] = true
 		a.member.pending.Orders = append(a.member.pending.Orders, aqagent.WrapOrder(o))
 		aqsignal.Send(a.member.wakeSend)
 	}
@@ -92,6 +88,9 @@
 			aqclock.Sleep(m.ctx, p.leader.node.clock, retryPause)
 			continue
 		}
+		p.mu.Lock()
+		m.polledAt = p.leader.node.clock.Now()
+		p.mu.Unlock()
 		answer, err := m.link.Poll(m.ctx, aqagent.PollCall{
 			Fence:       p.leader.fence,
 			Leader:      p.leader.record,
@@ -99,6 +98,7 @@
 			Checked:     p.leader.node.lastCheck(),
 			Params:      p.changedParams(m),
 			Pending:     p.leader.pendingCounts(),
+			Gather:      p.gatherTime(),
 			Wait:        aqagent.PollWait,
 		})
 		if err != nil {
@@ -115,6 +115,29 @@
 	}
 }
 
+// Times of the polls.
+const (
+	// heldPollTime is the age from which a poll counts as held by its agent.
+	heldPollTime = 100 * time.Millisecond
+	// gatherPerAgent and maxGatherTime make agents gather events the longer, the more
+	// agents there are, so that the leader's polls per second stay the same.
+	gatherPerAgent = 3 * time.Millisecond
+	maxGatherTime  = 90 * time.Millisecond
+)
+
+// gatherTime returns how long an agent gathers events into one answer.
+func (p *agentPool) gatherTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	busy := 0
+	for _, m := range p.ordered {
+		if m.assigned > 0 {
+			busy++
+		}
+	}
+	return min(maxGatherTime, max(aqagent.MinGatherTime, time.Duration(busy)*gatherPerAgent))
+}
+
 // idlePoll is how often a member without workers is polled.
 const idlePoll = 2 * time.Second
 
@@ -175,11 +198,12 @@
 	p.leader.decide(func(d *aqdecider.Decider) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		for _, a := range m.workers {
-			if a.updateParams(d) {
+		for id := range m.stale {
+			if a := m.workers[id]; a != nil && a.updateParams(d) {
 				changed = append(changed, a.params)
 			}
 		}
+		clear(m.stale)
 	})
 	return changed
 }
@@ -209,16 +233,21 @@
 	return true
 }
 
-// sendAcks sends the agents of workers the acknowledgements of their stored ends. An agent
-// may hold its poll until something ends, and a worker answers every heartbeat at once
-// until its ends are acknowledged.
+// sendAcks sends the agents of workers the acknowledgements of their stored ends: with the
+// next poll, or at once to an agent that holds the last poll until something ends. A
+// worker answers every heartbeat at once until its ends are acknowledged.
 func (p *agentPool) sendAcks(ids []aqtype.WorkerID) {
 	p.leader.decide(func(d *aqdecider.Decider) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		now := p.leader.node.clock.Now()
 		for _, id := range ids {
 			a := p.assignments[id]
-			if a == nil || a.member == nil || !a.updateParams(d) {
+			if a == nil || a.member == nil {
+				continue
+			}
+			a.member.stale[id] = true
+			if now.Sub(a.member.polledAt) < heldPollTime || !a.updateParams(d) {
 				continue
 			}
 			a.member.pending.Params = append(a.member.pending.Params, a.params)
@@ -239,6 +268,7 @@
 				continue
 			}
 			id := wire.Worker
+			p.markStale(m, id)
 			switch e := wire.Unwrap().(type) {
 			case aqagent.ReportReceived:
 				p.reportReceived(d, id, e.Difference)
@@ -246,9 +276,6 @@
 				d.WorkerUnresponsive(id)
 				p.workerUnresponsive(d, id, e)
 			case aqagent.StartResult:
-				if e.Outcome == aqdecider.OutcomeNotSent {
-					p.payloadMissing(m, e.Run.Task.Job)
-				}
 				d.StartAnswered(id, e.Incarnation, e.Run, e.Outcome, e.At)
 			case aqagent.StopResult:
 				if e.Answered {
@@ -266,6 +293,13 @@
 	}
 }
 
+// markStale makes the next poll of a member check the heartbeat parameters of a worker.
+func (p *agentPool) markStale(m *member, id aqtype.WorkerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.stale[id] = true
+}
+
 // isCurrent reports whether an event belongs to the worker's current assignment.
 func (p *agentPool) isCurrent(m *member, wire aqagent.EventWire) bool {
 	p.mu.Lock()
@@ -323,14 +357,6 @@
 	})
 }
 
-// payloadMissing records that a member did not start a task, possibly for want of the
-// payload.
-func (p *agentPool) payloadMissing(m *member, id aqjob.ID) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m.payloads.missing(id)
-}
-
 // workerUnresponsive assigns an unresponsive worker to another member, which may
 // reach it.
 func (p *agentPool) workerUnresponsive(d *aqdecider.Decider, id aqtype.WorkerID, e aqagent.Unresponsive) {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -31,6 +31,10 @@
 	// it.
 	lastAnswer uint64
 	assigned   int
+	// stale holds the workers whose heartbeat parameters may have changed.
+	stale map[aqtype.WorkerID]bool
+	// polledAt is when the last poll was sent.
+	polledAt time.Time
 	// workers are the assignments to this member; assigned is their number.
 	workers map[aqtype.WorkerID]*workerAssignment
 	// wakePoll ends the wait before the next poll of an idle member that gets a worker.
@@ -38,7 +42,6 @@
 
 	// pending is the content of the next orders call.
 	pending  aqagent.OrdersCall
-	payloads payloadLedger
 	wakeSend chan struct{}
 }
 
@@ -105,6 +108,7 @@
 		ctx:      memberCtx,
 		wakeSend: make(chan struct{}, 1),
 		workers:  map[aqtype.WorkerID]*workerAssignment{},
+		stale:    map[aqtype.WorkerID]bool{},
 		wakePoll: make(chan struct{}, 1),
 	}
 	p.add(m)
@@ -257,6 +261,7 @@
 	if a.member != nil {
 		a.member.assigned--
 		delete(a.member.workers, a.worker.ID)
+		delete(a.member.stale, a.worker.ID)
 		a.member.pending.Drop = append(a.member.pending.Drop, a.worker.ID)
 		aqsignal.Send(a.member.wakeSend)
 	}
@@ -272,6 +277,7 @@
 	a.serial = p.serial
 	to.assigned++
 	to.workers[a.worker.ID] = a
+	to.stale[a.worker.ID] = true
 	aqsignal.Send(to.wakePoll)
 	to.pending.Assign = append(to.pending.Assign, aqagent.Assignment{
 		Worker: a.worker,
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -52,6 +52,7 @@
 		cancel:    cancel,
 		wakeSend:  make(chan struct{}, 1),
 		workers:   map[aqtype.WorkerID]*workerAssignment{},
+		stale:     map[aqtype.WorkerID]bool{},
 		wakePoll:  make(chan struct{}, 1),
 	}
 	l.agents.add(m)
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -81,9 +81,15 @@
 			}
 			l.removeUnknownWorkers()
 		},
+		gather: workerWatchGather,
 	}, from)
 }
 
+// workerWatchGather is the pause between two calls of the watch of service discovery:
+// workers write their entries all the time, and hundreds of them make hundreds of changes
+// a second.
+const workerWatchGather = 100 * time.Millisecond
+
 // Intervals of the full reads of the list of workers.
 const (
 	// resyncPeriod is the interval between full reads of a list of up to resyncWorkers
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -89,6 +89,7 @@
 func (n *Node) Submit(ctx context.Context, job *aqjob.Job) error {
 	started := n.clock.Now()
 	job.AcceptedAt = n.wallTime().UnixMilli()
+	job.AcceptedBy = n.settings.PeerAddress
 	value, err := aqjob.Encode(job)
 	if err != nil {
 		return errors.WithMessage(ErrNotAccepted, err.Error())
@@ -98,6 +99,7 @@
 		var created aqstore.Revision
 		created, err = n.create(ctx, jobKey(job.ID), value)
 		if err == nil {
+			n.accepted.add(job, n.clock.Now())
 			n.notifyLeader(notifyCall{Job: job.ID, Value: value, Created: created})
 		}
 		var conflict *aqstore.ConflictError
@@ -229,6 +231,7 @@
 // registerHandlers registers the handlers of calls by other processes.
 func (n *Node) registerHandlers() {
 	aqpeer.Handle(n.server, methodCommit, n.handleCommit)
+	aqpeer.Handle(n.server, methodPayload, n.handlePayload)
 	aqpeer.Handle(n.server, methodNotify, func(_ context.Context, in notifyCall) (struct{}, error) {
 		l := n.leading()
 		if l == nil {
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -68,6 +68,8 @@
 	peers  *aqpeer.Pool
 	agent  *aqagent.Agent
 	routes routes
+	// accepted holds payloads for the agents of other processes.
+	accepted acceptedPayloads
 	// pendingJobs are the leader's counts for submitters.
 	pendingJobs pendingCounts
 	// configRevision and leadRevision are the last known revisions of the configuration
@@ -121,7 +123,7 @@
 		server:         aqpeer.NewServer(o.Log, o.Metrics),
 		peers:          aqpeer.NewPool(aqpeer.ClientTimeouts{Dial: peerDialTimeout, Call: peerCallTimeout}),
 	}
-	n.agent = aqagent.New(n.workers, n.clock, n.log, n.metrics)
+	n.agent = aqagent.New(n.agentOptions())
 	n.agent.OnPoll = func(call aqagent.PollCall) {
 		n.learnLeader(call.Leader, call.Fence)
 		if n.agent.Permitted(call.Fence) {
@@ -134,6 +136,16 @@
 	return n
 }
 
+func (n *Node) agentOptions() aqagent.Options {
+	return aqagent.Options{
+		Workers:  n.workers,
+		Payloads: n,
+		Clock:    n.clock,
+		Log:      n.log,
+		Metrics:  n.metrics,
+	}
+}
+
 // wallTime returns the wall clock's time, without a monotonic reading.
 func (n *Node) wallTime() time.Time { return n.clock.Now().Round(0) }
 
--- a/pkg/aqsite/prefixwatch.go
+++ b/pkg/aqsite/prefixwatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,6 +20,8 @@
 	onSnapshot func(items []aqstore.Item, revision aqstore.Revision)
 	// onEvents handles changes in their order.
 	onEvents func(events []aqstore.Event)
+	// gather is the pause between two calls, in which changes gather for one answer.
+	gather time.Duration
 }
 
 // watchPrefix delivers the changes after a revision until ctx ends. It reads all
@@ -33,6 +36,9 @@
 			continue
 		}
 		from = next
+		if w.gather > 0 {
+			aqclock.Sleep(ctx, n.clock, w.gather)
+		}
 	}
 }
 
