--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -73,7 +73,7 @@
 		metrics:  o.Metrics,
 		guard:    guard,
 		sessions: map[aqtype.WorkerID]*session{},
-		payloads: newPayloadCache(o.Payloads, o.Clock, guard),
+		payloads: newPayloadCache(o.Payloads, o.Clock, o.Log, guard),
 		wake:     make(chan struct{}, 1),
 	}
 }
--- a/internal/site/aqagent/fake_test.go
+++ b/internal/site/aqagent/fake_test.go
@@ -17,6 +17,8 @@
 // fakePayloads answers fetches. While hold is set, a fetch waits until it is closed.
 type fakePayloads struct {
 	hold chan struct{}
+	// begun, if set, gets an entry when a fetch begins.
+	begun chan struct{}
 
 	mu      sync.Mutex
 	fetches int
@@ -25,6 +27,9 @@
 }
 
 func (f *fakePayloads) Payload(_ context.Context, job aqjob.ID, from string) (string, error) {
+	if f.begun != nil {
+		f.begun <- struct{}{}
+	}
 	if f.hold != nil {
 		<-f.hold
 	}
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -113,7 +113,7 @@
 	uncertain := false
 	payload, _, err := s.agent.payloads.get(order.Run.Task.Job)
 	if err != nil {
-		s.reportNotSent(to, order, err)
+		s.reportNotSent(to, order)
 		return
 	}
 	s.awaitWorkerClock()
@@ -149,10 +149,8 @@
 }
 
 // reportNotSent reports that a start was not sent, since its payload cannot be had.
-func (s *session) reportNotSent(to aqworker.Address, order aqdecider.Start, err error) {
+func (s *session) reportNotSent(to aqworker.Address, order aqdecider.Start) {
 	s.agent.metrics.Retried(aqmetric.RetryPayloadMissing)
-	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "start"),
-		slog.String("Task", order.Run.Task.String()), aqlog.Err(err))
 	s.agent.emit(s, StartResult{
 		Incarnation: to.Worker.Incarnation,
 		Run:         order.Run,
--- a/internal/site/aqagent/payloads.go
+++ b/internal/site/aqagent/payloads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 	"acaciaquay/internal/base/aqguard"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqtype"
 )
 
@@ -28,8 +30,18 @@
 	payloadSweepPeriod = 5 * time.Second
 )
 
-// payloadTimeout limits one fetch.
-const payloadTimeout = time.Second
+// Limits of the fetches. After a takeover an agent needs the payloads of all open jobs at
+// once; fetched all at the same time over a slow link, each would run into its timeout.
+const (
+	// payloadTimeout limits one try.
+	payloadTimeout = 2 * time.Second
+	// payloadTries and payloadRetryPause limit the tries before the starts that wait for
+	// the payload are given up.
+	payloadTries      = 3
+	payloadRetryPause = 200 * time.Millisecond
+	// maxPayloadFetches limits the concurrent fetches; others wait for their turn.
+	maxPayloadFetches = 4
+)
 
 // payloadCache holds what the tasks of jobs are started with. The leader's orders name
 // only the job, so that a payload does not cross the leader's link once for each task or
@@ -37,7 +49,10 @@
 type payloadCache struct {
 	source PayloadSource
 	clock  aqclock.Clock
+	log    *aqlog.Logger
 	guard  aqguard.Guard
+	// turns holds one entry for each fetch under way.
+	turns chan struct{}
 
 	mu      sync.Mutex
 	entries map[aqjob.ID]*payloadEntry
@@ -54,11 +69,13 @@
 	waiting map[aqtype.WorkerID]func()
 }
 
-func newPayloadCache(source PayloadSource, clock aqclock.Clock, guard aqguard.Guard) *payloadCache {
+func newPayloadCache(source PayloadSource, clock aqclock.Clock, log *aqlog.Logger, guard aqguard.Guard) *payloadCache {
 	return &payloadCache{
 		source:  source,
 		clock:   clock,
+		log:     log,
 		guard:   guard,
+		turns:   make(chan struct{}, maxPayloadFetches),
 		entries: map[aqjob.ID]*payloadEntry{},
 	}
 }
@@ -96,10 +113,16 @@
 var errPayloadNotFetched = errors.New("agent: payload not fetched")
 
 func (c *payloadCache) fetch(job aqjob.ID, from string, entry *payloadEntry) {
-	ctx, cancel := context.WithTimeout(context.Background(), payloadTimeout)
-	defer cancel()
-	payload, err := "", errPayloadNotFetched
-	_ = c.guard.Run("payload fetch", func() { payload, err = c.source.Payload(ctx, job, from) })
+	c.turns <- struct{}{}
+	payload, err := c.fetchOnce(job, from)
+	for try := 1; err != nil && try < payloadTries; try++ {
+		aqclock.Sleep(context.Background(), c.clock, payloadRetryPause)
+		payload, err = c.fetchOnce(job, from)
+	}
+	<-c.turns
+	if err != nil {
+		c.log.Write(aqlog.PayloadMissing, slog.String("Job", string(job)), slog.String("From", from), aqlog.Err(err))
+	}
 	c.mu.Lock()
 	entry.fetching = false
 	entry.payload, entry.err = payload, err
@@ -113,6 +136,14 @@
 	}
 }
 
+func (c *payloadCache) fetchOnce(job aqjob.ID, from string) (payload string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), payloadTimeout)
+	defer cancel()
+	err = errPayloadNotFetched
+	_ = c.guard.Run("payload fetch", func() { payload, err = c.source.Payload(ctx, job, from) })
+	return payload, err
+}
+
 // get returns the payload of a job, or the error of the last fetch. It returns false while
 // a fetch is under way.
 func (c *payloadCache) get(job aqjob.ID) (payload string, fetched bool, err error) {
