Keep runs of a silent worker, hold orders after a pause, and fuzz every decoder

Change: silence moves the time of the last progress. A leader sends what it has decided only with a proof of its leadership at the time of sending (TestPausedLeaderSendsNoOrders).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(CURDIR)/.bin
 GO_FILES := $(shell find cmd internal pkg platform -name '*.go' -not -path '*/aqproto/*')
 
-.PHONY: all build demo test lint generate tools model model-mutants capacity lab bench-requests bench-urgent soak clean
+.PHONY: all build demo test lint generate tools fuzz model model-mutants capacity lab bench-requests bench-urgent soak clean
 
 all: build
 
@@ -18,6 +18,10 @@
 	_scripts/check-linking
 	go test -race -count=1 ./...
 
+# Fuzzes every decoder of bytes from outside, for a fixed number of inputs each.
+fuzz:
+	_scripts/fuzz
+
 # Replays the soak runs that have failed before, and two others (about two minutes).
 soak: build
 	$(BIN)/aqsoak --program $(BIN)/acaciaquay --regressions
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -60,6 +60,10 @@
 		r.stopUpdatedAt = d.now
 		d.addOrder(Stop{Worker: w.info.ID, Run: r.id})
 	}
+	if silence := d.now.Sub(r.reportAt); !r.reportAt.IsZero() && silence > staleReport {
+		// A worker that was silent or frozen has not shown that its runs are stuck.
+		r.progressAt = r.progressAt.Add(silence)
+	}
 	if report.Percent > r.percent || r.progressAt.IsZero() {
 		r.progressAt = d.now
 		r.percent = report.Percent
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -66,10 +66,12 @@
 			return
 		case <-m.wakeSend:
 		}
-		p.mu.Lock()
-		call := m.pending
-		m.pending = aqagent.OrdersCall{}
-		p.mu.Unlock()
+		call, ok := p.takeOrders(m)
+		if !ok {
+			aqclock.Sleep(m.ctx, p.leader.node.clock, retryPause)
+			aqsignal.Send(m.wakeSend)
+			continue
+		}
 		if len(call.Assign)+len(call.Drop)+len(call.Params)+len(call.Orders) == 0 {
 			continue
 		}
@@ -81,6 +83,19 @@
 	}
 }
 
+// takeOrders takes what waits for a member, unless the leader has no proof of its
+// leadership: it may have been paused since it decided.
+func (p *agentPool) takeOrders(m *member) (aqagent.OrdersCall, bool) {
+	if !p.leader.mayOrder() {
+		return aqagent.OrdersCall{}, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	call := m.pending
+	m.pending = aqagent.OrdersCall{}
+	return call, true
+}
+
 // pollLoop polls a member for its events.
 func (p *agentPool) pollLoop(m *member) {
 	for m.ctx.Err() == nil {
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -72,3 +72,25 @@
 		t.Errorf("members %v, want only the one that is up", names)
 	}
 }
+
+// A leader that was paused between a decision and its order sends nothing until it has
+// proved its leadership again.
+func TestPausedLeaderSendsNoOrders(t *testing.T) {
+	store := newFakeStore()
+	n, clock := testNode(t, store)
+	l := lead(t, n, store)
+	m := addMember(l, "a1", true)
+	l.agents.addWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
+	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
+	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}})
+	clock.Suspend(proofLimit)
+	if call, ok := l.agents.takeOrders(m); ok {
+		t.Fatalf("orders after a pause: %+v", call)
+	}
+	if err := l.prove(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if call, ok := l.agents.takeOrders(m); !ok || len(call.Orders) != 1 {
+		t.Fatalf("orders after a proof: %+v, %v", call, ok)
+	}
+}
