--- a/pkg/aqsite/sessionorders.go
+++ b/internal/site/aqagent/orders.go
@@ -1,47 +1,69 @@
-package aqsite
+package aqagent
 
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 )
 
-// send queues an order for delivery in the background. Stops go first.
+// send queues an order for delivery in the background. Stops go first; a start waits for
+// the payload of its job.
 func (s *session) send(o aqdecider.Order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.idleReportedAt = time.Time{}
+	if start, isStart := o.(aqdecider.Start); isStart {
+		s.queue = append(s.queue, o)
+		if s.agent.payloads.prepare(s.id, start.Run.Task.Job, start.PayloadSource, s.payloadReady) {
+			s.deliver()
+		}
+		return
+	}
 	if _, isStop := o.(aqdecider.Stop); isStop {
 		s.queue = append([]aqdecider.Order{o}, s.queue...)
 	} else {
 		s.queue = append(s.queue, o)
 	}
-	if s.inFlight >= maxOrdersInFlight {
+	s.deliver()
+}
+
+// payloadReady delivers the starts that waited for a payload.
+func (s *session) payloadReady() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver()
+}
+
+// deliver starts one more delivery of queued orders, unless there are enough. The caller
+// holds the lock.
+func (s *session) deliver() {
+	if s.inFlight >= maxOrdersInFlight || s.ctx.Err() != nil {
 		return
 	}
 	s.inFlight++
-	go s.deliverOrders()
+	go func() {
+		if err := s.agent.guard.Run("delivery of orders", s.deliverOrders); err != nil {
+			s.mu.Lock()
+			s.inFlight--
+			s.mu.Unlock()
+		}
+	}()
 }
 
-// deliverOrders delivers queued orders one after the other until the queue is empty.
+// deliverOrders delivers queued orders one after the other until none is left that can be
+// delivered.
 func (s *session) deliverOrders() {
 	for {
-		s.mu.Lock()
-		if len(s.queue) == 0 || s.ctx.Err() != nil {
-			s.inFlight--
-			s.mu.Unlock()
+		o, ok := s.nextOrder()
+		if !ok {
 			return
 		}
-		o := s.queue[0]
-		s.queue = s.queue[1:]
-		s.mu.Unlock()
 		switch order := o.(type) {
 		case aqdecider.Start:
 			s.start(order)
@@ -53,6 +75,26 @@
 	}
 }
 
+// nextOrder takes the first order from the queue that can be delivered. Without one it
+// ends the delivery and returns false.
+func (s *session) nextOrder() (aqdecider.Order, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, o := range s.queue {
+		if start, isStart := o.(aqdecider.Start); isStart {
+			if _, fetched, _ := s.agent.payloads.get(start.Run.Task.Job); !fetched {
+				continue
+			}
+		}
+		if s.ctx.Err() == nil {
+			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
+			return o, true
+		}
+	}
+	s.inFlight--
+	return nil, false
+}
+
 // dropQueuedStart removes a queued start that a stop of the same run has overtaken. The
 // caller holds the lock.
 func (s *session) dropQueuedStart(run aqdecider.RunID) {
@@ -69,15 +111,20 @@
 	to := s.address()
 	outcome := aqdecider.OutcomeNotSent
 	uncertain := false
+	payload, _, err := s.agent.payloads.get(order.Run.Task.Job)
+	if err != nil {
+		s.reportNotSent(to, order)
+		return
+	}
 	s.awaitWorkerClock()
 	for range startTries {
-		err := s.tryStart(to, order)
-		if errors.Is(err, ErrFenced) {
-			s.agent.emit(s, fenced{})
+		err := s.tryStart(to, order, payload)
+		if errors.Is(err, aqworker.ErrFenced) {
+			s.agent.emit(s, Fenced{})
 			return
 		}
-		if errors.Is(err, ErrUnanswered) || errors.Is(err, ErrTooLate) {
-			if errors.Is(err, ErrUnanswered) {
+		if errors.Is(err, aqworker.ErrUnanswered) || errors.Is(err, aqworker.ErrTooLate) {
+			if errors.Is(err, aqworker.ErrUnanswered) {
 				uncertain = true
 				outcome = aqdecider.OutcomeUnknown
 			}
@@ -93,7 +140,7 @@
 	}
 	s.agent.metrics.Observe(aqmetric.TimeStart, s.agent.clock.Now().Sub(started))
 	at := s.recordOrderDone()
-	s.agent.emit(s, startResult{
+	s.agent.emit(s, StartResult{
 		Incarnation: to.Worker.Incarnation,
 		Run:         order.Run,
 		Outcome:     outcome,
@@ -101,13 +148,23 @@
 	})
 }
 
+// reportNotSent reports that a start was not sent, since its payload cannot be had.
+func (s *session) reportNotSent(to aqworker.Address, order aqdecider.Start) {
+	s.agent.metrics.Retried(aqmetric.RetryPayloadMissing)
+	s.agent.emit(s, StartResult{
+		Incarnation: to.Worker.Incarnation,
+		Run:         order.Run,
+		Outcome:     aqdecider.OutcomeNotSent,
+		At:          s.recordOrderDone(),
+	})
+}
+
 // recordOrderDone records that a start or stop was answered or abandoned, and returns
 // the logical time.
 func (s *session) recordOrderDone() aqdecider.LogicalTime {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.orderDoneAt = s.nextLogicalTime()
-	s.idleReportedAt = time.Time{}
 	return s.orderDoneAt
 }
 
@@ -127,22 +184,23 @@
 
 // tryStart makes one attempt to deliver a start. A worker that does not answer
 // heartbeats gets no starts, since a start renews its lease.
-func (s *session) tryStart(to Address, order aqdecider.Start) error {
-	if !s.agent.permitted(s.fence) {
-		return ErrTooLate
+func (s *session) tryStart(to aqworker.Address, order aqdecider.Start, payload string) error {
+	if !s.agent.Permitted(s.fence) {
+		return aqworker.ErrTooLate
 	}
 	s.mu.Lock()
 	end := s.nextLeaseEnd()
 	s.mu.Unlock()
 	if end == 0 {
-		return ErrTooLate
+		return aqworker.ErrTooLate
 	}
 	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
-	return s.agent.workers.Start(bounded, to, StartRequest{
+	return s.agent.workers.Start(bounded, to, aqworker.StartRequest{
 		Fence:    s.fence,
 		LeaseEnd: end,
 		Order:    order,
+		Payload:  payload,
 	})
 }
 
@@ -152,13 +210,13 @@
 	switch {
 	case err == nil:
 		return aqdecider.OutcomeAccepted
-	case uncertain, errors.Is(err, ErrSuperseded), errors.Is(err, ErrOtherWorker):
+	case uncertain, errors.Is(err, aqworker.ErrSuperseded), errors.Is(err, aqworker.ErrOtherWorker):
 		return aqdecider.OutcomeUnknown
-	case errors.Is(err, ErrNoRoom):
+	case errors.Is(err, aqworker.ErrNoRoom):
 		return aqdecider.OutcomeNoRoom
-	case errors.Is(err, ErrNoTicket):
+	case errors.Is(err, aqworker.ErrNoTicket):
 		return aqdecider.OutcomeNoTicket
-	case errors.Is(err, ErrUnhealthy):
+	case errors.Is(err, aqworker.ErrUnhealthy):
 		return aqdecider.OutcomeUnhealthy
 	}
 	return aqdecider.OutcomeInvalid
@@ -171,13 +229,13 @@
 	to := s.address()
 	for range stopTries {
 		bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
-		err := s.agent.workers.Stop(bounded, to, StopRequest{Fence: s.fence, Run: order.Run})
+		err := s.agent.workers.Stop(bounded, to, aqworker.StopRequest{Fence: s.fence, Run: order.Run})
 		cancel()
-		if errors.Is(err, ErrFenced) {
-			s.agent.emit(s, fenced{})
+		if errors.Is(err, aqworker.ErrFenced) {
+			s.agent.emit(s, Fenced{})
 			return
 		}
-		if err == nil || errors.Is(err, ErrSuperseded) {
+		if err == nil || errors.Is(err, aqworker.ErrSuperseded) {
 			s.reportStop(to, order, true)
 			return
 		}
@@ -193,9 +251,9 @@
 	s.reportStop(to, order, false)
 }
 
-func (s *session) reportStop(to Address, order aqdecider.Stop, answered bool) {
+func (s *session) reportStop(to aqworker.Address, order aqdecider.Stop, answered bool) {
 	at := s.recordOrderDone()
-	s.agent.emit(s, stopResult{
+	s.agent.emit(s, StopResult{
 		Incarnation: to.Worker.Incarnation,
 		Run:         order.Run,
 		Answered:    answered,
@@ -207,13 +265,13 @@
 	to := s.address()
 	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
-	err := s.agent.workers.Pace(bounded, to, PaceRequest{
+	err := s.agent.workers.Pace(bounded, to, aqworker.PaceRequest{
 		Fence:   s.fence,
 		Run:     order.Run,
 		Percent: order.Percent,
 	})
-	if errors.Is(err, ErrFenced) {
-		s.agent.emit(s, fenced{})
+	if errors.Is(err, aqworker.ErrFenced) {
+		s.agent.emit(s, Fenced{})
 		return
 	}
 	if err != nil && s.ctx.Err() == nil {
--- /dev/null
+++ b/internal/site/aqagent/wire.go
@@ -0,0 +1,237 @@
+package aqagent
+
+import (
+	"time"
+
+	"acaciaquay/internal/site/aqworker"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqstore"
+	"acaciaquay/pkg/aqtype"
+)
+
+// Methods by which a leader has its agents manage workers.
+const (
+	MethodOrders aqpeer.Method = "Agent.Orders"
+	MethodPoll   aqpeer.Method = "Agent.Poll"
+)
+
+// Serial numbers the assignments of workers to agents in one term. The leader drops
+// events of an earlier assignment.
+type Serial uint64
+
+// LeadRecord is the value of the lead key.
+type LeadRecord struct {
+	Node        string
+	Address     string
+	Incarnation int64
+	Term        int64
+}
+
+// CheckReport is a leader's report of its last check.
+type CheckReport struct {
+	// Config is the revision of the configuration that the check found current.
+	Config aqstore.Revision
+	// Age is the time since the check.
+	Age time.Duration
+}
+
+// Assignment makes an agent manage a worker.
+type Assignment struct {
+	Worker aqdecider.Worker
+	Serial Serial
+	Params HeartbeatParams
+}
+
+// HeartbeatParams are the leader's parameters for the heartbeats to a worker.
+type HeartbeatParams struct {
+	Worker aqtype.WorkerID
+	// Number orders the parameters of one assignment: polls and orders calls carry them
+	// and may overtake each other.
+	Number uint64
+	// AckedEnd is the number of the last end that the leader acknowledges; the worker
+	// may discard the ends up to it. Incarnation is the incarnation of the worker that
+	// numbered them.
+	AckedEnd    int
+	Incarnation aqdecider.Incarnation
+	Wait        time.Duration
+	// Renew is set once the leader has received a report of the worker in this
+	// assignment. The agent does not renew the lease before, so that the leader knows
+	// when it expires.
+	Renew bool
+}
+
+// OrdersCall gives assignments and orders to an agent. The leader makes one call at a
+// time to one agent.
+type OrdersCall struct {
+	Fence aqworker.Fence
+	Lease time.Duration
+	// Assign is applied before Orders.
+	Assign []Assignment
+	Drop   []aqtype.WorkerID
+	Params []HeartbeatParams
+	Orders []OrderWire
+}
+
+// PollCall asks an agent for its events. The agent holds the call for up to Wait until
+// it has one, but answers at once while it has no permit.
+type PollCall struct {
+	Fence aqworker.Fence
+	// Leader is the calling leader. An agent that the store does not serve learns of a
+	// new leader from it.
+	Leader LeadRecord
+	// AckedAnswer is the number of the last answer that the leader has received from the
+	// agent, zero before the first. The agent's permit lasts for PermitTime from when it
+	// sent that answer, not from the poll's arrival, since a poll may be delayed.
+	AckedAnswer uint64
+	// Checked reports the leader's last check, which the agent may count as its own.
+	Checked CheckReport
+	Params  []HeartbeatParams
+	// Pending are the leader's counts of jobs that have not started.
+	Pending PendingCounts
+	// Gather is how long the agent gathers events after its last answer, and after the
+	// first event.
+	Gather time.Duration
+	Wait   time.Duration
+}
+
+// PendingCounts holds the number of jobs of each queue of which no task has started.
+type PendingCounts struct {
+	// Known is unset when the leader has not counted.
+	Known bool
+	// Queues lists the queues with a count above zero.
+	Queues []QueueCount
+}
+
+// QueueCount is the number of a queue's jobs of which no task has started.
+type QueueCount struct {
+	Queue aqjob.QueueID
+	Count int
+}
+
+// PollAnswer holds the events since the last answer.
+type PollAnswer struct {
+	// Number identifies the answer. The leader's next poll acknowledges it.
+	Number uint64
+	Events []EventWire
+}
+
+// OrderWire carries one order; exactly one of the pointers is set.
+type OrderWire struct {
+	Start *aqdecider.Start `msgpack:",omitempty"`
+	Stop  *aqdecider.Stop  `msgpack:",omitempty"`
+	Pace  *aqdecider.Pace  `msgpack:",omitempty"`
+}
+
+// WrapOrder returns the wire form of an order.
+func WrapOrder(o aqdecider.Order) OrderWire {
+	switch order := o.(type) {
+	case aqdecider.Start:
+		return OrderWire{Start: &order}
+	case aqdecider.Stop:
+		return OrderWire{Stop: &order}
+	case aqdecider.Pace:
+		return OrderWire{Pace: &order}
+	}
+	return OrderWire{}
+}
+
+// Unwrap returns nil for an order of an unknown kind.
+func (w OrderWire) Unwrap() aqdecider.Order {
+	switch {
+	case w.Start != nil:
+		return *w.Start
+	case w.Stop != nil:
+		return *w.Stop
+	case w.Pace != nil:
+		return *w.Pace
+	}
+	return nil
+}
+
+// Event is what an agent reports about a worker. Only the types below implement it.
+type Event interface{ isEvent() }
+
+// ReportReceived carries what a worker's report changes.
+type ReportReceived struct {
+	Difference Difference
+}
+
+// Unresponsive means that a worker does not answer.
+type Unresponsive struct {
+	// ExpiresIn is how long until the worker's lease has certainly expired, negative
+	// when the agent does not know.
+	ExpiresIn time.Duration
+}
+
+// StartResult carries the outcome of an order to start.
+type StartResult struct {
+	Incarnation aqdecider.Incarnation
+	Run         aqdecider.RunID
+	Outcome     aqdecider.Outcome
+	At          aqdecider.LogicalTime
+}
+
+// StopResult carries the outcome of an order to stop.
+type StopResult struct {
+	Incarnation aqdecider.Incarnation
+	Run         aqdecider.RunID
+	// Answered is false when the worker has not confirmed the stop.
+	Answered bool
+	At       aqdecider.LogicalTime
+}
+
+// Fenced means that the worker has received a higher fencing token.
+type Fenced struct{}
+
+func (ReportReceived) isEvent() {}
+func (Unresponsive) isEvent()   {}
+func (StartResult) isEvent()    {}
+func (StopResult) isEvent()     {}
+func (Fenced) isEvent()         {}
+
+// EventWire carries one event; exactly one of the pointers is set.
+type EventWire struct {
+	Worker       aqtype.WorkerID
+	Serial       Serial
+	Report       *ReportReceived `msgpack:",omitempty"`
+	Unresponsive *Unresponsive   `msgpack:",omitempty"`
+	StartResult  *StartResult    `msgpack:",omitempty"`
+	StopResult   *StopResult     `msgpack:",omitempty"`
+	Fenced       *Fenced         `msgpack:",omitempty"`
+}
+
+func wrapEvent(worker aqtype.WorkerID, serial Serial, e Event) EventWire {
+	w := EventWire{Worker: worker, Serial: serial}
+	switch e := e.(type) {
+	case ReportReceived:
+		w.Report = &e
+	case Unresponsive:
+		w.Unresponsive = &e
+	case StartResult:
+		w.StartResult = &e
+	case StopResult:
+		w.StopResult = &e
+	case Fenced:
+		w.Fenced = &e
+	}
+	return w
+}
+
+// Unwrap returns nil for an event of an unknown kind.
+func (w EventWire) Unwrap() Event {
+	switch {
+	case w.Report != nil:
+		return *w.Report
+	case w.Unresponsive != nil:
+		return *w.Unresponsive
+	case w.StartResult != nil:
+		return *w.StartResult
+	case w.StopResult != nil:
+		return *w.StopResult
+	case w.Fenced != nil:
+		return *w.Fenced
+	}
+	return nil
+}
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -58,6 +58,7 @@
 	StateRecovered          = Event{Number: 903, Layer: LayerSite, Level: slog.LevelInfo, Message: "state recovered", Meaning: "The leader read the stored jobs and the lists of workers and agents. Scheduling begins."}
 	LeadershipAttemptFailed = Event{Number: 904, Layer: LayerSite, Level: slog.LevelWarn, Message: "leadership attempt failed", Meaning: "The process could not claim the leadership and retries, or could not release it in a planned stop, after which its lease expires."}
 	LeaderSeen              = Event{Number: 905, Layer: LayerSite, Level: slog.LevelInfo, Message: "leader changed", Meaning: "This process sends status calls to the leader in Leader from now on."}
+	RecoveryDelayed         = Event{Number: 906, Layer: LayerSite, Level: slog.LevelWarn, Message: "recovery delayed", Meaning: "A new leader could not read or write the stored state and tries again. Meanwhile its agents renew the leases of the workers that it has taken over; nothing new is started."}
 	StoreLost               = Event{Number: 910, Layer: LayerSite, Level: slog.LevelWarn, Message: "store unavailable", Meaning: "The store does not answer this process or refuses its calls. New jobs may be refused; running tasks continue."}
 	StoreRecovered          = Event{Number: 911, Layer: LayerSite, Level: slog.LevelInfo, Message: "store available again", Meaning: "The store answers this process again."}
 	WatchReset              = Event{Number: 912, Layer: LayerSite, Level: slog.LevelWarn, Message: "watch reset", Meaning: "The store no longer has the history that the watch needs. The state is read again in full."}
@@ -70,6 +71,7 @@
 
 	WatchStalled     = Event{Number: 925, Layer: LayerSite, Level: slog.LevelWarn, Message: "watch stalled", Meaning: "While Deaf is true, the store's watch does not report what the leader writes, and the leader reads the full list of workers instead. Deaf is false when the watch works again."}
 	AdviceFailed     = Event{Number: 924, Layer: LayerSite, Level: slog.LevelWarn, Message: "advice request failed", Meaning: "The advice service did not answer. Groups of queues that require advice wait, and the request is repeated."}
+	PayloadMissing   = Event{Number: 926, Layer: LayerSite, Level: slog.LevelWarn, Message: "payload not fetched", Meaning: "Neither the process in From, which accepted the job, nor the store gave this agent the job's payload. Its starts are reported as not sent, and the leader places the tasks again."}
 	AgentJoined      = Event{Number: 920, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent joined", Meaning: "Another process registered and can manage workers for this leader."}
 	AgentLost        = Event{Number: 921, Layer: LayerSite, Level: slog.LevelWarn, Message: "agent lost", Meaning: "A process does not answer the leader. Its workers are reassigned to other agents."}
 	AgentRecovered   = Event{Number: 922, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent answers again", Meaning: "The leader assigns workers to the process again: the process answered, or the retry delay after its failure is over. It is still down if another event 921 follows."}
@@ -87,9 +89,12 @@
 // accept them.
 var LinesDropped = Event{Number: 104, Layer: LayerProcess, Level: slog.LevelWarn, Message: "log lines dropped", Meaning: "Standard output did not accept lines fast enough. Count lines are missing before this one."}
 
+// PanicContained reports a panic that cost one call or loop and not the process.
+var PanicContained = Event{Number: 105, Layer: LayerProcess, Level: slog.LevelWarn, Message: "panic contained", Meaning: "A call or loop met a value that it could not handle. Where names it, Stack shows the place in the code. The call failed, or the loop began again; a leader gave up its term. Report it as a fault."}
+
 // Events lists every event.
 var Events = []Event{
-	ProcessStarted, ProcessStopping, ProcessStopped, TLSOff, LinesDropped,
+	ProcessStarted, ProcessStopping, ProcessStopped, TLSOff, LinesDropped, PanicContained,
 	MemberJoined, MemberLeft, LeaseLost, StoreUnavailable, StoreBack,
 	SegmentInDoubt, OwnershipLost, ShardTaken, ShardReleased, SnapshotWritten, TakeoverFailed,
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
@@ -97,8 +102,8 @@
 	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
 	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived,
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired,
-	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen,
+	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
-	OrderFailed, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled,
+	OrderFailed, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
 	JobStored, JobRefused, JobInDoubt, CancelStored, StateFromStore, CallFailed,
 }
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -73,6 +73,9 @@
 	RetryLeaderLost     RetryReason = "LeaderLost"
 	RetryWatchReset     RetryReason = "WatchReset"
 	RetryAgentLost      RetryReason = "AgentLost"
+	RetryPayloadMissing RetryReason = "PayloadMissing"
+	RetryReportBase     RetryReason = "ReportBaseMissing"
+	RetryRecovery       RetryReason = "RecoveryRead"
 )
 
 // RetryReasons lists every retry reason. BudgetSpent counts the retries that
@@ -81,6 +84,7 @@
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
 	RetryStartUnknown, RetryStopLost, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
+	RetryPayloadMissing, RetryReportBase, RetryRecovery,
 }
 
 // Counter names a counter without a reason.
@@ -103,13 +107,14 @@
 	TasksEnded        Counter = "aq_tasks_ended_total"
 	LeadTerms         Counter = "aq_lead_terms_total"
 	LogLinesDropped   Counter = "aq_log_lines_dropped_total"
+	PanicsContained   Counter = "aq_panics_contained_total"
 )
 
 // Counters lists every counter without a reason.
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, LeadTerms, LogLinesDropped,
+	JobsAccepted, TasksEnded, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
+	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
@@ -15,8 +20,8 @@
 
 // agentLink calls one agent.
 type agentLink interface {
-	Orders(ctx context.Context, call ordersCall) error
-	Poll(ctx context.Context, call pollCall) (pollAnswer, error)
+	Orders(ctx context.Context, call aqagent.OrdersCall) error
+	Poll(ctx context.Context, call aqagent.PollCall) (aqagent.PollAnswer, error)
 }
 
 // remoteLink calls an agent in another process.
@@ -26,15 +31,15 @@
 }
 
 // Orders implements agentLink.
-func (r remoteLink) Orders(ctx context.Context, call ordersCall) error {
+func (r remoteLink) Orders(ctx context.Context, call aqagent.OrdersCall) error {
 	var none struct{}
-	return r.peers.Call(ctx, r.address, methodOrders, call, &none)
+	return r.peers.Call(ctx, r.address, aqagent.MethodOrders, call, &none)
 }
 
 // Poll implements agentLink.
-func (r remoteLink) Poll(ctx context.Context, call pollCall) (pollAnswer, error) {
-	var answer pollAnswer
-	err := r.peers.Call(ctx, r.address, methodPoll, call, &answer)
+func (r remoteLink) Poll(ctx context.Context, call aqagent.PollCall) (aqagent.PollAnswer, error) {
+	var answer aqagent.PollAnswer
+	err := r.peers.Call(ctx, r.address, aqagent.MethodPoll, call, &answer)
 	return answer, err
 }
 
@@ -47,8 +52,9 @@
 		if a == nil || a.member == nil {
 			continue
 		}
-		a.member.pending.Orders = append(a.member.pending.Orders, wrapOrder(o))
-		signal(a.member.wakeSend)
+		a.member.stale[o.Target()] = true
+		a.member.pending.Orders = append(a.member.pending.Orders, aqagent.WrapOrder(o))
+		aqsignal.Send(a.member.wakeSend)
 	}
 }
 
@@ -60,11 +66,13 @@
 			return
 		case <-m.wakeSend:
 		}
-		p.mu.Lock()
-		call := m.pending
-		m.pending = ordersCall{}
-		p.mu.Unlock()
-		if len(call.Assign)+len(call.Drop)+len(call.Orders) == 0 {
+		call, ok := p.takeOrders(m)
+		if !ok {
+			aqclock.Sleep(m.ctx, p.leader.node.clock, retryPause)
+			aqsignal.Send(m.wakeSend)
+			continue
+		}
+		if len(call.Assign)+len(call.Drop)+len(call.Params)+len(call.Orders) == 0 {
 			continue
 		}
 		call.Fence = p.leader.fence
@@ -75,6 +83,19 @@
 	}
 }
 
+// takeOrders takes what waits for a member, unless the leader has no proof of its
+// leadership: it may have been paused since it decided.
+func (p *agentPool) takeOrders(m *member) (aqagent.OrdersCall, bool) {
+	if !p.leader.mayOrder() {
+		return aqagent.OrdersCall{}, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	call := m.pending
+	m.pending = aqagent.OrdersCall{}
+	return call, true
+}
+
 // pollLoop polls a member for its events.
 func (p *agentPool) pollLoop(m *member) {
 	for m.ctx.Err() == nil {
@@ -82,13 +103,18 @@
 			aqclock.Sleep(m.ctx, p.leader.node.clock, retryPause)
 			continue
 		}
-		answer, err := m.link.Poll(m.ctx, pollCall{
+		p.mu.Lock()
+		m.polledAt = p.leader.node.clock.Now()
+		p.mu.Unlock()
+		answer, err := m.link.Poll(m.ctx, aqagent.PollCall{
 			Fence:       p.leader.fence,
 			Leader:      p.leader.record,
 			AckedAnswer: m.lastAnswer,
 			Checked:     p.leader.node.lastCheck(),
 			Params:      p.changedParams(m),
-			Wait:        pollWait,
+			Pending:     p.leader.pendingCounts(),
+			Gather:      p.gatherTime(),
+			Wait:        aqagent.PollWait,
 		})
 		if err != nil {
 			p.agentFailed(m, err)
@@ -104,6 +130,29 @@
 	}
 }
 
+// Times of the polls.
+const (
+	// heldPollTime is the age from which a poll counts as held by its agent.
+	heldPollTime = 100 * time.Millisecond
+	// gatherPerAgent and maxGatherTime make agents gather events the longer, the more
+	// agents there are, so that the leader's polls per second stay the same.
+	gatherPerAgent = 3 * time.Millisecond
+	maxGatherTime  = 90 * time.Millisecond
+)
+
+// gatherTime returns how long an agent gathers events into one answer.
+func (p *agentPool) gatherTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	busy := 0
+	for _, m := range p.ordered {
+		if m.assigned > 0 {
+			busy++
+		}
+	}
+	return min(maxGatherTime, max(aqagent.MinGatherTime, time.Duration(busy)*gatherPerAgent))
+}
+
 // idlePoll is how often a member without workers is polled.
 const idlePoll = 2 * time.Second
 
@@ -159,31 +208,71 @@
 
 // changedParams returns the heartbeat parameters that have changed for a member's
 // workers.
-func (p *agentPool) changedParams(m *member) []heartbeatParams {
-	var changed []heartbeatParams
+func (p *agentPool) changedParams(m *member) []aqagent.HeartbeatParams {
+	var changed []aqagent.HeartbeatParams
 	p.leader.decide(func(d *aqdecider.Decider) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		for id, a := range m.workers {
-			h := heartbeatParams{Worker: id, Wait: heartbeatWaitIdle, Renew: a.renew}
-			h.AckedEnd, h.Incarnation = d.AckedEnds(id)
-			if d.Occupied(id) {
-				h.Wait = heartbeatWaitBusy
+		for id := range m.stale {
+			if a := m.workers[id]; a != nil && a.updateParams(d) {
+				changed = append(changed, a.params)
 			}
-			if d.NeedsFrequentHeartbeats(id) {
-				h.Wait = heartbeatWaitTail
+		}
+		clear(m.stale)
+	})
+	return changed
+}
+
+// updateParams updates the heartbeat parameters of a worker and reports whether they have
+// changed. The caller holds the pool's lock.
+func (a *workerAssignment) updateParams(d *aqdecider.Decider) bool {
+	id := a.worker.ID
+	h := aqagent.HeartbeatParams{
+		Worker: id,
+		Number: a.params.Number,
+		Wait:   aqagent.HeartbeatWaitIdle,
+		Renew:  a.renew,
+	}
+	h.AckedEnd, h.Incarnation = d.AckedEnds(id)
+	if d.Occupied(id) {
+		h.Wait = aqagent.HeartbeatWaitBusy
+	}
+	if d.NeedsFrequentHeartbeats(id) {
+		h.Wait = aqagent.HeartbeatWaitTail
+	}
+	if h == a.params {
+		return false
+	}
+	h.Number++
+	a.params = h
+	return true
+}
+
+// sendAcks sends the agents of workers the acknowledgements of their stored ends: with the
+// next poll, or at once to an agent that holds the last poll until something ends. A
+// worker answers every heartbeat at once until its ends are acknowledged.
+func (p *agentPool) sendAcks(ids []aqtype.WorkerID) {
+	p.leader.decide(func(d *aqdecider.Decider) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		now := p.leader.node.clock.Now()
+		for _, id := range ids {
+			a := p.assignments[id]
+			if a == nil || a.member == nil {
+				continue
 			}
-			if h != a.params {
-				a.params = h
-				changed = append(changed, h)
+			a.member.stale[id] = true
+			if now.Sub(a.member.polledAt) < heldPollTime || !a.updateParams(d) {
+				continue
 			}
+			a.member.pending.Params = append(a.member.pending.Params, a.params)
+			aqsignal.Send(a.member.wakeSend)
 		}
 	})
-	return changed
 }
 
 // applyEvents passes a member's events on to the decider.
-func (p *agentPool) applyEvents(m *member, events []eventWire) {
+func (p *agentPool) applyEvents(m *member, events []aqagent.EventWire) {
 	if len(events) == 0 {
 		return
 	}
@@ -194,53 +283,98 @@
 				continue
 			}
 			id := wire.Worker
-			switch e := wire.unwrap().(type) {
-			case reportReceived:
-				p.workerAnswered(id)
-				d.WorkerReported(id, e.Report)
-			case unresponsive:
+			p.markStale(m, id)
+			switch e := wire.Unwrap().(type) {
+			case aqagent.ReportReceived:
+				p.reportReceived(d, id, e.Difference)
+			case aqagent.Unresponsive:
 				d.WorkerUnresponsive(id)
 				p.workerUnresponsive(d, id, e)
-			case startResult:
+			case aqagent.StartResult:
 				d.StartAnswered(id, e.Incarnation, e.Run, e.Outcome, e.At)
-			case stopResult:
+			case aqagent.StopResult:
 				if e.Answered {
 					d.StopAnswered(id, e.Incarnation, e.Run, e.At)
 				} else {
 					d.StopUnanswered(id, e.Incarnation, e.Run)
 				}
-			case fenced:
+			case aqagent.Fenced:
 				deposed = true
 			}
 		}
 	})
 	if deposed {
-		p.leader.lose(ErrFenced)
+		p.leader.lose(aqworker.ErrFenced)
 	}
 }
 
+// markStale makes the next poll of a member check the heartbeat parameters of a worker.
+func (p *agentPool) markStale(m *member, id aqtype.WorkerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.stale[id] = true
+}
+
 // isCurrent reports whether an event belongs to the worker's current assignment.
-func (p *agentPool) isCurrent(m *member, wire eventWire) bool {
+func (p *agentPool) isCurrent(m *member, wire aqagent.EventWire) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.assignments[wire.Worker]
 	return a != nil && a.member == m && a.serial == wire.Serial
 }
 
-// workerAnswered records that a worker has answered.
-func (p *agentPool) workerAnswered(id aqtype.WorkerID) {
+// reportReceived rebuilds a worker's report and passes it on to the decider. A difference
+// without its base makes the worker's agent report everything again.
+func (p *agentPool) reportReceived(d *aqdecider.Decider, id aqtype.WorkerID, difference aqagent.Difference) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if a := p.assignments[id]; a != nil {
-		a.leaseExpiresAt = time.Time{}
-		a.tried = nil
-		a.renew = true
+	a := p.assignments[id]
+	report, err := a.listing.Apply(difference)
+	if err != nil {
+		a.leaseExpiresAt = p.leader.node.clock.Now().Add(p.longestLease())
+		p.assign(a, a.member)
+		p.mu.Unlock()
+		p.leader.node.metrics.Retried(aqmetric.RetryReportBase)
+		d.WorkerReassigned(id)
+		return
+	}
+	a.leaseExpiresAt = time.Time{}
+	a.tried = nil
+	a.renew = true
+	if !p.reportsReleased {
+		if a.held != nil && a.held.Incarnation == report.Incarnation {
+			report.Ended = append(a.held.Ended, report.Ended...)
+		}
+		a.held = &report
+		p.mu.Unlock()
+		return
 	}
+	p.mu.Unlock()
+	d.WorkerReported(id, report)
+}
+
+// releaseReports passes the reports on that were held back while the stored jobs were
+// read, and no longer holds any back.
+func (p *agentPool) releaseReports() {
+	p.leader.decide(func(d *aqdecider.Decider) {
+		p.mu.Lock()
+		p.reportsReleased = true
+		held := map[aqtype.WorkerID]*aqdecider.WorkerReport{}
+		for _, id := range p.sortedWorkers() {
+			if a := p.assignments[id]; a.held != nil {
+				held[id] = a.held
+				a.held = nil
+			}
+		}
+		p.mu.Unlock()
+		for _, id := range slices.Sorted(maps.Keys(held)) {
+			d.WorkerReported(id, *held[id])
+		}
+	})
 }
 
 // workerUnresponsive assigns an unresponsive worker to another member, which may
 // reach it.
-func (p *agentPool) workerUnresponsive(d *aqdecider.Decider, id aqtype.WorkerID, e unresponsive) {
+func (p *agentPool) workerUnresponsive(d *aqdecider.Decider, id aqtype.WorkerID, e aqagent.Unresponsive) {
 	p.mu.Lock()
 	a := p.assignments[id]
 	if a == nil || a.member == nil {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqtype"
 )
@@ -29,13 +31,17 @@
 	// it.
 	lastAnswer uint64
 	assigned   int
+	// stale holds the workers whose heartbeat parameters may have changed.
+	stale map[aqtype.WorkerID]bool
+	// polledAt is when the last poll was sent.
+	polledAt time.Time
 	// workers are the assignments to this member; assigned is their number.
 	workers map[aqtype.WorkerID]*workerAssignment
 	// wakePoll ends the wait before the next poll of an idle member that gets a worker.
 	wakePoll chan struct{}
 
 	// pending is the content of the next orders call.
-	pending  ordersCall
+	pending  aqagent.OrdersCall
 	wakeSend chan struct{}
 }
 
@@ -43,7 +49,7 @@
 type workerAssignment struct {
 	worker aqdecider.Worker
 	member *member
-	serial Serial
+	serial aqagent.Serial
 	// leaseExpiresAt is when the lease has certainly expired, set while no agent
 	// reaches the worker and zero otherwise.
 	leaseExpiresAt time.Time
@@ -51,7 +57,12 @@
 	tried map[string]bool
 	// renew is set once the worker has answered in this assignment.
 	renew  bool
-	params heartbeatParams
+	params aqagent.HeartbeatParams
+	// listing is what the worker runs according to the reports of this assignment.
+	listing aqagent.Listing
+	// held is the last report with all ends since the assignment, nil once the leader has
+	// read the stored jobs: without them every run would be an orphan.
+	held *aqdecider.WorkerReport
 }
 
 // agentPool assigns workers to agents. Its lock may be taken while the leader's is
@@ -63,10 +74,12 @@
 	members map[string]*member
 	// ordered holds the same members by name. It is replaced when they change.
 	ordered []*member
+	// reportsReleased is set once workers' reports go to the decider.
+	reportsReleased bool
 	// changes counts the changes of the members.
 	changes     uint64
 	assignments map[aqtype.WorkerID]*workerAssignment
-	serial      Serial
+	serial      aqagent.Serial
 }
 
 func newAgentPool(l *leader) *agentPool {
@@ -95,6 +108,7 @@
 		ctx:      memberCtx,
 		wakeSend: make(chan struct{}, 1),
 		workers:  map[aqtype.WorkerID]*workerAssignment{},
+		stale:    map[aqtype.WorkerID]bool{},
 		wakePoll: make(chan struct{}, 1),
 	}
 	p.add(m)
@@ -103,14 +117,9 @@
 		before.cancel()
 		p.reassignWorkersOf(before)
 	}
-	for _, loop := range []func(*member){p.sendLoop, p.pollLoop} {
-		p.leader.work.Add(1)
-		go func() {
-			defer p.leader.work.Done()
-			loop(m)
-		}()
-	}
-	signal(p.leader.wakeStore)
+	p.leader.spawn("orders", func() { p.sendLoop(m) })
+	p.leader.spawn("polls", func() { p.pollLoop(m) })
+	aqsignal.Send(p.leader.wakeStore)
 	return true
 }
 
@@ -208,12 +217,12 @@
 		p.assign(a, p.pickMember(w, nil))
 		return
 	}
-	a.member.pending.Assign = append(a.member.pending.Assign, assignment{
+	a.member.pending.Assign = append(a.member.pending.Assign, aqagent.Assignment{
 		Worker: w,
 		Serial: a.serial,
 		Params: a.params,
 	})
-	signal(a.member.wakeSend)
+	aqsignal.Send(a.member.wakeSend)
 }
 
 // assignUnassigned assigns the workers that no member manages.
@@ -252,12 +261,15 @@
 	if a.member != nil {
 		a.member.assigned--
 		delete(a.member.workers, a.worker.ID)
+		delete(a.member.stale, a.worker.ID)
 		a.member.pending.Drop = append(a.member.pending.Drop, a.worker.ID)
-		signal(a.member.wakeSend)
+		aqsignal.Send(a.member.wakeSend)
 	}
 	a.member = to
 	a.params.Renew = false
 	a.renew = false
+	a.listing = aqagent.Listing{}
+	a.held = nil
 	if to == nil {
 		return
 	}
@@ -265,13 +277,14 @@
 	a.serial = p.serial
 	to.assigned++
 	to.workers[a.worker.ID] = a
-	signal(to.wakePoll)
-	to.pending.Assign = append(to.pending.Assign, assignment{
+	to.stale[a.worker.ID] = true
+	aqsignal.Send(to.wakePoll)
+	to.pending.Assign = append(to.pending.Assign, aqagent.Assignment{
 		Worker: a.worker,
 		Serial: a.serial,
 		Params: a.params,
 	})
-	signal(to.wakeSend)
+	aqsignal.Send(to.wakeSend)
 }
 
 // removeWorker ends the assignment of a worker and removes it.
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqtype"
@@ -22,21 +23,21 @@
 	before := l.agents.assignments["w1"].serial
 	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
 	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}})
-	m.pending = ordersCall{}
+	m.pending = aqagent.OrdersCall{}
 	l.decide(func(d *aqdecider.Decider) {
 		d.UpdateWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
-		l.agents.workerUnresponsive(d, "w1", unresponsive{ExpiresIn: time.Second})
+		l.agents.workerUnresponsive(d, "w1", aqagent.Unresponsive{ExpiresIn: time.Second})
 	})
 	clock.Advance(2 * time.Second)
 	l.decide(l.agents.expireLeases)
 	if after := l.agents.assignments["w1"].serial; after <= before {
-		t.Fatalf("lease expired, but the assignment number is still %d", after)
+		t.Fatalf("lease expired, but the aqagent.Assignment number is still %d", after)
 	}
 	if len(m.pending.Drop) != 1 || len(m.pending.Assign) != 1 {
-		t.Fatalf("the agent gets %+v, want one drop and one assignment", m.pending)
+		t.Fatalf("the agent gets %+v, want one drop and one aqagent.Assignment", m.pending)
 	}
-	if l.agents.isCurrent(m, eventWire{Worker: "w1", Serial: before}) {
-		t.Fatal("events of the previous assignment are applied")
+	if l.agents.isCurrent(m, aqagent.EventWire{Worker: "w1", Serial: before}) {
+		t.Fatal("events of the previous aqagent.Assignment are applied")
 	}
 }
 
@@ -51,6 +52,7 @@
 		cancel:    cancel,
 		wakeSend:  make(chan struct{}, 1),
 		workers:   map[aqtype.WorkerID]*workerAssignment{},
+		stale:     map[aqtype.WorkerID]bool{},
 		wakePoll:  make(chan struct{}, 1),
 	}
 	l.agents.add(m)
@@ -70,3 +72,25 @@
 		t.Errorf("members %v, want only the one that is up", names)
 	}
 }
+
+// A leader that was paused between a decision and its order sends nothing until it has
+// proved its leadership again.
+func TestPausedLeaderSendsNoOrders(t *testing.T) {
+	store := newFakeStore()
+	n, clock := testNode(t, store)
+	l := lead(t, n, store)
+	m := addMember(l, "a1", true)
+	l.agents.addWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
+	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
+	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}})
+	clock.Suspend(proofLimit)
+	if call, ok := l.agents.takeOrders(m); ok {
+		t.Fatalf("orders after a pause: %+v", call)
+	}
+	if err := l.prove(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if call, ok := l.agents.takeOrders(m); !ok || len(call.Orders) != 1 {
+		t.Fatalf("orders after a proof: %+v, %v", call, ok)
+	}
+}
--- a/pkg/aqsite/commit.go
+++ b/pkg/aqsite/commit.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -16,7 +17,7 @@
 )
 
 // recordsPerTxn keeps a transaction within aqstore.MaxTxnEntries: each record takes two
-// entries, or three when it is removed, in addition to the condition on the lead key.
+// or three entries in addition to the condition on the lead key.
 const recordsPerTxn = 10
 
 // storeLoop stores decisions in rounds, one round at a time.
@@ -31,7 +32,7 @@
 		}
 		if err := l.storeFleet(ctx); err != nil {
 			l.commitFailed(ctx, err)
-			signal(l.wakeStore)
+			aqsignal.Send(l.wakeStore)
 			continue
 		}
 		if !l.urgent() {
@@ -81,10 +82,10 @@
 	for first := 0; first < len(batch.Records); first += recordsPerTxn {
 		records := batch.Records[first:min(first+recordsPerTxn, len(batch.Records))]
 		group.Add(1)
-		go func() {
+		l.spawn("store records", func() {
 			defer group.Done()
 			l.storeRecords(ctx, records)
-		}()
+		})
 	}
 	group.Wait()
 	select {
@@ -96,6 +97,7 @@
 		return
 	}
 	l.decide(func(d *aqdecider.Decider) { d.BatchStored(batch) })
+	l.agents.sendAcks(batch.WorkersWithEnds())
 	l.node.metrics.Observe(aqmetric.TimeCommit, l.node.clock.Now().Sub(started))
 }
 
@@ -115,6 +117,15 @@
 			continue
 		}
 		txn.Puts = append(txn.Puts, aqstore.Put{Key: key, Value: value})
+		if r.Remainder == nil {
+			continue
+		}
+		remainder, err := aqjob.Encode(r.Remainder)
+		if err != nil {
+			l.lose(err)
+			return
+		}
+		txn.Puts = append(txn.Puts, aqstore.Put{Key: jobKey(r.Job), Value: remainder})
 	}
 	for ctx.Err() == nil {
 		revision, err := l.node.store.Commit(ctx, txn)
@@ -160,6 +171,11 @@
 	}
 	var revision aqstore.Revision
 	for _, w := range txn.Puts {
+		if _, isProgress := jobIDFromKey(progressPrefix, w.Key); !isProgress {
+			// The conditions cover the progress of each job, which changes together with
+			// the job itself.
+			continue
+		}
 		if !bytes.Equal(current[w.Key].Value, w.Value) {
 			return false
 		}
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -80,9 +81,15 @@
 			}
 			l.removeUnknownWorkers()
 		},
+		gather: workerWatchGather,
 	}, from)
 }
 
+// workerWatchGather is the pause between two calls of the watch of service discovery:
+// workers write their entries all the time, and hundreds of them make hundreds of changes
+// a second.
+const workerWatchGather = 100 * time.Millisecond
+
 // Intervals of the full reads of the list of workers.
 const (
 	// resyncPeriod is the interval between full reads of a list of up to resyncWorkers
@@ -188,7 +195,7 @@
 		return err
 	}
 	l.fleetRevision = currentRevision(conflict, fleetKey)
-	signal(l.wakeStore)
+	aqsignal.Send(l.wakeStore)
 	return nil
 }
 
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -8,6 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -39,9 +42,9 @@
 // leader is one term of leadership.
 type leader struct {
 	node  *Node
-	fence Fence
+	fence aqworker.Fence
 	// record is the value of the lead key.
-	record leadRecord
+	record aqagent.LeadRecord
 	// leadKeyRevision is the revision of the lead key in this term.
 	leadKeyRevision aqstore.Revision
 
@@ -121,17 +124,10 @@
 	l.decider.SetTime(l.node.clock.Now(), l.node.wallTime())
 	change(l.decider)
 	if l.decider.HasWork() {
-		signal(l.wakeTick)
+		aqsignal.Send(l.wakeTick)
 	}
 	if l.decider.Dirty() {
-		signal(l.wakeStore)
-	}
-}
-
-func signal(wake chan struct{}) {
-	select {
-	case wake <- struct{}{}:
-	default:
+		aqsignal.Send(l.wakeStore)
 	}
 }
 
@@ -147,22 +143,17 @@
 	}
 	l.node.log.Write(aqlog.StateRecovered, slog.Duration("Took", l.node.clock.Now().Sub(started)),
 		slog.Int("Workers", l.workerCount()))
-	loops := []func(context.Context){
-		func(ctx context.Context) { l.watchJobs(ctx, jobsFrom) },
-		func(ctx context.Context) { l.watchWorkers(ctx, workersFrom) },
-		l.watchMembers,
-		l.notifiedJobsLoop,
-		l.resyncLoop,
-		l.adviceLoop,
-		l.tickLoop,
-		l.storeLoop,
-	}
-	for _, loop := range loops {
-		l.work.Add(1)
-		go func() {
-			defer l.work.Done()
-			loop(ctx)
-		}()
+	for _, loop := range []namedLoop{
+		{name: "job watch", run: func(ctx context.Context) { l.watchJobs(ctx, jobsFrom) }},
+		{name: "worker watch", run: func(ctx context.Context) { l.watchWorkers(ctx, workersFrom) }},
+		{name: "member watch", run: l.watchMembers},
+		{name: "notified jobs", run: l.notifiedJobsLoop},
+		{name: "resync", run: l.resyncLoop},
+		{name: "advice", run: l.adviceLoop},
+		{name: "decisions", run: l.tickLoop},
+		{name: "store writes", run: l.storeLoop},
+	} {
+		l.spawn(loop.name, func() { loop.run(ctx) })
 	}
 	select {
 	case <-ctx.Done():
@@ -174,9 +165,16 @@
 	return l.lost
 }
 
-// maxLeaseSpan is the longest time that a lease can last by this process's clock.
-func maxLeaseSpan(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease)/(1-clockDrift)) + expiryMargin
+// spawn runs f in the background until the term ends. A panic ends the term: the state
+// of the decisions may be inconsistent, and the next leader reads the stored one.
+func (l *leader) spawn(name string, f func()) {
+	l.work.Add(1)
+	go func() {
+		defer l.work.Done()
+		if err := l.node.guard.Run(name, f); err != nil {
+			l.lose(err)
+		}
+	}()
 }
 
 // watchJobs follows submissions, cancellations and the lead key.
@@ -292,6 +290,29 @@
 	return state, known, current
 }
 
+// maxPendingQueues limits the queues in one message. With more queues, other processes
+// ask for the counts that they need.
+const maxPendingQueues = 64
+
+// pendingCounts returns the counts for the agents.
+func (l *leader) pendingCounts() aqagent.PendingCounts {
+	if !l.mayAnswer() {
+		return aqagent.PendingCounts{}
+	}
+	var counts aqagent.PendingCounts
+	l.decide(func(d *aqdecider.Decider) {
+		all := d.PendingByQueue()
+		if len(all) > maxPendingQueues {
+			return
+		}
+		counts.Known = true
+		for queue, count := range all {
+			counts.Queues = append(counts.Queues, aqagent.QueueCount{Queue: queue, Count: count})
+		}
+	})
+	return counts
+}
+
 // pending counts a queue's jobs that have not started.
 func (l *leader) pending(queue aqjob.QueueID) (count int, current bool) {
 	if !l.mayAnswer() {
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -10,6 +10,9 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"acaciaquay/internal/base/aqguard"
+	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
@@ -37,7 +40,7 @@
 type Options struct {
 	Settings Settings
 	Store    aqstore.Store
-	Workers  Workers
+	Workers  aqworker.Client
 	// Advisor is nil where there is no advice service.
 	Advisor Advisor
 	Catalog Catalog
@@ -52,18 +55,23 @@
 type Node struct {
 	settings    Settings
 	store       aqstore.Store
-	workers     Workers
+	workers     aqworker.Client
 	advisor     Advisor
 	catalog     Catalog
 	clock       aqclock.Clock
 	log         *aqlog.Logger
 	metrics     *aqmetric.Set
+	guard       aqguard.Guard
 	incarnation int64
 
 	server *aqpeer.Server
 	peers  *aqpeer.Pool
-	agent  *agent
+	agent  *aqagent.Agent
 	routes routes
+	// accepted holds payloads for the agents of other processes.
+	accepted acceptedPayloads
+	// pendingJobs are the leader's counts for submitters.
+	pendingJobs pendingCounts
 	// configRevision and leadRevision are the last known revisions of the configuration
 	// and of the lead key; a lead key that does not exist has revision zero.
 	configRevision maxRevision
@@ -80,9 +88,9 @@
 	current *leader
 	// seenLeader is the leader that the lead key or a leader's poll last named, nil while
 	// the lead key names none.
-	seenLeader *leadRecord
+	seenLeader *aqagent.LeadRecord
 	// seenFence is the highest fencing token of a leader that the lead key or a poll named.
-	seenFence Fence
+	seenFence aqworker.Fence
 	stopping  bool
 
 	storeDown     atomic.Bool
@@ -93,7 +101,7 @@
 // Timeouts of calls between processes.
 const (
 	peerDialTimeout = 400 * time.Millisecond
-	// peerCallTimeout is longer than pollWait.
+	// peerCallTimeout is longer than aqagent.PollWait.
 	peerCallTimeout = 1200 * time.Millisecond
 )
 
@@ -108,24 +116,36 @@
 		clock:          o.Clock,
 		log:            o.Log,
 		metrics:        o.Metrics,
+		guard:          aqguard.New(o.Log, o.Metrics),
 		incarnation:    o.Incarnation,
 		leadKeyChanged: make(chan struct{}, 1),
 		checkNow:       make(chan struct{}, 1),
 		server:         aqpeer.NewServer(o.Log, o.Metrics),
 		peers:          aqpeer.NewPool(aqpeer.ClientTimeouts{Dial: peerDialTimeout, Call: peerCallTimeout}),
 	}
-	n.agent = newAgent(n.workers, n.clock, n.log, n.metrics)
-	n.agent.onPoll = func(call pollCall) {
+	n.agent = aqagent.New(n.agentOptions())
+	n.agent.OnPoll = func(call aqagent.PollCall) {
 		n.learnLeader(call.Leader, call.Fence)
-		if n.agent.permitted(call.Fence) {
+		if n.agent.Permitted(call.Fence) {
 			n.applyCheckReport(call.Checked)
+			n.pendingJobs.set(call.Pending, n.clock.Elapsed())
 		}
 	}
-	n.agent.registerHandlers(n.server)
+	n.agent.RegisterHandlers(n.server)
 	n.registerHandlers()
 	return n
 }
 
+func (n *Node) agentOptions() aqagent.Options {
+	return aqagent.Options{
+		Workers:  n.workers,
+		Payloads: n,
+		Clock:    n.clock,
+		Log:      n.log,
+		Metrics:  n.metrics,
+	}
+}
+
 // wallTime returns the wall clock's time, without a monotonic reading.
 func (n *Node) wallTime() time.Time { return n.clock.Now().Round(0) }
 
@@ -135,30 +155,41 @@
 	if err := n.server.Start(n.settings.PeerAddress); err != nil {
 		return err
 	}
-	n.work.Add(4)
-	go func() {
-		defer n.work.Done()
-		n.checkLoop(ctx)
-	}()
-	go func() {
-		defer n.work.Done()
-		n.register(ctx)
-	}()
-	go func() {
-		defer n.work.Done()
-		n.watchConfig(ctx)
-	}()
-	go func() {
-		defer n.work.Done()
-		n.elect(ctx)
-	}()
+	for _, loop := range []namedLoop{
+		{name: "check loop", run: n.checkLoop},
+		{name: "registration", run: n.register},
+		{name: "configuration watch", run: n.watchConfig},
+		{name: "election", run: n.elect},
+	} {
+		n.work.Add(1)
+		go func() {
+			defer n.work.Done()
+			n.runLoop(ctx, loop)
+		}()
+	}
 	n.work.Wait()
 	return nil
 }
 
+// namedLoop is a loop that runs until its context ends.
+type namedLoop struct {
+	name string
+	run  func(context.Context)
+}
+
+// runLoop runs a loop until ctx ends, and begins it again after a panic.
+func (n *Node) runLoop(ctx context.Context, loop namedLoop) {
+	for ctx.Err() == nil {
+		if err := n.guard.Run(loop.name, func() { loop.run(ctx) }); err == nil {
+			return
+		}
+		aqclock.Sleep(ctx, n.clock, retryPause)
+	}
+}
+
 // Close ends the agent's sessions and the calls between processes.
 func (n *Node) Close() {
-	n.agent.stop()
+	n.agent.Stop()
 	n.server.Stop()
 	n.peers.Close()
 }
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -5,29 +5,28 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
 )
 
-// recover reads the stored state, and adds the known agents and the listed workers. The
-// leader assigns the workers once storeFleet has stored the list of agents.
+// recover begins a term in two stages. First it takes over the workers, so that their
+// leases are renewed however long the rest takes; what they report is held back. Then it
+// reads the stored jobs, and the decider gets the reports.
 func (l *leader) recover(ctx context.Context) (jobsFrom, workersFrom aqstore.Revision, err error) {
-	store := l.node.store
-	progress, _, err := store.Range(ctx, progressPrefix)
+	workersFrom, err = l.takeOverWorkers(ctx)
 	if err != nil {
 		return 0, 0, err
 	}
-	jobItems, jobsFrom, err := store.Range(ctx, inPrefix)
+	progress, _, err := l.readAll(ctx, progressPrefix)
 	if err != nil {
 		return 0, 0, err
 	}
-	listed, workersFrom, err := store.Range(ctx, l.node.catalog.WorkerPrefix)
-	if err != nil {
-		return 0, 0, err
-	}
-	fleet, agents, err := l.readFleet(ctx)
+	jobItems, jobsFrom, err := l.readAll(ctx, inPrefix)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -37,6 +36,30 @@
 			stored[id] = item
 		}
 	}
+	l.decide(func(d *aqdecider.Decider) { l.addJobs(d, jobItems, stored) })
+	l.mu.Lock()
+	l.recovered = true
+	l.mu.Unlock()
+	l.agents.releaseReports()
+	return jobsFrom, workersFrom, nil
+}
+
+// takeOverWorkers reads the stored list of workers and agents and service discovery, and
+// makes the agents manage the workers.
+func (l *leader) takeOverWorkers(ctx context.Context) (aqstore.Revision, error) {
+	var fleet []aqtype.WorkerID
+	var agents []nodeRecord
+	err := l.persist(ctx, func() (err error) {
+		fleet, agents, err = l.readFleet(ctx)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	listed, workersFrom, err := l.readAll(ctx, l.node.catalog.WorkerPrefix)
+	if err != nil {
+		return 0, err
+	}
 	l.setQueues(l.node.routes.config())
 	l.decide(func(d *aqdecider.Decider) {
 		reportDeadline := l.node.clock.Now().Add(proofLimit + l.agents.longestLease())
@@ -46,17 +69,47 @@
 				d.AwaitReports([]aqtype.WorkerID{w.ID}, reportDeadline)
 			}
 		}
-		l.addJobs(d, jobItems, stored)
 	})
 	l.agents.join(ctx, l.node.ownRecord(), l.node.agent)
 	l.joinAgents(ctx, agents)
 	l.applyWorkerSnapshot(listed, workersFrom)
-	l.mu.Lock()
-	l.recovered = true
-	l.mu.Unlock()
-	return jobsFrom, workersFrom, nil
+	return workersFrom, l.persist(ctx, func() error { return l.storeFleet(ctx) })
+}
+
+// readAll reads every item under a prefix.
+func (l *leader) readAll(ctx context.Context, prefix string) (items []aqstore.Item, from aqstore.Revision, err error) {
+	err = l.persist(ctx, func() (err error) {
+		items, from, err = l.node.store.Range(ctx, prefix)
+		return err
+	})
+	return items, from, err
+}
+
+// persist repeats a call to the store until it succeeds or the term ends. A slow store or
+// link does not end the term: the next leader would meet the same one.
+func (l *leader) persist(ctx context.Context, call func() error) error {
+	for {
+		err := call()
+		l.node.recordStoreResult(err)
+		if err == nil {
+			return nil
+		}
+		l.node.metrics.Retried(aqmetric.RetryRecovery)
+		l.node.log.Write(aqlog.RecoveryDelayed, aqlog.Err(err))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.ended:
+			return err
+		case <-l.node.clock.After(retryPause):
+		}
+	}
 }
 
+// unlistedWorkers stands for the workers of a stored list that cannot be decoded. It
+// never reports, so tasks that may run on them wait until every lease has expired.
+const unlistedWorkers aqtype.WorkerID = "unlisted"
+
 func (l *leader) readFleet(ctx context.Context) ([]aqtype.WorkerID, []nodeRecord, error) {
 	item, err := l.node.store.Get(ctx, fleetKey)
 	if errors.Is(err, aqstore.ErrNotFound) {
@@ -65,11 +118,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	l.fleetRevision = item.ModRevision
 	var record fleetRecord
 	if err := decode(item.Value, &record); err != nil {
-		return nil, nil, err
+		l.node.ignoreEntry(item.Key, err)
+		return []aqtype.WorkerID{unlistedWorkers}, nil, nil
 	}
-	l.fleetRevision = item.ModRevision
 	return record.Workers, record.Agents, nil
 }
 
@@ -90,7 +144,7 @@
 
 // acknowledged records that an agent has answered a poll of this leader. Once the last
 // one has, no agent renews a lease for an earlier leader any more, so all leases that
-// this leader does not renew end within maxLeaseSpan.
+// this leader does not renew end within aqagent.MaxLeaseSpan.
 func (l *leader) acknowledged(name string) {
 	l.mu.Lock()
 	waited := l.unacknowledged[name]
@@ -100,7 +154,7 @@
 	if !last {
 		return
 	}
-	leasesEnd := l.node.clock.Now().Add(maxLeaseSpan(l.leaseDuration()))
+	leasesEnd := l.node.clock.Now().Add(aqagent.MaxLeaseSpan(l.leaseDuration()))
 	l.decide(func(d *aqdecider.Decider) { d.LimitReportWait(leasesEnd) })
 }
 
@@ -128,10 +182,18 @@
 	storedItem := stored[id]
 	if storedItem.ModRevision > 0 {
 		progress, err = aqjob.DecodeProgress(storedItem.Value)
+		if err == nil {
+			err = progress.ValidateFor(spec)
+		}
 		if err != nil {
 			l.node.ignoreEntry(storedItem.Key, err)
 			return
 		}
 	}
-	d.AddJob(spec, progress, storedItem.ModRevision, item.CreateRevision < l.leadKeyRevision)
+	failure := l.node.guard.Run("adding a job", func() {
+		d.AddJob(spec, progress, storedItem.ModRevision, item.CreateRevision < l.leadKeyRevision)
+	})
+	if failure != nil {
+		l.node.ignoreEntry(item.Key, failure)
+	}
 }
