--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -245,10 +245,14 @@
 			orders = d.Tick()
 		})
 		l.agents.dispatch(orders)
-		aqclock.Sleep(ctx, l.node.clock, minTickInterval)
+		aqclock.Sleep(ctx, l.node.clock, max(minTickInterval, l.agents.gatherTime()/tickGatherShare))
 	}
 }
 
+// tickGatherShare makes rounds of decisions rarer in the proportion in which agents gather
+// events: each round sends orders to most agents.
+const tickGatherShare = 2
+
 func (l *leader) workerCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
