--- a/internal/site/aqagent/difference.go
+++ b/internal/site/aqagent/difference.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -66,8 +67,19 @@
 	sent       aqdecider.LogicalTime
 	wholeAt    time.Time
 	measuredAt time.Time
+	// progressAt is when all changes were sent last, not only those of measurements that
+	// matter for tail latency.
+	progressAt time.Time
 }
 
+// progressInterval is the interval between differences with every change of a run's
+// progress. More frequent ones hold only measurements that have changed by more than
+// measurementShare.
+const (
+	progressInterval = 900 * time.Millisecond
+	measurementShare = 0.1
+)
+
 type listedRun struct {
 	slot   Slot
 	report aqdecider.RunReport
@@ -99,8 +111,17 @@
 		f.incarnation = report.Incarnation
 	}
 	measure := now.Sub(f.measuredAt) >= interval
+	progress := measure && now.Sub(f.progressAt) >= progressInterval
 	for _, r := range report.Running {
-		f.add(&out, r, report.Sent, measure)
+		known := f.listed[r.Run]
+		switch {
+		case known == nil:
+			f.add(&out, r, report.Sent)
+			continue
+		case progress && known.report != r, measure && measurementChanged(known.report, r):
+			f.change(&out, known, r)
+		}
+		known.seen = report.Sent
 	}
 	for run, known := range f.listed {
 		if known.seen != report.Sent {
@@ -123,32 +144,41 @@
 	if out.Whole || measure {
 		f.measuredAt = now
 	}
+	if out.Whole || progress {
+		f.progressAt = now
+	}
 	f.sent = report.Sent
 	return out, true
 }
 
-// add adds one run of a report to a difference.
-func (f *reportDiffer) add(out *Difference, r aqdecider.RunReport, sent aqdecider.LogicalTime, measure bool) {
-	known := f.listed[r.Run]
-	if known == nil {
-		f.lastSlot++
-		f.listed[r.Run] = &listedRun{slot: f.lastSlot, report: r, seen: sent}
-		out.New = append(out.New, NewRun{
-			Slot: f.lastSlot,
-			Run:  r.Run,
-			Measurements: Measurements{
-				Checkpoint: r.Checkpoint,
-				Percent:    r.Percent,
-				Tail:       r.Tail,
-				Usage:      r.Usage,
-			},
-		})
-		return
-	}
-	known.seen = sent
-	if !measure || known.report == r {
-		return
-	}
+// measurementChanged reports whether the tail latency or usage of a run has changed by more
+// than measurementShare.
+func measurementChanged(before, after aqdecider.RunReport) bool {
+	return differs(float64(before.Tail), float64(after.Tail)) || differs(float64(before.Usage), float64(after.Usage))
+}
+
+func differs(before, after float64) bool {
+	return math.Abs(after-before) > measurementShare*math.Abs(before)
+}
+
+// add adds a run to a difference that no earlier one included.
+func (f *reportDiffer) add(out *Difference, r aqdecider.RunReport, sent aqdecider.LogicalTime) {
+	f.lastSlot++
+	f.listed[r.Run] = &listedRun{slot: f.lastSlot, report: r, seen: sent}
+	out.New = append(out.New, NewRun{
+		Slot: f.lastSlot,
+		Run:  r.Run,
+		Measurements: Measurements{
+			Checkpoint: r.Checkpoint,
+			Percent:    r.Percent,
+			Tail:       r.Tail,
+			Usage:      r.Usage,
+		},
+	})
+}
+
+// change adds the new measurements of a run to a difference.
+func (f *reportDiffer) change(out *Difference, known *listedRun, r aqdecider.RunReport) {
 	changed := Measurements{
 		Percent: r.Percent,
 		Tail:    r.Tail,
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -92,22 +92,31 @@
 
 // Intervals of the full reads of the list of workers.
 const (
-	// resyncPeriod is the interval between full reads of a list of up to resyncWorkers
-	// workers: watches may deliver nothing for seconds, and a draining worker must get
-	// no new tasks. The leader reads a longer list proportionally less often, so that
-	// the bytes read per second do not grow. It reads any list at once when the watch
-	// probe shows that the watches are stalled.
-	resyncPeriod  = 1200 * time.Millisecond
-	resyncWorkers = 400
+	// minResyncPeriod and maxResyncPeriod limit the interval between full reads of a list
+	// of up to resyncWorkers workers: watches may deliver nothing for seconds, and a
+	// draining worker must get no new tasks. Within the limits it is resyncPerWorker for
+	// each worker, so that the bytes read per second do not grow. The leader reads a list
+	// of more than resyncWorkers proportionally less often, and any list at once when the
+	// watch probe shows that the watches are stalled.
+	minResyncPeriod = 1200 * time.Millisecond
+	maxResyncPeriod = 2500 * time.Millisecond
+	resyncPerWorker = 19 * time.Millisecond
+	resyncWorkers   = 800
 	// resyncPause is the minimum interval between two full reads.
 	resyncPause = 600 * time.Millisecond
 )
 
+// resyncPeriod returns the interval between full reads of a list.
+func resyncPeriod(workers int) time.Duration {
+	period := min(maxResyncPeriod, max(minResyncPeriod, time.Duration(workers)*resyncPerWorker))
+	return period * time.Duration(max(resyncWorkers, workers)) / resyncWorkers
+}
+
 // resyncLoop reads the list of workers in full, in addition to the watch.
 func (l *leader) resyncLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		aqclock.Sleep(ctx, l.node.clock, resyncPause)
-		period := resyncPeriod * time.Duration(max(resyncWorkers, l.workerCount())) / resyncWorkers
+		period := resyncPeriod(l.workerCount())
 		select {
 		case <-ctx.Done():
 			return
