Poll by the leader's processor

On the small twin the leader runs near its 0.069 core; its 18 agents were polled every 54 ms. Agents now gather up to 120 ms there (62 ms with 8 agents and 0.16 core, 30 ms with 7 and 0.4).

--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -134,10 +134,12 @@
 const (
 	// heldPollTime is the age from which a poll counts as held by its agent.
 	heldPollTime = 100 * time.Millisecond
-	// gatherPerAgent and maxGatherTime make agents gather events the longer, the more
-	// agents there are, so that the leader's polls per second stay the same.
-	gatherPerAgent = 3 * time.Millisecond
-	maxGatherTime  = 90 * time.Millisecond
+	// gatherPerAgent makes agents gather events the longer, the more agents there are, so
+	// that the leader's polls per second stay the same; gatherPerAgentOfCore does so for a
+	// leader of one core, and longer for one with a part of a core.
+	gatherPerAgent       = 3 * time.Millisecond
+	gatherPerAgentOfCore = 1250 * time.Microsecond
+	maxGatherTime        = 120 * time.Millisecond
 )
 
 // gatherTime returns how long an agent gathers events into one answer.
@@ -150,9 +152,20 @@
 			busy++
 		}
 	}
-	return min(maxGatherTime, max(aqagent.MinGatherTime, time.Duration(busy)*gatherPerAgent))
+	return gatherTime(busy, p.leader.node.settings.Processors)
 }
 
+// gatherTime returns the time for a number of agents with workers and a leader with a
+// number of cores, possibly a fraction.
+func gatherTime(agents int, processors float64) time.Duration {
+	byAgents := time.Duration(agents) * gatherPerAgent
+	byProcessors := time.Duration(float64(agents) * float64(gatherPerAgentOfCore) / max(processors, minProcessors))
+	return min(maxGatherTime, max(aqagent.MinGatherTime, byAgents, byProcessors))
+}
+
+// minProcessors is the number of cores that a node counts as having at least.
+const minProcessors = 0.01
+
 // idlePoll is how often a member without workers is polled.
 const idlePoll = 2 * time.Second
 
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -94,3 +94,24 @@
 		t.Fatalf("orders after a proof: %+v, %v", call, ok)
 	}
 }
+
+// The leader's polls cost about the same share of its processor on every site, up to the
+// longest delay that events may have.
+func TestGatherTime(t *testing.T) {
+	for _, test := range []struct {
+		agents     int
+		processors float64
+		want       time.Duration
+	}{
+		{agents: 3, processors: 0.4, want: aqagent.MinGatherTime},
+		{agents: 8, processors: 0.16, want: 62500 * time.Microsecond},
+		{agents: 18, processors: 0.8, want: 54 * time.Millisecond},
+		{agents: 18, processors: 0.07, want: maxGatherTime},
+		{agents: 300, processors: 4, want: maxGatherTime},
+		{agents: 18, processors: 0, want: maxGatherTime},
+	} {
+		if got := gatherTime(test.agents, test.processors); got != test.want {
+			t.Errorf("%d agents, %v cores: %s, want %s", test.agents, test.processors, got, test.want)
+		}
+	}
+}
