--- a/pkg/aqsite/leader_test.go
+++ b/pkg/aqsite/leader_test.go
@@ -98,6 +98,27 @@
 	}
 }
 
+// While the watch is stalled, a reported job waits for the proof only, and not for the
+// watch as well.
+func TestStalledWatchDelaysNoJob(t *testing.T) {
+	store := newFakeStore()
+	n, clock := testNode(t, store)
+	l := lead(t, n, store)
+	value, err := aqjob.Encode(testJob())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.handleNotify(notifyCall{Job: testJob().ID, Value: value, Created: 99})
+	if len(l.overdueJobs()) != 0 {
+		t.Fatal("the job does not wait for a watch that works")
+	}
+	l.probe.written(5, clock.Now())
+	l.probe.overdue(clock.Now().Add(2 * probeTimeout))
+	if len(l.overdueJobs()) != 1 {
+		t.Fatal("the job waits for a watch that is stalled")
+	}
+}
+
 // untilLost returns a context that ends with the leadership.
 func untilLost(l *leader) context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/aqsite/notify.go
+++ b/pkg/aqsite/notify.go
@@ -19,10 +19,11 @@
 
 const (
 	// notifiedJobTimeout is how long the leader waits for its watch to deliver a
-	// reported job. After that it proves its leadership and adds the job.
+	// reported job. After that, or at once while the watch is stalled, it proves its
+	// leadership and adds the job.
 	notifiedJobTimeout = 200 * time.Millisecond
 	// notifiedJobPeriod is how often the leader looks for reported jobs that are overdue.
-	notifiedJobPeriod = 100 * time.Millisecond
+	notifiedJobPeriod = 60 * time.Millisecond
 )
 
 // notifyCall reports that a job or a cancellation is stored.
@@ -113,7 +114,7 @@
 			delete(l.notifiedJobs, id)
 			continue
 		}
-		if now.Sub(notified.at) > notifiedJobTimeout {
+		if l.probe.isStalled() || now.Sub(notified.at) > notifiedJobTimeout {
 			overdue[id] = notified
 		}
 	}
--- a/pkg/aqsite/watchprobe.go
+++ b/pkg/aqsite/watchprobe.go
@@ -49,6 +49,13 @@
 	return overdue, changed
 }
 
+// isStalled reports whether the last check has found the watch stalled.
+func (p *watchProbe) isStalled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stalled
+}
+
 // check triggers a full read of the list of workers while the watch is stalled.
 // Before recovery there is no watch to check.
 func (p *watchProbe) check(l *leader) {
