Limit the searches for workers in a round of decisions

Change: six such searches a round, one a run in 0.5 s; being over the target is part of the cached load; a filler's image without a worker is tried again after 0.1 s.

--- a/pkg/aqdecider/burst_bench_test.go
+++ b/pkg/aqdecider/burst_bench_test.go
@@ -100,10 +100,17 @@
 	l.store()
 }
 
-// reportTails reports every serving run of a worker as ready and at half of its target.
+// reportTails reports every run of a worker as ready. The tail latency of its serving tasks
+// is half of their target, and nearly all of it beside fillers.
 func (l *fillerLoad) reportTails(id aqtype.WorkerID) {
+	tail := 2 * time.Millisecond
+	for _, r := range l.d.workers[id].runs {
+		if r.task.group.spec.Filler {
+			tail = 3800 * time.Microsecond
+		}
+	}
 	for run, report := range l.running[id] {
-		report.Percent, report.Tail, report.Usage = readyPercent, 2*time.Millisecond, 3000
+		report.Percent, report.Tail, report.Usage = readyPercent, tail, 3000
 		l.running[id][run] = report
 	}
 	l.report(id)
--- a/pkg/aqdecider/candidates.go
+++ b/pkg/aqdecider/candidates.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"slices"
+	"time"
 
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqtype"
@@ -150,3 +151,37 @@
 	size, recorded := s[g.class()]
 	return recorded && size.Fits(g.spec.Size)
 }
+
+// fillerRetry is how long no worker is looked for after none suited a filler of an image.
+// Whether a worker suits depends on what it serves and is costly to find out, and hundreds
+// of groups may wait.
+const fillerRetry = 100 * time.Millisecond
+
+// fillerShortage is a shortage of one class of fillers.
+type fillerShortage struct {
+	size  aqtype.Resources
+	until time.Time
+}
+
+// recentShortages returns the shortages of fillers that the next search must not repeat
+// yet.
+func (d *Decider) recentShortages() shortage {
+	s := shortage{}
+	for class, recent := range d.fillerShortages {
+		if d.now.After(recent.until) {
+			delete(d.fillerShortages, class)
+			continue
+		}
+		s[class] = recent.size
+	}
+	return s
+}
+
+// keepShortages keeps the shortages of fillers that a round has found.
+func (d *Decider) keepShortages(found shortage) {
+	for class, size := range found {
+		if _, known := d.fillerShortages[class]; !known && class.filler {
+			d.fillerShortages[class] = fillerShortage{size: size, until: d.now.Add(fillerRetry)}
+		}
+	}
+}
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -68,6 +68,12 @@
 	// earlyCancels holds the cancellations of jobs that are not known yet.
 	earlyCancels map[aqjob.ID]time.Time
 	model        *interference
+	// harmedShares caches the model's answers of one round of decisions.
+	harmedShares map[string]float64
+	// fillerShortages holds the classes of fillers for which no worker was found of late.
+	fillerShortages map[placementClass]fillerShortage
+	// moveSearches counts the searches for other workers in one round of decisions.
+	moveSearches int
 	shortUse     shortUse
 	advice       map[GroupID]*advice
 	now          time.Time
@@ -96,7 +102,10 @@
 		unpersisted:   map[aqtype.WorkerID]bool{},
 		earlyCancels:  map[aqjob.ID]time.Time{},
 		model:         newInterference(),
-		advice:        map[GroupID]*advice{},
+		harmedShares:  map[string]float64{},
+
+		fillerShortages: map[placementClass]fillerShortage{},
+		advice:          map[GroupID]*advice{},
 	}
 }
 
@@ -162,6 +171,8 @@
 // Tick does all work that is due and returns the orders decided since the last
 // call.
 func (d *Decider) Tick() []Order {
+	clear(d.harmedShares)
+	d.moveSearches = 0
 	d.startDueOccurrences()
 	d.reviewWorkers()
 	d.plan()
--- a/pkg/aqdecider/interference.go
+++ b/pkg/aqdecider/interference.go
@@ -142,6 +142,16 @@
 	return float64(harmed) / float64(len(m.soloLogRatios))
 }
 
+// harmedShare returns the model's share, computed once a round of decisions.
+func (d *Decider) harmedShare(filler string) float64 {
+	if share, known := d.harmedShares[filler]; known {
+		return share
+	}
+	share := d.model.harmedShare(filler)
+	d.harmedShares[filler] = share
+	return share
+}
+
 // fillerShares returns the shares of a worker's processors that fillers used, by
 // image, according to recent reports.
 func (w *worker) fillerShares(now time.Time) map[string]float64 {
@@ -171,6 +181,9 @@
 	fillerDemand float64
 	// leftover is the processors that other tasks are expected to leave to fillers.
 	leftover float64
+	// overTargetSince is the earliest time since when a serving task has been over its
+	// tail latency target, zero when none is.
+	overTargetSince time.Time
 }
 
 // invalidateLoad drops the cached load after a change of the worker's runs or their
@@ -188,6 +201,9 @@
 	for _, r := range w.runs {
 		spec := r.task.group.spec
 		size := float64(spec.Size.MilliCPU)
+		if since := r.overTargetSince; !since.IsZero() && (l.overTargetSince.IsZero() || since.Before(l.overTargetSince)) {
+			l.overTargetSince = since
+		}
 		switch {
 		case spec.Filler:
 			if r.state != runStopping {
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -43,6 +43,11 @@
 	slowAllAfter = 1500 * time.Millisecond
 	// relocateDelay is how long a filler stays below relocatePace before it is moved.
 	relocateDelay = time.Second
+	// moveRetry is the interval between two searches for another worker for one run, and
+	// maxMoveSearches limits the searches of one round of decisions: each looks at every
+	// worker.
+	moveRetry       = 500 * time.Millisecond
+	maxMoveSearches = 6
 )
 
 // paceFillers slows fillers down when the tail latency of a co-located serving task
@@ -103,23 +108,23 @@
 // trackTail records since when a serving run's tail latency has been over its target.
 func (r *run) trackTail(now time.Time) {
 	target := r.task.group.spec.TailTarget
+	over := target > 0 && r.report.Percent >= readyPercent && r.report.Tail >= target
 	switch {
-	case target <= 0 || r.report.Percent < readyPercent || r.report.Tail < target:
-		r.overTargetSince = time.Time{}
-	case r.overTargetSince.IsZero():
+	case over == !r.overTargetSince.IsZero():
+		return
+	case over:
 		r.overTargetSince = now
+	default:
+		r.overTargetSince = time.Time{}
 	}
+	r.worker.invalidateLoad()
 }
 
 // overTarget reports whether a serving task of the worker has been over its tail latency
 // target for longer than one measurement.
 func (w *worker) overTarget(now time.Time) bool {
-	for _, r := range w.runs {
-		if !r.overTargetSince.IsZero() && now.Sub(r.overTargetSince) > reportSpan {
-			return true
-		}
-	}
-	return false
+	since := w.currentLoad().overTargetSince
+	return !since.IsZero() && now.Sub(since) > reportSpan
 }
 
 // relocate stops a worker's stuck tasks, and its slow checkpointing fillers if another
@@ -135,13 +140,25 @@
 			w.health.failed(r.id.Task.Job, d.now)
 			d.stop(r, "makes no progress")
 		case r.slowForLong(d.now) && r.task.group.canDisrupt():
-			if other := d.choose(r.task, nil); other != nil && other != w {
+			if d.betterWorker(r) {
 				d.stop(r, "co-located tail latency over target")
 			}
 		}
 	}
 }
 
+// betterWorker reports whether another worker suits a run's task better than its own. It
+// returns false without a search when searches are due later.
+func (d *Decider) betterWorker(r *run) bool {
+	if d.moveSearches >= maxMoveSearches || d.now.Sub(r.moveTriedAt) < moveRetry {
+		return false
+	}
+	d.moveSearches++
+	r.moveTriedAt = d.now
+	other := d.choose(r.task, nil)
+	return other != nil && other != r.worker
+}
+
 // canDisrupt reports whether a healthy task of the group may be stopped to run
 // elsewhere. A perpetual group allows it while fewer of its tasks than its disruption
 // budget, at least one, are unavailable.
@@ -239,7 +256,7 @@
 	}
 	score := demand / l.leftover
 	if len(l.serving) == 0 {
-		score += weightKeepEmpty * (1 - d.model.harmedShare(g.spec.Image))
+		score += weightKeepEmpty * (1 - d.harmedShare(g.spec.Image))
 	}
 	return score
 }
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -18,7 +18,7 @@
 		return
 	}
 	unreported := d.hasUnreported()
-	noRoom := shortage{}
+	noRoom := d.recentShortages()
 	ranked := d.rankedGroups()
 	spare := d.spareFor(ranked)
 	for _, g := range ranked {
@@ -33,6 +33,7 @@
 			delete(d.waiting, g)
 		}
 	}
+	d.keepShortages(noRoom)
 }
 
 func (d *Decider) placeGroup(g *group, pending []*task, noRoom shortage) {
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -123,6 +123,8 @@
 	paceAt     time.Time
 	// slowSince is when the pace fell below relocatePace.
 	slowSince time.Time
+	// moveTriedAt is when another worker was last looked for.
+	moveTriedAt time.Time
 	// overTargetSince is when the tail latency of a serving run exceeded its
 	// target, zero while it does not.
 	overTargetSince time.Time
