--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -72,12 +72,13 @@
 	harmedShares map[string]float64
 	// fillerShortages holds the classes of fillers for which no worker was found of late.
 	fillerShortages map[placementClass]fillerShortage
-	// moveSearches counts the searches for other workers in one round of decisions.
-	moveSearches int
-	shortUse     shortUse
-	advice       map[GroupID]*advice
-	now          time.Time
-	wall         time.Time
+	// workersSearched counts the workers that searches for better ones have looked at in one
+	// round of decisions.
+	workersSearched int
+	shortUse        shortUse
+	advice          map[GroupID]*advice
+	now             time.Time
+	wall            time.Time
 }
 
 // endedJob is a job in a final state. Decider.ended lists them in order of ending.
@@ -172,7 +173,7 @@
 // call.
 func (d *Decider) Tick() []Order {
 	clear(d.harmedShares)
-	d.moveSearches = 0
+	d.workersSearched = 0
 	d.startDueOccurrences()
 	d.reviewWorkers()
 	d.plan()
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -43,11 +43,11 @@
 	slowAllAfter = 1500 * time.Millisecond
 	// relocateDelay is how long a filler stays below relocatePace before it is moved.
 	relocateDelay = time.Second
-	// moveRetry is the interval between two searches for another worker for one run, and
-	// maxMoveSearches limits the searches of one round of decisions: each looks at every
-	// worker.
-	moveRetry       = 500 * time.Millisecond
-	maxMoveSearches = 6
+	// moveRetryPerWorker gives the interval between two searches for another worker for one
+	// run, and maxWorkersSearched limits the workers that the searches of one round of
+	// decisions look at: each looks at every worker.
+	moveRetryPerWorker = 450 * time.Microsecond
+	maxWorkersSearched = 6600
 )
 
 // paceFillers slows fillers down when the tail latency of a co-located serving task
@@ -150,10 +150,10 @@
 // betterWorker reports whether another worker suits a run's task better than its own. It
 // returns false without a search when searches are due later.
 func (d *Decider) betterWorker(r *run) bool {
-	if d.moveSearches >= maxMoveSearches || d.now.Sub(r.moveTriedAt) < moveRetry {
+	if d.workersSearched >= maxWorkersSearched || d.now.Sub(r.moveTriedAt) < time.Duration(len(d.fleet))*moveRetryPerWorker {
 		return false
 	}
-	d.moveSearches++
+	d.workersSearched += len(d.fleet)
 	r.moveTriedAt = d.now
 	other := d.choose(r.task, nil)
 	return other != nil && other != r.worker
--- a/pkg/aqdecider/search_test.go
+++ b/pkg/aqdecider/search_test.go
@@ -37,14 +37,14 @@
 		t.Fatal("no worker was looked for after the pause")
 	}
 	r := &run{task: h.d.jobs[testJob(2).ID].occurrences[0].groups[0].tasks[0], worker: h.d.workers["w1"]}
-	h.d.moveSearches = maxMoveSearches
+	h.d.workersSearched = maxWorkersSearched
 	if h.d.betterWorker(r) || !r.moveTriedAt.IsZero() {
 		t.Fatal("a search beyond the limit of the round")
 	}
-	h.d.moveSearches = 0
+	h.d.workersSearched = 0
 	h.d.betterWorker(r)
 	h.d.betterWorker(r)
-	if h.d.moveSearches != 1 {
-		t.Fatalf("%d searches for one run, want one", h.d.moveSearches)
+	if h.d.workersSearched != len(h.d.fleet) {
+		t.Fatalf("%d workers searched for one run, want each once", h.d.workersSearched)
 	}
 }
