--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -1,3 +1,5 @@
+// Package aqagent manages workers for the site's leader: it renews their leases, delivers
+// the leader's orders, and reports what the workers' answers change.
 package aqagent
 
 import (
--- a/internal/site/aqagent/fake_test.go
+++ b/internal/site/aqagent/fake_test.go
@@ -66,7 +66,9 @@
 func (f *fakeWorkers) Start(_ context.Context, _ aqworker.Address, r aqworker.StartRequest) error {
 	return f.start(r)
 }
+
 func (f *fakeWorkers) Stop(_ context.Context, _ aqworker.Address, r aqworker.StopRequest) error {
 	return f.stop(r)
 }
+
 func (f *fakeWorkers) Pace(context.Context, aqworker.Address, aqworker.PaceRequest) error { return nil }
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -33,7 +33,7 @@
 	heartbeatPause = 90 * time.Millisecond
 	// maxAckWait limits the pause while the leader has not acknowledged all reported
 	// ends. A worker answers at once while it has such ends.
-	maxAckWait = 200 * time.Millisecond
+	maxAckWait = 140 * time.Millisecond
 	// heartbeatRetry is the pause after a failed heartbeat.
 	heartbeatRetry = 150 * time.Millisecond
 	// orderTimeout limits one attempt to deliver an order.
--- /dev/null
+++ b/pkg/aqsite/agentevents.go
@@ -0,0 +1,149 @@
+package aqsite
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqworker"
+	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqtype"
+)
+
+func (p *agentPool) applyEvents(m *member, events []aqagent.EventWire) {
+	if len(events) == 0 {
+		return
+	}
+	deposed := false
+	p.leader.decide(func(d *aqdecider.Decider) {
+		for _, wire := range events {
+			if !p.isCurrent(m, wire) {
+				continue
+			}
+			id := wire.Worker
+			p.markStale(m, id)
+			switch e := wire.Unwrap().(type) {
+			case aqagent.ReportReceived:
+				p.reportReceived(d, id, e.Difference)
+			case aqagent.Unresponsive:
+				d.WorkerUnresponsive(id)
+				p.workerUnresponsive(d, id, e)
+			case aqagent.StartResult:
+				d.StartAnswered(id, e.Incarnation, e.Run, e.Outcome, e.At)
+			case aqagent.StopResult:
+				if e.Answered {
+					d.StopAnswered(id, e.Incarnation, e.Run, e.At)
+				} else {
+					d.StopUnanswered(id, e.Incarnation, e.Run)
+				}
+			case aqagent.Fenced:
+				deposed = true
+			}
+		}
+	})
+	if deposed {
+		p.leader.lose(aqworker.ErrFenced)
+	}
+}
+
+func (p *agentPool) isCurrent(m *member, wire aqagent.EventWire) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.assignments[wire.Worker]
+	return a != nil && a.member == m && a.serial == wire.Serial
+}
+
+func (p *agentPool) reportReceived(d *aqdecider.Decider, id aqtype.WorkerID, difference aqagent.Difference) {
+	p.mu.Lock()
+	a := p.assignments[id]
+	report, err := a.listing.Apply(difference)
+	if err != nil {
+		a.leaseExpiresAt = p.leader.node.clock.Now().Add(p.longestLease())
+		p.assign(a, a.member)
+		p.mu.Unlock()
+		p.leader.node.metrics.Retried(aqmetric.RetryReportBase)
+		d.WorkerReassigned(id)
+		return
+	}
+	a.leaseExpiresAt = time.Time{}
+	a.tried = nil
+	a.renew = true
+	if !p.reportsReleased {
+		if a.held != nil && a.held.Incarnation == report.Incarnation {
+			report.Ended = append(a.held.Ended, report.Ended...)
+		}
+		a.held = &report
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	d.WorkerReported(id, report)
+}
+
+func (p *agentPool) releaseReports() {
+	p.leader.decide(func(d *aqdecider.Decider) {
+		p.mu.Lock()
+		p.reportsReleased = true
+		held := map[aqtype.WorkerID]*aqdecider.WorkerReport{}
+		for _, id := range p.sortedWorkers() {
+			if a := p.assignments[id]; a.held != nil {
+				held[id] = a.held
+				a.held = nil
+			}
+		}
+		p.mu.Unlock()
+		for _, id := range slices.Sorted(maps.Keys(held)) {
+			d.WorkerReported(id, *held[id])
+		}
+	})
+}
+
+func (p *agentPool) workerUnresponsive(d *aqdecider.Decider, id aqtype.WorkerID, e aqagent.Unresponsive) {
+	p.mu.Lock()
+	a := p.assignments[id]
+	if a == nil || a.member == nil {
+		p.mu.Unlock()
+		return
+	}
+	if a.leaseExpiresAt.IsZero() {
+		expiresIn := e.ExpiresIn
+		if expiresIn < 0 {
+			expiresIn = p.longestLease()
+		}
+		a.leaseExpiresAt = p.leader.node.clock.Now().Add(expiresIn)
+	}
+	if a.tried == nil {
+		a.tried = map[string]bool{}
+	}
+	a.tried[a.member.record.Name] = true
+	a.renew = false
+	to := p.pickMember(a.worker, a.tried)
+	if to != nil {
+		p.assign(a, to)
+	}
+	p.mu.Unlock()
+	if to != nil {
+		d.WorkerReassigned(id)
+	}
+}
+
+func (p *agentPool) expireLeases(d *aqdecider.Decider) {
+	now := p.leader.node.clock.Now()
+	p.mu.Lock()
+	var expired []aqtype.WorkerID
+	for id, a := range p.assignments {
+		if !a.leaseExpiresAt.IsZero() && now.After(a.leaseExpiresAt) {
+			a.leaseExpiresAt = time.Time{}
+			// The new assignment number invalidates orders still queued at the agent,
+			// so that they cannot reach the worker later.
+			p.assign(a, a.member)
+			expired = append(expired, id)
+		}
+	}
+	p.mu.Unlock()
+	for _, id := range expired {
+		d.LeaseExpired(id)
+	}
+}
