--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -14,8 +14,6 @@
 	"acaciaquay/pkg/aqpeer"
 )
 
-
-
 // agentLink calls one agent.
 
 type agentLink interface {
