--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -49,7 +49,7 @@
 	// maxOrdersInFlight limits the concurrent orders to one worker.
 	maxOrdersInFlight = 3
 	// failedHeartbeatLimit is how many heartbeats in a row must fail before a worker
-	// counts as Unresponsive.
+	// counts as unresponsive.
 	failedHeartbeatLimit = 2
 )
 
@@ -66,7 +66,7 @@
 	return time.Duration(float64(lease)/(1-clockDrift)) + expiryMargin
 }
 
-// session manages one worker for an agent during one Assignment: a loop of
+// session manages one worker for an agent during one assignment: a loop of
 // heartbeats that renew the worker's lease, and the delivery of orders.
 type session struct {
 	id     aqtype.WorkerID
@@ -246,17 +246,17 @@
 // nextHeartbeat builds a heartbeat request. It does not renew the lease of a worker that
 // did not answer the last heartbeat, so that the lease can expire.
 func (s *session) nextHeartbeat() (aqworker.Address, aqworker.HeartbeatRequest, aqdecider.LogicalTime) {
-	Permitted := s.agent.Permitted(s.fence)
+	permitted := s.agent.Permitted(s.fence)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	to := aqworker.Address{Worker: s.worker, HostPort: s.worker.Address}
 	request := aqworker.HeartbeatRequest{Fence: s.fence}
-	if Permitted {
+	if permitted {
 		request.LeaseEnd = s.nextLeaseEnd()
 	}
 	// An agent that was suspended or partitioned may not know that the worker has
 	// restarted and numbers its ends from one again.
-	if Permitted && s.failedHeartbeats == 0 && s.params.Incarnation == s.worker.Incarnation {
+	if permitted && s.failedHeartbeats == 0 && s.params.Incarnation == s.worker.Incarnation {
 		request.AckedEnd = s.params.AckedEnd
 	}
 	if request.LeaseEnd > 0 {
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -53,7 +53,7 @@
 }
 
 // An agent renews a worker's lease only once the leader has received a report of the
-// worker in this Assignment, and not after the worker has failed to answer or while the
+// worker in this assignment, and not after the worker has failed to answer or while the
 // agent has no permit. Otherwise the leader could not tell when the lease expires.
 func TestLeaseIsProlongedOnlyWhenTheLeaderKnows(t *testing.T) {
 	var last aqworker.HeartbeatRequest
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -31,13 +31,13 @@
 	clock.Advance(2 * time.Second)
 	l.decide(l.agents.expireLeases)
 	if after := l.agents.assignments["w1"].serial; after <= before {
-		t.Fatalf("lease expired, but the aqagent.Assignment number is still %d", after)
+		t.Fatalf("lease expired, but the assignment number is still %d", after)
 	}
 	if len(m.pending.Drop) != 1 || len(m.pending.Assign) != 1 {
-		t.Fatalf("the agent gets %+v, want one drop and one aqagent.Assignment", m.pending)
+		t.Fatalf("the agent gets %+v, want one drop and one assignment", m.pending)
 	}
 	if l.agents.isCurrent(m, aqagent.EventWire{Worker: "w1", Serial: before}) {
-		t.Fatal("events of the previous aqagent.Assignment are applied")
+		t.Fatal("events of the previous assignment are applied")
 	}
 }
 
