--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -9,6 +9,7 @@
 
 	"acaciaquay/internal/base/aqguard"
 	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqpayload"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqlog"
@@ -49,7 +50,7 @@
 	answers    uint64
 	answeredAt time.Duration
 	sessions   map[aqtype.WorkerID]*session
-	payloads   *payloadCache
+	payloads   *aqpayload.Cache
 	events     []EventWire
 	wake       chan struct{}
 	// OnPoll is called with every accepted poll.
@@ -59,7 +60,7 @@
 // Options configure an agent.
 type Options struct {
 	Workers  aqworker.Client
-	Payloads PayloadSource
+	Payloads aqpayload.Source
 	Clock    aqclock.Clock
 	Log      *aqlog.Logger
 	Metrics  *aqmetric.Set
@@ -75,7 +76,7 @@
 		metrics:  o.Metrics,
 		guard:    guard,
 		sessions: map[aqtype.WorkerID]*session{},
-		payloads: newPayloadCache(o.Payloads, o.Clock, o.Log, guard),
+		payloads: aqpayload.New(o.Payloads, o.Clock, o.Log, guard),
 		wake:     make(chan struct{}, 1),
 	}
 }
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -20,7 +20,7 @@
 	defer s.mu.Unlock()
 	if start, isStart := o.(aqdecider.Start); isStart {
 		s.queue = append(s.queue, o)
-		if s.agent.payloads.prepare(s.id, start.Run.Task.Job, start.PayloadSource, s.payloadReady) {
+		if s.agent.payloads.Prepare(s.id, start.Run.Task.Job, start.PayloadSource, s.payloadReady) {
 			s.deliver()
 		}
 		return
@@ -82,7 +82,7 @@
 	defer s.mu.Unlock()
 	for i, o := range s.queue {
 		if start, isStart := o.(aqdecider.Start); isStart {
-			if _, fetched, _ := s.agent.payloads.get(start.Run.Task.Job); !fetched {
+			if _, fetched, _ := s.agent.payloads.Get(start.Run.Task.Job); !fetched {
 				continue
 			}
 		}
@@ -111,7 +111,7 @@
 	to := s.address()
 	outcome := aqdecider.OutcomeNotSent
 	uncertain := false
-	payload, _, err := s.agent.payloads.get(order.Run.Task.Job)
+	payload, _, err := s.agent.payloads.Get(order.Run.Task.Job)
 	if err != nil {
 		s.reportNotSent(to, order)
 		return
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
@@ -93,7 +94,7 @@
 	// abandoned.
 	orderDoneAt aqdecider.LogicalTime
 	// differ holds what the leader knows of the worker's reports.
-	differ reportDiffer
+	differ aqreport.Differ
 	// lastEnd is the highest number of an end that this incarnation has reported.
 	lastEnd int
 	// acked wakes the heartbeat that waits for the acknowledgement of ends.
@@ -160,7 +161,7 @@
 		return
 	}
 	if p.Wait < HeartbeatWaitIdle && s.params.Wait >= HeartbeatWaitIdle {
-		s.differ.reset()
+		s.differ.Reset()
 	}
 	s.params = p
 	if s.endsAcked() {
@@ -184,7 +185,7 @@
 		_, isStop := o.(aqdecider.Stop)
 		return !isStop
 	})
-	s.differ.reset()
+	s.differ.Reset()
 	s.lastEnd = 0
 }
 
@@ -297,8 +298,8 @@
 		s.lastEnd = max(s.lastEnd, e.Number)
 	}
 	// The leader waits for a report of the time after an order.
-	afterOrder := answer.Report.Sent > s.orderDoneAt && s.differ.sent <= s.orderDoneAt
-	difference, news := s.differ.difference(answer.Report, s.agent.clock.Now(), reportInterval(s.params.Wait), afterOrder)
+	afterOrder := answer.Report.Sent > s.orderDoneAt && s.differ.Sent() <= s.orderDoneAt
+	difference, news := s.differ.Difference(answer.Report, s.agent.clock.Now(), reportInterval(s.params.Wait), afterOrder)
 	s.mu.Unlock()
 	if news {
 		s.agent.emit(s, ReportReceived{Difference: difference})
@@ -319,7 +320,7 @@
 		return
 	}
 	s.failedHeartbeats++
-	s.differ.reset()
+	s.differ.Reset()
 	failed := s.failedHeartbeats
 	expiresIn := time.Duration(-1)
 	if s.workerClock.known {
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -155,7 +156,7 @@
 
 // ReportReceived carries what a worker's report changes.
 type ReportReceived struct {
-	Difference Difference
+	Difference aqreport.Difference
 }
 
 // Unresponsive means that a worker does not answer.
--- a/internal/site/aqagent/difference.go
+++ b/internal/site/aqreport/difference.go
@@ -1,4 +1,6 @@
-package aqagent
+// Package aqreport reduces the reports of workers to what they change, and rebuilds the
+// reports from that.
+package aqreport
 
 import (
 	"cmp"
@@ -54,9 +56,9 @@
 // wholeReportInterval is the interval between differences that list every run.
 const wholeReportInterval = 10 * time.Second
 
-// reportDiffer reduces the reports of one session to differences. It is used under the
-// session's lock.
-type reportDiffer struct {
+// Differ reduces the reports of one session to differences. It is not safe for
+// concurrent use.
+type Differ struct {
 	incarnation aqdecider.Incarnation
 	listed      map[aqdecider.RunID]*listedRun
 	lastSlot    Slot
@@ -87,13 +89,17 @@
 	seen aqdecider.LogicalTime
 }
 
-// reset makes the next difference list every run.
-func (f *reportDiffer) reset() { f.sent = 0 }
+// Sent returns the logical time of the last report that became a difference, zero when the
+// next one lists every run.
+func (f *Differ) Sent() aqdecider.LogicalTime { return f.sent }
 
-// difference returns what the leader does not know of a report yet. Unless forced, it
+// Reset makes the next difference list every run.
+func (f *Differ) Reset() { f.sent = 0 }
+
+// Difference returns what the leader does not know of a report yet. Unless forced, it
 // returns false when that is nothing, or nothing but measurements and the last ones were
 // sent less than interval ago.
-func (f *reportDiffer) difference(
+func (f *Differ) Difference(
 	report aqdecider.WorkerReport, now time.Time, interval time.Duration, force bool,
 ) (Difference, bool) {
 	out := Difference{
@@ -162,7 +168,7 @@
 }
 
 // add adds a run to a difference that no earlier one included.
-func (f *reportDiffer) add(out *Difference, r aqdecider.RunReport, sent aqdecider.LogicalTime) {
+func (f *Differ) add(out *Difference, r aqdecider.RunReport, sent aqdecider.LogicalTime) {
 	f.lastSlot++
 	f.listed[r.Run] = &listedRun{slot: f.lastSlot, report: r, seen: sent}
 	out.New = append(out.New, NewRun{
@@ -178,7 +184,7 @@
 }
 
 // change adds the new measurements of a run to a difference.
-func (f *reportDiffer) change(out *Difference, known *listedRun, r aqdecider.RunReport) {
+func (f *Differ) change(out *Difference, known *listedRun, r aqdecider.RunReport) {
 	changed := Measurements{
 		Percent: r.Percent,
 		Tail:    r.Tail,
@@ -192,7 +198,7 @@
 }
 
 // ErrNoBase means that a difference refers to a run that no earlier one has named.
-var ErrNoBase = errors.New("agent: difference without its base")
+var ErrNoBase = errors.New("report: difference without its base")
 
 // Listing rebuilds the reports of one assignment from their differences.
 type Listing struct {
--- a/pkg/aqscheduler/execute.go
+++ b/pkg/aqscheduler/execute.go
@@ -155,3 +155,5 @@
 	}
 	s.startRetention(r.Task.Workload, w)
 }
+
+
--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqmetric"
@@ -55,7 +56,7 @@
 	return a != nil && a.member == m && a.serial == wire.Serial
 }
 
-func (p *agentPool) reportReceived(d *aqdecider.Decider, id aqtype.WorkerID, difference aqagent.Difference) {
+func (p *agentPool) reportReceived(d *aqdecider.Decider, id aqtype.WorkerID, difference aqreport.Difference) {
 	p.mu.Lock()
 	a := p.assignments[id]
 	report, err := a.listing.Apply(difference)
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -8,6 +8,7 @@
 
 	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqtype"
 )
@@ -59,7 +60,7 @@
 	renew  bool
 	params aqagent.HeartbeatParams
 	// listing is what the worker runs according to the reports of this assignment.
-	listing aqagent.Listing
+	listing aqreport.Listing
 	// held is the last report with all ends since the assignment, nil once the leader has
 	// read the stored jobs: without them every run would be an orphan.
 	held *aqdecider.WorkerReport
@@ -268,7 +269,7 @@
 	a.member = to
 	a.params.Renew = false
 	a.renew = false
-	a.listing = aqagent.Listing{}
+	a.listing = aqreport.Listing{}
 	a.held = nil
 	if to == nil {
 		return
--- a/pkg/aqsite/payload.go
+++ b/pkg/aqsite/payload.go
@@ -70,7 +70,7 @@
 	return payload, known
 }
 
-// Payload implements aqagent.PayloadSource: from this process, from the one that accepted
+// Payload implements aqpayload.Source: from this process, from the one that accepted
 // the job, or from the store.
 func (n *Node) Payload(ctx context.Context, job aqjob.ID, from string) (string, error) {
 	if payload, known := n.accepted.get(job); known {
