--- a/pkg/aqscheduler/execute.go
+++ b/pkg/aqscheduler/execute.go
@@ -155,5 +155,3 @@
 	}
 	s.startRetention(r.Task.Workload, w)
 }
-
-
