--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqtype"
 )
 
+// applyEvents passes a member's events on to the decider.
 func (p *agentPool) applyEvents(m *member, events []aqagent.EventWire) {
 	if len(events) == 0 {
 		return
@@ -48,6 +50,7 @@
 	}
 }
 
+// isCurrent reports whether an event belongs to the worker's current assignment.
 func (p *agentPool) isCurrent(m *member, wire aqagent.EventWire) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -55,7 +58,9 @@
 	return a != nil && a.member == m && a.serial == wire.Serial
 }
 
-func (p *agentPool) reportReceived(d *aqdecider.Decider, id aqtype.WorkerID, difference aqagent.Difference) {
+// reportReceived rebuilds a worker's report and passes it on to the decider. A difference
+// without its base makes the worker's agent report everything again.
+func (p *agentPool) reportReceived(d *aqdecider.Decider, id aqtype.WorkerID, difference aqreport.Difference) {
 	p.mu.Lock()
 	a := p.assignments[id]
 	report, err := a.listing.Apply(difference)
@@ -82,6 +87,8 @@
 	d.WorkerReported(id, report)
 }
 
+// releaseReports passes the reports on that were held back while the stored jobs were
+// read, and no longer holds any back.
 func (p *agentPool) releaseReports() {
 	p.leader.decide(func(d *aqdecider.Decider) {
 		p.mu.Lock()
@@ -100,6 +107,8 @@
 	})
 }
 
+// workerUnresponsive assigns an unresponsive worker to another member, which may
+// reach it.
 func (p *agentPool) workerUnresponsive(d *aqdecider.Decider, id aqtype.WorkerID, e aqagent.Unresponsive) {
 	p.mu.Lock()
 	a := p.assignments[id]
@@ -129,6 +138,7 @@
 	}
 }
 
+// expireLeases reports to the decider the workers whose lease has certainly expired.
 func (p *agentPool) expireLeases(d *aqdecider.Decider) {
 	now := p.leader.node.clock.Now()
 	p.mu.Lock()
