Restore two words in a test's messages that the move had capitalized

The check itself was never taken out: TestLeaseIsProlongedOnlyWhenTheLeaderKnows moved with the agent and still fails when the lease of an unresponsive worker is renewed.

--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -80,7 +80,7 @@
 	s.heartbeat()
 	s.heartbeat()
 	if last.LeaseEnd != 0 {
-		t.Fatal("the lease of an Unresponsive worker was renewed")
+		t.Fatal("the lease of an unresponsive worker was renewed")
 	}
 	fail = false
 	s.heartbeat()
@@ -184,7 +184,7 @@
 			want:   3,
 		},
 		{
-			name:   "the worker was Unresponsive",
+			name:   "the worker was unresponsive",
 			params: HeartbeatParams{Wait: HeartbeatWaitIdle},
 			event: func(s *session) {
 				fail = true
