Log each run that is lost with its worker

Event 546 gave a number of runs only, so a crash of a worker could not be traced to a task. The new line names task, attempt, how long the worker was seen after the order, and how often the task was lost before. No decision changes.

--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -17,6 +17,7 @@
 	if report.Incarnation != w.info.Incarnation {
 		d.workerRestarted(w, report.Incarnation)
 	}
+	w.reportedAt = d.now
 	if !w.reachable {
 		w.reachable = true
 		d.options.Log.Write(aqlog.WorkerResponsive, workerAttr(id), slog.Int("Running", len(report.Running)),
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -83,6 +83,8 @@
 	reconciled bool
 	// avoid lists workers on which the task failed or made no progress.
 	avoid []aqtype.WorkerID
+	// losses counts the attempts that were lost with their worker.
+	losses int
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
 }
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -22,6 +22,8 @@
 	// reachable is set while the worker answers heartbeats. Otherwise nothing is
 	// started on it.
 	reachable bool
+	// reportedAt is when the worker last reported.
+	reportedAt time.Time
 	// used is what the runs reserve, including those that are being stopped.
 	used aqtype.Resources
 	runs map[RunID]*run
@@ -206,6 +208,7 @@
 func (d *Decider) workerRestarted(w *worker, incarnation Incarnation) {
 	d.options.Log.Write(aqlog.WorkerRestarted, workerAttr(w.info.ID), slog.Int64("Life", int64(incarnation)),
 		slog.Int64("Before", int64(w.info.Incarnation)), slog.Int("Runs", len(w.runs)))
+	d.runsLost(w, true)
 	for _, r := range w.runs {
 		r.confirmed = 0
 		r.state = runStopping
@@ -271,6 +274,7 @@
 	if len(w.runs) > 0 {
 		d.options.Metrics.Retried(aqmetric.RetryWorkerLost)
 		d.options.Log.Write(aqlog.WorkerLeaseExpired, workerAttr(id), slog.Int("Runs", len(w.runs)))
+		d.runsLost(w, false)
 	}
 	for _, r := range w.runs {
 		d.endRun(r, EndLost, r.checkpoint)
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -50,6 +50,7 @@
 	WorkerRestarted    = Event{Number: 543, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker restarted", Meaning: "The worker restarted under the same id. Its earlier runs are lost."}
 	WorkerUnresponsive = Event{Number: 544, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker unresponsive", Meaning: "The worker does not answer. Its tasks may run until its lease expires."}
 	WorkerResponsive   = Event{Number: 545, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker responsive", Meaning: "The worker answered and reported what runs on it."}
+	RunLost            = Event{Number: 547, Layer: LayerDecider, Level: slog.LevelWarn, Message: "run lost with its worker", Meaning: "The worker crashed or was unreachable until its lease expired. Restarted is true when it is known to have crashed. Seen is how long after the order to start the worker last reported, negative if it has not reported since; Beside is the number of its other runs, Losses how often this task has been lost in this term."}
 	WorkerLeaseExpired = Event{Number: 546, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker lease expired", Meaning: "The worker did not answer before its lease expired. Its tasks are placed again."}
 
 	LeadershipAcquired      = Event{Number: 900, Layer: LayerSite, Level: slog.LevelInfo, Message: "leadership acquired", Meaning: "This process schedules for the site from now on. Fence is the fencing token of its orders."}
@@ -101,7 +102,7 @@
 	JobAccepted, TaskEvicted, TaskAbandoned, WorkerOnProbation,
 	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
 	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived,
-	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired,
+	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost,
 	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
 	OrderFailed, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -105,6 +105,7 @@
 	PeerCalls         Counter = "aq_peer_calls_total"
 	JobsAccepted      Counter = "aq_jobs_accepted_total"
 	TasksEnded        Counter = "aq_tasks_ended_total"
+	RunsLost          Counter = "aq_runs_lost_with_worker_total"
 	LeadTerms         Counter = "aq_lead_terms_total"
 	LogLinesDropped   Counter = "aq_log_lines_dropped_total"
 	PanicsContained   Counter = "aq_panics_contained_total"
@@ -114,7 +115,7 @@
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, LeadTerms, LogLinesDropped, PanicsContained,
+	JobsAccepted, TasksEnded, RunsLost, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
