Give up tasks that crash their workers, and isolate suspected ones

Cause: an attempt that was lost with its worker was treated like a start that never arrived. It counted against nothing, within a term and across terms. The class of fault: a retry without a bound and without attribution, where the harm of a retry falls on others.

Change: the crash of a worker is recorded for each task that ran there, with how long the run had been seen, as soon as the worker is silent, and is retracted when the worker returns in the same incarnation. A task that had just started, or was exposed twice in a row, is suspected: its next run is isolated on a worker where everything else has run for a while and nothing else starts until the run has been seen to run. Only crashes in isolation convict: two of three. The isolated run is stored before it starts, and agents tell a new leader of runs on workers that have not answered since, so a change of the leader hides no crash.

Ruled out: a limit on lost attempts (75 of 81 tasks lost twice only ran beside); a count in memory (lost with the leader); storing every start (1,500 a second).

The simulated workers of the crash tests now report progress and break gangs, without which runs of 2.5 s were stopped as stuck and gangs completed.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -12,6 +12,7 @@
 	"acaciaquay/internal/site/aqpayload"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
@@ -52,7 +53,11 @@
 	sessions   map[aqtype.WorkerID]*session
 	payloads   *aqpayload.Cache
 	events     []EventWire
-	wake       chan struct{}
+	// earlier holds runs of the term before, for the current leader. earlierIn is the
+	// number of the first answer that told of them, zero before that.
+	earlier   []aqdecider.EarlierRuns
+	earlierIn uint64
+	wake      chan struct{}
 	// OnPoll is called with every accepted poll.
 	OnPoll func(PollCall)
 }
@@ -88,6 +93,7 @@
 		return aqpeer.Errorf(aqpeer.CodeNotOwner, "fence %d is below %d", fence, a.fence)
 	}
 	if fence > a.fence {
+		a.noteEarlier()
 		a.endSessions()
 		a.fence = fence
 		a.permitAt = noPermit
@@ -98,6 +104,18 @@
 	return nil
 }
 
+// noteEarlier notes the runs on workers that may have crashed, for the next leader. The
+// caller holds the lock.
+func (a *Agent) noteEarlier() {
+	// What an earlier leader has acknowledged is not needed again; the rest still is.
+	for _, s := range a.sessions {
+		if earlier, ok := s.unsettledRuns(); ok {
+			a.earlier = append(a.earlier, earlier)
+		}
+	}
+	a.earlierIn = 0
+}
+
 // endSessions ends all sessions and drops their events. The caller holds the lock.
 func (a *Agent) endSessions() {
 	for id, s := range a.sessions {
@@ -202,7 +220,14 @@
 	}
 	a.answers++
 	a.answeredAt = a.clock.Elapsed()
-	answer := PollAnswer{Number: a.answers, Events: a.events}
+	answer := PollAnswer{
+		Number:  a.answers,
+		Events:  a.events,
+		Earlier: a.earlier,
+	}
+	if a.earlierIn == 0 {
+		a.earlierIn = a.answers
+	}
 	a.events = nil
 	select {
 	case <-a.wake:
@@ -241,6 +266,9 @@
 	}
 	if call.AckedAnswer == a.answers {
 		a.permitAt = a.answeredAt
+		if a.earlierIn > 0 {
+			a.earlier = nil
+		}
 	}
 	a.setParams(call.Params)
 	return nil
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -190,6 +190,9 @@
 	}
 	s.mu.Lock()
 	end := s.nextLeaseEnd()
+	if end > 0 {
+		s.runs.started(order.Run, s.agent.clock.Now())
+	}
 	s.mu.Unlock()
 	if end == 0 {
 		return aqworker.ErrTooLate
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -97,6 +97,8 @@
 	differ aqreport.Differ
 	// lastEnd is the highest number of an end that this incarnation has reported.
 	lastEnd int
+	// runs holds the runs that the worker may have.
+	runs runLog
 	// acked wakes the heartbeat that waits for the acknowledgement of ends.
 	acked chan struct{}
 }
@@ -187,6 +189,7 @@
 	})
 	s.differ.Reset()
 	s.lastEnd = 0
+	s.runs = runLog{}
 }
 
 // nextLogicalTime advances the logical time and returns it. The caller holds the lock.
@@ -263,6 +266,7 @@
 	if request.LeaseEnd > 0 {
 		request.Wait = s.params.Wait
 	}
+	s.runs.heartbeatSent(s.agent.clock.Now())
 	return to, request, s.nextLogicalTime()
 }
 
@@ -294,6 +298,7 @@
 		// Another agent may have renewed the lease until now.
 		s.leaseEnd = answer.Clock + aqworker.Time(s.lease)
 	}
+	s.runs.reported(answer.Report, s.agent.clock.Now())
 	for _, e := range answer.Report.Ended {
 		s.lastEnd = max(s.lastEnd, e.Number)
 	}
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -116,6 +116,9 @@
 	// Number identifies the answer. The leader's next poll acknowledges it.
 	Number uint64
 	Events []EventWire
+	// Earlier holds the runs on workers of which the agent did not know, when it learned of
+	// a new leader, whether they still run.
+	Earlier []aqdecider.EarlierRuns `msgpack:",omitempty"`
 }
 
 // OrderWire carries one order; exactly one of the pointers is set.
--- a/pkg/aqdecider/crash_sim_test.go
+++ b/pkg/aqdecider/crash_sim_test.go
@@ -53,6 +53,8 @@
 	extraStarts map[aqjob.TaskID]int
 	// sameID makes crashed workers return under their id.
 	sameID bool
+	// lost holds what agents knew of the workers that have crashed of late.
+	lost []EarlierRuns
 	// leaderGone is when the next leader takes over, zero while there is one.
 	leaderGone time.Time
 	// unknownRate is the fraction of the starts whose outcome the leader does not learn.
@@ -68,7 +70,9 @@
 	backAt   time.Time
 	missed   int
 	leaseEnd time.Time
-	clock    LogicalTime
+	// answeredAt is when the worker last answered a heartbeat.
+	answeredAt time.Time
+	clock      LogicalTime
 }
 
 func (w *crashWorker) down() bool { return !w.backAt.IsZero() }
@@ -130,6 +134,10 @@
 	c.takeovers++
 	c.decider.SetTime(c.now, c.now)
 	c.decider.AwaitReports(c.fleet, c.now.Add(simLease+time.Second))
+	for _, earlier := range c.lost {
+		c.decider.NoteEarlierRuns(earlier)
+	}
+	c.lost = nil
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		var progress *aqjob.Progress
 		if p, ok := c.stored[id]; ok {
@@ -214,17 +222,55 @@
 			c.crashes[id.Task]++
 			c.crash(w)
 			return
-		case !deadly && r.length > 0 && c.now.Sub(r.startedAt) >= r.length:
+		case !deadly && !c.inDeadlyGang(id.Task) && r.length > 0 && c.now.Sub(r.startedAt) >= r.length:
 			c.end(w, id, EndDone)
 		}
 	}
 }
 
+// inDeadlyGang reports whether a task ends together with one that crashes its workers.
+func (c *crashWorld) inDeadlyGang(id aqjob.TaskID) bool {
+	for other := range c.deadly {
+		if other.Job == id.Job && other.Group == id.Group {
+			return c.jobs[id.Job].Groups[id.Group].Gang
+		}
+	}
+	return false
+}
+
 func (c *crashWorld) crash(w *crashWorker) {
+	lost := c.sortedRuns(w)
+	known := EarlierRuns{
+		Worker:      w.entry.ID,
+		Incarnation: w.entry.Incarnation,
+	}
+	for _, id := range lost {
+		known.Runs = append(known.Runs, EarlierRun{
+			Run:  id,
+			Seen: w.answeredAt.Sub(w.runs[id].startedAt),
+		})
+	}
+	c.lost = append(c.lost, known)
 	w.runs = map[RunID]*crashRun{}
 	w.ended, w.lastEnd = nil, 0
 	w.highest = map[aqjob.TaskID]Attempt{}
 	w.backAt = c.now.Add(crashedFor)
+	for _, id := range lost {
+		if c.jobs[id.Task.Job].Groups[id.Task.Group].Gang {
+			c.breakGang(id.Task)
+		}
+	}
+}
+
+// breakGang ends the other members of a gang of which one is gone.
+func (c *crashWorld) breakGang(member aqjob.TaskID) {
+	for _, w := range c.sorted() {
+		for _, id := range c.sortedRuns(w) {
+			if id.Task.Job == member.Job && id.Task.Group == member.Group {
+				c.end(w, id, EndGangBroken)
+			}
+		}
+	}
 }
 
 func (c *crashWorld) restart(w *crashWorker) {
@@ -277,6 +323,7 @@
 		return
 	}
 	w.missed = 0
+	w.answeredAt = c.now
 	w.leaseEnd = c.now.Add(simLease)
 	if acked, incarnation := c.decider.AckedEnds(w.entry.ID); incarnation == w.entry.Incarnation {
 		w.ended = slices.DeleteFunc(w.ended, func(e EndReport) bool { return e.Number <= acked })
@@ -288,11 +335,11 @@
 		Complete:    true,
 	}
 	for _, id := range c.sortedRuns(w) {
-		percent := 50
-		if w.runs[id].length == 0 {
-			percent = 100
+		percent := 100
+		if w.runs[id].length > 0 {
+			percent = int(c.now.Sub(w.runs[id].startedAt) / (100 * time.Millisecond))
 		}
-		report.Running = append(report.Running, RunReport{Run: id, Percent: percent + c.steps%2})
+		report.Running = append(report.Running, RunReport{Run: id, Percent: percent})
 	}
 	c.decider.WorkerReported(w.entry.ID, report)
 }
--- a/pkg/aqdecider/crash_test.go
+++ b/pkg/aqdecider/crash_test.go
@@ -142,3 +142,86 @@
 		})
 	}
 }
+
+// isolationHarness has a suspected task of job 1: its worker has crashed just after the
+// start.
+func isolationHarness(t *testing.T, others int) *harness {
+	t.Helper()
+	h := newHarness(t, poolWorker("w0", "r1-1", 8000))
+	h.d.AddJob(testJob(1, tasks(1, 1000)), nil, 0, false)
+	h.tick()
+	for n := range others {
+		w := poolWorker(fmt.Sprintf("w%d", n+1), "r1-1", 8000)
+		h.running[w.ID] = map[RunID]RunReport{}
+		h.d.UpdateWorker(w)
+		h.d.MarkPersisted(h.d.FleetIDs())
+		h.d.WorkerReported(w.ID, WorkerReport{Incarnation: 1, Complete: true, Sent: h.nextTime()})
+	}
+	h.d.WorkerUnresponsive("w0")
+	h.d.LeaseExpired("w0")
+	return h
+}
+
+// storeAll stores everything that is to be stored.
+func (h *harness) storeAll() {
+	batch := h.d.TakeBatch()
+	for _, r := range batch.Records {
+		h.d.RecordStored(r, r.Expect+1)
+	}
+	h.d.BatchStored(batch)
+}
+
+// A later leader must know of an isolated run that crashes its worker, so the run is stored
+// before it starts.
+func TestIsolatedRunIsStoredBeforeItStarts(t *testing.T) {
+	h := isolationHarness(t, 1)
+	for range 3 {
+		h.tick()
+	}
+	if len(h.started) != 1 {
+		t.Fatalf("%d starts before anything was stored, want 1", len(h.started))
+	}
+	h.storeAll()
+	h.tick()
+	if len(h.started) != 2 {
+		t.Fatalf("%d starts once the trial was stored, want 2", len(h.started))
+	}
+}
+
+// While a suspected task is on trial, nothing else starts on its worker; after it has been
+// seen to run, other tasks do.
+func TestNothingStartsBesideAnIsolatedRun(t *testing.T) {
+	h := isolationHarness(t, 1)
+	h.tick()
+	h.storeAll()
+	h.tick()
+	h.d.AddJob(testJob(2, tasks(1, 1000)), nil, 0, false)
+	h.tick()
+	if len(h.started) != 2 {
+		t.Fatalf("%d starts beside an isolated run", len(h.started)-2)
+	}
+	h.advance(600 * time.Millisecond)
+	h.report("w1")
+	h.tick()
+	if len(h.started) != 3 {
+		t.Fatal("nothing starts on the worker after the trial")
+	}
+}
+
+// A worker that was only unreachable does not count as crashed once it reports again.
+func TestReturningWorkerHasNotCrashed(t *testing.T) {
+	h := isolationHarness(t, 1)
+	h.tick()
+	h.storeAll()
+	task := h.d.task(aqjob.TaskID{Job: testJob(1).ID})
+	if len(task.history.Crashes) != 1 || task.trialWorker == nil {
+		t.Fatalf("history %+v, want one crash and a trial", task.history)
+	}
+	h.running["w0"] = map[RunID]RunReport{}
+	h.report("w0")
+	h.tick()
+	h.tick()
+	if !task.history.Empty() || task.trialWorker != nil || len(h.started) != 2 {
+		t.Fatalf("history %+v, %d starts", task.history, len(h.started))
+	}
+}
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
@@ -65,6 +66,11 @@
 	// unpersisted holds the workers that are missing from the stored list of workers.
 	unpersisted map[aqtype.WorkerID]bool
 	ended       []endedJob
+	// exposed holds, by worker, the tasks with a recorded crash of that worker, which may
+	// turn out to have been unreachable only.
+	exposed map[aqtype.WorkerID]exposure
+	// earlier holds the runs of earlier terms that agents have told of.
+	earlier map[aqjob.TaskID]aqcrash.Crash
 	// earlyCancels holds the cancellations of jobs that are not known yet.
 	earlyCancels map[aqjob.ID]time.Time
 	model        *interference
@@ -102,6 +108,8 @@
 		unstoredEnds:  map[aqtype.WorkerID]bool{},
 		unpersisted:   map[aqtype.WorkerID]bool{},
 		earlyCancels:  map[aqjob.ID]time.Time{},
+		exposed:       map[aqtype.WorkerID]exposure{},
+		earlier:       map[aqjob.TaskID]aqcrash.Crash{},
 		model:         newInterference(),
 		harmedShares:  map[string]float64{},
 
@@ -214,6 +222,7 @@
 			delete(d.earlyCancels, id)
 		}
 	}
+	d.expireExposures()
 	for len(d.ended) > 0 && d.now.Sub(d.ended[0].at) > d.options.Limits.Retention {
 		j := d.jobs[d.ended[0].id]
 		if j != nil && j.hasRuns() {
--- /dev/null
+++ b/pkg/aqdecider/earlier.go
@@ -0,0 +1,63 @@
+package aqdecider
+
+import (
+	"time"
+
+	"acaciaquay/internal/site/aqcrash"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqtype"
+)
+
+// EarlierRuns are the runs that an agent knew of on a worker when the term of an earlier
+// leader ended. That leader may not have stored a crash of the worker.
+type EarlierRuns struct {
+	Worker      aqtype.WorkerID
+	Incarnation Incarnation
+	Runs        []EarlierRun
+}
+
+// EarlierRun is one run of an EarlierRuns.
+type EarlierRun struct {
+	Run RunID
+	// Seen is how long the run was seen to run, zero or less if not at all.
+	Seen time.Duration
+}
+
+// NoteEarlierRuns notes runs of an earlier term. If neither a run nor its end is reported
+// and its worker does not return, the worker has crashed under it.
+func (d *Decider) NoteEarlierRuns(earlier EarlierRuns) {
+	for _, r := range earlier.Runs {
+		d.earlier[r.Run.Task] = aqcrash.Crash{
+			Instance: aqcrash.Instance{
+				Worker:      earlier.Worker,
+				Incarnation: int64(earlier.Incarnation),
+			},
+			Seen: r.Seen,
+		}
+	}
+}
+
+// resolveEarlier counts an unreported run of an earlier term as a crash unless its worker
+// still runs.
+func (d *Decider) resolveEarlier(t *task) {
+	if len(d.earlier) == 0 {
+		return
+	}
+	c, ok := d.earlier[t.id()]
+	if !ok {
+		return
+	}
+	d.forgetEarlier(t.id())
+	if !d.stillRuns(c.Instance) {
+		d.recordCrash(t, c)
+	}
+}
+
+// forgetEarlier drops what is noted of a task's run of an earlier term.
+func (d *Decider) forgetEarlier(id aqjob.TaskID) { delete(d.earlier, id) }
+
+// stillRuns reports whether an instance of a worker is known to run.
+func (d *Decider) stillRuns(instance aqcrash.Instance) bool {
+	w := d.workers[instance.Worker]
+	return w != nil && w.reachable && w.instance() == instance
+}
--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -19,6 +19,7 @@
 	w.invalidateLoad()
 	t.run = nil
 	t.reconciled = true
+	d.endTrial(t)
 	j := t.group.occurrence.job
 	d.options.Log.Write(aqlog.RunEnded, taskAttr(r.id.Task), workerAttr(w.info.ID),
 		slog.Int("Attempt", int(r.id.Attempt)), slog.String("How", reason.String()), slog.String("Why", r.reason),
--- a/pkg/aqdecider/gang.go
+++ b/pkg/aqdecider/gang.go
@@ -11,6 +11,9 @@
 	if len(pending) < len(g.tasks) {
 		return
 	}
+	if !d.trialsReady(pending) || g.occurrence.job.state.Final() {
+		return
+	}
 	chosen := d.gangWorkers(g, pending)
 	if chosen == nil {
 		return
@@ -56,7 +59,10 @@
 	}
 	var chosen []*worker
 	for _, t := range pending {
-		w := d.choose(t, tentative)
+		w := t.trialWorker
+		if w == nil {
+			w = d.choose(t, tentative)
+		}
 		if w == nil {
 			return nil
 		}
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -103,6 +103,10 @@
 					t.failed = append(t.failed, Attempt(attempt))
 				}
 				t.checkpoint = stored.Checkpoints[position]
+				if h := stored.Crashes[position]; h != nil {
+					t.history = *h
+					d.watchForReturn(t)
+				}
 				if t.done {
 					g.remaining--
 				}
@@ -225,6 +229,7 @@
 		for _, g := range o.groups {
 			delete(d.waiting, g)
 			for _, t := range g.tasks {
+				t.releaseTrialWorker()
 				if t.run != nil && t.run.state != runStopping {
 					d.stop(t.run, string(state))
 				}
@@ -254,6 +259,7 @@
 	o := g.occurrence
 	j := o.job
 	t.done = true
+	t.releaseTrialWorker()
 	g.remaining--
 	if g.spec.Gang {
 		d.completeGang(g)
@@ -280,6 +286,7 @@
 	for _, other := range g.tasks {
 		if !other.done {
 			other.done = true
+			other.releaseTrialWorker()
 			g.remaining--
 		}
 	}
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -23,6 +23,9 @@
 	spare := d.spareFor(ranked)
 	for _, g := range ranked {
 		pending := g.pending(d.now, unreported)
+		if !g.spec.Gang {
+			pending = d.placeSuspects(pending)
+		}
 		if g.spec.Perpetual {
 			pending = pending[:d.admitted(spare, g, len(pending))]
 		}
@@ -191,6 +194,11 @@
 // eligible reports whether a task of a group may be started on a worker now. tentative
 // is what earlier choices of the same decision reserve there.
 func (d *Decider) eligible(g *group, w *worker, tentative aqtype.Resources) bool {
+	return !w.heldForTrial() && d.permitted(g, w, tentative)
+}
+
+// permitted is eligible for the task that the worker is held for, if there is one.
+func (d *Decider) permitted(g *group, w *worker, tentative aqtype.Resources) bool {
 	return d.feasible(g, w, tentative) && (!g.occurrence.job.queue.Advised || d.ticket(g, w) != "")
 }
 
--- a/pkg/aqdecider/records.go
+++ b/pkg/aqdecider/records.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sort"
 
+	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
@@ -22,6 +23,8 @@
 	Remainder *aqjob.Job
 	// state is the job's state once the record is stored.
 	state aqjob.State
+	// changed is the progress that the record holds.
+	changed progressRevision
 }
 
 // Batch holds the records that are written to the store together.
@@ -38,7 +41,10 @@
 }
 
 // markDirty schedules a job's progress to be stored.
-func (d *Decider) markDirty(j *job) { d.dirty[j.spec.ID] = j }
+func (d *Decider) markDirty(j *job) {
+	j.changed++
+	d.dirty[j.spec.ID] = j
+}
 
 // Dirty reports whether there are records to store, ends to acknowledge or workers to
 // add to the stored list.
@@ -67,6 +73,7 @@
 			Progress: j.progress(),
 			Delete:   j.toDelete,
 			state:    j.state,
+			changed:  j.changed,
 		}
 		if j.state.Final() {
 			r.Remainder = j.spec.Remainder()
@@ -90,6 +97,7 @@
 		return
 	}
 	j.revision = revision
+	j.stored = r.changed
 	if r.state.Final() {
 		j.storedState = r.state
 	}
@@ -181,7 +189,14 @@
 				}
 				p.Checkpoints[position] = t.checkpoint
 			}
-			hasProgress = hasProgress || t.done || len(t.failed) > 0 || t.checkpoint != ""
+			if !t.history.Empty() && !t.done {
+				if p.Crashes == nil {
+					p.Crashes = map[int]*aqcrash.History{}
+				}
+				history := t.history
+				p.Crashes[position] = &history
+			}
+			hasProgress = hasProgress || t.done || len(t.failed) > 0 || t.checkpoint != "" || !t.history.Empty()
 			position++
 		}
 	}
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -18,6 +18,7 @@
 		d.workerRestarted(w, report.Incarnation)
 	}
 	w.reportedAt = d.now
+	d.workerReturned(w)
 	if !w.reachable {
 		w.reachable = true
 		d.options.Log.Write(aqlog.WorkerResponsive, workerAttr(id), slog.Int("Running", len(report.Running)),
@@ -72,6 +73,7 @@
 	r.report = report
 	r.reportAt = d.now
 	r.trackTail(d.now)
+	d.runSeen(r)
 	if report.Checkpoint != "" {
 		r.checkpoint = report.Checkpoint
 	}
@@ -99,6 +101,7 @@
 // adoptOrStop handles a reported run that this decider does not know. It adopts the run
 // if its task needs one, and stops it as an orphan otherwise.
 func (d *Decider) adoptOrStop(w *worker, report RunReport, sent LogicalTime) {
+	d.forgetEarlier(report.Run.Task)
 	t := d.task(report.Run.Task)
 	if t != nil {
 		t.attempt = max(t.attempt, report.Run.Attempt)
@@ -130,6 +133,7 @@
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 	w.invalidateLoad()
+	d.adoptTrial(r)
 	d.confirm(r, sent)
 	d.options.Log.Write(aqlog.RunAdopted, taskAttr(report.Run.Task), workerAttr(w.info.ID),
 		slog.Int("Attempt", int(report.Run.Attempt)), slog.Int("Percent", report.Percent))
@@ -184,6 +188,7 @@
 		d.endRun(r, e.Reason, checkpoint)
 		return
 	}
+	d.forgetEarlier(e.Run.Task)
 	t := d.task(e.Run.Task)
 	if t == nil {
 		return
@@ -192,6 +197,9 @@
 	if t.done || t.group.occurrence.job.state.Final() {
 		return
 	}
+	if t.run == nil && t.onTrialAt(w) {
+		d.endTrial(t)
+	}
 	switch e.Reason {
 	case EndDone:
 		if t.run != nil {
--- a/pkg/aqdecider/sim_rapid_test.go
+++ b/pkg/aqdecider/sim_rapid_test.go
@@ -99,7 +99,9 @@
 	}
 	for id := range s.jobs {
 		state, _ := s.decider.State(id)
-		t.Logf("job %s is %s", id, state)
+		_, groups, _ := s.decider.ViewJob(id)
+		t.Logf("job %s is %s: %+v", id, state, groups)
 	}
+	t.Logf("workers: %+v", s.decider.ViewWorkers())
 	t.Fatal("a job did not reach a final state")
 }
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
@@ -35,8 +36,14 @@
 	toDelete bool
 	// revision is that of the stored progress, zero if there is none.
 	revision aqstore.Revision
+	// changed is the latest progress, stored the latest that the store holds.
+	changed progressRevision
+	stored  progressRevision
 }
 
+// progressRevision counts the changes of a job's progress in one term.
+type progressRevision uint64
+
 // occurrence is one execution of the job's groups.
 type occurrence struct {
 	job    *job
@@ -83,8 +90,14 @@
 	reconciled bool
 	// avoid lists workers on which the task failed or made no progress.
 	avoid []aqtype.WorkerID
-	// losses counts the attempts that were lost with their worker.
-	losses int
+	// history holds the crashes of workers under the task.
+	history aqcrash.History
+	// trialWorker is held for an isolated run of the task, nil if none is.
+	trialWorker *worker
+	// trialRevision is the progress that has to be stored before that run is started.
+	trialRevision progressRevision
+	// trialSince is since when the worker has been held.
+	trialSince time.Time
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
 }
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -15,8 +15,8 @@
 	Worker  aqtype.WorkerID
 	Service aqjob.ServiceID
 	Zone    aqtype.Zone
-	// Condition is Usable, Draining, Silent, Unlisted, Unstored, Suspected or
-	// Avoided.
+	// Condition is Usable, Draining, Silent, Unlisted, Unstored, Suspected, Avoided or
+	// HeldForTrial.
 	Condition string
 	Runs      int
 	Used      aqtype.Resources
@@ -80,6 +80,8 @@
 		return "Avoided"
 	case !w.health.usable(d.now, len(w.runs)):
 		return "Suspected"
+	case w.heldForTrial():
+		return "HeldForTrial"
 	}
 	return ""
 }
@@ -174,6 +176,8 @@
 		return fmt.Sprintf("it may still run on %d workers that have not been heard of", len(d.unreported))
 	case len(g.pending(d.now, unreported)) == 0:
 		return "a pause after a refusal"
+	case g.suspectWaits():
+		return "an isolated worker for a task that may crash workers"
 	case !d.anySuitable(g):
 		return d.noWorkerReason(g)
 	case g.spec.Gang:
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -40,6 +40,8 @@
 	// avoidUntil is the time before which nothing is started after a refusal.
 	avoidUntil time.Time
 	health     health
+	// trial is the suspected task that the worker is held for, nil if there is none.
+	trial *task
 	// reviewAt is when the runs of the worker are reviewed next.
 	reviewAt time.Time
 	// load is a cache, nil after a change.
@@ -235,6 +237,7 @@
 	}
 	w.reachable = false
 	d.options.Log.Write(aqlog.WorkerUnresponsive, workerAttr(id), slog.Int("Runs", len(w.runs)))
+	d.recordCrashes(w)
 	d.dropIfGone(w)
 }
 
--- a/pkg/aqjob/progress.go
+++ b/pkg/aqjob/progress.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"acaciaquay/internal/site/aqcrash"
 )
 
 // State is a job's state as its submitter sees it.
@@ -46,6 +48,8 @@
 	Failed map[int][]int `msgpack:",omitempty"`
 	// Checkpoints holds the saved progress, by the task's position.
 	Checkpoints map[int]string `msgpack:",omitempty"`
+	// Crashes holds the crashes of workers under the tasks, by the task's position.
+	Crashes map[int]*aqcrash.History `msgpack:",omitempty"`
 }
 
 // Encode encodes a job or a progress record for the store.
@@ -86,6 +90,11 @@
 		if k < 0 || o == nil {
 			return errors.Errorf("job: progress of occurrence %d is not valid", k)
 		}
+		for position, h := range o.Crashes {
+			if h == nil {
+				return errors.Errorf("job: crashes of task %d of occurrence %d are not valid", position, k)
+			}
+		}
 	}
 	return nil
 }
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -106,6 +106,7 @@
 	JobsAccepted      Counter = "aq_jobs_accepted_total"
 	TasksEnded        Counter = "aq_tasks_ended_total"
 	RunsLost          Counter = "aq_runs_lost_with_worker_total"
+	JobsCrashing      Counter = "aq_jobs_crashing_workers_total"
 	LeadTerms         Counter = "aq_lead_terms_total"
 	LogLinesDropped   Counter = "aq_log_lines_dropped_total"
 	PanicsContained   Counter = "aq_panics_contained_total"
@@ -115,7 +116,7 @@
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, RunsLost, LeadTerms, LogLinesDropped, PanicsContained,
+	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -39,11 +39,24 @@
 		m.lastAnswer = answer.Number
 		p.markUp(m)
 		p.leader.acknowledged(m.record.Name)
+		p.noteEarlier(answer.Earlier)
 		p.applyEvents(m, answer.Events)
 		p.waitIdle(m)
 	}
 }
 
+// noteEarlier passes an agent's runs of an earlier term on to the decider.
+func (p *agentPool) noteEarlier(earlier []aqdecider.EarlierRuns) {
+	if len(earlier) == 0 {
+		return
+	}
+	p.leader.decide(func(d *aqdecider.Decider) {
+		for _, e := range earlier {
+			d.NoteEarlierRuns(e)
+		}
+	})
+}
+
 // Times of the polls.
 const (
 	// heldPollTime is the age from which a poll counts as held by its agent.
