Take starts back when a worker's capacity shrinks, and move perpetual tasks away

Nothing new was started on a worker over its capacity, but a start that waited at the worker's agent (for its payload, or while the agent could not reach the worker) was carried out up to ten seconds later, when the capacity on which it was placed no longer counted. The same class of fault as an order that outlives its permission.

Change: when an entry shows a smaller capacity, starts that are not known to have been carried out are taken back, the last ones first, until the runs fit. Perpetual tasks leave a worker that stays over its capacity for two seconds, within their disruption budget and if another worker has room; other work ends there.

--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -127,8 +127,9 @@
 	return !since.IsZero() && now.Sub(since) > reportSpan
 }
 
-// relocate stops a worker's stuck tasks, and its slow checkpointing fillers if another
-// worker suits them, so that they are placed elsewhere.
+// relocate stops a worker's stuck tasks, and, if another worker suits them, its slow
+// checkpointing fillers and the perpetual tasks for which its capacity no longer suffices,
+// so that they are placed elsewhere.
 func (d *Decider) relocate(w *worker) {
 	for _, r := range w.runs {
 		switch {
@@ -139,6 +140,10 @@
 			r.task.avoidWorker(w.info.ID)
 			w.health.failed(r.id.Task.Job, d.now)
 			d.stop(r, "makes no progress")
+		case r.task.group.spec.Perpetual && d.overCapacity(w) && r.task.group.canDisrupt():
+			if d.betterWorker(r) {
+				d.stop(r, "worker's capacity shrank")
+			}
 		case r.slowForLong(d.now) && r.task.group.canDisrupt():
 			if d.betterWorker(r) {
 				d.stop(r, "co-located tail latency over target")
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -42,6 +42,9 @@
 	health     health
 	// trial is the suspected task that the worker is held for, nil if there is none.
 	trial *task
+	// overSince is since when the runs reserve more than the capacity, which has shrunk
+	// under them; zero while they fit.
+	overSince time.Time
 	// reviewAt is when the runs of the worker are reviewed next.
 	reviewAt time.Time
 	// load is a cache, nil after a change.
@@ -83,10 +86,14 @@
 		d.workerRestarted(w, info.Incarnation)
 	}
 	wasDraining := w.info.Draining
+	before := w.info.Capacity
 	w.info = info
 	w.invalidateLoad()
 	w.rack = rackOf(info.Labels)
 	w.present = true
+	if info.Capacity != before {
+		d.capacityChanged(w, before)
+	}
 	if info.Draining {
 		w.reviewAt = time.Time{}
 		w.leavesAt = d.now.Add(info.Remaining)
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -53,6 +53,7 @@
 	RunLost            = Event{Number: 547, Layer: LayerDecider, Level: slog.LevelWarn, Message: "run lost with its worker", Meaning: "The worker crashed or was unreachable until its lease expired. Restarted is true when it is known to have crashed. Seen is how long after the order to start the worker last reported, negative if it has not reported since; Beside is the number of its other runs, Losses how often in a row this task has been lost, this time included. Isolated means that no other task of the worker could be to blame."}
 	TrialReserved      = Event{Number: 548, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker held for a trial", Meaning: "A task that may have crashed Crashes workers is to run in isolation: nothing else is started on this worker until the run has been seen for a while. Beside is the number of its other runs."}
 	TaskCrashesWorkers = Event{Number: 549, Layer: LayerDecider, Level: slog.LevelWarn, Message: "task crashes its workers", Meaning: "Crashes workers have crashed under the task, at least two of them while no other of their tasks could be to blame. Its job has failed."}
+	CapacityChanged    = Event{Number: 550, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker capacity changed", Meaning: "The worker reports another capacity. While its runs reserve more, in Reserved, nothing is started there, starts that are not known to have been carried out are taken back, and perpetual tasks move to other workers with room."}
 	WorkerLeaseExpired = Event{Number: 546, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker lease expired", Meaning: "The worker did not answer before its lease expired. Its tasks are placed again."}
 
 	LeadershipAcquired      = Event{Number: 900, Layer: LayerSite, Level: slog.LevelInfo, Message: "leadership acquired", Meaning: "This process schedules for the site from now on. Fence is the fencing token of its orders."}
@@ -104,7 +105,7 @@
 	JobAccepted, TaskEvicted, TaskAbandoned, WorkerOnProbation,
 	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
 	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived,
-	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers,
+	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers, CapacityChanged,
 	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
 	OrderFailed, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
