--- a/pkg/aqdecider/crashes.go
+++ b/pkg/aqdecider/crashes.go
@@ -286,8 +286,10 @@
 	trialWeightSuspected = 20.0
 )
 
-// maxHeldShare is the fraction of the workers that may be held for trials at a time.
-const maxHeldShare = 0.25
+// maxHeldShare is the fraction of the workers that may be held for trials at a time. The
+// users of a perpetual task notice its absence, and a gang needs all its workers at once, so
+// that these two do not wait for others.
+const maxHeldShare = 0.1
 
 // reserveTrial holds the worker that loses least by a crash for an isolated run of the
 // task, if one suits it.
@@ -307,7 +309,8 @@
 			best, bestScore = w, score
 		}
 	}
-	if best == nil || float64(held) > maxHeldShare*float64(len(d.fleet)) {
+	mayWait := !t.group.spec.Perpetual && !t.group.spec.Gang
+	if best == nil || (mayWait && float64(held) > maxHeldShare*float64(len(d.fleet))) {
 		return
 	}
 	instance := best.instance()
