Soak: tasks that crash their workers, and capacities that change

Two jobs or so a run have a task that crashes each worker 0 to 0.8 s after its start, and workers' capacities change between a half and the whole. Both have a random source of their own, so that a seed plays the other faults as before. The checker knows the users' bounds: BUDGET after three crashes and three more starts, LIMIT with a shrunk capacity counting for 4.5 s, and failed only for jobs with a task that fails or crashes workers.

--- a/pkg/aqsoak/checker.go
+++ b/pkg/aqsoak/checker.go
@@ -37,7 +37,7 @@
 // alwaysFails reports whether the job has tasks that fail on every attempt.
 func (j *job) alwaysFails() bool {
 	for _, g := range j.Groups {
-		if g.Work.Fails {
+		if g.Work.Fails || g.Work.CrashesWorker {
 			return true
 		}
 	}
@@ -52,7 +52,11 @@
 	successAcked bool
 	done         bool
 	failed       int
-	started      bool
+	// crashes counts the workers that have crashed under the task, startsAfterCrashes its
+	// starts after maxCrashes of them.
+	crashes            int
+	startsAfterCrashes int
+	started            bool
 }
 
 // Checker records every run on every worker and the violations of the guarantees.
@@ -60,7 +64,7 @@
 type Checker struct {
 	// maxAttempts is the maximum number of failures of a task.
 	maxAttempts int
-	// workerMilliCPU is the capacity of each worker.
+	// workerMilliCPU is the initial capacity of each worker.
 	workerMilliCPU int64
 
 	mu    sync.Mutex
@@ -68,6 +72,8 @@
 	tasks map[string]*taskHistory
 	// reservedMilliCPU maps each worker to the sum of its runs' reservations.
 	reservedMilliCPU map[string]int64
+	// capacities maps the workers whose capacity has changed to the changes.
+	capacities map[string]*capacity
 	// endCounts counts the ended runs by the reason of the end.
 	endCounts  map[string]int
 	starts     int
@@ -83,6 +89,7 @@
 		jobs:             map[string]*job{},
 		tasks:            map[string]*taskHistory{},
 		reservedMilliCPU: map[string]int64{},
+		capacities:       map[string]*capacity{},
 		endCounts:        map[string]int{},
 		startedAt:        time.Now(),
 	}
@@ -186,6 +193,11 @@
 	case t.failed >= c.maxAttempts && !g.Work.Perpetual:
 		c.addViolation("BUDGET: %s starts after %d failures", run.Task, t.failed)
 	}
+	if g.Work.CrashesWorker && t.crashes >= maxCrashes {
+		if t.startsAfterCrashes++; t.startsAfterCrashes >= maxStartsAfterCrashes {
+			c.addViolation("BUDGET: %s starts %d times after %d crashes", run.Task, t.startsAfterCrashes, maxCrashes)
+		}
+	}
 	for _, predecessor := range g.After {
 		for index := range j.Groups[predecessor].Count {
 			name := taskName(j.ID, predecessor, index)
@@ -197,8 +209,8 @@
 	t.started = true
 	t.runsOn[worker] = run.Attempt
 	c.reservedMilliCPU[worker] += g.MilliCPU
-	if c.reservedMilliCPU[worker] > c.workerMilliCPU {
-		c.addViolation("LIMIT: %s raises the reservations to %d of %d on %s", run.Task, c.reservedMilliCPU[worker], c.workerMilliCPU, worker)
+	if allowed := c.allowedMilliCPU(worker); c.reservedMilliCPU[worker] > allowed {
+		c.addViolation("LIMIT: %s raises the reservations to %d of %d on %s", run.Task, c.reservedMilliCPU[worker], allowed, worker)
 	}
 	return g.Work
 }
@@ -216,6 +228,9 @@
 	delete(t.runsOn, worker)
 	c.reservedMilliCPU[worker] -= g.MilliCPU
 	t.done = t.done || endReason == "done"
+	if endReason == "crashed" {
+		t.crashes++
+	}
 }
 
 // Acknowledged implements aqfake.Observer.
--- a/pkg/aqsoak/faults.go
+++ b/pkg/aqsoak/faults.go
@@ -160,7 +160,7 @@
 	for _, h := range s.hosts {
 		h.link.Set(LinkHealthy)
 		h.worker.SetLateRate(0)
-		s.register(h)
+		s.setCapacity(h, hostMilliCPU)
 	}
 }
 
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -30,6 +30,8 @@
 	// idleDelay is the time allowed for the last runs to end after the last job has
 	// reached its final state.
 	idleDelay = 5 * time.Second
+	// otherSource keeps the random source of capacities and crashing jobs apart.
+	otherSource = 1 << 32
 )
 
 // Options are the parameters of one soak.
@@ -102,6 +104,17 @@
 		defer s.running.Done()
 		s.submitAll(faultCtx, settleCtx, loadRandom)
 	}()
+	others := rand.New(rand.NewSource(o.Seed + otherSource))
+	capacityRandom := rand.New(rand.NewSource(others.Int63()))
+	s.running.Add(2)
+	go func() {
+		defer s.running.Done()
+		s.changeCapacities(faultCtx, capacityRandom)
+	}()
+	go func() {
+		defer s.running.Done()
+		s.submitCrashingJobs(faultCtx, settleCtx, others)
+	}()
 	s.injectFaults(faultCtx, random)
 	s.endFaults()
 	s.running.Wait()
@@ -170,6 +183,7 @@
 		return err
 	}
 	h := &host{worker: w, link: link}
+	w.OnCrash = func() { s.recoverCrashed(context.Background(), h) }
 	s.hosts = append(s.hosts, h)
 	s.register(h)
 	return nil
