A request that breaks endpoints off is sent to two of them at most

Two broken attempts end it with an unknown outcome. TestRequestThatBreaksEndpointsIsSentTwice failed before: all five endpoints were reached and the caller heard refused-not-run.

--- a/pkg/aqgateway/connections_test.go
+++ b/pkg/aqgateway/connections_test.go
@@ -138,3 +138,31 @@
 		t.Fatalf("the endpoint received %d requests, want 2 and no probe", seen)
 	}
 }
+
+// Guards against one request that crashes endpoint after endpoint: a repeatable request is
+// not sent to a third endpoint after two have broken off.
+func TestRequestThatBreaksEndpointsIsSentTwice(t *testing.T) {
+	var all []*rawEndpoint
+	var hosts []aqplatform.EndpointHost
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		e := newRawEndpoint(t, func(net.Conn, int) bool { return false })
+		all = append(all, e)
+		hosts = append(hosts, endpointAt(id, e.address()))
+	}
+	h := newHarness(t, hosts...)
+	for range 100 {
+		h.gateway.budget.Earn()
+	}
+	done := make(chan result, 1)
+	go func() { done <- h.send(http.MethodGet, "/folio/x", nil) }()
+	if got := h.await(done); got.outcome != OutcomeUnknown {
+		t.Fatalf("got %+v", got)
+	}
+	received := int64(0)
+	for _, e := range all {
+		received += e.received.Load()
+	}
+	if received != 2 {
+		t.Fatalf("sent to %d endpoints, want 2", received)
+	}
+}
--- a/pkg/aqgateway/gateway.go
+++ b/pkg/aqgateway/gateway.go
@@ -162,6 +162,10 @@
 	errNoService = errors.New("gateway: no such service")
 )
 
+// maxBrokenAttempts is the number of endpoints that may break off the same request. It may
+// be what crashes them.
+const maxBrokenAttempts = 2
+
 // forward sends the request to one endpoint after another until one answers, the
 // request is refused, or its outcome is unknown.
 func (g *Gateway) forward(
@@ -169,6 +173,7 @@
 ) {
 	ctx, cancel := context.WithTimeout(r.Context(), identified.deadline.Sub(g.options.Clock.Now()))
 	defer cancel()
+	broken := 0
 	for {
 		endpoint, err := service.acquire(ctx, identified)
 		if err != nil {
@@ -183,7 +188,10 @@
 			return
 		}
 		g.recordFailure(ctx, service, endpoint, err)
-		if !g.mayRetry(ctx, r, identified, err) {
+		if !errors.Is(err, errNotSent) {
+			broken++
+		}
+		if broken >= maxBrokenAttempts || !g.mayRetry(ctx, r, identified, err) {
 			g.answerFailure(w, identified, reservation, err)
 			return
 		}
