A request that an endpoint has broken off is never said not to have run

What callers saw: refused-not-run for a repeatable request that an endpoint had received and broken off, when the retry found no endpoint before the deadline or could not connect; its idempotency key was released, too. Cause: the answer was chosen from the last attempt alone. An outcome is unknown from the first attempt that an endpoint may have received.

--- a/pkg/aqgateway/connections_test.go
+++ b/pkg/aqgateway/connections_test.go
@@ -166,3 +166,15 @@
 		t.Fatalf("sent to %d endpoints, want 2", received)
 	}
 }
+
+// Guards against a caller that hears that its request has not run, though an endpoint has
+// received it: the endpoint breaks it off, and then no other is available.
+func TestBrokenRequestIsNotRefusedAsNotRun(t *testing.T) {
+	e := newRawEndpoint(t, func(net.Conn, int) bool { return false })
+	h := newHarness(t, endpointAt("a", e.address()))
+	done := make(chan result, 1)
+	go func() { done <- h.send(http.MethodGet, "/folio/x", nil) }()
+	if got := h.await(done); got.outcome != OutcomeUnknown || e.received.Load() == 0 {
+		t.Fatalf("got %+v after %d requests at the endpoint", got, e.received.Load())
+	}
+}
--- a/pkg/aqgateway/gateway.go
+++ b/pkg/aqgateway/gateway.go
@@ -174,8 +174,15 @@
 	ctx, cancel := context.WithTimeout(r.Context(), identified.deadline.Sub(g.options.Clock.Now()))
 	defer cancel()
 	broken := 0
+	// lost is the error of the last attempt that an endpoint may have received, nil if there
+	// is none. The request then never counts as not run.
+	var lost error
 	for {
 		endpoint, err := service.acquire(ctx, identified)
+		if err != nil && lost != nil {
+			g.answerFailure(w, identified, reservation, lost)
+			return
+		}
 		if err != nil {
 			reservation.release()
 			g.refuseAdmission(w, err)
@@ -190,8 +197,12 @@
 		g.recordFailure(ctx, service, endpoint, err)
 		if !errors.Is(err, errNotSent) {
 			broken++
+			lost = err
 		}
 		if broken >= maxBrokenAttempts || !g.mayRetry(ctx, r, identified, err) {
+			if lost != nil {
+				err = lost
+			}
 			g.answerFailure(w, identified, reservation, err)
 			return
 		}
