--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -81,10 +81,12 @@
 	// workersSearched counts the workers that searches for better ones have looked at in one
 	// round of decisions.
 	workersSearched int
-	shortUse        shortUse
-	advice          map[GroupID]*advice
-	now             time.Time
-	wall            time.Time
+	// waitsNotedAt is when the waits of groups were looked at last.
+	waitsNotedAt time.Time
+	shortUse     shortUse
+	advice       map[GroupID]*advice
+	now          time.Time
+	wall         time.Time
 }
 
 // endedJob is a job in a final state. Decider.ended lists them in order of ending.
@@ -185,6 +187,7 @@
 	d.startDueOccurrences()
 	d.reviewWorkers()
 	d.plan()
+	d.noteWaits()
 	d.expireJobs()
 	orders := d.orders
 	d.orders = nil
--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -126,13 +126,22 @@
 		case r.state == runStarting && d.now.Sub(r.orderedAt) > startTimeout:
 			d.stop(r, "start order timed out")
 		case r.state == runStopping && r.stopAcked == 0 && d.now.Sub(r.stopUpdatedAt) > stopOrderTimeout:
-			d.options.Metrics.Retried(aqmetric.RetryStopLost)
-			r.stopUpdatedAt = d.now
-			d.addOrder(Stop{Worker: w.info.ID, Run: r.id})
+			d.repeatStop(r)
 		}
 	}
 }
 
+// repeatStop sends the order to stop a run again.
+func (d *Decider) repeatStop(r *run) {
+	d.options.Metrics.Retried(aqmetric.RetryStopLost)
+	d.options.Log.Write(aqlog.StopRepeated, taskAttr(r.id.Task), workerAttr(r.worker.info.ID),
+		slog.Int("Attempt", int(r.id.Attempt)), slog.Bool("Acked", r.stopAcked > 0),
+		slog.Duration("Since", d.now.Sub(r.stopUpdatedAt)))
+	r.stopAcked = 0
+	r.stopUpdatedAt = d.now
+	d.addOrder(Stop{Worker: r.worker.info.ID, Run: r.id})
+}
+
 // stopGang stops the other members of a gang after one has ended without success.
 func (d *Decider) stopGang(g *group, reason EndReason) {
 	if reason == EndDone {
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -254,17 +254,40 @@
 // fillerScore prefers workers with leftover processors. It is forbiddenScore where the
 // filler would do harm.
 func (d *Decider) fillerScore(g *group, w *worker) float64 {
-	l := w.currentLoad()
-	demand := l.fillerDemand + float64(g.spec.Size.MilliCPU)
-	if demand > maxFillerDemand*l.leftover || w.overTarget(d.now) || d.worstPredictedTailRatio(w, g) > maxPredictedTail {
+	if d.fillerObstacle(g, w) != "" {
 		return forbiddenScore
 	}
-	score := demand / l.leftover
+	l := w.currentLoad()
+	score := (l.fillerDemand + float64(g.spec.Size.MilliCPU)) / l.leftover
 	if len(l.serving) == 0 {
 		score += weightKeepEmpty * (1 - d.harmedShare(g.spec.Image))
 	}
 	return score
 }
 
+// Obstacles of a filler on a worker that has room for it.
+const (
+	// obstacleLeftover means that the fillers would use more than the other tasks leave.
+	obstacleLeftover = "NoLeftover"
+	// obstacleOverTarget means that a serving task is over its tail latency target.
+	obstacleOverTarget = "OverTarget"
+	// obstaclePredictedTail means that the filler is expected to bring a serving task there.
+	obstaclePredictedTail = "PredictedTail"
+)
+
+// fillerObstacle returns why a worker must not get a filler, empty if it may.
+func (d *Decider) fillerObstacle(g *group, w *worker) string {
+	l := w.currentLoad()
+	switch {
+	case l.fillerDemand+float64(g.spec.Size.MilliCPU) > maxFillerDemand*l.leftover:
+		return obstacleLeftover
+	case w.overTarget(d.now):
+		return obstacleOverTarget
+	case d.worstPredictedTailRatio(w, g) > maxPredictedTail:
+		return obstaclePredictedTail
+	}
+	return ""
+}
+
 // forbiddenScore is the score of a worker that must not get the task.
 const forbiddenScore = 1e6
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"acaciaquay/pkg/aqlog"
@@ -283,9 +284,7 @@
 		// A resent start order must carry the same checkpoint.
 		resumeFrom: t.checkpoint,
 	}
-	t.run = r
-	t.reconciled = true
-	t.started = true
+	t.setRun(r)
 	d.options.Metrics.Observe(aqmetric.TimeWait, d.now.Sub(t.group.readyAt))
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
@@ -305,3 +304,48 @@
 		Ticket:        d.ticket(r.task.group, r.worker),
 	}
 }
+
+// Logging of groups that could run and have no run.
+const (
+	// waitLogAfter is how long a group waits before that is logged. The interval to the next
+	// line doubles.
+	waitLogAfter = 2 * time.Second
+	// waitNoteInterval is the interval between two looks at the waiting groups, and
+	// maxWaitsLogged the number of groups that are logged each time.
+	waitNoteInterval = 500 * time.Millisecond
+	maxWaitsLogged   = 2
+)
+
+// noteWaits logs the groups that have waited longest without a run.
+func (d *Decider) noteWaits() {
+	if d.now.Sub(d.waitsNotedAt) < waitNoteInterval {
+		return
+	}
+	d.waitsNotedAt = d.now
+	var due []*group
+	for g := range d.waiting {
+		if running, _ := g.counts(); running > 0 && !g.spec.Perpetual {
+			continue
+		}
+		if g.idleSince.IsZero() {
+			g.idleSince = d.now
+		}
+		if d.now.Sub(g.idleSince) >= max(waitLogAfter, 2*g.waitLoggedAt.Sub(g.idleSince)) {
+			due = append(due, g)
+		}
+	}
+	slices.SortFunc(due, func(a, b *group) int {
+		if order := a.idleSince.Compare(b.idleSince); order != 0 {
+			return order
+		}
+		return strings.Compare(a.key().String(), b.key().String())
+	})
+	for _, g := range due[:min(len(due), maxWaitsLogged)] {
+		g.waitLoggedAt = d.now
+		_, waiting := g.counts()
+		d.options.Metrics.Inc(aqmetric.GroupWaits)
+		d.options.Log.Write(aqlog.GroupWaits, slog.String("Group", g.key().String()), slog.Int("Tasks", waiting),
+			slog.Duration("Waited", d.now.Sub(g.idleSince)), slog.String("Size", g.spec.Size.String()),
+			slog.String("Image", g.spec.Image), slog.String("Why", d.waitReason(g)))
+	}
+}
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -58,9 +58,7 @@
 	}
 	if r.state == runStopping && r.stopAcked > 0 && sent > r.stopAcked &&
 		d.now.Sub(r.stopUpdatedAt) > d.options.Limits.StopGrace+stopMargin {
-		r.stopAcked = 0
-		r.stopUpdatedAt = d.now
-		d.addOrder(Stop{Worker: w.info.ID, Run: r.id})
+		d.repeatStop(r)
 	}
 	if silence := d.now.Sub(r.reportAt); !r.reportAt.IsZero() && silence > staleReport {
 		// A worker that was silent or frozen has not shown that its runs are stuck.
@@ -127,9 +125,7 @@
 		reportAt:   d.now,
 		pace:       fullPace,
 	}
-	t.run = r
-	t.reconciled = true
-	t.started = true
+	t.setRun(r)
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 	w.invalidateLoad()
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -63,6 +63,11 @@
 	// ready is set when all groups that this one depends on are done.
 	ready   bool
 	readyAt time.Time
+	// idleSince is since when noteWaits has seen the group without a run, zero while it has
+	// one.
+	idleSince time.Time
+	// waitLoggedAt is when the group's wait was logged last, zero if it has not been.
+	waitLoggedAt time.Time
 	// roomSince is since when workers have had room for the waiting tasks of a
 	// perpetual group, zero while they have none.
 	roomSince time.Time
@@ -158,6 +163,14 @@
 	}
 }
 
+// setRun gives the task a run.
+func (t *task) setRun(r *run) {
+	t.run = r
+	t.reconciled = true
+	t.started = true
+	t.group.idleSince, t.group.waitLoggedAt = time.Time{}, time.Time{}
+}
+
 func (g *group) key() GroupID {
 	return GroupID{
 		Job:        g.occurrence.job.spec.ID,
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -229,6 +229,8 @@
 		return "AntiAffinity"
 	case !d.eligible(g, w, none):
 		return "NoTicket"
+	case g.spec.Filler:
+		return d.fillerObstacle(g, w)
 	}
-	return "HarmsOthers"
+	return "Suitable"
 }
--- a/pkg/aqdecider/view_test.go
+++ b/pkg/aqdecider/view_test.go
@@ -1,10 +1,13 @@
 package aqdecider
 
 import (
+	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
 )
 
 func TestWhyATaskWaits(t *testing.T) {
@@ -80,3 +83,25 @@
 		})
 	}
 }
+
+func TestWaitingGroupIsLogged(t *testing.T) {
+	h := newHarness(t, poolWorker("w1", "r1-1", 4000))
+	var lines bytes.Buffer
+	log, err := aqlog.New(&lines, "leader", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.d.options.Log = log
+	h.d.AddJob(testJob(1, tasks(3, 5000)), nil, 0, false)
+	for range 40 {
+		h.tick()
+		h.advance(250 * time.Millisecond)
+	}
+	// After two, four and eight seconds of ten.
+	if got := strings.Count(lines.String(), aqlog.GroupWaits.Message); got != 3 {
+		t.Errorf("%d lines:\n%s", got, lines.String())
+	}
+	if want := `Why="no worker takes it; NoRoom: 1"`; !strings.Contains(lines.String(), want) {
+		t.Errorf("no line says %s:\n%s", want, lines.String())
+	}
+}
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -107,16 +107,18 @@
 	TasksEnded        Counter = "aq_tasks_ended_total"
 	RunsLost          Counter = "aq_runs_lost_with_worker_total"
 	JobsCrashing      Counter = "aq_jobs_crashing_workers_total"
-	LeadTerms         Counter = "aq_lead_terms_total"
-	LogLinesDropped   Counter = "aq_log_lines_dropped_total"
-	PanicsContained   Counter = "aq_panics_contained_total"
+	// GroupWaits counts the log lines about groups that wait for workers.
+	GroupWaits      Counter = "aq_group_waits_total"
+	LeadTerms       Counter = "aq_lead_terms_total"
+	LogLinesDropped Counter = "aq_log_lines_dropped_total"
+	PanicsContained Counter = "aq_panics_contained_total"
 )
 
 // Counters lists every counter without a reason.
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, LeadTerms, LogLinesDropped, PanicsContained,
+	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
