--- a/internal/site/aqreport/difference_test.go
+++ b/internal/site/aqreport/difference_test.go
@@ -10,7 +10,10 @@
 
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
+	"acaciaquay/pkg/aqtype"
 )
 
 func testRun(n int) aqdecider.RunID {
@@ -188,3 +191,54 @@
 		}
 	}
 }
+
+func TestReportsThatReachTheLeaderLateDoNotStopRuns(t *testing.T) {
+	const worker aqtype.WorkerID = "w1"
+	start := time.Unix(1_800_000_000, 0)
+	leader := aqdecider.New(aqdecider.Options{
+		Log:     aqlog.Discard(),
+		Metrics: aqmetric.New(),
+	})
+	leader.SetTime(start, start)
+	leader.UpdateWorker(aqdecider.Worker{
+		ID:       worker,
+		Capacity: aqtype.Resources{MilliCPU: 1000},
+	})
+	leader.AddJob(&aqjob.Job{
+		ID: testRun(0).Task.Job,
+		Groups: []aqjob.Group{{
+			Count:    1,
+			Size:     aqtype.Resources{MilliCPU: 1000},
+			Estimate: time.Second,
+		}},
+	}, nil, 0, false)
+	// The agent receives a report every 300 ms, each with more progress. The leader is slow:
+	// it handles them 1.1 s apart.
+	var differ Differ
+	var listing Listing
+	handledAt := start
+	for n := range 7 {
+		measuredAt := start.Add(time.Duration(n) * 300 * time.Millisecond)
+		difference, _ := differ.Difference(aqdecider.WorkerReport{
+			Sent:     aqdecider.LogicalTime(n + 1),
+			Complete: true,
+			Running: []aqdecider.RunReport{{
+				Run:     testRun(0),
+				Percent: 10 * (n + 1),
+				Usage:   500,
+			}},
+		}, measuredAt, maxReportPause/2, true)
+		report, err := listing.Apply(difference)
+		if err != nil {
+			t.Fatal(err)
+		}
+		handledAt = handledAt.Add(1100 * time.Millisecond)
+		leader.SetTime(handledAt, handledAt)
+		leader.WorkerReported(worker, report)
+		for _, order := range leader.Tick() {
+			if stop, isStop := order.(aqdecider.Stop); isStop {
+				t.Fatalf("stopped %v at report %d, though it makes progress", stop.Run, n+1)
+			}
+		}
+	}
+}
