Try a suspected worker again beside its lasting tasks

Cause: a worker on which two jobs failed in a row got its next task, the one that could clear it, only once it ran nothing. A worker with lasting tasks never runs nothing, so its room was lost for good. The class of fault: a condition that only a placement can clear, and that forbids the placement.

Now one run counts, the one that was started since the suspicion (health.probe); a lasting one clears its worker once it is ready. Ruled out: a run stuck in the leader's state (no event 552 for these tasks). Event 553 logs suspicions.

--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -16,6 +16,7 @@
 	w := r.worker
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.size)
+	w.health.ended(r.id)
 	w.invalidateLoad()
 	t.run = nil
 	t.reconciled = true
@@ -38,7 +39,7 @@
 			d.keepCheckpoint(t, checkpoint)
 			d.taskFailed(t, w, r.id.Attempt)
 		}
-		w.health.failed(j.spec.ID, d.now)
+		d.runFailed(w, j.spec.ID)
 	case EndStopped, EndLeaseExpired, EndGangBroken, EndGangIncomplete, EndLost:
 		d.keepCheckpoint(t, checkpoint)
 	}
--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -59,7 +59,9 @@
 		w.avoidUntil = d.now.Add(refusalCooldown)
 	case OutcomeUnhealthy:
 		w.avoidUntil = d.now.Add(refusalCooldown)
-		w.health.refused(d.now)
+		if w.health.suspect(d.now) {
+			d.logSuspicion(w)
+		}
 	case OutcomeNoTicket:
 		d.dropTicket(r.task.group, id)
 	case OutcomeInvalid, OutcomeNotSent:
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -138,7 +138,7 @@
 			d.options.Log.Write(aqlog.RunStalled, taskAttr(r.id.Task), workerAttr(w.info.ID),
 				slog.Int("Percent", r.percent), slog.Duration("Since", d.now.Sub(r.progressAt)))
 			r.task.avoidWorker(w.info.ID)
-			w.health.failed(r.id.Task.Job, d.now)
+			d.runFailed(w, r.id.Task.Job)
 			d.stop(r, "makes no progress")
 		case r.task.group.spec.Perpetual && d.overCapacity(w) && r.task.group.canDisrupt():
 			if d.betterWorker(r) {
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -210,7 +210,10 @@
 	if !w.present || !w.reachable || !w.persisted || w.info.Draining || w.info.Service != j.queue.Service {
 		return false
 	}
-	if len(w.orphans) > 0 || d.now.Before(w.avoidUntil) || !w.health.usable(d.now, len(w.runs)) {
+	if len(w.orphans) > 0 || d.now.Before(w.avoidUntil) || !w.health.usable(d.now) {
+		return false
+	}
+	if w.health.suspected() && tentative != (aqtype.Resources{}) {
 		return false
 	}
 	if !w.used.Add(tentative).Add(g.spec.Reserved()).Fits(w.info.Capacity) {
@@ -288,6 +291,7 @@
 	d.options.Metrics.Observe(aqmetric.TimeWait, d.now.Sub(t.group.readyAt))
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
+	w.health.started(r.id)
 	w.invalidateLoad()
 	d.options.Log.Write(aqlog.RunPlaced, taskAttr(r.id.Task), workerAttr(w.info.ID),
 		slog.Int("Attempt", int(attempt)), slog.Duration("Waited", d.now.Sub(t.group.readyAt)),
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -70,6 +70,9 @@
 	}
 	r.report = report
 	r.reportAt = d.now
+	if r.task.group.spec.Perpetual && report.Percent >= readyPercent {
+		w.health.ready(r.id)
+	}
 	r.trackTail(d.now)
 	d.runSeen(r)
 	if report.Checkpoint != "" {
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -78,7 +78,7 @@
 		return "Draining"
 	case len(w.orphans) > 0 || d.now.Before(w.avoidUntil):
 		return "Avoided"
-	case !w.health.usable(d.now, len(w.runs)):
+	case !w.health.usable(d.now):
 		return "Suspected"
 	case w.heldForTrial():
 		return "HeldForTrial"
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -56,6 +56,7 @@
 	CapacityChanged    = Event{Number: 550, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker capacity changed", Meaning: "The worker reports another capacity. While its runs reserve more, in Reserved, nothing is started there, starts that are not known to have been carried out are taken back, and perpetual tasks move to other workers with room."}
 	GroupWaits         = Event{Number: 551, Layer: LayerDecider, Level: slog.LevelWarn, Message: "group waits for workers", Meaning: "Tasks of the group could run and have waited for Waited, none of them runs. Why counts the workers by the reason for which they do not suit: NoLeftover means that fillers would use more than other tasks leave, OverTarget that a serving task is over its target now, PredictedTail that the filler is expected to bring one there. Repeated ever more rarely, and written for a few groups a second at most."}
 	StopRepeated       = Event{Number: 552, Layer: LayerDecider, Level: slog.LevelWarn, Message: "order to stop repeated", Meaning: "The run has been stopping for Since and neither its end nor its absence is reported, so that its task cannot be placed again. Acked says whether the worker has acknowledged the order."}
+	WorkerSuspected    = Event{Number: 553, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker suspected", Meaning: "Runs of FailedJobs jobs in a row have failed or made no progress on the worker, or it refused a start as unhealthy. It gets no task for Probation, and then one at a time until one succeeds or, if it lasts, is ready. Runs is what it still runs."}
 	WorkerLeaseExpired = Event{Number: 546, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker lease expired", Meaning: "The worker did not answer before its lease expired. Its tasks are placed again."}
 
 	LeadershipAcquired      = Event{Number: 900, Layer: LayerSite, Level: slog.LevelInfo, Message: "leadership acquired", Meaning: "This process schedules for the site from now on. Fence is the fencing token of its orders."}
@@ -106,7 +107,7 @@
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
 	JobAccepted, TaskEvicted, TaskAbandoned, WorkerOnProbation,
 	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
-	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, StopRepeated,
+	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, StopRepeated, WorkerSuspected,
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers, CapacityChanged,
 	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
