Give an adopted filler a known pace

What callers saw: batch tasks that ran when the leader changed were stopped two seconds later and started anew elsewhere, and their workers counted as failing.

Cause: a worker does not report the pace of a run. A leader took the runs that it adopted to run at full pace, also those that the earlier leader had suspended, never sped them up, and stopped them as stuck.

Now a filler that uses less than half of its size when it is adopted is paced to a quarter, and sped up from there by what its worker measures. Ruled out: a halt of the runs themselves (their workers ran others at speed).

--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -105,6 +105,19 @@
 	d.addOrder(Pace{Worker: r.worker.info.ID, Run: r.id, Percent: percent})
 }
 
+// fullPaceUsage is the fraction of its declared size that an adopted filler must use to
+// count as running at full pace.
+const fullPaceUsage = 0.5
+
+// adoptPace gives an adopted filler a known pace. The earlier leader may have slowed it down
+// or suspended it, which its worker does not report.
+func (d *Decider) adoptPace(r *run) {
+	spec := r.task.group.spec
+	if spec.Filler && float64(r.report.Usage) < fullPaceUsage*float64(spec.Size.MilliCPU) {
+		d.setPace(r, reducedPace, 0)
+	}
+}
+
 // trackTail records since when a serving run's tail latency has been over its target.
 func (r *run) trackTail(now time.Time) {
 	target := r.task.group.spec.TailTarget
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -136,6 +136,7 @@
 	d.confirm(r, sent)
 	d.options.Log.Write(aqlog.RunAdopted, taskAttr(report.Run.Task), workerAttr(w.info.ID),
 		slog.Int("Attempt", int(report.Run.Attempt)), slog.Int("Percent", report.Percent))
+	d.adoptPace(r)
 }
 
 // orphanStopInterval is the interval at which the order to stop an orphaned run is sent
