Measure progress on the worker's clock

Cause: a run counted as stuck when the leader had handled no higher progress for two seconds of its own time. A leader that is slow handles old reports, and reports that leave the progress out renewed the age of the last report. The class of fault: an age measured where a message is handled instead of where it was made.

Reports now carry the worker's clock and say whether they may leave progress out; a run is stuck when its worker has measured no progress for that long.

--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -243,6 +243,7 @@
 		return false
 	}
 	answer.Report.Sent = sent
+	answer.Report.Clock = time.Duration(answer.Clock)
 	s.heartbeatAnswered(to, answer)
 	return true
 }
--- a/internal/site/aqreport/difference.go
+++ b/internal/site/aqreport/difference.go
@@ -44,6 +44,11 @@
 	Incarnation aqdecider.Incarnation
 	Sent        aqdecider.LogicalTime
 	Complete    bool
+	// Clock is the worker's clock when it answered.
+	Clock time.Duration
+	// ProgressOmitted is set when Changed may leave out runs of which only the progress has
+	// changed.
+	ProgressOmitted bool
 	// Whole is set when New lists every run, whatever earlier differences said.
 	Whole   bool
 	New     []NewRun
@@ -106,6 +111,7 @@
 		Incarnation: report.Incarnation,
 		Sent:        report.Sent,
 		Complete:    report.Complete,
+		Clock:       report.Clock,
 	}
 	if f.sent == 0 || report.Incarnation != f.incarnation || now.Sub(f.wholeAt) >= wholeReportInterval {
 		out.Whole = true
@@ -118,6 +124,7 @@
 	}
 	measure := now.Sub(f.measuredAt) >= interval
 	progress := measure && now.Sub(f.progressAt) >= progressInterval
+	out.ProgressOmitted = !out.Whole && !progress
 	for _, r := range report.Running {
 		known := f.listed[r.Run]
 		switch {
@@ -239,11 +246,13 @@
 		l.runs = append(l.runs, r)
 	}
 	report := aqdecider.WorkerReport{
-		Incarnation: d.Incarnation,
-		Running:     make([]aqdecider.RunReport, 0, len(l.runs)),
-		Ended:       d.Ended,
-		Sent:        d.Sent,
-		Complete:    d.Complete,
+		Incarnation:     d.Incarnation,
+		Running:         make([]aqdecider.RunReport, 0, len(l.runs)),
+		Ended:           d.Ended,
+		Sent:            d.Sent,
+		Complete:        d.Complete,
+		Clock:           d.Clock,
+		ProgressOmitted: d.ProgressOmitted,
 	}
 	for _, r := range l.runs {
 		report.Running = append(report.Running, r.report)
--- a/internal/site/aqreport/difference_test.go
+++ b/internal/site/aqreport/difference_test.go
@@ -149,6 +149,11 @@
 				m.tailsAt = m.now
 			}
 			m.check(t, interval)
+			for _, r := range m.rebuilt.Running {
+				if want := m.running[r.Run.Task.Index].Percent; !m.rebuilt.ProgressOmitted && r.Percent != want {
+					t.Fatalf("progress %d of %v stands for %d", r.Percent, r.Run, want)
+				}
+			}
 		}
 	})
 }
@@ -222,6 +227,7 @@
 		difference, _ := differ.Difference(aqdecider.WorkerReport{
 			Sent:     aqdecider.LogicalTime(n + 1),
 			Complete: true,
+			Clock:    measuredAt.Sub(start),
 			Running: []aqdecider.RunReport{{
 				Run:     testRun(0),
 				Percent: 10 * (n + 1),
--- a/pkg/aqdecider/crash_sim_test.go
+++ b/pkg/aqdecider/crash_sim_test.go
@@ -372,6 +372,7 @@
 		Ended:       slices.Clone(w.ended),
 		Sent:        w.clock,
 		Complete:    true,
+		Clock:       time.Duration(c.now.UnixNano()),
 	}
 	for _, id := range c.sortedRuns(w) {
 		percent := 100
--- a/pkg/aqdecider/decider_test.go
+++ b/pkg/aqdecider/decider_test.go
@@ -104,7 +104,7 @@
 }
 
 func (h *harness) report(id aqtype.WorkerID, ends ...EndReport) {
-	answer := WorkerReport{Incarnation: 1, Complete: true, Sent: h.nextTime(), Ended: ends}
+	answer := WorkerReport{Incarnation: 1, Complete: true, Sent: h.nextTime(), Ended: ends, Clock: time.Duration(h.now.UnixNano())}
 	for _, report := range h.running[id] {
 		answer.Running = append(answer.Running, report)
 	}
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -97,7 +97,7 @@
 		r.slowSince = d.now
 	}
 	if percent >= relocatePace && r.pace < relocatePace {
-		r.progressAt = d.now
+		r.measured = false
 	}
 	r.pace = percent
 	r.worker.invalidateLoad()
@@ -149,7 +149,7 @@
 		case r.state != runRunning:
 		case d.stuck(r):
 			d.options.Log.Write(aqlog.RunStalled, taskAttr(r.id.Task), workerAttr(w.info.ID),
-				slog.Int("Percent", r.percent), slog.Duration("Since", d.now.Sub(r.progressAt)))
+				slog.Int("Percent", r.percent), slog.Duration("Since", r.still()))
 			r.task.avoidWorker(w.info.ID)
 			d.runFailed(w, r.id.Task.Job)
 			d.stop(r, "makes no progress")
@@ -211,17 +211,20 @@
 	readyTimeout = 4 * time.Second
 )
 
+// still returns how long a run has been measured without progress, on its worker's clock.
+func (r *run) still() time.Duration { return r.measuredAt - r.progressAt }
+
 // stuck reports whether a run has made no progress for longer than a busy worker
 // explains. A run with a stale report or a pace below relocatePace is never stuck.
 func (d *Decider) stuck(r *run) bool {
-	if d.now.Sub(r.reportAt) > staleReport || r.pace < relocatePace {
+	if !r.measured || d.now.Sub(r.reportAt) > staleReport || r.pace < relocatePace {
 		return false
 	}
 	spec := r.task.group.spec
 	if spec.Perpetual {
-		return r.report.Percent < readyPercent && d.now.Sub(r.progressAt) > readyTimeout
+		return r.report.Percent < readyPercent && r.still() > readyTimeout
 	}
-	return d.now.Sub(r.progressAt) > max(minStuckTime, time.Duration(stuckShare*float64(spec.Estimate)))
+	return r.still() > max(minStuckTime, time.Duration(stuckShare*float64(spec.Estimate)))
 }
 
 // Weights of the scores of serving tasks and fillers.
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -35,7 +35,7 @@
 	}
 	for _, r := range report.Running {
 		reported[r.Run] = true
-		d.runReported(w, r, report.Sent)
+		d.runReported(w, r, report)
 	}
 	if report.Complete {
 		d.reconcileMissing(w, reported, report.Sent)
@@ -45,13 +45,14 @@
 	w.reviewAt = time.Time{}
 }
 
-// runReported handles one running task of a report.
-func (d *Decider) runReported(w *worker, report RunReport, sent LogicalTime) {
+// runReported handles one running task of a worker's report.
+func (d *Decider) runReported(w *worker, report RunReport, of WorkerReport) {
 	r := w.runs[report.Run]
 	if r == nil {
-		d.adoptOrStop(w, report, sent)
+		d.adoptOrStop(w, report, of.Sent)
 		return
 	}
+	sent := of.Sent
 	r.missedReports = 0
 	if r.state == runStarting {
 		d.confirm(r, sent)
@@ -60,14 +61,7 @@
 		d.now.Sub(r.stopUpdatedAt) > d.options.Limits.StopGrace+stopMargin {
 		d.repeatStop(r)
 	}
-	if silence := d.now.Sub(r.reportAt); !r.reportAt.IsZero() && silence > staleReport {
-		// A worker that was silent or frozen has not shown that its runs are stuck.
-		r.progressAt = r.progressAt.Add(silence)
-	}
-	if report.Percent > r.percent || r.progressAt.IsZero() {
-		r.progressAt = d.now
-		r.percent = report.Percent
-	}
+	r.measure(report.Percent, of)
 	r.report = report
 	r.reportAt = d.now
 	if r.task.group.spec.Perpetual && report.Percent >= readyPercent {
@@ -80,6 +74,23 @@
 	}
 }
 
+// measure applies the progress of a run in a worker's report.
+func (r *run) measure(percent int, of WorkerReport) {
+	if r.measured && (of.Clock < r.measuredAt || (of.ProgressOmitted && percent <= r.percent)) {
+		return
+	}
+	switch gap := of.Clock - r.measuredAt; {
+	case !r.measured, percent > r.percent:
+		r.progressAt = of.Clock
+		r.percent = percent
+	case gap > staleReport:
+		// A worker that was silent or frozen has not shown that its runs are stuck.
+		r.progressAt += gap
+	}
+	r.measuredAt = of.Clock
+	r.measured = true
+}
+
 // stopMargin is how much longer than Limits.StopGrace a stop may take before the order
 // is sent again.
 const stopMargin = 500 * time.Millisecond
@@ -88,7 +99,7 @@
 func (d *Decider) confirm(r *run, at LogicalTime) {
 	r.state = runRunning
 	r.confirmed = at
-	r.progressAt = d.now
+	r.measured = false
 	j := r.task.group.occurrence.job
 	if !j.started {
 		j.started = true
--- a/pkg/aqdecider/sim_test.go
+++ b/pkg/aqdecider/sim_test.go
@@ -306,6 +306,7 @@
 		Ended:       slices.Clone(fake.ended),
 		Sent:        sent,
 		Complete:    true,
+		Clock:       time.Duration(s.now.UnixNano()),
 	}
 	for _, id := range sortedRuns(fake.runs) {
 		report.Running = append(report.Running, RunReport{Run: id, Percent: 50})
--- a/pkg/aqdecider/starvation_test.go
+++ b/pkg/aqdecider/starvation_test.go
@@ -205,3 +205,28 @@
 		t.Fatalf("paced %v, want full speed in the end", h.paced)
 	}
 }
+
+func TestRunThatStandsStillIsStopped(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		group func() aqjob.Group
+		// within is the time from the start in which a run must be found to stand still.
+		within time.Duration
+	}{
+		{name: "finite", group: func() aqjob.Group { return tasks(1, 1000) }, within: minStuckTime + maxIdleWait},
+		{name: "perpetual", group: func() aqjob.Group {
+			g := tasks(1, 1000)
+			g.Perpetual = true
+			return g
+		}, within: readyTimeout + maxIdleWait},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, poolWorker("w1", "r1-1", 10000))
+			h.d.AddJob(testJob(1, test.group()), nil, 0, false)
+			h.runFor(test.within, func(_ aqtype.WorkerID, r RunReport) RunReport { return r })
+			if len(h.stopped) != 1 {
+				t.Fatalf("stopped %v", h.stopped)
+			}
+		})
+	}
+}
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -135,9 +135,14 @@
 	checkpoint string
 	report     RunReport
 	reportAt   time.Time
-	// progressAt is when the progress last increased, or when the run was confirmed or
-	// sped up after that.
-	progressAt time.Time
+	// measuredAt is the worker's clock when it last measured the progress. It is valid only
+	// with measured, which is unset until the first report after the run was confirmed or sped
+	// up.
+	measuredAt time.Duration
+	measured   bool
+	// progressAt is the worker's clock when the progress last increased, or at the first
+	// measurement if that is later.
+	progressAt time.Duration
 	percent    int
 	pace       int
 	paceAt     time.Time
--- a/pkg/aqdecider/types.go
+++ b/pkg/aqdecider/types.go
@@ -111,6 +111,12 @@
 	Ended       []EndReport
 	// Sent is when the heartbeat that this report answers was sent.
 	Sent LogicalTime
+	// Clock is the worker's monotonic clock when it answered. Unlike the time at which the
+	// leader handles the report, it does not depend on who is slow.
+	Clock time.Duration
+	// ProgressOmitted is set when a Percent that has not risen may be that of an earlier
+	// report.
+	ProgressOmitted bool
 	// Complete is unset when the worker has more ends than the report holds.
 	Complete bool
 }
