Start fillers that have waited for long at a quarter of their pace

What callers may see: a batch task waits for as long as the leader leads, with room on every worker (LOST).

Cause: a filler got no worker where the interference model expected harm, with no limit in time, and the model learns only from fillers that run. An estimate that is wrong (learned, for example, from a worker that was slow for a reason of its own) then forbids the image for good, large tasks first. The class of fault is that of the probation: a condition that only a placement can clear, and that forbids the placement.

A group of fillers that has waited for 1.5 s without a change starts one task where the model expects least harm, at a quarter of its pace; where that is too much by the model, on a worker without other fillers. What the worker measures then corrects the model and the pace. The model now is a package of its own, unchanged.

Tests: TestFillerThatIsSaidToHarmAllWorkersStarts failed before; TestFillerThatHarmsAllWorkersKeepsThemUnderTheirTargets plays a filler that does harm.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"acaciaquay/internal/site/aqcrash"
+	"acaciaquay/internal/site/aqinterference"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
@@ -73,7 +74,7 @@
 	earlier map[aqjob.TaskID]aqcrash.Crash
 	// earlyCancels holds the cancellations of jobs that are not known yet.
 	earlyCancels map[aqjob.ID]time.Time
-	model        *interference
+	model        *aqinterference.Model
 	// harmedShares caches the model's answers of one round of decisions.
 	harmedShares map[string]float64
 	// fillerShortages holds the classes of fillers for which no worker was found of late.
@@ -81,6 +82,8 @@
 	// workersSearched counts the workers that searches for better ones have looked at in one
 	// round of decisions.
 	workersSearched int
+	// overdueSearches counts the searches for overdue fillers in one round of decisions.
+	overdueSearches int
 	// waitsNotedAt is when the waits of groups were looked at last.
 	waitsNotedAt time.Time
 	shortUse     shortUse
@@ -112,7 +115,7 @@
 		earlyCancels:  map[aqjob.ID]time.Time{},
 		exposed:       map[aqtype.WorkerID]exposure{},
 		earlier:       map[aqjob.TaskID]aqcrash.Crash{},
-		model:         newInterference(),
+		model:         aqinterference.New(),
 		harmedShares:  map[string]float64{},
 
 		fillerShortages: map[placementClass]fillerShortage{},
@@ -184,6 +187,7 @@
 func (d *Decider) Tick() []Order {
 	clear(d.harmedShares)
 	d.workersSearched = 0
+	d.overdueSearches = 0
 	d.startDueOccurrences()
 	d.reviewWorkers()
 	d.plan()
--- a/pkg/aqdecider/decider_test.go
+++ b/pkg/aqdecider/decider_test.go
@@ -282,22 +282,6 @@
 	}
 }
 
-// The model must learn which of two co-located fillers slows a serving image down.
-func TestModelFindsTheHarmfulFiller(t *testing.T) {
-	m := newInterference()
-	for range 20 {
-		m.observe("serving", 0.45, nil)
-		m.observe("serving", 0.45, map[string]float64{"harmless": 0.2})
-		m.observe("serving", 1.2, map[string]float64{"harmful": 0.15, "harmless": 0.1})
-	}
-	if f := m.factor("serving", "harmless"); f > harmfulFactor {
-		t.Errorf("harmless filler has factor %.1f", f)
-	}
-	if f := m.factor("serving", "harmful"); f < harmfulFactor {
-		t.Errorf("harmful filler has factor %.1f", f)
-	}
-}
-
 // A filler next to a serving task over its tail latency target is slowed down, then
 // suspended, and sped up once the tail latency is low again.
 func TestFillersArePaced(t *testing.T) {
--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -61,6 +61,7 @@
 func (d *Decider) requeue(t *task) {
 	if !t.done && t.run == nil && t.group.ready && !t.group.occurrence.job.state.Final() {
 		d.waiting[t.group] = true
+		t.group.changedAt = d.now
 	}
 }
 
--- a/pkg/aqdecider/interference.go
+++ b/pkg/aqdecider/interference.go
@@ -8,146 +8,12 @@
 	"acaciaquay/pkg/aqtype"
 )
 
-// imagePair is the image of a serving task and that of a filler co-located with it.
-type imagePair struct {
-	serving string
-	filler  string
-}
-
-// effect is the estimate for a pair: the logarithm of the serving task's tail
-// latency rises by factor times the fraction of the worker's processors that the
-// filler uses.
-type effect struct {
-	factor float64
-	// weight is the accumulated evidence, with decay.
-	weight float64
-}
-
-// Parameters of the interference model.
-const (
-	// priorFactor is the estimate for a pair that was never observed. It expects
-	// some harm, but permits one filler next to a serving task, so that the pair is
-	// observed.
-	priorFactor = 1.5
-	// priorWeight is the evidence that the prior counts as.
-	priorWeight = 0.02
-	// maxFactor is the upper limit of an estimate, however large an outlier is.
-	maxFactor = 15.0
-	// weightDecay discounts old evidence, because effects change.
-	weightDecay = 0.998
-	// soloShare is the fraction of a worker's processors below which the use by
-	// fillers is neglected.
-	soloShare = 0.01
-	// priorSoloRatio is the expected tail latency, relative to the target, of a
-	// solo serving task that was never observed.
-	priorSoloRatio = 0.45
-	// soloLearningRate is the weight of a new measurement of a solo task.
-	soloLearningRate = 0.03
-	// harmfulFactor is the estimate above which a filler counts as harmful.
-	harmfulFactor = 2.0
-	// maxPairs limits the memory of the model.
-	maxPairs = 4096
-)
-
-// interference learns from the workers' reports which fillers slow down which
-// serving tasks.
-type interference struct {
-	pairs map[imagePair]*effect
-	// soloLogRatios holds the logarithm of each serving image's tail latency relative
-	// to its target, without fillers.
-	soloLogRatios map[string]float64
-}
-
-func newInterference() *interference {
-	return &interference{
-		pairs:         map[imagePair]*effect{},
-		soloLogRatios: map[string]float64{},
-	}
-}
-
-func (m *interference) soloLogRatio(serving string) float64 {
-	if base, known := m.soloLogRatios[serving]; known {
-		return base
-	}
-	return math.Log(priorSoloRatio)
-}
-
-func (m *interference) factor(serving, filler string) float64 {
-	if e := m.pairs[imagePair{serving: serving, filler: filler}]; e != nil {
-		return e.factor
-	}
-	return priorFactor
-}
-
-// predict returns the expected tail latency, relative to the target, next to
-// fillers. fillers holds their shares of the worker's processors by image.
-func (m *interference) predict(serving string, fillers map[string]float64) float64 {
-	sum := m.soloLogRatio(serving)
-	for image, share := range fillers {
-		sum += m.factor(serving, image) * share
-	}
-	return math.Exp(sum)
-}
-
-// observe updates the model with one measurement of a serving task. It spreads the
-// prediction error over the co-located fillers by their shares.
-func (m *interference) observe(serving string, ratio float64, fillers map[string]float64) {
-	if ratio <= 0 {
-		return
-	}
-	measured := math.Log(ratio)
-	total, squares := 0.0, 0.0
-	for _, share := range fillers {
-		total += share
-		squares += share * share
-	}
-	if total < soloShare {
-		m.soloLogRatios[serving] = m.soloLogRatio(serving) + soloLearningRate*(measured-m.soloLogRatio(serving))
-		return
-	}
-	residual := measured - math.Log(m.predict(serving, fillers))
-	for image, share := range fillers {
-		e := m.effect(serving, image)
-		if e == nil || share <= 0 {
-			continue
-		}
-		e.weight = weightDecay*e.weight + share*share
-		e.factor += residual * share / max(e.weight, squares)
-		e.factor = max(0, min(maxFactor, e.factor))
-	}
-}
-
-// effect returns the estimate of a pair, nil when the model is full.
-func (m *interference) effect(serving, filler string) *effect {
-	pair := imagePair{serving: serving, filler: filler}
-	e := m.pairs[pair]
-	if e == nil && len(m.pairs) < maxPairs {
-		e = &effect{factor: priorFactor, weight: priorWeight}
-		m.pairs[pair] = e
-	}
-	return e
-}
-
-// harmedShare returns the fraction of the known serving images that a filler harms.
-func (m *interference) harmedShare(filler string) float64 {
-	harmed := 0
-	for serving := range m.soloLogRatios {
-		if m.factor(serving, filler) > harmfulFactor {
-			harmed++
-		}
-	}
-	if len(m.soloLogRatios) == 0 {
-		return 0
-	}
-	return float64(harmed) / float64(len(m.soloLogRatios))
-}
-
 // harmedShare returns the model's share, computed once a round of decisions.
 func (d *Decider) harmedShare(filler string) float64 {
 	if share, known := d.harmedShares[filler]; known {
 		return share
 	}
-	share := d.model.harmedShare(filler)
+	share := d.model.HarmedShare(filler)
 	d.harmedShares[filler] = share
 	return share
 }
@@ -226,9 +92,24 @@
 	return l
 }
 
+// extraFiller is a filler that may be started on a worker. The zero value is none.
+type extraFiller struct {
+	image string
+	// demand is the processors that it would use at its pace, in thousandths.
+	demand float64
+}
+
+// filler returns a task of the group at a pace in percent.
+func (g *group) filler(pace int) extraFiller {
+	return extraFiller{
+		image:  g.spec.Image,
+		demand: float64(g.spec.Size.MilliCPU) * float64(pace) / fullPace,
+	}
+}
+
 // worstPredictedTailRatio returns the highest expected tail ratio of a worker's serving
-// tasks next to its fillers and, unless extra is nil, one more task of that group.
-func (d *Decider) worstPredictedTailRatio(w *worker, extra *group) float64 {
+// tasks next to its fillers and an extra one.
+func (d *Decider) worstPredictedTailRatio(w *worker, extra extraFiller) float64 {
 	worst := 0.0
 	for _, image := range w.currentLoad().serving {
 		worst = max(worst, d.predictedTailRatio(w, image, extra))
@@ -237,26 +118,22 @@
 }
 
 // predictedTailRatio returns the expected tail ratio of a serving image on a worker.
-func (d *Decider) predictedTailRatio(w *worker, serving string, extra *group) float64 {
+func (d *Decider) predictedTailRatio(w *worker, serving string, extra extraFiller) float64 {
 	l := w.currentLoad()
 	capacity := float64(w.info.Capacity.MilliCPU)
 	if capacity <= 0 {
-		return math.Exp(d.model.soloLogRatio(serving))
-	}
-	added := 0.0
-	if extra != nil {
-		added = float64(extra.spec.Size.MilliCPU)
+		return math.Exp(d.model.SoloLogRatio(serving))
 	}
 	scale := 1.0
-	if total := l.fillerDemand + added; total > l.leftover {
+	if total := l.fillerDemand + extra.demand; total > l.leftover {
 		scale = l.leftover / total
 	}
-	sum := d.model.soloLogRatio(serving)
+	sum := d.model.SoloLogRatio(serving)
 	for image, demand := range l.fillers {
-		sum += d.model.factor(serving, image) * scale * demand / capacity
+		sum += d.model.Factor(serving, image) * scale * demand / capacity
 	}
-	if extra != nil {
-		sum += d.model.factor(serving, extra.spec.Image) * scale * added / capacity
+	if extra.demand > 0 {
+		sum += d.model.Factor(serving, extra.image) * scale * extra.demand / capacity
 	}
 	return math.Exp(sum)
 }
@@ -273,6 +150,69 @@
 		if fillers == nil {
 			fillers = w.fillerShares(d.now)
 		}
-		d.model.observe(r.task.group.spec.Image, float64(r.report.Tail)/float64(target), fillers)
+		d.model.Observe(r.task.group.spec.Image, float64(r.report.Tail)/float64(target), fillers)
 	}
 }
+
+// Fillers that wait for long. The interference model may expect harm on every worker, and it
+// learns only from fillers that run.
+const (
+	// fillerPatience is how long a group of fillers waits without a change before one of its
+	// tasks is started at reducedPace, where it is expected to do least harm.
+	fillerPatience = 1500 * time.Millisecond
+	// maxOverdueSearches limits the searches for such workers in one round of decisions: each
+	// looks at every worker.
+	maxOverdueSearches = 2
+	// penaltyOverTarget counts against workers with a serving task over its target.
+	penaltyOverTarget = 10.0
+)
+
+// startOverdue starts one task of a group of fillers that has waited for fillerPatience.
+func (d *Decider) startOverdue(g *group) {
+	if !g.spec.Filler || g.spec.Gang || d.overdueSearches >= maxOverdueSearches || d.now.Sub(g.changedAt) < fillerPatience {
+		return
+	}
+	pending := g.pending(d.now, d.hasUnreported())
+	position := slices.IndexFunc(pending, func(t *task) bool { return !t.history.Suspected() })
+	if position < 0 {
+		return
+	}
+	d.overdueSearches++
+	g.changedAt = d.now
+	if w := d.leastHarmed(g); w != nil {
+		d.startSlowly(pending[position], w)
+	}
+}
+
+// leastHarmed returns the worker with processors left for a filler where it is expected to do
+// least harm at reducedPace, nil if there is none. Where that is too much by the model, it
+// has to be the only filler.
+func (d *Decider) leastHarmed(g *group) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range d.fleet {
+		if !d.eligible(g, w, aqtype.Resources{}) || d.fillerObstacle(g, w) == obstacleLeftover {
+			continue
+		}
+		score := d.worstPredictedTailRatio(w, g.filler(reducedPace))
+		if score > maxPredictedTail && len(w.currentLoad().fillers) > 0 {
+			continue
+		}
+		if w.overTarget(d.now) {
+			score += penaltyOverTarget
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// startSlowly starts a filler that gets reducedPace as soon as it is known to run.
+func (d *Decider) startSlowly(t *task, w *worker) {
+	d.start(t, w, t.attempt+1)
+	t.run.pace = reducedPace
+	t.run.paceAt = d.now
+	t.run.slowSince = d.now
+	w.invalidateLoad()
+}
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"acaciaquay/internal/site/aqinterference"
 	"acaciaquay/pkg/aqlog"
 )
 
@@ -74,7 +75,7 @@
 		}
 		ratio := float64(r.report.Tail) / float64(target)
 		worst = max(worst, ratio)
-		harmful := d.model.factor(r.task.group.spec.Image, image) > harmfulFactor
+		harmful := d.model.Factor(r.task.group.spec.Image, image) > aqinterference.HarmfulFactor
 		longOver := !r.overTargetSince.IsZero() && d.now.Sub(r.overTargetSince) > slowAllAfter
 		if ratio >= slowDownTail && (harmful || longOver) {
 			over = max(over, ratio)
@@ -85,7 +86,7 @@
 		d.setPace(filler, reducedPace, over)
 	case over > 0 && filler.pace > 0:
 		d.setPace(filler, 0, over)
-	case worst <= speedUpTail && filler.pace < fullPace && d.worstPredictedTailRatio(w, nil) <= maxPredictedTail:
+	case worst <= speedUpTail && filler.pace < fullPace && d.worstPredictedTailRatio(w, extraFiller{}) <= maxPredictedTail:
 		d.setPace(filler, min(fullPace, filler.pace+paceStep), worst)
 	}
 }
@@ -261,7 +262,7 @@
 		others--
 	}
 	score += weightMixed / 2 * float64(others)
-	if d.predictedTailRatio(w, g.spec.Image, nil) > maxPredictedTail {
+	if d.predictedTailRatio(w, g.spec.Image, extraFiller{}) > maxPredictedTail {
 		score += weightHarmed
 	}
 	return score - share(int64(w.used.MilliCPU), int64(w.info.Capacity.MilliCPU))
@@ -299,7 +300,7 @@
 		return obstacleLeftover
 	case w.overTarget(d.now):
 		return obstacleOverTarget
-	case d.worstPredictedTailRatio(w, g) > maxPredictedTail:
+	case d.worstPredictedTailRatio(w, g.filler(fullPace)) > maxPredictedTail:
 		return obstaclePredictedTail
 	}
 	return ""
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -33,6 +33,7 @@
 		if len(pending) > 0 && !noRoom.covers(g) {
 			d.placeGroup(g, pending, noRoom)
 		}
+		d.startOverdue(g)
 		if !g.hasUnplaced() {
 			delete(d.waiting, g)
 		}
@@ -288,6 +289,7 @@
 		resumeFrom: t.checkpoint,
 	}
 	t.setRun(r)
+	t.group.changedAt = d.now
 	d.options.Metrics.Observe(aqmetric.TimeWait, d.now.Sub(t.group.readyAt))
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -100,6 +100,9 @@
 	r.state = runRunning
 	r.confirmed = at
 	r.measured = false
+	if r.pace != fullPace {
+		d.addOrder(Pace{Worker: r.worker.info.ID, Run: r.id, Percent: r.pace})
+	}
 	j := r.task.group.occurrence.job
 	if !j.started {
 		j.started = true
--- a/pkg/aqdecider/starvation_test.go
+++ b/pkg/aqdecider/starvation_test.go
@@ -1,6 +1,7 @@
 package aqdecider
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -11,6 +12,10 @@
 // maxIdleWait is how long a task may wait while workers have room for it, by the users' rules.
 const maxIdleWait = 3 * time.Second
 
+// maxOverTarget is how long fillers may keep a serving task over its target, by the users'
+// rules.
+const maxOverTarget = 4 * time.Second
+
 // runFor runs rounds for a time and reports each worker's runs every half second.
 func (h *harness) runFor(span time.Duration, measure func(aqtype.WorkerID, RunReport) RunReport) {
 	const step = 100 * time.Millisecond
@@ -180,6 +185,64 @@
 	if !h.hasStarted(3) {
 		t.Fatal("no worker got the filler, though each has room for it")
 	}
+	run := RunID{
+		Task:    aqjob.TaskID{Job: testJob(3).ID},
+		Attempt: 1,
+	}
+	if paces := h.pacesOf(run); len(paces) == 0 || paces[0] != reducedPace {
+		t.Fatalf("paces %v, want %d first", paces, reducedPace)
+	}
+}
+
+// pacesOf lists the paces that a run was given.
+func (h *harness) pacesOf(run RunID) []int {
+	var paces []int
+	for _, p := range h.paced {
+		if p.Run == run {
+			paces = append(paces, p.Percent)
+		}
+	}
+	return paces
+}
+
+func TestFillerThatHarmsAllWorkersKeepsThemUnderTheirTargets(t *testing.T) {
+	h := harmfulFillerHarness(t)
+	h.d.AddJob(testJob(3, fillers(20, 8000)), nil, 0, false)
+	const harm = 8.0
+	over := map[aqtype.WorkerID]time.Duration{}
+	longest := time.Duration(0)
+	h.runFor(20*time.Second, func(id aqtype.WorkerID, r RunReport) RunReport {
+		if r.Run.Task.Job == testJob(3).ID {
+			r.Percent++
+			r.Usage = aqtype.MilliCPU(8000 * h.pace(r.Run) / fullPace)
+			return r
+		}
+		used := 0
+		for run := range h.running[id] {
+			if run.Task.Job == testJob(3).ID {
+				used += 8000 * h.pace(run) / fullPace
+			}
+		}
+		r.Percent, r.Tail = 100, time.Duration(6*math.Exp(harm*float64(used)/64000)*float64(time.Millisecond))
+		if r.Tail < 18*time.Millisecond {
+			over[id] = 0
+		} else {
+			over[id] += 500 * time.Millisecond
+		}
+		longest = max(longest, over[id])
+		return r
+	})
+	if !h.hasStarted(3) || longest >= maxOverTarget {
+		t.Fatalf("%d starts, a worker over its target for %s", len(h.started), longest)
+	}
+}
+
+// pace returns the pace of a run in percent.
+func (h *harness) pace(run RunID) int {
+	if paces := h.pacesOf(run); len(paces) > 0 {
+		return paces[len(paces)-1]
+	}
+	return fullPace
 }
 
 func TestSuspendedFillerIsResumedByTheNextLeader(t *testing.T) {
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -63,6 +63,9 @@
 	// ready is set when all groups that this one depends on are done.
 	ready   bool
 	readyAt time.Time
+	// changedAt is when the group could run first, when a task of it was started or came back
+	// last, or when a worker was last looked for as it was overdue.
+	changedAt time.Time
 	// idleSince is since when noteWaits has seen the group without a run, zero while it has
 	// one.
 	idleSince time.Time
