Decisions: images as numbers, no search that has just failed, pacing only where it may change

The interference model and the loads of workers now use numbers of images and slices in place of maps by name, and logarithms; no better worker is looked for where a search for such a filler has failed less than 100 ms ago, and the search ends at the first better one; a worker is paced only if a filler there is slowed down or a serving task nears its target. Sums over fillers are added in a fixed order now.

TestSearchesAreLimited counts other workers only, since a run's own is no longer searched, and checks that no search follows a failed one.

--- a/internal/site/aqinterference/model.go
+++ b/internal/site/aqinterference/model.go
@@ -4,21 +4,39 @@
 
 import "math"
 
-// imagePair is the image of a serving task and that of a filler co-located with it.
-type imagePair struct {
-	serving string
-	filler  string
+// Image is the number of an image in a model.
+type Image int
+
+// NoImage stands for the images for which the model has no room. Nothing is learned of them.
+const NoImage Image = -1
+
+// Filler is what batch tasks of one image use of a worker's processors.
+type Filler struct {
+	Image Image
+	// Usage is in a unit of the caller's choice.
+	Usage float64
 }
 
 // effect is the estimate for a pair: the logarithm of the serving task's tail
 // latency rises by factor times the fraction of the worker's processors that the
-// filler uses.
+// filler uses. The zero value is no estimate.
 type effect struct {
 	factor float64
 	// weight is the accumulated evidence, with decay.
 	weight float64
 }
 
+// serving holds the estimates for one serving image.
+type serving struct {
+	// observed is set once the image has been measured without fillers.
+	observed bool
+	// soloLogRatio is the logarithm of its tail latency relative to its target, without
+	// fillers.
+	soloLogRatio float64
+	// effects are indexed by the image of the filler.
+	effects []effect
+}
+
 // Parameters of the interference model.
 const (
 	// priorFactor is the estimate for a pair that was never observed. It expects
@@ -41,104 +59,128 @@
 	soloLearningRate = 0.03
 	// HarmfulFactor is the estimate above which a filler counts as harmful.
 	HarmfulFactor = 2.0
-	// maxPairs limits the memory of the model.
-	maxPairs = 4096
+	// maxImages limits the memory of the model, which grows with the square.
+	maxImages = 512
 )
 
+var priorSoloLogRatio = math.Log(priorSoloRatio)
+
 // Model learns from the workers' reports which fillers slow down which
 // serving tasks.
 type Model struct {
-	pairs map[imagePair]*effect
-	// soloLogRatios holds the logarithm of each serving image's tail latency relative
-	// to its target, without fillers.
-	soloLogRatios map[string]float64
+	images map[string]Image
+	// serving is indexed by image; images of fillers have no estimates.
+	serving []serving
 }
 
 // New returns a model that has observed nothing.
-func New() *Model {
-	return &Model{
-		pairs:         map[imagePair]*effect{},
-		soloLogRatios: map[string]float64{},
+func New() *Model { return &Model{images: map[string]Image{}} }
+
+// Image returns the number of an image, NoImage when the model is full.
+func (m *Model) Image(name string) Image {
+	if image, known := m.images[name]; known {
+		return image
 	}
+	if len(m.images) >= maxImages {
+		return NoImage
+	}
+	image := Image(len(m.images))
+	m.images[name] = image
+	m.serving = append(m.serving, serving{soloLogRatio: priorSoloLogRatio})
+	return image
 }
 
-// SoloLogRatio returns the logarithm of the expected tail latency of a serving image, relative
-// to its target, without fillers.
-func (m *Model) SoloLogRatio(serving string) float64 {
-	if base, known := m.soloLogRatios[serving]; known {
-		return base
+func (m *Model) soloLogRatio(image Image) float64 {
+	if image == NoImage {
+		return priorSoloLogRatio
 	}
-	return math.Log(priorSoloRatio)
+	return m.serving[image].soloLogRatio
 }
 
 // Factor returns the estimate for a pair: by how much the logarithm of the serving image's tail
 // latency rises next to a filler that uses a whole worker.
-func (m *Model) Factor(serving, filler string) float64 {
-	if e := m.pairs[imagePair{serving: serving, filler: filler}]; e != nil {
-		return e.factor
+func (m *Model) Factor(image, filler Image) float64 {
+	if image == NoImage || filler == NoImage {
+		return priorFactor
+	}
+	effects := m.serving[image].effects
+	if int(filler) >= len(effects) || effects[filler].weight == 0 {
+		return priorFactor
 	}
-	return priorFactor
+	return effects[filler].factor
 }
 
-// predict returns the expected tail latency, relative to the target, next to
-// fillers. fillers holds their shares of the worker's processors by image.
-func (m *Model) predict(serving string, fillers map[string]float64) float64 {
-	sum := m.SoloLogRatio(serving)
-	for image, share := range fillers {
-		sum += m.Factor(serving, image) * share
+// LogRatio returns the logarithm of a serving image's expected tail latency, relative to its
+// target, next to fillers. scale makes a worker's share of their usage.
+func (m *Model) LogRatio(image Image, fillers []Filler, scale float64) float64 {
+	sum := 0.0
+	for _, f := range fillers {
+		sum += m.Factor(image, f.Image) * f.Usage
 	}
-	return math.Exp(sum)
+	return m.soloLogRatio(image) + sum*scale
 }
 
-// Observe updates the model with one measurement of a serving task. It spreads the
-// prediction error over the co-located fillers by their shares.
-func (m *Model) Observe(serving string, ratio float64, fillers map[string]float64) {
-	if ratio <= 0 {
+// Observe updates the model with one measurement of a serving task next to fillers, whose
+// usage is a share of the worker's processors. It spreads the prediction error over them by
+// their shares.
+func (m *Model) Observe(image Image, ratio float64, fillers []Filler) {
+	if ratio <= 0 || image == NoImage {
 		return
 	}
 	measured := math.Log(ratio)
 	total, squares := 0.0, 0.0
-	for _, share := range fillers {
-		total += share
-		squares += share * share
+	for _, f := range fillers {
+		total += f.Usage
+		squares += f.Usage * f.Usage
 	}
 	if total < soloShare {
-		m.soloLogRatios[serving] = m.SoloLogRatio(serving) + soloLearningRate*(measured-m.SoloLogRatio(serving))
+		s := &m.serving[image]
+		s.observed = true
+		s.soloLogRatio += soloLearningRate * (measured - s.soloLogRatio)
 		return
 	}
-	residual := measured - math.Log(m.predict(serving, fillers))
-	for image, share := range fillers {
-		e := m.effect(serving, image)
-		if e == nil || share <= 0 {
+	residual := measured - m.LogRatio(image, fillers, 1)
+	for _, f := range fillers {
+		if f.Usage <= 0 || f.Image == NoImage {
 			continue
 		}
-		e.weight = weightDecay*e.weight + share*share
-		e.factor += residual * share / max(e.weight, squares)
+		e := m.effect(image, f.Image)
+		e.weight = weightDecay*e.weight + f.Usage*f.Usage
+		e.factor += residual * f.Usage / max(e.weight, squares)
 		e.factor = max(0, min(maxFactor, e.factor))
 	}
 }
 
-// effect returns the estimate of a pair, nil when the model is full.
-func (m *Model) effect(serving, filler string) *effect {
-	pair := imagePair{serving: serving, filler: filler}
-	e := m.pairs[pair]
-	if e == nil && len(m.pairs) < maxPairs {
-		e = &effect{factor: priorFactor, weight: priorWeight}
-		m.pairs[pair] = e
+// effect returns the estimate of a pair, which begins with the prior.
+func (m *Model) effect(image, filler Image) *effect {
+	s := &m.serving[image]
+	for len(s.effects) <= int(filler) {
+		s.effects = append(s.effects, effect{})
+	}
+	e := &s.effects[filler]
+	if e.weight == 0 {
+		*e = effect{
+			factor: priorFactor,
+			weight: priorWeight,
+		}
 	}
 	return e
 }
 
 // HarmedShare returns the fraction of the known serving images that a filler harms.
-func (m *Model) HarmedShare(filler string) float64 {
-	harmed := 0
-	for serving := range m.soloLogRatios {
-		if m.Factor(serving, filler) > HarmfulFactor {
+func (m *Model) HarmedShare(filler Image) float64 {
+	known, harmed := 0, 0
+	for image := range m.serving {
+		if !m.serving[image].observed {
+			continue
+		}
+		known++
+		if m.Factor(Image(image), filler) > HarmfulFactor {
 			harmed++
 		}
 	}
-	if len(m.soloLogRatios) == 0 {
+	if known == 0 {
 		return 0
 	}
-	return float64(harmed) / float64(len(m.soloLogRatios))
+	return float64(harmed) / float64(known)
 }
--- a/pkg/aqdecider/candidates.go
+++ b/pkg/aqdecider/candidates.go
@@ -114,6 +114,15 @@
 	return nil
 }
 
+// candidateFor returns a worker as a candidate for a task, or false if it must not get it.
+func (d *Decider) candidateFor(t *task, w *worker) (candidate, bool) {
+	score, ok := d.suitability(t.group, w, aqtype.Resources{})
+	if slices.Contains(t.avoid, w.info.ID) {
+		score += weightAvoided
+	}
+	return candidate{worker: w, score: score}, ok
+}
+
 // placementClass holds what two groups must have in common so that, apart from the
 // sizes of their tasks, the same workers suit both.
 type placementClass struct {
@@ -177,6 +186,12 @@
 	return s
 }
 
+// fillerShort reports whether no worker was found of late for a filler like the group's.
+func (d *Decider) fillerShort(g *group) bool {
+	recent, known := d.fillerShortages[g.class()]
+	return known && !d.now.After(recent.until) && recent.size.Fits(g.spec.Size)
+}
+
 // keepShortages keeps the shortages of fillers that a round has found.
 func (d *Decider) keepShortages(found shortage) {
 	for class, size := range found {
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -76,7 +76,7 @@
 	earlyCancels map[aqjob.ID]time.Time
 	model        *aqinterference.Model
 	// harmedShares caches the model's answers of one round of decisions.
-	harmedShares map[string]float64
+	harmedShares map[aqinterference.Image]float64
 	// fillerShortages holds the classes of fillers for which no worker was found of late.
 	fillerShortages map[placementClass]fillerShortage
 	// workersSearched counts the workers that searches for better ones have looked at in one
@@ -116,7 +116,7 @@
 		exposed:       map[aqtype.WorkerID]exposure{},
 		earlier:       map[aqjob.TaskID]aqcrash.Crash{},
 		model:         aqinterference.New(),
-		harmedShares:  map[string]float64{},
+		harmedShares:  map[aqinterference.Image]float64{},
 
 		fillerShortages: map[placementClass]fillerShortage{},
 		advice:          map[GroupID]*advice{},
--- a/pkg/aqdecider/interference.go
+++ b/pkg/aqdecider/interference.go
@@ -5,11 +5,12 @@
 	"slices"
 	"time"
 
+	"acaciaquay/internal/site/aqinterference"
 	"acaciaquay/pkg/aqtype"
 )
 
 // harmedShare returns the model's share, computed once a round of decisions.
-func (d *Decider) harmedShare(filler string) float64 {
+func (d *Decider) harmedShare(filler aqinterference.Image) float64 {
 	if share, known := d.harmedShares[filler]; known {
 		return share
 	}
@@ -18,18 +19,32 @@
 	return share
 }
 
-// fillerShares returns the shares of a worker's processors that fillers used, by
-// image, according to recent reports.
-func (w *worker) fillerShares(now time.Time) map[string]float64 {
-	shares := map[string]float64{}
+// fillerShares returns the shares of a worker's processors that fillers used, according to
+// recent reports.
+func (w *worker) fillerShares(now time.Time) []aqinterference.Filler {
+	var shares []aqinterference.Filler
 	for _, r := range w.runs {
-		if spec := r.task.group.spec; spec.Filler && now.Sub(r.reportAt) < staleReport {
-			shares[spec.Image] += share(int64(r.report.Usage), int64(w.info.Capacity.MilliCPU))
+		if r.task.group.spec.Filler && now.Sub(r.reportAt) < staleReport {
+			shares = addFiller(shares, r.task.group.image, share(int64(r.report.Usage), int64(w.info.Capacity.MilliCPU)))
 		}
 	}
 	return shares
 }
 
+// addFiller adds the usage of a task to those of its image.
+func addFiller(fillers []aqinterference.Filler, image aqinterference.Image, usage float64) []aqinterference.Filler {
+	for i := range fillers {
+		if fillers[i].Image == image {
+			fillers[i].Usage += usage
+			return fillers
+		}
+	}
+	return append(fillers, aqinterference.Filler{
+		Image: image,
+		Usage: usage,
+	})
+}
+
 // servingLoad is the fraction of their reservation that serving tasks are expected
 // to use.
 const servingLoad = 0.5
@@ -37,9 +52,9 @@
 // load sums up a worker's runs. It is computed on demand after a change.
 type load struct {
 	// serving lists the images of the serving tasks on the worker.
-	serving []string
-	// fillers holds, by image, the processors that fillers would use at their pace.
-	fillers map[string]float64
+	serving []aqinterference.Image
+	// fillers holds the processors that fillers would use at their pace, in thousandths.
+	fillers []aqinterference.Filler
 	// shortReserved is what tasks reserve that are neither fillers nor serving
 	// tasks. It includes perpetual tasks without a tail latency target.
 	shortReserved aqtype.MilliCPU
@@ -60,10 +75,7 @@
 	if w.load != nil {
 		return w.load
 	}
-	l := &load{
-		fillers:  map[string]float64{},
-		leftover: float64(w.info.Capacity.MilliCPU),
-	}
+	l := &load{leftover: float64(w.info.Capacity.MilliCPU)}
 	for _, r := range w.runs {
 		spec := r.task.group.spec
 		size := float64(spec.Size.MilliCPU)
@@ -73,13 +85,13 @@
 		switch {
 		case spec.Filler:
 			if r.state != runStopping {
-				l.fillers[spec.Image] += size * float64(r.pace) / fullPace
+				l.fillers = addFiller(l.fillers, r.task.group.image, size*float64(r.pace)/fullPace)
 				l.fillerDemand += size * float64(r.pace) / fullPace
 			}
 		case spec.TailTarget > 0:
 			l.leftover -= servingLoad * size
-			if !slices.Contains(l.serving, spec.Image) {
-				l.serving = append(l.serving, spec.Image)
+			if !slices.Contains(l.serving, r.task.group.image) {
+				l.serving = append(l.serving, r.task.group.image)
 			}
 		default:
 			l.leftover -= size
@@ -92,65 +104,55 @@
 	return l
 }
 
-// extraFiller is a filler that may be started on a worker. The zero value is none.
-type extraFiller struct {
-	image string
-	// demand is the processors that it would use at its pace, in thousandths.
-	demand float64
-}
-
-// filler returns a task of the group at a pace in percent.
-func (g *group) filler(pace int) extraFiller {
-	return extraFiller{
-		image:  g.spec.Image,
-		demand: float64(g.spec.Size.MilliCPU) * float64(pace) / fullPace,
+// filler returns a task of the group at a pace in percent, as a filler of a worker's load.
+func (g *group) filler(pace int) aqinterference.Filler {
+	return aqinterference.Filler{
+		Image: g.image,
+		Usage: float64(g.spec.Size.MilliCPU) * float64(pace) / fullPace,
 	}
 }
 
-// worstPredictedTailRatio returns the highest expected tail ratio of a worker's serving
-// tasks next to its fillers and an extra one.
-func (d *Decider) worstPredictedTailRatio(w *worker, extra extraFiller) float64 {
-	worst := 0.0
+// worstLogTail returns the highest expected tail latency of a worker's serving tasks next to
+// its fillers and an extra one, as the logarithm of its ratio to the target.
+func (d *Decider) worstLogTail(w *worker, extra aqinterference.Filler) float64 {
+	worst := math.Inf(-1)
 	for _, image := range w.currentLoad().serving {
-		worst = max(worst, d.predictedTailRatio(w, image, extra))
+		worst = max(worst, d.logTail(w, image, extra))
 	}
 	return worst
 }
 
-// predictedTailRatio returns the expected tail ratio of a serving image on a worker.
-func (d *Decider) predictedTailRatio(w *worker, serving string, extra extraFiller) float64 {
+// logTail returns the same for one serving image.
+func (d *Decider) logTail(w *worker, serving aqinterference.Image, extra aqinterference.Filler) float64 {
 	l := w.currentLoad()
-	capacity := float64(w.info.Capacity.MilliCPU)
-	if capacity <= 0 {
-		return math.Exp(d.model.SoloLogRatio(serving))
-	}
-	scale := 1.0
-	if total := l.fillerDemand + extra.demand; total > l.leftover {
-		scale = l.leftover / total
+	scale := 0.0
+	if w.info.Capacity.MilliCPU > 0 {
+		scale = 1 / float64(w.info.Capacity.MilliCPU)
 	}
-	sum := d.model.SoloLogRatio(serving)
-	for image, demand := range l.fillers {
-		sum += d.model.Factor(serving, image) * scale * demand / capacity
+	if total := l.fillerDemand + extra.Usage; total > l.leftover {
+		scale *= l.leftover / total
 	}
-	if extra.demand > 0 {
-		sum += d.model.Factor(serving, extra.image) * scale * extra.demand / capacity
+	added := 0.0
+	if extra.Usage > 0 {
+		added = d.model.Factor(serving, extra.Image) * extra.Usage * scale
 	}
-	return math.Exp(sum)
+	return d.model.LogRatio(serving, l.fillers, scale) + added
 }
 
 // observeTails updates the model with the tail latencies of a worker's report. It
 // is called after each report.
 func (d *Decider) observeTails(w *worker) {
-	var fillers map[string]float64
+	var fillers []aqinterference.Filler
+	known := false
 	for _, r := range w.runs {
 		target := r.task.group.spec.TailTarget
 		if target <= 0 || !r.reportAt.Equal(d.now) || r.report.Percent < readyPercent || r.report.Tail <= 0 {
 			continue
 		}
-		if fillers == nil {
-			fillers = w.fillerShares(d.now)
+		if !known {
+			fillers, known = w.fillerShares(d.now), true
 		}
-		d.model.Observe(r.task.group.spec.Image, float64(r.report.Tail)/float64(target), fillers)
+		d.model.Observe(r.task.group.image, float64(r.report.Tail)/float64(target), fillers)
 	}
 }
 
@@ -194,8 +196,8 @@
 		if !d.eligible(g, w, aqtype.Resources{}) || d.fillerObstacle(g, w) == obstacleLeftover {
 			continue
 		}
-		score := d.worstPredictedTailRatio(w, g.filler(reducedPace))
-		if score > maxPredictedTail && len(w.currentLoad().fillers) > 0 {
+		score := d.worstLogTail(w, g.filler(reducedPace))
+		if score > maxLogTail && len(w.currentLoad().fillers) > 0 {
 			continue
 		}
 		if w.overTarget(d.now) {
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"acaciaquay/internal/site/aqinterference"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqstore"
@@ -162,6 +163,10 @@
 			spec:       spec,
 			remaining:  spec.Count,
 			tasks:      make([]*task, spec.Count),
+			image:      aqinterference.NoImage,
+		}
+		if spec.Filler || spec.TailTarget > 0 {
+			g.image = d.model.Image(spec.Image)
 		}
 		for index := range g.tasks {
 			g.tasks[index] = &task{
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -34,6 +35,9 @@
 	speedUpTail = 0.65
 )
 
+// maxLogTail is maxPredictedTail as a logarithm.
+var maxLogTail = math.Log(maxPredictedTail)
+
 const (
 	// reportSpan is the time over which a worker measures tail latency and CPU use.
 	reportSpan = 500 * time.Millisecond
@@ -54,6 +58,9 @@
 // paceFillers slows fillers down when the tail latency of a co-located serving task
 // nears its target, and speeds them up again later.
 func (d *Decider) paceFillers(w *worker) {
+	if !w.needsPacing(d.now) {
+		return
+	}
 	for _, r := range w.runs {
 		if r.task.group.spec.Filler && r.state == runRunning {
 			d.adjustPace(w, r)
@@ -61,21 +68,46 @@
 	}
 }
 
+// needsPacing reports whether a filler of the worker may have to change its pace: one is not
+// at full pace, or a serving task nears its target.
+func (w *worker) needsPacing(now time.Time) bool {
+	fillers, needed := false, false
+	for _, r := range w.runs {
+		switch {
+		case r.state != runRunning:
+		case r.task.group.spec.Filler:
+			fillers = true
+			needed = needed || r.pace < fullPace
+		default:
+			needed = needed || r.tailRatio(now) >= slowDownTail
+		}
+	}
+	return fillers && needed
+}
+
+// tailRatio returns a serving run's measured tail latency relative to its target, zero if it
+// has none or no recent measurement.
+func (r *run) tailRatio(now time.Time) float64 {
+	target := r.task.group.spec.TailTarget
+	if target <= 0 || r.state != runRunning || now.Sub(r.reportAt) > staleReport || r.report.Percent < readyPercent {
+		return 0
+	}
+	return float64(r.report.Tail) / float64(target)
+}
+
 // adjustPace adjusts the pace of one filler to the co-located tail latencies.
 func (d *Decider) adjustPace(w *worker, filler *run) {
 	if d.now.Sub(filler.paceAt) < reportSpan+d.options.Limits.PaceDelay {
 		return
 	}
-	image := filler.task.group.spec.Image
 	worst, over := 0.0, 0.0
 	for _, r := range w.runs {
-		target := r.task.group.spec.TailTarget
-		if target <= 0 || r.state != runRunning || d.now.Sub(r.reportAt) > staleReport || r.report.Percent < readyPercent {
+		ratio := r.tailRatio(d.now)
+		if ratio <= 0 {
 			continue
 		}
-		ratio := float64(r.report.Tail) / float64(target)
 		worst = max(worst, ratio)
-		harmful := d.model.Factor(r.task.group.spec.Image, image) > aqinterference.HarmfulFactor
+		harmful := d.model.Factor(r.task.group.image, filler.task.group.image) > aqinterference.HarmfulFactor
 		longOver := !r.overTargetSince.IsZero() && d.now.Sub(r.overTargetSince) > slowAllAfter
 		if ratio >= slowDownTail && (harmful || longOver) {
 			over = max(over, ratio)
@@ -86,7 +118,7 @@
 		d.setPace(filler, reducedPace, over)
 	case over > 0 && filler.pace > 0:
 		d.setPace(filler, 0, over)
-	case worst <= speedUpTail && filler.pace < fullPace && d.worstPredictedTailRatio(w, extraFiller{}) <= maxPredictedTail:
+	case worst <= speedUpTail && filler.pace < fullPace && d.worstLogTail(w, aqinterference.Filler{}) <= maxLogTail:
 		d.setPace(filler, min(fullPace, filler.pace+paceStep), worst)
 	}
 }
@@ -172,10 +204,21 @@
 	if d.workersSearched >= maxWorkersSearched || d.now.Sub(r.moveTriedAt) < time.Duration(len(d.fleet))*moveRetryPerWorker {
 		return false
 	}
-	d.workersSearched += len(d.fleet)
 	r.moveTriedAt = d.now
-	other := d.choose(r.task, nil)
-	return other != nil && other != r.worker
+	if d.fillerShort(r.task.group) {
+		return false
+	}
+	own, ownSuits := d.candidateFor(r.task, r.worker)
+	for _, w := range d.fleet {
+		if w == r.worker {
+			continue
+		}
+		d.workersSearched++
+		if c, suits := d.candidateFor(r.task, w); suits && (!ownSuits || c.better(own)) {
+			return true
+		}
+	}
+	return false
 }
 
 // canDisrupt reports whether a healthy task of the group may be stopped to run
@@ -249,7 +292,7 @@
 // servingScore packs serving tasks with others of the same image.
 func (d *Decider) servingScore(g *group, w *worker) float64 {
 	images := w.currentLoad().serving
-	same := slices.Contains(images, g.spec.Image)
+	same := slices.Contains(images, g.image)
 	score := 0.0
 	switch {
 	case len(images) == 0:
@@ -262,7 +305,7 @@
 		others--
 	}
 	score += weightMixed / 2 * float64(others)
-	if d.predictedTailRatio(w, g.spec.Image, extraFiller{}) > maxPredictedTail {
+	if d.logTail(w, g.image, aqinterference.Filler{}) > maxLogTail {
 		score += weightHarmed
 	}
 	return score - share(int64(w.used.MilliCPU), int64(w.info.Capacity.MilliCPU))
@@ -277,7 +320,7 @@
 	l := w.currentLoad()
 	score := (l.fillerDemand + float64(g.spec.Size.MilliCPU)) / l.leftover
 	if len(l.serving) == 0 {
-		score += weightKeepEmpty * (1 - d.harmedShare(g.spec.Image))
+		score += weightKeepEmpty * (1 - d.harmedShare(g.image))
 	}
 	return score
 }
@@ -300,7 +343,7 @@
 		return obstacleLeftover
 	case w.overTarget(d.now):
 		return obstacleOverTarget
-	case d.worstPredictedTailRatio(w, g.filler(fullPace)) > maxPredictedTail:
+	case d.worstLogTail(w, g.filler(fullPace)) > maxLogTail:
 		return obstaclePredictedTail
 	}
 	return ""
--- a/pkg/aqdecider/search_test.go
+++ b/pkg/aqdecider/search_test.go
@@ -42,9 +42,15 @@
 		t.Fatal("a search beyond the limit of the round")
 	}
 	h.d.workersSearched = 0
+	h.d.UpdateWorker(poolWorker("w2", "r1-1", 8000))
+	h.d.betterWorker(r)
+	if h.d.workersSearched != 0 {
+		t.Fatalf("%d workers searched, though none was found for such a filler just now", h.d.workersSearched)
+	}
+	h.advance(time.Second)
 	h.d.betterWorker(r)
 	h.d.betterWorker(r)
-	if h.d.workersSearched != len(h.d.fleet) {
-		t.Fatalf("%d workers searched for one run, want each once", h.d.workersSearched)
+	if others := len(h.d.fleet) - 1; h.d.workersSearched != others {
+		t.Fatalf("%d workers searched for one run, want each of %d others once", h.d.workersSearched, others)
 	}
 }
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"acaciaquay/internal/site/aqcrash"
+	"acaciaquay/internal/site/aqinterference"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
@@ -58,6 +59,8 @@
 	number     int
 	spec       *aqjob.Group
 	tasks      []*task
+	// image is the number of the group's image in the interference model.
+	image aqinterference.Image
 	// remaining counts the tasks that are not done.
 	remaining int
 	// ready is set when all groups that this one depends on are done.
