--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"acaciaquay/pkg/aqlog"
@@ -24,9 +25,7 @@
 		d.options.Log.Write(aqlog.WorkerResponsive, workerAttr(id), slog.Int("Running", len(report.Running)),
 			slog.Int("Ended", len(report.Ended)))
 	}
-	reported := make(map[RunID]bool, len(report.Running))
 	for _, e := range report.Ended {
-		reported[e.Run] = true
 		if e.Number > w.processedEnds {
 			w.processedEnds = e.Number
 			d.unstoredEnds[id] = true
@@ -34,11 +33,10 @@
 		}
 	}
 	for _, r := range report.Running {
-		reported[r.Run] = true
 		d.runReported(w, r, report)
 	}
 	if report.Complete {
-		d.reconcileMissing(w, reported, report.Sent)
+		d.reconcileMissing(w, report)
 	}
 	d.observeTails(w)
 	d.clearUnreported(id)
@@ -53,6 +51,7 @@
 		return
 	}
 	sent := of.Sent
+	r.reportedIn = sent
 	r.missedReports = 0
 	if r.state == runStarting {
 		d.confirm(r, sent)
@@ -141,6 +140,7 @@
 		report:     report,
 		reportAt:   d.now,
 		pace:       fullPace,
+		reportedIn: sent,
 	}
 	t.setRun(r)
 	w.runs[r.id] = r
@@ -163,14 +163,15 @@
 const maxMissedReports = 2
 
 // reconcileMissing handles the runs that a complete report does not include.
-func (d *Decider) reconcileMissing(w *worker, reported map[RunID]bool, sent LogicalTime) {
+func (d *Decider) reconcileMissing(w *worker, report WorkerReport) {
 	for id := range w.orphans {
-		if !reported[id] {
+		if !slices.ContainsFunc(report.Running, func(r RunReport) bool { return r.Run == id }) {
 			delete(w.orphans, id)
 		}
 	}
-	for id, r := range w.runs {
-		if reported[id] {
+	sent := report.Sent
+	for _, r := range w.runs {
+		if r.reportedIn == sent {
 			continue
 		}
 		switch r.state {
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -159,6 +159,9 @@
 	// overTargetSince is when the tail latency of a serving run exceeded its
 	// target, zero while it does not.
 	overTargetSince time.Time
+	// reportedIn is Sent of the last report with the run in the present assignment of its
+	// worker, zero if there is none.
+	reportedIn LogicalTime
 	// missedReports counts the consecutive complete reports without the run.
 	missedReports int
 	// reason is why the run was ordered to stop or its start was refused.
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -259,6 +259,7 @@
 	for _, r := range w.runs {
 		r.confirmed = 0
 		r.stopAcked = 0
+		r.reportedIn = 0
 		r.missedReports = 0
 		switch r.state {
 		case runStarting:
