Ignore SIGHUP before the Go runtime starts

Cause: from exec to signal.Notify in RunSite the signal had its default action; the runtime, package initialization and the command line come before.

A constructor in C now ignores the signal before the runtime starts. os/signal documents for all platforms that a signal that is ignored at the start stays ignored until Notify, which installs the handler; a system call trace on arm64 shows this order. x86-64 was not run; the runtime's code for it is the same file (signal_unix.go). A reload in that time is not lost: the settings are read after Notify. Other commands restore the inherited action, so they end with their terminal; in the time before that, a SIGHUP to them is lost.

TestHangupEndsOtherCommands guards the restore; it passed before.

--- a/cmd/acaciaquay/cmds/commands.go
+++ b/cmd/acaciaquay/cmds/commands.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqhangup"
 	"acaciaquay/pkg/aqprocess"
 	"acaciaquay/pkg/aqsettings"
 )
@@ -31,6 +32,9 @@
 	ExitConflict = 4
 )
 
+// siteCommand is the command that reloads on SIGHUP.
+const siteCommand = "site"
+
 // env holds the output streams of a command.
 type env struct {
 	stdout io.Writer
@@ -56,6 +60,11 @@
 	if !ok {
 		return ExitOK
 	}
+	if selected != siteCommand {
+		if err := aqhangup.Restore(); err != nil {
+			return exitStatus(err, errOut)
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return exitStatus(action(ctx), errOut)
@@ -111,7 +120,7 @@
 		})
 	}
 
-	site := app.Command("site", "Run one process of a site on the platform. It serves submitters and leads the site while it is elected.")
+	site := app.Command(siteCommand, "Run one process of a site on the platform. It serves submitters and leads the site while it is elected.")
 	siteFile := site.Flag("settings", "The process's settings file.").Envar("ACACIAQUAY_NODE_FILE").Required().String()
 	actions[site.FullCommand()] = func(ctx context.Context) error {
 		return aqprocess.RunSite(ctx, *siteFile, e.stdout)
