Send the soak's reload signals only to programs that have begun

What was seen: soak seed 9200 reported that a process ended on SIGHUP 610 ms after its start.

Cause: the soak checked that a connection to the process's port was accepted and then signalled whatever ran as the process by then. The port may be another program's, and the process may be a new one that the dynamic linker still loads; SIGHUP terminates any program there. Which of these cases the failing play was is not proved: it has no log line of that instance.

The soak now asks the kernel, with the process held, whether SIGHUP is ignored or caught. That holds from the constructor on, so reloads now also reach processes that start, which the old check passed over: no exit on SIGHUP of a program that has begun is left out, and the Go runtime's own handler, whose action is to exit, counts as caught.

--- a/pkg/aqsoak/faults.go
+++ b/pkg/aqsoak/faults.go
@@ -81,9 +81,7 @@
 		p.signal(syscall.SIGCONT, false)
 	}},
 	{name: "reload", inject: func(_ context.Context, s *soak, random *rand.Rand) {
-		if p := s.randomProcess(random); p.acceptsConnections() {
-			p.signal(syscall.SIGHUP, false)
-		}
+		s.randomProcess(random).reload()
 	}},
 	{name: "store link", inject: func(ctx context.Context, s *soak, random *rand.Rand) {
 		disturbLink(ctx, s.randomProcess(random).storeLink, random)
--- a/pkg/aqsoak/process.go
+++ b/pkg/aqsoak/process.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -125,13 +126,32 @@
 	return p.exited
 }
 
-// acceptsConnections reports whether the process accepts connections on its
-// submit address. From then on it handles signals.
-func (p *process) acceptsConnections() bool {
-	conn, err := net.Dial("tcp", p.submitAddress)
+// reload sends SIGHUP to the process if it has begun, and reports whether it did. Before
+// that, while the dynamic linker loads it, the signal terminates any program.
+func (p *process) reload() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || !handlesHangup(p.cmd.Process.Pid) {
+		return false
+	}
+	return p.cmd.Process.Signal(syscall.SIGHUP) == nil
+}
+
+// handlesHangup reports whether a running process ignores or catches SIGHUP.
+func handlesHangup(pid int) bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
-	return true
+	for line := range strings.Lines(string(status)) {
+		name, mask, _ := strings.Cut(line, ":")
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		signals, err := strconv.ParseUint(strings.TrimSpace(mask), 16, 64)
+		if err == nil && signals&(1<<(syscall.SIGHUP-1)) != 0 {
+			return true
+		}
+	}
+	return false
 }
--- a/pkg/aqsoak/regressions.go
+++ b/pkg/aqsoak/regressions.go
@@ -15,4 +15,5 @@
 	{Seed: 18, Cause: "stop orders were dropped when the worker's agent learned of its restart after the leader"},
 	{Seed: 323, Cause: "a paused agent counted delayed polls as a permit to continue"},
 	{Seed: 7002, Cause: "a fake worker executed a start that was on its way when the worker crashed, and never ended the run"},
+	{Seed: 9200, Cause: "a reload signal before main ended the process, or one before the program had begun"},
 }
