--- a/pkg/aqdecider/starvation_test.go
+++ b/pkg/aqdecider/starvation_test.go
@@ -139,7 +139,7 @@
 	serving.AntiAffinity = 1
 	h.d.AddJob(testJob(1, serving), nil, 0, false)
 	h.runFor(time.Second, ready)
-	h.d.AddJob(testJob(2, fillers(1, 8000)), nil, 0, false)
+	h.d.AddJob(testJob(2, fillers(1)), nil, 0, false)
 	h.tick()
 	slow := h.lastStart(2)
 	h.runFor(4*time.Second, func(id aqtype.WorkerID, r RunReport) RunReport {
@@ -153,8 +153,11 @@
 	return h
 }
 
-func fillers(count int, cpu aqtype.MilliCPU) aqjob.Group {
-	g := tasks(count, cpu)
+// fillerCPU is the size of the fillers in these tests.
+const fillerCPU = 8000
+
+func fillers(count int) aqjob.Group {
+	g := tasks(count, fillerCPU)
 	g.Filler, g.Image, g.Checkpointing = true, "filler", true
 	return g
 }
@@ -163,7 +166,7 @@
 func servingOrFiller(r RunReport, filler Start, tail time.Duration) RunReport {
 	if r.Run.Task.Job == filler.Run.Task.Job {
 		r.Percent++
-		r.Usage = 8000
+		r.Usage = fillerCPU
 		return r
 	}
 	r.Percent = 100
@@ -173,7 +176,7 @@
 
 func TestFillerThatIsSaidToHarmAllWorkersStarts(t *testing.T) {
 	h := harmfulFillerHarness(t)
-	h.d.AddJob(testJob(3, fillers(2, 8000)), nil, 0, false)
+	h.d.AddJob(testJob(3, fillers(2)), nil, 0, false)
 	h.runFor(maxIdleWait, func(_ aqtype.WorkerID, r RunReport) RunReport {
 		if r.Run.Task.Job == testJob(3).ID {
 			r.Percent++
@@ -207,20 +210,20 @@
 
 func TestFillerThatHarmsAllWorkersKeepsThemUnderTheirTargets(t *testing.T) {
 	h := harmfulFillerHarness(t)
-	h.d.AddJob(testJob(3, fillers(20, 8000)), nil, 0, false)
+	h.d.AddJob(testJob(3, fillers(20)), nil, 0, false)
 	const harm = 8.0
 	over := map[aqtype.WorkerID]time.Duration{}
 	longest := time.Duration(0)
 	h.runFor(20*time.Second, func(id aqtype.WorkerID, r RunReport) RunReport {
 		if r.Run.Task.Job == testJob(3).ID {
 			r.Percent++
-			r.Usage = aqtype.MilliCPU(8000 * h.pace(r.Run) / fullPace)
+			r.Usage = aqtype.MilliCPU(fillerCPU * h.pace(r.Run) / fullPace)
 			return r
 		}
 		used := 0
 		for run := range h.running[id] {
 			if run.Task.Job == testJob(3).ID {
-				used += 8000 * h.pace(run) / fullPace
+				used += fillerCPU * h.pace(run) / fullPace
 			}
 		}
 		r.Percent, r.Tail = 100, time.Duration(6*math.Exp(harm*float64(used)/64000)*float64(time.Millisecond))
@@ -247,7 +250,7 @@
 
 func TestSuspendedFillerIsResumedByTheNextLeader(t *testing.T) {
 	h := newHarness(t, poolWorker("w1", "r1-1", 64000))
-	h.d.AddJob(testJob(1, fillers(1, 8000)), nil, 0, true)
+	h.d.AddJob(testJob(1, fillers(1)), nil, 0, true)
 	run := RunID{
 		Task:    aqjob.TaskID{Job: testJob(1).ID},
 		Attempt: 1,
