A leader whose rounds of decisions are slow yields to another process

Cause: nothing but death or the loss of the store ended a term.

After three slow rounds in a row the term ends and the lease is given back, if another strong process is up, the term is older than 3 s and the leader has not changed more than twice within 15 s. The process claims the leadership later than others for a while. Ruled out: yielding by late timers, which did not show it.

--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -136,10 +136,12 @@
 	TimeWait Timing = "aq_task_wait_seconds"
 	// TimeCommit is the duration of storing one batch of decisions.
 	TimeCommit Timing = "aq_commit_seconds"
+	// TimeRound is the duration of one round of the leader's decisions.
+	TimeRound Timing = "aq_round_seconds"
 )
 
 // Timings lists every latency histogram.
-var Timings = []Timing{TimeStoreCall, TimeAccept, TimeStart, TimeWait, TimeCommit}
+var Timings = []Timing{TimeStoreCall, TimeAccept, TimeStart, TimeWait, TimeCommit, TimeRound}
 
 // Set holds the metrics of one process.
 type Set struct {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -256,6 +256,19 @@
 	return m != nil && m.up
 }
 
+// hasStrongMember reports whether another process that claims the leadership without delay is
+// up.
+func (p *agentPool) hasStrongMember() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.ordered {
+		if m.up && m.record.Processors >= strongProcessors && m.record.Name != p.leader.node.settings.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // assign assigns a worker to a member, or to none when to is nil. The caller holds the
 // lock.
 func (p *agentPool) assign(a *workerAssignment, to *member) {
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,14 @@
 	maxRefusedDials = 2
 	// dialPause is the delay between these connection attempts.
 	dialPause = 100 * time.Millisecond
+	// restTime is how long a process that has yielded the leadership claims it restDelay
+	// later than others.
+	restTime  = 15 * time.Second
+	restDelay = time.Second
+	// settledTime is the time in which at most maxLeadChanges changes of the leader let one
+	// more leader yield.
+	settledTime    = 15 * time.Second
+	maxLeadChanges = 2
 )
 
 // attemptsPerTerm is the size of the range of attempt numbers reserved for each
@@ -142,6 +151,7 @@
 	n.seenFence = max(n.seenFence, aqworker.Fence(leadItem.ModRevision))
 	n.mu.Unlock()
 	if changed {
+		n.countLeadChange()
 		n.log.Write(aqlog.LeaderSeen, slog.String("Leader", record.Node), slog.Int64("Term", record.Term),
 			slog.Int64("Fence", int64(leadItem.ModRevision)))
 	}
@@ -181,9 +191,37 @@
 	if n.settings.Processors < strongProcessors {
 		delay += weakClaimDelay
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.yielded && n.clock.Elapsed()-n.yieldedAt < restTime {
+		delay += restDelay
+	}
 	return delay
 }
 
+// countLeadChange records that another leader leads.
+func (n *Node) countLeadChange() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Elapsed()
+	n.leadChanges = slices.DeleteFunc(n.leadChanges, func(at time.Duration) bool { return now-at > settledTime })
+	n.leadChanges = append(n.leadChanges, now)
+}
+
+// leadIsSettled reports whether the leader has not changed often within settledTime.
+func (n *Node) leadIsSettled() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Elapsed()
+	recent := 0
+	for _, at := range n.leadChanges {
+		if now-at <= settledTime {
+			recent++
+		}
+	}
+	return recent <= maxLeadChanges
+}
+
 // claim tries to acquire the leadership and leads while it is held.
 func (n *Node) claim(ctx context.Context, leadItem aqstore.Item) {
 	if n.routes.config() == nil {
@@ -255,6 +293,7 @@
 		node:            n,
 		fence:           aqworker.Fence(revision),
 		record:          record,
+		beganAt:         n.clock.Elapsed(),
 		leadKeyRevision: revision,
 		proofAt:         proofAt,
 		directory:       newDirectory(),
@@ -300,7 +339,12 @@
 	n.mu.Unlock()
 	if ctx.Err() == nil {
 		n.log.Write(aqlog.LeadershipLost, slog.Int64("Fence", int64(l.fence)), aqlog.Err(err))
-		return
+		if !errors.Is(err, errSlow) {
+			return
+		}
+		n.mu.Lock()
+		n.yielded, n.yieldedAt = true, n.clock.Elapsed()
+		n.mu.Unlock()
 	}
 	n.releaseLead(lease)
 }
--- a/pkg/aqsite/fake_test.go
+++ b/pkg/aqsite/fake_test.go
@@ -27,6 +27,8 @@
 	commits int
 	// rangeFault, if set, may fail a full read.
 	rangeFault func(prefix string) error
+	// revoked counts the leases that were ended.
+	revoked int
 }
 
 func newFakeStore() *fakeStore {
@@ -117,7 +119,12 @@
 
 func (s *fakeStore) Grant(context.Context, time.Duration) (aqstore.LeaseID, error) { return 1, nil }
 func (s *fakeStore) KeepAlive(context.Context, aqstore.LeaseID) error              { return nil }
-func (s *fakeStore) Revoke(context.Context, aqstore.LeaseID) error                 { return nil }
+func (s *fakeStore) Revoke(context.Context, aqstore.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revoked++
+	return nil
+}
 
 func testNode(t *testing.T, store aqstore.Store) (*Node, aqclock.Instant) {
 	t.Helper()
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -10,11 +10,13 @@
 
 	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqround"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
 )
@@ -49,6 +51,8 @@
 	leadKeyRevision aqstore.Revision
 
 	agents *agentPool
+	// beganAt is the elapsed time at the beginning of the term.
+	beganAt time.Duration
 
 	mu      sync.Mutex
 	decider *aqdecider.Decider
@@ -228,8 +232,10 @@
 	l.decide(func(d *aqdecider.Decider) { l.addJobs(d, items, nil) })
 }
 
-// tickLoop runs rounds of decisions and dispatches the resulting orders.
+// tickLoop runs rounds of decisions and dispatches the resulting orders. It ends the term
+// when they are slow and another process can lead.
 func (l *leader) tickLoop(ctx context.Context) {
+	var meter aqround.Meter
 	for {
 		select {
 		case <-ctx.Done():
@@ -240,15 +246,36 @@
 		case <-l.node.clock.After(maxTickInterval):
 		}
 		var orders []aqdecider.Order
+		started := l.node.clock.Now()
 		l.decide(func(d *aqdecider.Decider) {
 			l.agents.expireLeases(d)
 			orders = d.Tick()
 		})
 		l.agents.dispatch(orders)
+		took := l.node.clock.Now().Sub(started)
+		l.node.metrics.Observe(aqmetric.TimeRound, took)
+		if meter.Add(took) && l.mayYield() {
+			l.lose(errSlow)
+			return
+		}
 		aqclock.Sleep(ctx, l.node.clock, max(minTickInterval, l.agents.gatherTime()/tickGatherShare))
 	}
 }
 
+// errSlow ends the term of a process that is too slow to lead.
+var errSlow = errors.New("site: rounds of decisions are slow")
+
+// minTermToYield is how long a leader leads at least before it yields: the first rounds of a
+// term place what has waited for it.
+const minTermToYield = 3 * time.Second
+
+// mayYield reports whether another process is to lead in place of this slow one: another
+// strong one is up, and the leadership has not changed often of late, so that the load and
+// not the process may be to blame.
+func (l *leader) mayYield() bool {
+	return l.node.clock.Elapsed()-l.beganAt >= minTermToYield && l.agents.hasStrongMember() && l.node.leadIsSettled()
+}
+
 // tickGatherShare makes rounds of decisions rarer in the proportion in which agents gather
 // events: each round sends orders to most agents.
 const tickGatherShare = 2
