Log an entry that is ignored once a minute, with a short text

What callers would see: slow answers of the leader, since writing logs takes processor time.

Cause: each reading of an entry that cannot be used wrote a line: an entry that another writer renews, or one among those that are read in full again and again. The line held the error, with up to a megabyte of the entry. A test wrote 2,000 lines for 2,000 readings of two entries, and one line of 2 MB. The full reads of the list of workers log only entries that have changed; those of registrations and configurations log all.

At most one line a minute about an entry now, with 200 bytes of its key and error, and about 100 entries in that time. The counter of refused entries counts each reading as before.

Tests, which failed before: TestOddEntryThatIsReadAgainDoesNotFloodTheLog, TestManyOddEntriesFloodNeitherLogNorMemory, TestLogLineOfAnOddEntryIsShort.

--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -68,6 +68,8 @@
 	peers  *aqpeer.Pool
 	agent  *aqagent.Agent
 	routes routes
+	// ignored limits the log lines about entries that are ignored.
+	ignored ignoredEntries
 	// accepted holds payloads for the agents of other processes.
 	accepted acceptedPayloads
 	// pendingJobs are the leader's counts for submitters.
@@ -248,11 +250,6 @@
 // counts as available again: an unstable store may refuse only some of many calls.
 const storeStableTime = 1200 * time.Millisecond
 
-func (n *Node) ignoreEntry(key string, err error) {
-	n.metrics.Refused(aqmetric.RefusedEntry)
-	n.log.Write(aqlog.EntryIgnored, slog.String("Key", key), aqlog.Err(err))
-}
-
 // watchConfig watches the operators' configuration and applies its changes.
 func (n *Node) watchConfig(ctx context.Context) {
 	n.watchPrefix(ctx, prefixWatch{
