Follow a worker again after an entry with a false start

What callers would see: tasks that wait for ever (LOST) on a worker that is well, and the runs on it lost with its lease.

Cause: one entry under the id of a living worker with a born above the true one. The decider, the agents' pool and the agent's session each ignored every lower incarnation from then on, so the worker's own entries and true reports were stale for as long as the leader led, and a next leader that read the odd entry had the same. Each of the three also took the worker for restarted, and its runs were stopped.

An entry counts as outdated now only if it is below what the worker itself has reported; among entries, the store's order decides. The pool got the entries outside the leader's lock, where a full read and the watch could change places, and relied on the incarnation for their order; it gets them under the lock now. A start of more than an hour ahead of the time of day is no worker's, and its entry is refused: the runs of the worker go on.

An odd start of up to an hour ahead still costs the worker's runs: they are stopped before their tasks start again.

--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -84,6 +84,8 @@
 	params      HeartbeatParams
 	logicalTime aqdecider.LogicalTime
 	workerClock clockReading
+	// answered is the incarnation of the last answer, zero before the first.
+	answered aqdecider.Incarnation
 	// leaseEnd is the latest lease end that this session sent to this incarnation, or
 	// that another agent may have sent before the worker first answered this one.
 	leaseEnd         aqworker.Time
@@ -142,11 +144,13 @@
 	return c.at.Add(time.Duration(float64(value-c.value) / (1 - clockDrift))).Add(expiryMargin)
 }
 
-// updateWorker applies a new entry of the worker in service discovery.
+// updateWorker applies a new entry of the worker in service discovery. Its incarnation may be
+// lower than that of the last entry, which may have come from another writer, but not than
+// what the worker itself has answered.
 func (s *session) updateWorker(w aqdecider.Worker) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w.Incarnation < s.worker.Incarnation {
+	if w.Incarnation < s.answered {
 		return
 	}
 	if w.Incarnation != s.worker.Incarnation {
@@ -293,6 +297,7 @@
 		s.resetIncarnation()
 		s.worker.Incarnation = incarnation
 	}
+	s.answered = incarnation
 	s.failedHeartbeats = 0
 	s.workerClock = clockReading{at: s.agent.clock.Now(), value: answer.Clock, known: true}
 	if s.leaseEnd == 0 {
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -329,3 +329,26 @@
 		t.Error("parameters that were overtaken have been applied")
 	}
 }
+
+func TestLeaseIsRenewedAfterAnEntryWithAFalseStart(t *testing.T) {
+	var last aqworker.HeartbeatRequest
+	workers := &fakeWorkers{heartbeat: func(r aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
+		last = r
+		return aqworker.HeartbeatAnswer{Report: aqdecider.WorkerReport{Incarnation: 1}, Clock: aqworker.Time(100 * time.Second)}, nil
+	}}
+	s, _, _ := testSession(t, workers)
+	s.setParams(HeartbeatParams{Worker: "w1", Wait: time.Second, Renew: true})
+	s.heartbeat()
+	s.updateWorker(aqdecider.Worker{ID: "w1", Incarnation: 1 << 40})
+	s.heartbeat()
+	s.updateWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
+	s.heartbeat()
+	s.heartbeat()
+	if last.LeaseEnd == 0 {
+		t.Error("the lease is not renewed any more")
+	}
+	s.updateWorker(aqdecider.Worker{ID: "w1", Incarnation: 0, Address: "earlier"})
+	if s.address().HostPort == "earlier" {
+		t.Error("an entry of an earlier incarnation replaced the one that answers")
+	}
+}
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -15,6 +15,9 @@
 type worker struct {
 	info Worker
 	rack aqtype.Rack
+	// reported is the incarnation of the last report, zero before the first. Until a worker
+	// has reported, its entries may be those of another writer.
+	reported Incarnation
 	// present is set while service discovery lists the worker.
 	present bool
 	// persisted is set when the stored list of workers includes this one.
@@ -65,7 +68,8 @@
 	return ""
 }
 
-// UpdateWorker adds or updates a worker from service discovery.
+// UpdateWorker adds or updates a worker from service discovery. The caller passes the
+// entries of a worker in the order of their revisions.
 func (d *Decider) UpdateWorker(info Worker) {
 	w := d.workers[info.ID]
 	if w == nil {
@@ -79,7 +83,7 @@
 		d.options.Log.Write(aqlog.WorkerListed, workerAttr(info.ID), slog.String("Service", string(info.Service)),
 			slog.Int64("Life", int64(info.Incarnation)))
 	}
-	if info.Incarnation < w.info.Incarnation {
+	if info.Incarnation < w.reported {
 		return
 	}
 	if info.Incarnation != w.info.Incarnation {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -201,7 +201,8 @@
 	sort.Slice(p.ordered, func(i, j int) bool { return p.ordered[i].record.Name < p.ordered[j].record.Name })
 }
 
-// addWorker assigns a worker that service discovery lists, or updates its entry.
+// addWorker assigns a worker that service discovery lists, or updates its entry. The caller
+// passes the entries of a worker in the order of their revisions.
 func (p *agentPool) addWorker(w aqdecider.Worker) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -210,7 +211,7 @@
 		a = &workerAssignment{}
 		p.assignments[w.ID] = a
 	}
-	if w.Incarnation < a.worker.Incarnation || (a.member != nil && a.worker.SameInstance(w)) {
+	if a.member != nil && a.worker.SameInstance(w) {
 		return
 	}
 	a.worker = w
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -17,36 +17,46 @@
 // applyWorkerSnapshot applies a full read of service discovery that started at a
 // revision.
 func (l *leader) applyWorkerSnapshot(items []aqstore.Item, revision aqstore.Revision) {
-	var listed []aqdecider.Worker
 	l.decide(func(d *aqdecider.Decider) {
 		changed, removed := l.directory.applySnapshot(items, revision)
 		for _, item := range changed {
-			if w, ok := l.applyListedWorker(d, item); ok {
-				listed = append(listed, w)
-			}
+			l.applyListedWorker(d, item)
 		}
 		for _, key := range removed {
 			d.DelistWorker(l.workerOf(key))
 		}
 	})
-	for _, w := range listed {
-		l.agents.addWorker(w)
-	}
 	l.agents.assignUnassigned()
 	l.removeUnknownWorkers()
 }
 
-// applyListedWorker applies one entry. It returns false when the entry does not decode
-// to a worker.
-func (l *leader) applyListedWorker(d *aqdecider.Decider, item aqstore.Item) (aqdecider.Worker, bool) {
-	w, err := l.node.catalog.DecodeWorker(item)
+// applyListedWorker applies one entry. The decider and the agents get the entries of a
+// worker in the same order, that of their revisions.
+func (l *leader) applyListedWorker(d *aqdecider.Decider, item aqstore.Item) {
+	w, err := l.decodeWorker(item)
 	if err != nil {
 		l.node.ignoreEntry(item.Key, err)
 		d.DelistWorker(l.workerOf(item.Key))
-		return w, false
+		return
 	}
 	d.UpdateWorker(w)
-	return w, true
+	l.agents.addWorker(w)
+}
+
+// maxStartAhead is how far the start of a worker may lie ahead of this process's time of day.
+// Times of day differ by seconds.
+const maxStartAhead = time.Hour
+
+// decodeWorker decodes an entry of service discovery.
+func (l *leader) decodeWorker(item aqstore.Item) (aqdecider.Worker, error) {
+	w, err := l.node.catalog.DecodeWorker(item)
+	if err != nil {
+		return w, err
+	}
+	if latest := l.node.wallTime().Add(maxStartAhead).UnixMilli(); int64(w.Incarnation) > latest {
+		return w, errors.Errorf("worker starts in the future: %d, latest %d", w.Incarnation, latest)
+	}
+	return w, nil
 }
 
 func (l *leader) workerOf(key string) aqtype.WorkerID {
@@ -132,20 +142,15 @@
 }
 
 func (l *leader) applyWorkerEvent(e aqstore.Event) {
-	var listed aqdecider.Worker
-	ok := false
 	l.decide(func(d *aqdecider.Decider) {
 		switch {
 		case !l.directory.accept(e):
 		case e.Deleted:
 			d.DelistWorker(l.workerOf(e.Key))
 		default:
-			listed, ok = l.applyListedWorker(d, e.Item)
+			l.applyListedWorker(d, e.Item)
 		}
 	})
-	if ok {
-		l.agents.addWorker(listed)
-	}
 }
 
 // storeFleet stores the list of workers and agents before anything is started on a
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -65,7 +65,7 @@
 		reportDeadline := l.node.clock.Now().Add(proofLimit + l.agents.longestLease())
 		d.AwaitReports(fleet, reportDeadline)
 		for _, item := range listed {
-			if w, err := l.node.catalog.DecodeWorker(item); err == nil {
+			if w, err := l.decodeWorker(item); err == nil {
 				d.AwaitReports([]aqtype.WorkerID{w.ID}, reportDeadline)
 			}
 		}
