Let no entry that nobody answers for hold back the next leader's starts

Cause: a leader stored every listed worker in the list that the next leader reads, and the next leader also waited for every worker that service discovery listed. One entry whose worker does not exist, such as one with port 99999 or of a service that nobody knows, held back all tasks of earlier jobs until every lease had ended.

A worker that has not reported within 3 s of being listed leaves the stored list, and returns to it, with a write, before anything is started on it. The next leader waits for the stored list only: an earlier leader starts nothing on a worker that is not in it. New workers are stored when they are listed, as before. Workers of earlier terms stay until they report or their leases have ended. An odd entry that is younger than 3 s when the leader changes still holds back.

Tests, which failed before: TestEntryThatNobodyAnswersForDoesNotHoldBackTheNextLeader, TestWorkerThatAnswersLateIsStoredBeforeItIsUsed.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -64,7 +64,8 @@
 	// unstoredEnds holds the workers with ended runs whose effects are not stored
 	// yet.
 	unstoredEnds map[aqtype.WorkerID]bool
-	// unpersisted holds the workers that are missing from the stored list of workers.
+	// unpersisted holds the workers that are missing from the stored list of workers, and
+	// the silent ones that it still includes.
 	unpersisted map[aqtype.WorkerID]bool
 	ended       []endedJob
 	// exposed holds, by worker, the tasks with a recorded crash of that worker, which may
@@ -205,6 +206,7 @@
 // reviewPeriod otherwise.
 func (d *Decider) reviewWorkers() {
 	for _, w := range d.fleet {
+		d.noteSilence(w)
 		if !w.reachable || d.now.Before(w.reviewAt) {
 			continue
 		}
--- a/pkg/aqdecider/listed_test.go
+++ b/pkg/aqdecider/listed_test.go
@@ -50,3 +50,42 @@
 	w.Incarnation = 2
 	h.wantStarts(1, w, true)
 }
+
+func TestWorkerThatAnswersLateIsStoredBeforeItIsUsed(t *testing.T) {
+	h := newHarness(t)
+	w := poolWorker("w1", "r1-1", 8000)
+	h.running[w.ID] = map[RunID]RunReport{}
+	h.d.UpdateWorker(w)
+	stored := h.d.FleetIDs()
+	if len(stored) != 1 {
+		t.Fatalf("a new worker is not stored at once: %v", stored)
+	}
+	h.d.MarkPersisted(stored)
+	h.advance(time.Minute)
+	h.tick()
+	if ids := h.d.FleetIDs(); len(ids) != 0 || !h.d.Dirty() {
+		t.Fatalf("stored %v, dirty %v: a worker that never answers stays stored", ids, h.d.Dirty())
+	}
+	h.d.MarkPersisted(stored)
+	h.wantStarts(1, w, false)
+	h.d.MarkPersisted(h.d.FleetIDs())
+	h.wantStarts(2, w, true)
+}
+
+func TestInheritedWorkerStaysStoredUntilItsLeaseHasEnded(t *testing.T) {
+	h := newHarness(t)
+	w := poolWorker("w1", "r1-1", 8000)
+	h.d.AwaitReports([]aqtype.WorkerID{w.ID}, h.now.Add(10*time.Second))
+	h.d.UpdateWorker(w)
+	h.advance(9 * time.Second)
+	h.tick()
+	if ids := h.d.FleetIDs(); len(ids) != 1 {
+		t.Errorf("stored %v before the lease has ended", ids)
+	}
+	h.advance(2 * time.Second)
+	h.tick()
+	h.tick()
+	if ids := h.d.FleetIDs(); len(ids) != 0 {
+		t.Errorf("stored %v after the lease has ended", ids)
+	}
+}
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -17,6 +17,7 @@
 	if report.Incarnation != w.info.Incarnation {
 		d.workerRestarted(w, report.Incarnation)
 	}
+	d.noteFirstReport(w)
 	w.reported = report.Incarnation
 	w.reportedAt = d.now
 	d.workerReturned(w)
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -22,6 +22,10 @@
 	present bool
 	// persisted is set when the stored list of workers includes this one.
 	persisted bool
+	// addedAt is when the worker became known. silent is set while it has not reported within
+	// firstReportTimeout after that, so that nothing can run on it for this leader.
+	addedAt time.Time
+	silent  bool
 	// reachable is set while the worker answers heartbeats. Otherwise nothing is
 	// started on it.
 	reachable bool
@@ -75,6 +79,7 @@
 	if w == nil {
 		w = &worker{
 			info:    info,
+			addedAt: d.now,
 			runs:    map[RunID]*run{},
 			orphans: map[RunID]time.Time{},
 		}
@@ -154,22 +159,62 @@
 	d.fleet = slices.Delete(d.fleet, position, position+1)
 }
 
-// MarkPersisted records that the stored list of workers includes the given ones, so
+// MarkPersisted records that the stored list of workers consists of the given ones, so
 // that the next leader finds the runs on them.
 func (d *Decider) MarkPersisted(ids []aqtype.WorkerID) {
+	for id := range d.unpersisted {
+		if w := d.workers[id]; w != nil && w.silent && !slices.Contains(ids, id) {
+			delete(d.unpersisted, id)
+		}
+	}
 	for _, id := range ids {
-		if w := d.workers[id]; w != nil {
+		if w := d.workers[id]; w != nil && !w.silent {
 			w.persisted = true
 			delete(d.unpersisted, id)
 		}
 	}
 }
 
+// firstReportTimeout is how long a listed worker that has not reported yet stays in the
+// stored list. It is several heartbeats.
+const firstReportTimeout = 3 * time.Second
+
+// noteSilence removes a worker that has never reported from the stored list: the next leader
+// would wait until every lease on it has expired, and its entry may be another writer's.
+func (d *Decider) noteSilence(w *worker) {
+	if w.silent || w.reported > 0 || len(w.runs) > 0 || d.now.Sub(w.addedAt) < firstReportTimeout {
+		return
+	}
+	if until, unreported := d.unreported[w.info.ID]; unreported && !d.now.After(until) {
+		return
+	}
+	d.clearUnreported(w.info.ID)
+	w.silent = true
+	w.persisted = false
+	d.unpersisted[w.info.ID] = true
+	d.fleetChanges++
+}
+
+// noteFirstReport returns a worker that was silent to the stored list, before it is used.
+func (d *Decider) noteFirstReport(w *worker) {
+	if !w.silent {
+		return
+	}
+	w.silent = false
+	d.unpersisted[w.info.ID] = true
+	d.fleetChanges++
+}
+
 // FleetIDs returns the sorted ids of the workers that may run something: the known
-// ones, and those of an earlier leader that have not reported yet. They are stored for
-// the next leader, which must find every run.
+// ones but those that are silent, and those of an earlier leader that have not reported yet.
+// They are stored for the next leader, which must find every run.
 func (d *Decider) FleetIDs() []aqtype.WorkerID {
-	ids := d.WorkerIDs()
+	ids := make([]aqtype.WorkerID, 0, len(d.fleet))
+	for _, w := range d.fleet {
+		if !w.silent {
+			ids = append(ids, w.info.ID)
+		}
+	}
 	for id := range d.unreported {
 		if d.workers[id] == nil {
 			ids = append(ids, id)
--- a/pkg/aqsite/listed_test.go
+++ b/pkg/aqsite/listed_test.go
@@ -1,10 +1,15 @@
 package aqsite
 
 import (
+	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
@@ -71,3 +76,51 @@
 		}
 	})
 }
+
+func TestEntryThatNobodyAnswersForDoesNotHoldBackTheNextLeader(t *testing.T) {
+	store := newFakeStore()
+	n, clock := testNode(t, store)
+	n.routes.apply(&Config{Version: 1})
+	listWorkers(t, n, store, "sound", "odd")
+	n.catalog.WorkerIDOf = func(key string) string { return strings.TrimPrefix(key, n.catalog.WorkerPrefix) }
+	// The sessions and loops must not advance the clock.
+	n.clock = clock.Fake
+	n.agent = aqagent.New(n.agentOptions())
+	soundReports := func(l *leader) {
+		l.decide(func(d *aqdecider.Decider) {
+			d.WorkerReported("sound", aqdecider.WorkerReport{Incarnation: 1, Complete: true, Sent: 1})
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first := lead(t, n, store)
+	if _, _, err := first.recover(ctx); err != nil {
+		t.Fatal(err)
+	}
+	soundReports(first)
+	clock.Advance(time.Minute)
+	first.decide(func(d *aqdecider.Decider) {
+		d.Tick()
+		if !d.Dirty() {
+			t.Error("the list of workers is not stored again")
+		}
+	})
+	if err := first.storeFleet(ctx); err != nil {
+		t.Fatal(err)
+	}
+	first.lose(errors.New("next leader"))
+	if err := n.Submit(ctx, testJob()); err != nil {
+		t.Fatal(err)
+	}
+	next := lead(t, n, store)
+	if _, _, err := next.recover(ctx); err != nil {
+		t.Fatal(err)
+	}
+	defer next.lose(errors.New("end of the test"))
+	soundReports(next)
+	next.decide(func(d *aqdecider.Decider) {
+		if orders := d.Tick(); len(orders) != 1 {
+			t.Errorf("orders %+v, want a start on the sound worker", orders)
+		}
+	})
+}
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -63,12 +63,8 @@
 	l.setQueues(l.node.routes.config())
 	l.decide(func(d *aqdecider.Decider) {
 		reportDeadline := l.node.clock.Now().Add(proofLimit + l.agents.longestLease())
+		// Nothing was started on a worker that is listed but not in the stored list.
 		d.AwaitReports(fleet, reportDeadline)
-		for _, item := range listed {
-			if w, err := l.decodeWorker(item); err == nil {
-				d.AwaitReports([]aqtype.WorkerID{w.ID}, reportDeadline)
-			}
-		}
 	})
 	l.agents.join(ctx, l.node.ownRecord(), l.node.agent)
 	l.joinAgents(ctx, agents)
