--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -18,6 +18,8 @@
 	if report.Incarnation != w.info.Incarnation {
 		d.workerRestarted(w, report.Incarnation)
 	}
+	d.noteFirstReport(w)
+	w.reported = report.Incarnation
 	w.reportedAt = d.now
 	d.workerReturned(w)
 	if !w.reachable {
