Try a worker on probation again beside its services

What callers would see: after three failures on a worker of a shard, nothing is placed there any more while an instance of a service or a watcher runs on it, so that queued tasks wait with room for them, for as long as the owner lives.

Cause: a worker on probation got one task at a time, and every resident counted, also those from before the probation. Instances of services never end, so the task that could end the probation was never placed. A service that was itself the try could not end the probation either, since only a finished task did.

Ruled out: throttling and eviction for such a worker, which both leave it out on purpose.

Now only the task that was started since the probation began counts, until its attempt ends in whatever way, and a lasting one that is reported to run after 20 s ends the probation, without its kind counting as sound elsewhere. That works because the probe is forgotten at the single place where attempts end (endAttempt). Unchanged: capacity on probation is not offered to other shards (offload.go), since their tasks would be the ones to fail there.

--- a/pkg/aqplacement/placement_test.go
+++ b/pkg/aqplacement/placement_test.go
@@ -147,6 +147,38 @@
 	}
 }
 
+// Guards against a probation that holds for good because tasks from before it never end.
+func TestProbationCountsOnlyTasksStartedSince(t *testing.T) {
+	before, probe := aqtype.TaskID{Workload: "before"}, aqtype.TaskID{Workload: "probe"}
+	p := aqplacement.NewProbation()
+	p.Started("bad", before)
+	for _, kind := range []aqtype.TaskKind{"a", "b", "a"} {
+		p.Failed("bad", kind)
+	}
+	if !p.On("bad") || !p.MayStart("bad") {
+		t.Fatal("a task from before the probation keeps others from being started")
+	}
+	p.Started("bad", probe)
+	p.Ended("bad", before)
+	p.Ran("bad", before, time.Hour)
+	if !p.On("bad") || p.MayStart("bad") {
+		t.Fatal("a task from before the probation counts as started in it")
+	}
+	p.Ran("bad", probe, time.Second)
+	if !p.On("bad") {
+		t.Fatal("a second ends the probation")
+	}
+	p.Ended("bad", probe)
+	if !p.On("bad") || !p.MayStart("bad") {
+		t.Fatal("no other task may be started after the first has ended")
+	}
+	p.Started("bad", probe)
+	p.Ran("bad", probe, time.Minute)
+	if p.On("bad") {
+		t.Fatal("a lasting task that runs on does not end the probation")
+	}
+}
+
 func waiting(team, key string, index int) aqplacement.QueuedTask {
 	return aqplacement.QueuedTask{Demand: aqplacement.Demand{
 		Task:    aqtype.TaskID{Workload: aqtype.WorkloadKey(key), Index: index},
--- a/pkg/aqplacement/policy.go
+++ b/pkg/aqplacement/policy.go
@@ -45,15 +45,15 @@
 	// Free is the unreserved capacity, never negative.
 	Free      aqtype.Resources
 	Residents []Resident
-	// Probation restricts the worker to one task at a time.
+	// Probation restricts the worker to one new task at a time. Residents are not preempted or
+	// throttled there.
 	Probation bool
+	// Closed is set while nothing may be started on the worker, whatever is free.
+	Closed bool
 }
 
 func (c Candidate) fits(d Demand) bool {
-	if c.Probation && len(c.Residents) > 0 {
-		return false
-	}
-	return d.Size.Fits(c.Free)
+	return !c.Closed && d.Size.Fits(c.Free)
 }
 
 // Policy selects how Choose picks a worker. It is sealed: FirstFit, Spread and
--- a/pkg/aqplacement/probation.go
+++ b/pkg/aqplacement/probation.go
@@ -1,6 +1,10 @@
 package aqplacement
 
-import "acaciaquay/pkg/aqtype"
+import (
+	"time"
+
+	"acaciaquay/pkg/aqtype"
+)
 
 // Conditions for probation.
 const (
@@ -11,10 +15,16 @@
 	minFailures = 3
 )
 
+// soundAfter is how long a lasting task must run on a worker on probation to end it.
+const soundAfter = 20 * time.Second
+
 type failureStreak struct {
 	failures  int
 	kinds     map[aqtype.TaskKind]bool
 	probation bool
+	// probe is the task that has been started since the probation began and still runs, nil
+	// if there is none.
+	probe *aqtype.TaskID
 }
 
 // Probation distinguishes workers on which everything fails from jobs that fail
@@ -61,6 +71,35 @@
 	return streak.probation
 }
 
+// Started records a start on a worker.
+func (p *Probation) Started(worker aqtype.WorkerID, task aqtype.TaskID) {
+	if p.On(worker) {
+		p.workers[worker].probe = &task
+	}
+}
+
+// Ended records the end of a task's attempt on a worker, whatever its outcome.
+func (p *Probation) Ended(worker aqtype.WorkerID, task aqtype.TaskID) {
+	if streak := p.workers[worker]; streak != nil && streak.probe != nil && *streak.probe == task {
+		streak.probe = nil
+	}
+}
+
+// Ran records that a lasting task has run for a time. It ends the probation if the task was
+// started in it.
+func (p *Probation) Ran(worker aqtype.WorkerID, task aqtype.TaskID, ran time.Duration) {
+	streak := p.workers[worker]
+	if streak != nil && streak.probe != nil && *streak.probe == task && ran >= soundAfter {
+		delete(p.workers, worker)
+	}
+}
+
+// MayStart reports whether a task may be started on the worker. A worker on probation gets
+// one task at a time. The tasks that it has had before do not count: services may never end.
+func (p *Probation) MayStart(worker aqtype.WorkerID) bool {
+	return !p.On(worker) || p.workers[worker].probe == nil
+}
+
 // On reports whether a worker is on probation.
 func (p *Probation) On(worker aqtype.WorkerID) bool {
 	streak := p.workers[worker]
--- a/pkg/aqscheduler/plan.go
+++ b/pkg/aqscheduler/plan.go
@@ -146,6 +146,7 @@
 			Free:      freeOf(capacity, s.latestState.Reserved(id)),
 			Residents: s.residents(id, r.now),
 			Probation: s.probation.On(id),
+			Closed:    !s.probation.MayStart(id),
 		})
 	}
 	sort.Slice(r.candidates, func(i, j int) bool { return r.candidates[i].Worker < r.candidates[j].Worker })
@@ -311,6 +312,8 @@
 		Full:            d.Size,
 		Evictions:       task.Evictions,
 	})
+	s.probation.Started(c.Worker, d.Task)
+	c.Closed = !s.probation.MayStart(c.Worker)
 	s.recordKinds(c.Worker, r.now)
 	r.starts++
 	return true
--- a/pkg/aqscheduler/workers.go
+++ b/pkg/aqscheduler/workers.go
@@ -247,6 +247,7 @@
 		if t.State == aqshard.TaskStopping {
 			s.sendStop(r.Task, r.Attempt)
 		}
+		s.observeLasting(id, w.Spec, r)
 	case aqplatform.RunFinished:
 		s.succeeded(id, kind, r)
 	case aqplatform.RunFailed:
@@ -302,6 +303,17 @@
 	}
 }
 
+// observeLasting ends the worker's probation if a lasting task that was started in it runs
+// on.
+func (s *Shard) observeLasting(id aqtype.WorkerID, spec aqtype.Spec, r aqplatform.TaskRun) {
+	if _, isJob := spec.(aqtype.Job); isJob {
+		return
+	}
+	if info, ok := s.starts[aqplatform.RunID{Task: r.Task, Attempt: r.Attempt}]; ok {
+		s.probation.Ran(id, r.Task, s.options.Clock.Now().Sub(info.at))
+	}
+}
+
 func (s *Shard) succeeded(id aqtype.WorkerID, kind aqtype.TaskKind, r aqplatform.TaskRun) {
 	s.probation.Succeeded(id, kind)
 	if info, ok := s.starts[aqplatform.RunID{Task: r.Task, Attempt: r.Attempt}]; ok {
@@ -330,6 +342,7 @@
 	}) {
 		return
 	}
+	s.probation.Ended(worker, id)
 	now := s.options.Clock.Now()
 	s.recordKinds(worker, now)
 	if t.State == aqshard.TaskQueued {
