Do not blame a task of an earlier term for a later crash of its worker

The class of fault: a fact judged when it is handled instead of when it was known.

Now the first complete report of a worker drops the runs of earlier terms that it does not contain: the same incarnation answered without them, so no later crash is theirs.

Tests: TestTrialThatNeverStartedIsNoCrash (job failed with three crashes) and TestEarlierRunThatAWorkerDoesNotReportIsNoCrash failed before. go test ./pkg/aqdecider passed.

--- a/pkg/aqdecider/earlier.go
+++ b/pkg/aqdecider/earlier.go
@@ -53,6 +53,29 @@
 	}
 }
 
+// noteEarlierTrial notes where a trial of an earlier term may run.
+func (d *Decider) noteEarlierTrial(t *task) {
+	if t.history.Trial != nil {
+		d.earlierTrials[*t.history.Trial] = append(d.earlierTrials[*t.history.Trial], t)
+	}
+}
+
+// dropEarlier drops the runs of earlier terms on a worker that has reported all its runs. A
+// later crash is not theirs.
+func (d *Decider) dropEarlier(w *worker) {
+	for id, c := range d.earlier {
+		if c.Instance == w.instance() {
+			d.forgetEarlier(id)
+		}
+	}
+	for _, t := range d.earlierTrials[w.instance()] {
+		if !t.group.occurrence.job.state.Final() && t.run == nil && t.trialWorker == nil && t.onTrialAt(w) {
+			d.endTrial(t)
+		}
+	}
+	delete(d.earlierTrials, w.instance())
+}
+
 // forgetEarlier drops what is noted of a task's run of an earlier term.
 func (d *Decider) forgetEarlier(id aqjob.TaskID) { delete(d.earlier, id) }
 
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -106,6 +106,7 @@
 				if h := stored.Crashes[position]; h != nil {
 					t.history = *h
 					d.watchForReturn(t)
+					d.noteEarlierTrial(t)
 				}
 				if t.done {
 					g.remaining--
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -38,6 +38,7 @@
 		d.runReported(w, r, report)
 	}
 	if report.Complete {
+		d.dropEarlier(w)
 		d.reconcileMissing(w, reported, report.Sent)
 	}
 	d.observeTails(w)
--- /dev/null
+++ b/pkg/aqdecider/trials_test.go
@@ -0,0 +1,85 @@
+package aqdecider
+
+import (
+	"testing"
+	"time"
+
+	"acaciaquay/internal/site/aqcrash"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqtype"
+)
+
+// suspectOfEarlierTerm has job 1, whose only task was on trial on w1 in the term of an earlier
+// leader, and waits until w2 has reported or its lease has expired.
+func suspectOfEarlierTerm(t *testing.T) (*harness, *task) {
+	t.Helper()
+	h := newHarness(t)
+	h.d.AwaitReports([]aqtype.WorkerID{"w1", "w2"}, h.now.Add(3*time.Second))
+	trial := aqcrash.Instance{Worker: "w1", Incarnation: 1}
+	progress := aqjob.Progress{
+		State: aqjob.StateRunning,
+		Occurrences: map[aqjob.Occurrence]*aqjob.OccurrenceProgress{
+			0: {
+				Crashes: map[int]*aqcrash.History{
+					0: {
+						Crashes: []aqcrash.Crash{
+							{Instance: aqcrash.Instance{Worker: "gone1", Incarnation: 1}},
+							{Instance: aqcrash.Instance{Worker: "gone2", Incarnation: 1}},
+						},
+						Trial: &trial,
+					},
+				},
+			},
+		},
+	}
+	h.d.AddJob(testJob(1, tasks(1, 1000)), &progress, 1, true)
+	return h, h.d.task(aqjob.TaskID{Job: testJob(1).ID})
+}
+
+// loseLater lets w1 crash after a time, and w2 never answer.
+func (h *harness) loseLater() {
+	h.tick()
+	h.advance(2 * time.Second)
+	h.d.WorkerUnresponsive("w1")
+	h.advance(2 * time.Second)
+	h.d.LeaseExpired("w1")
+	h.addWorker("w3")
+	h.tick()
+}
+
+// Guards against LOST: a trial counted as a crash, and convicted, though its worker had
+// reported without the run and crashed for another reason later.
+func TestTrialThatNeverStartedIsNoCrash(t *testing.T) {
+	h, suspect := suspectOfEarlierTerm(t)
+	h.addWorker("w1")
+	h.loseLater()
+	if len(suspect.history.Crashes) != 2 || suspect.group.occurrence.job.state.Final() {
+		t.Fatalf("crashes %+v, job %s", suspect.history.Crashes, suspect.group.occurrence.job.state)
+	}
+}
+
+// A trial on a worker that has not reported since counts as a crash.
+func TestTrialOnAWorkerThatNeverReportsIsACrash(t *testing.T) {
+	h, suspect := suspectOfEarlierTerm(t)
+	h.loseLater()
+	if len(suspect.history.Crashes) != 3 || !suspect.history.Crashes[2].Isolated {
+		t.Fatalf("crashes %+v", suspect.history.Crashes)
+	}
+}
+
+// Guards against LOST: a run of an earlier term counted as lost with a worker that had reported
+// without it and crashed for another reason later.
+func TestEarlierRunThatAWorkerDoesNotReportIsNoCrash(t *testing.T) {
+	h, suspect := suspectOfEarlierTerm(t)
+	suspect.history.Trial = nil
+	h.d.NoteEarlierRuns(EarlierRuns{
+		Worker:      "w1",
+		Incarnation: 1,
+		Runs:        []EarlierRun{{Run: RunID{Task: suspect.id(), Attempt: 3}}},
+	})
+	h.addWorker("w1")
+	h.loseLater()
+	if len(suspect.history.Crashes) != 2 {
+		t.Fatalf("crashes %+v", suspect.history.Crashes)
+	}
+}
