Do not start a suspected task once more for a lost answer

Each start with an unknown outcome (one in ten in the simulation) was answered with a stop and another start, although the worker runs the task and reports it 200 ms later. None of these starts brings the verdict nearer.

Now the run of a suspected task, or of a gang with one, waits for the worker's reports if the outcome of its start is unknown: a report with the run confirms it, and three complete reports in a row without it stop it as before. Others are stopped at once as before: they would wait for three heartbeats where the start is lost, and a further start of theirs costs nobody a worker.

Tests: TestSuspectIsNotStartedAgainForALostAnswer failed before (a stop of a run that its worker reports); TestSuspectWhoseStartIsLostIsStartedAgain guards the other side. The rest of go test ./pkg/aqdecider passed.

--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -52,6 +52,10 @@
 		d.options.Metrics.Inc(aqmetric.TasksStarted)
 		return
 	case OutcomeUnknown:
+		if r.task.group.hasSuspect(r.task) {
+			r.startUnknown = at
+			return
+		}
 		d.options.Metrics.Retried(aqmetric.RetryStartUnknown)
 		d.stop(r, "start outcome unknown")
 		return
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqtype"
 )
 
@@ -176,6 +177,14 @@
 		}
 		switch r.state {
 		case runStarting:
+			if r.startUnknown == 0 || sent <= r.startUnknown {
+				continue
+			}
+			r.missedReports++
+			if r.missedReports > maxMissedReports {
+				d.options.Metrics.Retried(aqmetric.RetryStartUnknown)
+				d.stop(r, "start outcome unknown")
+			}
 		case runRunning:
 			if sent <= r.confirmed {
 				continue
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -122,6 +122,9 @@
 	size   aqtype.Resources
 	// startResent is set when the start was sent through more than one agent.
 	startResent bool
+	// startUnknown is when the start ended with an unknown outcome that the worker's reports
+	// are to show, zero otherwise.
+	startUnknown LogicalTime
 	// orderedAt is when the start was decided.
 	orderedAt time.Time
 	// confirmed is when the worker accepted or first reported the run.
--- a/pkg/aqdecider/trials.go
+++ b/pkg/aqdecider/trials.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"acaciaquay/internal/site/aqcrash"
@@ -53,6 +54,15 @@
 // heldForTrial reports whether nothing else may be started on the worker.
 func (w *worker) heldForTrial() bool { return w.trial != nil }
 
+// hasSuspect reports whether a stop of the task's run may make a suspected task start once
+// more: the task itself or another member of its gang.
+func (g *group) hasSuspect(t *task) bool {
+	if !g.spec.Gang {
+		return t.history.Suspected()
+	}
+	return slices.ContainsFunc(g.tasks, func(o *task) bool { return o.history.Suspected() })
+}
+
 // suspectWaits reports whether a suspected task of the group needs a run.
 func (g *group) suspectWaits() bool {
 	for _, t := range g.tasks {
--- a/pkg/aqdecider/trials_test.go
+++ b/pkg/aqdecider/trials_test.go
@@ -9,6 +9,66 @@
 	"acaciaquay/pkg/aqtype"
 )
 
+// startTrial starts the isolated run of isolationHarness on w1 and answers with an outcome.
+func (h *harness) startTrial(outcome Outcome) Start {
+	h.t.Helper()
+	h.tick()
+	h.storeAll()
+	for _, o := range h.d.Tick() {
+		if order, ok := o.(Start); ok {
+			h.started = append(h.started, order)
+			h.d.StartAnswered(order.Worker, 1, order.Run, outcome, h.nextTime())
+		}
+	}
+	if len(h.started) != 1 || h.started[0].Worker != "w1" {
+		h.t.Fatalf("started %v, want one start on w1", h.started)
+	}
+	return h.started[0]
+}
+
+// Guards against BUDGET: a crashing task was started again, and counted as started, for each
+// start without an answer.
+func TestSuspectIsNotStartedAgainForALostAnswer(t *testing.T) {
+	h := isolationHarness(t, 2)
+	start := h.startTrial(OutcomeUnknown)
+	h.running["w1"][start.Run] = RunReport{Run: start.Run}
+	for range 5 {
+		h.advance(200 * time.Millisecond)
+		h.report("w1")
+		h.report("w2")
+		h.tick()
+	}
+	if len(h.started) != 1 || len(h.stopped) != 0 {
+		t.Fatalf("%d starts and %d stops of a run that its worker reports", len(h.started), len(h.stopped))
+	}
+	if run := h.d.task(start.Run.Task).run; run == nil || run.state != runRunning {
+		t.Fatal("the run that the worker reports is not adopted")
+	}
+}
+
+// Guards against a suspected task that is left waiting since its start never arrived.
+func TestSuspectWhoseStartIsLostIsStartedAgain(t *testing.T) {
+	h := isolationHarness(t, 2)
+	start := h.startTrial(OutcomeUnknown)
+	for range 5 {
+		h.advance(200 * time.Millisecond)
+		h.report("w1")
+		h.report("w2")
+		h.tick()
+	}
+	if len(h.stopped) != 1 || h.stopped[0].Run != start.Run {
+		t.Fatalf("stopped %v, want %v", h.stopped, start.Run)
+	}
+	h.d.StopAnswered("w1", 1, start.Run, h.nextTime())
+	h.report("w1")
+	h.tick()
+	h.storeAll()
+	h.tick()
+	if len(h.started) != 2 {
+		t.Fatalf("%d starts, want 2", len(h.started))
+	}
+}
+
 // suspectOfEarlierTerm has job 1, whose only task was on trial on w1 in the term of an earlier
 // leader, and waits until w2 has reported or its lease has expired.
 func suspectOfEarlierTerm(t *testing.T) (*harness, *task) {
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -263,6 +263,7 @@
 		switch r.state {
 		case runStarting:
 			r.startResent = true
+			r.startUnknown = 0
 			d.addOrder(d.startOrder(r))
 		case runRunning:
 			if r.pace != fullPace {
