Count a crash just after a trial as one in isolation

What callers would see: a task that crashes its workers about 0.6 s after its start crashes up to two workers more than the verdict needs, with the runs beside it.

Workers report late, so a trial may end before the run is settled (1.5 s), which is the time for which any run may be to blame.

Now a crash counts as isolated while the run of a trial is not settled and every other run on the worker is. Anything started there after the trial is not settled, and then the crash convicts nobody, as before. Ruled out: a longer trial, which would keep the worker from others for a second more each time (TestNothingStartsBesideAnIsolatedRun).

--- a/pkg/aqdecider/crashes.go
+++ b/pkg/aqdecider/crashes.go
@@ -33,11 +33,20 @@
 		d.recordCrash(r.task, aqcrash.Crash{
 			Instance: w.instance(),
 			Seen:     r.seen(),
-			Isolated: w.trial == r.task,
+			Isolated: r.isolated(),
 		})
 	}
 }
 
+// isolated reports whether no other run is to blame for a crash of the run's worker. A trial
+// may end before the run is settled, since workers report its age late.
+func (r *run) isolated() bool {
+	if r.worker.trial == r.task {
+		return true
+	}
+	return r.tried && r.seen() < r.task.history.SettledAfter() && r.worker.settledBeside(r)
+}
+
 func (d *Decider) recordCrash(t *task, c aqcrash.Crash) {
 	j := t.group.occurrence.job
 	if j.state.Final() || t.done || !t.history.Add(c) {
@@ -57,7 +66,7 @@
 		d.options.Log.Write(aqlog.RunLost, taskAttr(r.id.Task), workerAttr(w.info.ID),
 			slog.Int("Attempt", int(r.id.Attempt)), slog.Bool("Restarted", restarted),
 			slog.Duration("Seen", r.seen()), slog.Int("Beside", len(w.runs)-1),
-			slog.Int("Losses", len(t.history.Crashes)), slog.Bool("Isolated", w.trial == t))
+			slog.Int("Losses", len(t.history.Crashes)), slog.Bool("Isolated", r.isolated()))
 		d.failIfGuilty(t)
 	}
 }
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -285,6 +285,7 @@
 		size:      t.group.spec.Reserved(),
 		orderedAt: d.now,
 		pace:      fullPace,
+		tried:     w.trial == t,
 		// A resent start order must carry the same checkpoint.
 		resumeFrom: t.checkpoint,
 	}
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -125,6 +125,8 @@
 	// startUnknown is when the start ended with an unknown outcome that the worker's reports
 	// are to show, zero otherwise.
 	startUnknown LogicalTime
+	// tried is set when the run was started as a trial.
+	tried bool
 	// orderedAt is when the start was decided.
 	orderedAt time.Time
 	// confirmed is when the worker accepted or first reported the run.
--- a/pkg/aqdecider/trials.go
+++ b/pkg/aqdecider/trials.go
@@ -27,6 +27,7 @@
 		return
 	}
 	t.holdWorker(r.worker, d.now)
+	r.tried = true
 }
 
 func (t *task) holdWorker(w *worker, now time.Time) {
@@ -152,9 +153,12 @@
 
 // settled reports whether every run of the worker has been seen for long enough not to be
 // to blame for a crash from now on.
-func (w *worker) settled() bool {
+func (w *worker) settled() bool { return w.settledBeside(nil) }
+
+// settledBeside is settled without one of the runs.
+func (w *worker) settledBeside(one *run) bool {
 	for _, r := range w.runs {
-		if r.seen() < r.task.history.SettledAfter() {
+		if r != one && r.seen() < r.task.history.SettledAfter() {
 			return false
 		}
 	}
--- a/pkg/aqdecider/trials_test.go
+++ b/pkg/aqdecider/trials_test.go
@@ -69,6 +69,36 @@
 	}
 }
 
+// Guards against BUDGET: a crash just after the end of a trial convicted nobody.
+func TestCrashJustAfterATrialIsIsolated(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		beside bool
+	}{
+		{name: "alone"},
+		{name: "beside a run that has just started", beside: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := isolationHarness(t, 1)
+			h.tick()
+			h.storeAll()
+			h.tick()
+			h.advance(600 * time.Millisecond)
+			h.report("w1")
+			if test.beside {
+				h.d.AddJob(testJob(2, tasks(1, 1000)), nil, 0, false)
+			}
+			h.tick()
+			h.advance(100 * time.Millisecond)
+			h.d.WorkerUnresponsive("w1")
+			crashes := h.d.task(h.started[0].Run.Task).history.Crashes
+			if last := crashes[len(crashes)-1]; len(crashes) != 3 || last.Isolated == test.beside {
+				t.Fatalf("crashes %+v", crashes)
+			}
+		})
+	}
+}
+
 // suspectOfEarlierTerm has job 1, whose only task was on trial on w1 in the term of an earlier
 // leader, and waits until w2 has reported or its lease has expired.
 func suspectOfEarlierTerm(t *testing.T) (*harness, *task) {
