Tell the next leader that a silent worker ran nothing

The next leader finds the trial in the store and a worker that never reports, and counts a crash in isolation. Agents tell a new leader of the runs on silent workers, but nothing of silent workers without runs, so the leader could not know that the trial had not begun.

Now an agent also tells of a silent worker that ran nothing, if the worker has answered the session before. The crash then counts, but not as one in isolation: an agent may not know all (another one may have started the run in a term that this one has not noticed), and a crashing task is then convicted by its next trial instead of this one. Such a message is told to the next leader only.

Taken back, a trial: also counting a crash as isolated if an agent tells of the run of the trial.

The simulated agents know of every idle worker; real ones only of those that have missed a heartbeat. Tests: TestTrialThatNoAgentKnowsOfDoesNotConvict and TestNextLeaderLearnsThatASilentWorkerRanNothing failed before.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -121,7 +121,10 @@
 // caller holds the lock.
 func (a *Agent) noteEarlier() {
 	now := a.clock.Elapsed()
-	a.earlier = slices.DeleteFunc(a.earlier, func(e earlierRuns) bool { return now-e.endedAt > earlierKept })
+	a.earlier = slices.DeleteFunc(a.earlier, func(e earlierRuns) bool {
+		// Other agents may have started runs in the term after the one in which there were none.
+		return now-e.endedAt > earlierKept || len(e.runs.Runs) == 0
+	})
 	for _, s := range a.sessions {
 		if runs, ok := s.unsettledRuns(); ok {
 			a.earlier = append(a.earlier, earlierRuns{
--- a/internal/site/aqagent/runlog.go
+++ b/internal/site/aqagent/runlog.go
@@ -57,11 +57,15 @@
 }
 
 // unsettledRuns returns the worker's runs if the worker does not answer, or has not
-// answered since a run was started.
+// answered since a run was started. That there are none is known only if the worker has
+// answered this session before.
 func (s *session) unsettledRuns() (aqdecider.EarlierRuns, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.runs.since) == 0 || (s.failedHeartbeats == 0 && !s.runs.unanswered()) {
+	if s.failedHeartbeats == 0 && !s.runs.unanswered() {
+		return aqdecider.EarlierRuns{}, false
+	}
+	if len(s.runs.since) == 0 && s.runs.answeredAt.IsZero() {
 		return aqdecider.EarlierRuns{}, false
 	}
 	earlier := aqdecider.EarlierRuns{
--- a/internal/site/aqagent/runlog_test.go
+++ b/internal/site/aqagent/runlog_test.go
@@ -93,3 +93,43 @@
 		})
 	}
 }
+
+// Guards against LOST: a leader that took a worker to have crashed under a task that had not
+// started there.
+func TestNextLeaderLearnsThatASilentWorkerRanNothing(t *testing.T) {
+	crashed := true
+	workers := &fakeWorkers{
+		heartbeat: func(aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
+			if crashed {
+				return aqworker.HeartbeatAnswer{}, aqworker.ErrUnanswered
+			}
+			return aqworker.HeartbeatAnswer{
+				Report: aqdecider.WorkerReport{
+					Incarnation: 1,
+					Complete:    true,
+				},
+				Clock: aqworker.Time(100 * time.Second),
+			}, nil
+		},
+	}
+	s, a, _ := testSession(t, workers)
+	s.heartbeat()
+	if runs, ok := s.unsettledRuns(); ok {
+		t.Fatalf("a session that was never answered knows of %v", runs)
+	}
+	crashed = false
+	s.heartbeat()
+	if runs, ok := s.unsettledRuns(); ok {
+		t.Fatalf("a worker that answers is told of: %v", runs)
+	}
+	crashed = true
+	s.heartbeat()
+	first, err := a.Poll(context.Background(), PollCall{Fence: 6})
+	if err != nil || len(first.Earlier) != 1 || first.Earlier[0].Worker != s.id || len(first.Earlier[0].Runs) != 0 {
+		t.Fatalf("told of %v: %v", first.Earlier, err)
+	}
+	next, err := a.Poll(context.Background(), PollCall{Fence: 7})
+	if err != nil || len(next.Earlier) != 0 {
+		t.Fatalf("the leader after the next is told of %v: %v", next.Earlier, err)
+	}
+}
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -72,6 +72,8 @@
 	exposed map[aqtype.WorkerID]exposure
 	// earlier holds the runs of earlier terms that agents have told of.
 	earlier map[aqjob.TaskID]aqcrash.Crash
+	// earlierIdle holds the workers without a run of an earlier term by what agents have told.
+	earlierIdle map[aqcrash.Instance]bool
 	// earlierTrials holds the tasks with a trial of an earlier term, by where it may run.
 	earlierTrials map[aqcrash.Instance][]*task
 	// earlyCancels holds the cancellations of jobs that are not known yet.
@@ -117,6 +119,7 @@
 		earlyCancels:  map[aqjob.ID]time.Time{},
 		exposed:       map[aqtype.WorkerID]exposure{},
 		earlier:       map[aqjob.TaskID]aqcrash.Crash{},
+		earlierIdle:   map[aqcrash.Instance]bool{},
 		earlierTrials: map[aqcrash.Instance][]*task{},
 		model:         aqinterference.New(),
 		harmedShares:  map[string]float64{},
--- a/pkg/aqdecider/earlier.go
+++ b/pkg/aqdecider/earlier.go
@@ -9,7 +9,8 @@
 )
 
 // EarlierRuns are the runs that an agent knew of on a worker when the term of an earlier
-// leader ended. That leader may not have stored a crash of the worker.
+// leader ended, none if nothing ran there. That leader may not have stored a crash of the
+// worker.
 type EarlierRuns struct {
 	Worker      aqtype.WorkerID
 	Incarnation Incarnation
@@ -26,13 +27,17 @@
 // NoteEarlierRuns notes runs of an earlier term. If neither a run nor its end is reported
 // and its worker does not return, the worker has crashed under it.
 func (d *Decider) NoteEarlierRuns(earlier EarlierRuns) {
+	instance := aqcrash.Instance{
+		Worker:      earlier.Worker,
+		Incarnation: int64(earlier.Incarnation),
+	}
+	if len(earlier.Runs) == 0 {
+		d.earlierIdle[instance] = true
+	}
 	for _, r := range earlier.Runs {
 		d.earlier[r.Run.Task] = aqcrash.Crash{
-			Instance: aqcrash.Instance{
-				Worker:      earlier.Worker,
-				Incarnation: int64(earlier.Incarnation),
-			},
-			Seen: r.Seen,
+			Instance: instance,
+			Seen:     r.Seen,
 		}
 	}
 }
--- a/pkg/aqdecider/trials.go
+++ b/pkg/aqdecider/trials.go
@@ -136,12 +136,16 @@
 }
 
 // resolveTrial counts a trial of an earlier leader as a crash unless its worker still runs.
-// The worker has reported neither the run nor its end.
+// The worker has reported neither the run nor its end. The crash does not convict if an agent
+// knew of no run there, though the agent may not know all.
 func (d *Decider) resolveTrial(t *task) {
 	instance := *t.history.Trial
 	d.endTrial(t)
 	if !d.stillRuns(instance) {
-		d.recordCrash(t, aqcrash.Crash{Instance: instance, Isolated: true})
+		d.recordCrash(t, aqcrash.Crash{
+			Instance: instance,
+			Isolated: !d.earlierIdle[instance],
+		})
 	}
 }
 
--- a/pkg/aqdecider/trials_test.go
+++ b/pkg/aqdecider/trials_test.go
@@ -157,6 +157,21 @@
 	}
 }
 
+// Guards against LOST: a trial that never started counted as a crash in isolation, though the
+// agent of its worker knew of no run there.
+func TestTrialThatNoAgentKnowsOfDoesNotConvict(t *testing.T) {
+	h, suspect := suspectOfEarlierTerm(t)
+	h.d.NoteEarlierRuns(EarlierRuns{
+		Worker:      "w1",
+		Incarnation: 1,
+	})
+	h.loseLater()
+	crashes := suspect.history.Crashes
+	if len(crashes) != 3 || crashes[2].Isolated || suspect.group.occurrence.job.state.Final() {
+		t.Fatalf("crashes %+v, job %s", crashes, suspect.group.occurrence.job.state)
+	}
+}
+
 // Guards against LOST: a run of an earlier term counted as lost with a worker that had reported
 // without it and crashed for another reason later.
 func TestEarlierRunThatAWorkerDoesNotReportIsNoCrash(t *testing.T) {
