--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -73,6 +73,10 @@
 	exposed map[aqtype.WorkerID]exposure
 	// earlier holds the runs of earlier terms that agents have told of.
 	earlier map[aqjob.TaskID]aqcrash.Crash
+	// earlierIdle holds the workers without a run of an earlier term by what agents have told.
+	earlierIdle map[aqcrash.Instance]bool
+	// earlierTrials holds the tasks with a trial of an earlier term, by where it may run.
+	earlierTrials map[aqcrash.Instance][]*task
 	// earlyCancels holds the cancellations of jobs that are not known yet.
 	earlyCancels map[aqjob.ID]time.Time
 	model        *aqinterference.Model
@@ -116,6 +120,8 @@
 		earlyCancels:  map[aqjob.ID]time.Time{},
 		exposed:       map[aqtype.WorkerID]exposure{},
 		earlier:       map[aqjob.TaskID]aqcrash.Crash{},
+		earlierIdle:   map[aqcrash.Instance]bool{},
+		earlierTrials: map[aqcrash.Instance][]*task{},
 		model:         aqinterference.New(),
 		harmedShares:  map[aqinterference.Image]float64{},
 
--- a/pkg/aqdecider/earlier.go
+++ b/pkg/aqdecider/earlier.go
@@ -9,7 +9,8 @@
 )
 
 // EarlierRuns are the runs that an agent knew of on a worker when the term of an earlier
-// leader ended. That leader may not have stored a crash of the worker.
+// leader ended, none if nothing ran there. That leader may not have stored a crash of the
+// worker.
 type EarlierRuns struct {
 	Worker      aqtype.WorkerID
 	Incarnation Incarnation
@@ -26,13 +27,17 @@
 // NoteEarlierRuns notes runs of an earlier term. If neither a run nor its end is reported
 // and its worker does not return, the worker has crashed under it.
 func (d *Decider) NoteEarlierRuns(earlier EarlierRuns) {
+	instance := aqcrash.Instance{
+		Worker:      earlier.Worker,
+		Incarnation: int64(earlier.Incarnation),
+	}
+	if len(earlier.Runs) == 0 {
+		d.earlierIdle[instance] = true
+	}
 	for _, r := range earlier.Runs {
 		d.earlier[r.Run.Task] = aqcrash.Crash{
-			Instance: aqcrash.Instance{
-				Worker:      earlier.Worker,
-				Incarnation: int64(earlier.Incarnation),
-			},
-			Seen: r.Seen,
+			Instance: instance,
+			Seen:     r.Seen,
 		}
 	}
 }
@@ -53,6 +58,29 @@
 	}
 }
 
+// noteEarlierTrial notes where a trial of an earlier term may run.
+func (d *Decider) noteEarlierTrial(t *task) {
+	if t.history.Trial != nil {
+		d.earlierTrials[*t.history.Trial] = append(d.earlierTrials[*t.history.Trial], t)
+	}
+}
+
+// dropEarlier drops the runs of earlier terms on a worker that has reported all its runs. A
+// later crash is not theirs.
+func (d *Decider) dropEarlier(w *worker) {
+	for id, c := range d.earlier {
+		if c.Instance == w.instance() {
+			d.forgetEarlier(id)
+		}
+	}
+	for _, t := range d.earlierTrials[w.instance()] {
+		if !t.group.occurrence.job.state.Final() && t.run == nil && t.trialWorker == nil && t.onTrialAt(w) {
+			d.endTrial(t)
+		}
+	}
+	delete(d.earlierTrials, w.instance())
+}
+
 // forgetEarlier drops what is noted of a task's run of an earlier term.
 func (d *Decider) forgetEarlier(id aqjob.TaskID) { delete(d.earlier, id) }
 
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqtype"
 )
 
@@ -38,6 +39,7 @@
 		d.runReported(w, r, report)
 	}
 	if report.Complete {
+		d.dropEarlier(w)
 		d.reconcileMissing(w, report)
 	}
 	d.observeTails(w)
@@ -178,6 +180,14 @@
 		}
 		switch r.state {
 		case runStarting:
+			if r.startUnknown == 0 || sent <= r.startUnknown {
+				continue
+			}
+			r.missedReports++
+			if r.missedReports > maxMissedReports {
+				d.options.Metrics.Retried(aqmetric.RetryStartUnknown)
+				d.stop(r, "start outcome unknown")
+			}
 		case runRunning:
 			if sent <= r.confirmed {
 				continue
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -125,6 +125,11 @@
 	size   aqtype.Resources
 	// startResent is set when the start was sent through more than one agent.
 	startResent bool
+	// startUnknown is when the start ended with an unknown outcome that the worker's reports
+	// are to show, zero otherwise.
+	startUnknown LogicalTime
+	// tried is set when the run was started as a trial.
+	tried bool
 	// orderedAt is when the start was decided.
 	orderedAt time.Time
 	// confirmed is when the worker accepted or first reported the run.
--- a/pkg/aqdecider/trials.go
+++ b/pkg/aqdecider/trials.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"acaciaquay/internal/site/aqcrash"
@@ -26,6 +27,7 @@
 		return
 	}
 	t.holdWorker(r.worker, d.now)
+	r.tried = true
 }
 
 func (t *task) holdWorker(w *worker, now time.Time) {
@@ -53,6 +55,15 @@
 // heldForTrial reports whether nothing else may be started on the worker.
 func (w *worker) heldForTrial() bool { return w.trial != nil }
 
+// hasSuspect reports whether a stop of the task's run may make a suspected task start once
+// more: the task itself or another member of its gang.
+func (g *group) hasSuspect(t *task) bool {
+	if !g.spec.Gang {
+		return t.history.Suspected()
+	}
+	return slices.ContainsFunc(g.tasks, func(o *task) bool { return o.history.Suspected() })
+}
+
 // suspectWaits reports whether a suspected task of the group needs a run.
 func (g *group) suspectWaits() bool {
 	for _, t := range g.tasks {
@@ -125,12 +136,16 @@
 }
 
 // resolveTrial counts a trial of an earlier leader as a crash unless its worker still runs.
-// The worker has reported neither the run nor its end.
+// The worker has reported neither the run nor its end. The crash does not convict if an agent
+// knew of no run there, though the agent may not know all.
 func (d *Decider) resolveTrial(t *task) {
 	instance := *t.history.Trial
 	d.endTrial(t)
 	if !d.stillRuns(instance) {
-		d.recordCrash(t, aqcrash.Crash{Instance: instance, Isolated: true})
+		d.recordCrash(t, aqcrash.Crash{
+			Instance: instance,
+			Isolated: !d.earlierIdle[instance],
+		})
 	}
 }
 
@@ -142,9 +157,12 @@
 
 // settled reports whether every run of the worker has been seen for long enough not to be
 // to blame for a crash from now on.
-func (w *worker) settled() bool {
+func (w *worker) settled() bool { return w.settledBeside(nil) }
+
+// settledBeside is settled without one of the runs.
+func (w *worker) settledBeside(one *run) bool {
 	for _, r := range w.runs {
-		if r.seen() < r.task.history.SettledAfter() {
+		if r != one && r.seen() < r.task.history.SettledAfter() {
 			return false
 		}
 	}
