--- a/pkg/aqdecider/crash_test.go
+++ b/pkg/aqdecider/crash_test.go
@@ -111,7 +111,7 @@
 }
 
 // crashSeeds is the number of seeds of TestTaskBesideACrashingOneIsNotGivenUp.
-var crashSeeds = flag.Int64("crashseeds", 12, "number of seeds of the tests of tasks beside crashing ones")
+var crashSeeds = flag.Int64("crashseeds", 200, "number of seeds of the tests of tasks beside crashing ones")
 
 // A task that only ran beside crashing ones is not given up in their place, also where
 // workers crash under it for other reasons.
