Try suspected tasks on the worker that has reported last

Now the worker that has reported last is taken among equal ones. One that has crashed falls behind the others as soon as these report. Ruled out: starting a trial only after a further report, which delays every trial by a heartbeat; and not counting a crash under a start without an answer, since a task that crashes its worker at once may leave just that.

Test: TestTrialPrefersTheWorkerThatReportedLast failed before.

--- a/pkg/aqdecider/trials.go
+++ b/pkg/aqdecider/trials.go
@@ -198,7 +198,8 @@
 		if !d.suitsTrial(t, w) {
 			continue
 		}
-		if score := d.trialScore(w); best == nil || score < bestScore {
+		score := d.trialScore(w)
+		if best == nil || score < bestScore || (score == bestScore && w.reportedAt.After(best.reportedAt)) {
 			best, bestScore = w, score
 		}
 	}
--- a/pkg/aqdecider/trials_test.go
+++ b/pkg/aqdecider/trials_test.go
@@ -69,6 +69,18 @@
 	}
 }
 
+// Guards against LOST: a trial was started on a worker that had crashed and was not missed yet,
+// and its crash convicted the task.
+func TestTrialPrefersTheWorkerThatReportedLast(t *testing.T) {
+	h := isolationHarness(t, 3)
+	h.advance(200 * time.Millisecond)
+	h.report("w2")
+	h.tick()
+	if got := h.d.task(aqjob.TaskID{Job: testJob(1).ID}).trialWorker.info.ID; got != "w2" {
+		t.Fatalf("the trial is reserved on %s, want w2", got)
+	}
+}
+
 // Guards against BUDGET: a crash just after the end of a trial convicted nobody.
 func TestCrashJustAfterATrialIsIsolated(t *testing.T) {
 	for _, test := range []struct {
