--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"acaciaquay/internal/base/aqguard"
+	"acaciaquay/internal/base/aqthrottle"
 	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
@@ -69,7 +71,7 @@
 	agent  *aqagent.Agent
 	routes routes
 	// ignored limits the log lines about entries that are ignored.
-	ignored ignoredEntries
+	ignored aqthrottle.Throttle
 	// accepted holds payloads for the agents of other processes.
 	accepted acceptedPayloads
 	// pendingJobs are the leader's counts for submitters.
@@ -116,16 +118,20 @@
 // NewNode returns a node. Run starts it.
 func NewNode(o Options) *Node {
 	n := &Node{
-		settings:       o.Settings,
-		store:          o.Store,
-		workers:        o.Workers,
-		advisor:        o.Advisor,
-		catalog:        o.Catalog,
-		clock:          o.Clock,
-		log:            o.Log,
-		metrics:        o.Metrics,
-		guard:          aqguard.New(o.Log, o.Metrics),
-		incarnation:    o.Incarnation,
+		settings:    o.Settings,
+		store:       o.Store,
+		workers:     o.Workers,
+		advisor:     o.Advisor,
+		catalog:     o.Catalog,
+		clock:       o.Clock,
+		log:         o.Log,
+		metrics:     o.Metrics,
+		guard:       aqguard.New(o.Log, o.Metrics),
+		incarnation: o.Incarnation,
+		ignored: aqthrottle.Throttle{
+			Interval: ignoredLogInterval,
+			MaxKeys:  maxIgnoredEntries,
+		},
 		leadKeyChanged: make(chan struct{}, 1),
 		checkNow:       make(chan struct{}, 1),
 		server:         aqpeer.NewServer(o.Log, o.Metrics),
@@ -256,6 +262,34 @@
 // counts as available again: an unstable store may refuse only some of many calls.
 const storeStableTime = 1200 * time.Millisecond
 
+// Limits on the log lines about entries that are ignored: one that stays is read again and
+// again.
+const (
+	// ignoredLogInterval is the minimum interval between two lines about one entry.
+	ignoredLogInterval = time.Minute
+	// maxIgnoredEntries limits the entries that are logged in one interval.
+	maxIgnoredEntries = 100
+	// maxIgnoredText is the length of a logged key or error, in bytes.
+	maxIgnoredText = 200
+)
+
+// ignoreEntry counts an entry of the store that cannot be used, and logs it unless it was
+// logged lately.
+func (n *Node) ignoreEntry(key string, err error) {
+	n.metrics.Refused(aqmetric.RefusedEntry)
+	if n.ignored.Allow(key, n.clock.Now()) {
+		n.log.Write(aqlog.EntryIgnored, slog.String("Key", shorten(key)), slog.String("Error", shorten(err.Error())))
+	}
+}
+
+// shorten limits a text to maxIgnoredText bytes.
+func shorten(text string) string {
+	if len(text) <= maxIgnoredText {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxIgnoredText], "") + "..."
+}
+
 // watchConfig watches the operators' configuration and applies its changes.
 func (n *Node) watchConfig(ctx context.Context) {
 	n.watchPrefix(ctx, prefixWatch{
