Do not take the time until a report is handled for the age of a run

Cause: how long a run had been seen was the leader's time when it handled the last report, less the time of the order to start. A report that waits in the leader's queue counts as made when it is handled. The class of fault is that of: an age measured where a message is handled instead of where it was made.

Now the age is at most what the worker's clock shows: its clock in that report, less its clock in the last report before the order. The run started after the latter, so this is never less than its true age, and a leader that is in time measures as before. Runs on workers without a clock, or of an earlier incarnation, are measured as before.

--- a/pkg/aqdecider/crashes.go
+++ b/pkg/aqdecider/crashes.go
@@ -18,8 +18,15 @@
 	}
 }
 
-// seen returns how long after its start was ordered a run's worker has last reported.
-func (r *run) seen() time.Duration { return r.worker.reportedAt.Sub(r.orderedAt) }
+// seen returns how long after its start was ordered a run's worker has last reported. A report
+// that is handled late does not show that the run is older than by the worker's clock.
+func (r *run) seen() time.Duration {
+	seen := r.worker.reportedAt.Sub(r.orderedAt)
+	if r.orderedClock > 0 {
+		seen = min(seen, r.worker.clock-r.orderedClock)
+	}
+	return seen
+}
 
 // recordCrashes records a crash of a worker under its runs. The worker may be unreachable
 // only; the record is retracted when it returns. It is made early, so that a later leader
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -286,6 +286,8 @@
 		orderedAt: d.now,
 		pace:      fullPace,
 		tried:     w.trial == t,
+
+		orderedClock: w.clock,
 		// A resent start order must carry the same checkpoint.
 		resumeFrom: t.checkpoint,
 	}
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -19,6 +19,7 @@
 		d.workerRestarted(w, report.Incarnation)
 	}
 	w.reportedAt = d.now
+	w.clock = max(w.clock, report.Clock)
 	d.workerReturned(w)
 	if !w.reachable {
 		w.reachable = true
@@ -51,7 +52,7 @@
 func (d *Decider) runReported(w *worker, report RunReport, of WorkerReport) {
 	r := w.runs[report.Run]
 	if r == nil {
-		d.adoptOrStop(w, report, of.Sent)
+		d.adoptOrStop(w, report, of)
 		return
 	}
 	sent := of.Sent
@@ -117,7 +118,7 @@
 
 // adoptOrStop handles a reported run that this decider does not know. It adopts the run
 // if its task needs one, and stops it as an orphan otherwise.
-func (d *Decider) adoptOrStop(w *worker, report RunReport, sent LogicalTime) {
+func (d *Decider) adoptOrStop(w *worker, report RunReport, of WorkerReport) {
 	d.forgetEarlier(report.Run.Task)
 	t := d.task(report.Run.Task)
 	if t != nil {
@@ -139,17 +140,19 @@
 		size:       t.group.spec.Reserved(),
 		orderedAt:  d.now,
 		checkpoint: report.Checkpoint,
-		percent:    report.Percent,
-		report:     report,
-		reportAt:   d.now,
-		pace:       fullPace,
+
+		orderedClock: of.Clock,
+		percent:      report.Percent,
+		report:       report,
+		reportAt:     d.now,
+		pace:         fullPace,
 	}
 	t.setRun(r)
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 	w.invalidateLoad()
 	d.adoptTrial(r)
-	d.confirm(r, sent)
+	d.confirm(r, of.Sent)
 	d.options.Log.Write(aqlog.RunAdopted, taskAttr(report.Run.Task), workerAttr(w.info.ID),
 		slog.Int("Attempt", int(report.Run.Attempt)), slog.Int("Percent", report.Percent))
 	d.adoptPace(r)
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -129,6 +129,8 @@
 	tried bool
 	// orderedAt is when the start was decided.
 	orderedAt time.Time
+	// orderedClock is the worker's clock in the last report before that, zero if not known.
+	orderedClock time.Duration
 	// confirmed is when the worker accepted or first reported the run.
 	confirmed LogicalTime
 	// stopAcked is when the worker acknowledged the order to stop, zero before
--- a/pkg/aqdecider/trials_test.go
+++ b/pkg/aqdecider/trials_test.go
@@ -111,6 +111,33 @@
 	}
 }
 
+// Guards against BUDGET: a leader that was slow or paused took the time until it handled a report
+// for the age of the run, and cleared a task that crashes its workers.
+func TestReportHandledLateDoesNotClearASuspect(t *testing.T) {
+	h := isolationHarness(t, 1)
+	h.report("w1")
+	made := h.now
+	start := h.startTrial(OutcomeAccepted)
+	h.advance(11 * time.Second)
+	report := WorkerReport{
+		Incarnation: 1,
+		Complete:    true,
+		Sent:        h.nextTime(),
+		Clock:       time.Duration(made.Add(300 * time.Millisecond).UnixNano()),
+		Running:     []RunReport{{Run: start.Run}},
+	}
+	h.d.WorkerReported("w1", report)
+	if suspect := h.d.task(start.Run.Task); len(suspect.history.Crashes) != 2 || suspect.trialWorker == nil {
+		t.Fatalf("a report made 0.3 s after the start leaves %+v", suspect.history)
+	}
+	report.Clock += 11 * time.Second
+	report.Sent = h.nextTime()
+	h.d.WorkerReported("w1", report)
+	if suspect := h.d.task(start.Run.Task); len(suspect.history.Crashes) != 0 {
+		t.Fatalf("a report made 11.3 s after the start leaves %+v", suspect.history)
+	}
+}
+
 // suspectOfEarlierTerm has job 1, whose only task was on trial on w1 in the term of an earlier
 // leader, and waits until w2 has reported or its lease has expired.
 func suspectOfEarlierTerm(t *testing.T) (*harness, *task) {
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -24,6 +24,8 @@
 	reachable bool
 	// reportedAt is when the worker last reported.
 	reportedAt time.Time
+	// clock is the highest clock in a report of this incarnation, zero if none had one.
+	clock time.Duration
 	// used is what the runs reserve, including those that are being stopped.
 	used aqtype.Resources
 	runs map[RunID]*run
@@ -224,12 +226,14 @@
 		r.stopAcked = 0
 		r.stopUpdatedAt = d.now
 		r.reason = "worker restarted"
+		r.orderedClock = 0
 		d.addOrder(Stop{Worker: w.info.ID, Run: r.id})
 	}
 	w.invalidateLoad()
 	w.info.Incarnation = incarnation
 	w.processedEnds = 0
 	w.storedEnds = 0
+	w.clock = 0
 	w.orphans = map[RunID]time.Time{}
 	w.reachable = false
 	w.health = health{}
