Use an endpoint again that has closed a single connection

What callers would see: a service whose endpoints have each closed one kept connection, for example after an error, is refused as without endpoints (503, NoEndpoint) though the host list shows them as live, until they are listed under another address.

Cause: an answer with Connection: close from an endpoint that kept connections open before marked it as draining for good. Only an answer could show that, and no request was sent there any more. The class of fault: a condition that only a call can clear, and that forbids the call. Found by reading; aqgateway does not run on the platform.

Tests: TestEndpointThatClosedOneConnectionIsUsedAgain failed before; TestDrainingEndpointIsNotUsedAgain passed before and after. go test ./pkg/aqroute and ./pkg/aqgateway passed.

--- a/pkg/aqroute/table.go
+++ b/pkg/aqroute/table.go
@@ -18,9 +18,12 @@
 	// InFlight is the number of this gateway's requests in flight at the endpoint; it
 	// is from zero to Slots.
 	InFlight int
-	// Draining is set once the platform lists the endpoint as draining or the endpoint
-	// began to close its connections; it gets no new requests.
+	// Draining is set once the platform lists the endpoint as draining; it gets no new
+	// requests.
 	Draining bool
+	// closingFor is the number of host list snapshots for which the endpoint counts as
+	// shutting down, since it began to close its connections.
+	closingFor int
 	// failures is the number of failures since the last success. While it is above
 	// zero, the endpoint gets probes only.
 	failures int
@@ -76,6 +79,7 @@
 		}
 		e.listed = true
 		e.missedSnapshots = 0
+		e.closingFor = max(0, e.closingFor-1)
 		e.Draining = e.Draining || h.State == aqplatform.HostDraining
 	}
 	t.endpoints = t.endpoints[:0]
@@ -89,22 +93,30 @@
 	}
 }
 
-// Slots returns the sum of the slots of all listed endpoints that do not drain.
+// closingSnapshots is the number of snapshots after which an endpoint that closed a connection
+// and is still listed as live gets requests again. Servers also close single connections, for
+// example after an error.
+const closingSnapshots = 30
+
+// leaving reports whether the endpoint gets no new requests since it shuts down.
+func (e *Endpoint) leaving() bool { return e.Draining || e.closingFor > 0 }
+
+// Slots returns the sum of the slots of all listed endpoints that do not shut down.
 func (t *Table) Slots() int {
 	slots := 0
 	for _, e := range t.endpoints {
-		if e.listed && !e.Draining {
+		if e.listed && !e.leaving() {
 			slots += e.Slots
 		}
 	}
 	return slots
 }
 
-// Len returns the number of listed endpoints that do not drain.
+// Len returns the number of listed endpoints that do not shut down.
 func (t *Table) Len() int {
 	count := 0
 	for _, e := range t.endpoints {
-		if e.listed && !e.Draining {
+		if e.listed && !e.leaving() {
 			count++
 		}
 	}
@@ -139,7 +151,7 @@
 }
 
 func (e *Endpoint) available() bool {
-	return e.listed && !e.Draining && e.failures == 0 && e.InFlight < e.Slots
+	return e.listed && !e.leaving() && e.failures == 0 && e.InFlight < e.Slots
 }
 
 // Pick takes a slot at the less loaded of two random endpoints (power of two choices).
@@ -201,11 +213,11 @@
 
 // RecordAnswer records whether an answer announced the close of its connection, for
 // example by the header Connection: close. If the endpoint kept connections open
-// before, it is shutting down: it counts as draining from now on, earlier than in the
-// host list.
+// before, it may be shutting down: it gets no new requests until the host list has had time
+// to show it as draining.
 func (e *Endpoint) RecordAnswer(closing bool) {
 	if closing && e.keptAlive {
-		e.Draining = true
+		e.closingFor = closingSnapshots
 	}
 	e.keptAlive = e.keptAlive || !closing
 }
