Let a suspended filler run again beside serving tasks that are under their targets

What callers would see: a batch task that was suspended beside a serving task never ends, though the serving task has been well under its target ever since.

Cause: a suspended filler is sped up where the measured tail latency is below 0.65 of the target and the predicted one below 0.58. A serving image that is at 0.62 alone, which is learned just while fillers are suspended, is never predicted below that, and what the filler does to it is learned only while it runs. Only fillers with checkpoints move to another worker, and a suspended run never counts as stuck. The class of fault is that of the probation: a condition that only a call can clear, and that forbids the call.

Now a filler that has been suspended for 5 s runs at a quarter of its pace again if the measured tail latencies allow it. Where that does harm, it is suspended again as before.

--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -42,6 +42,9 @@
 	// slowAllAfter is how long a tail latency may stay over its target before all
 	// co-located fillers are slowed down, whatever the interference model predicts.
 	slowAllAfter = 1500 * time.Millisecond
+	// suspendedPatience is how long a filler stays suspended beside serving tasks that are well
+	// under their targets, whatever the interference model predicts.
+	suspendedPatience = 5 * time.Second
 	// relocateDelay is how long a filler stays below relocatePace before it is moved.
 	relocateDelay = time.Second
 	// moveRetryPerWorker gives the interval between two searches for another worker for one
@@ -88,6 +91,8 @@
 		d.setPace(filler, 0, over)
 	case worst <= speedUpTail && filler.pace < fullPace && d.worstPredictedTailRatio(w, extraFiller{}) <= maxPredictedTail:
 		d.setPace(filler, min(fullPace, filler.pace+paceStep), worst)
+	case worst <= speedUpTail && filler.pace == 0 && d.now.Sub(filler.paceAt) > suspendedPatience:
+		d.setPace(filler, reducedPace, worst)
 	}
 }
 
