Do not prolong a drain when its entry is applied again

What callers would see: runs that are lost with a draining worker, since the leader stops them too late.

Cause: the time that is left by the worker's entry counted from each time the leader applied the entry. When the same entry is applied again, as after a reset of the watch, the expected leave moves back by the time between. The class of fault: an age measured where a message is handled instead of where it was made. Workers write their entries about once a heartbeat, which bounds the effect while the store is up.

Now the earliest leave that an incarnation's entries have said holds. A leader that takes over still counts from when it reads the entry, since the entry has no time of its own.

--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -37,7 +37,8 @@
 	// the last whose effects are stored.
 	processedEnds int
 	storedEnds    int
-	// leavesAt is the earliest time at which a draining worker leaves.
+	// leavesAt is the earliest time at which a draining worker leaves, zero if this incarnation
+	// has not been listed as draining.
 	leavesAt time.Time
 	// avoidUntil is the time before which nothing is started after a refusal.
 	avoidUntil time.Time
@@ -98,7 +99,10 @@
 	}
 	if info.Draining {
 		w.reviewAt = time.Time{}
-		w.leavesAt = d.now.Add(info.Remaining)
+		// The same entry may be applied again later.
+		if leavesAt := d.now.Add(info.Remaining); !wasDraining || w.leavesAt.IsZero() || leavesAt.Before(w.leavesAt) {
+			w.leavesAt = leavesAt
+		}
 		if !wasDraining {
 			d.options.Log.Write(aqlog.WorkerDraining, workerAttr(info.ID), slog.Duration("Remaining", info.Remaining),
 				slog.Int("Runs", len(w.runs)))
@@ -234,6 +238,7 @@
 	w.processedEnds = 0
 	w.storedEnds = 0
 	w.clock = 0
+	w.leavesAt = time.Time{}
 	w.orphans = map[RunID]time.Time{}
 	w.reachable = false
 	w.health = health{}
