Let no job that fits no worker hold back perpetual tasks

What callers would see: a perpetual task does not start, with exactly one place for it, for as long as a job waits that is larger than every worker.

Cause: perpetual tasks get the room that waiting short tasks do not need. A job that no worker can take counted as such a need for good, so that the room left was never positive; the exception after 1.5 s asks for two places. The class of fault: a condition that only a placement can clear.

Now tasks that are larger than every worker of their service are left out of the need and of its average.

--- a/pkg/aqdecider/headroom.go
+++ b/pkg/aqdecider/headroom.go
@@ -29,24 +29,28 @@
 type spareCPU map[aqjob.ServiceID]aqtype.MilliCPU
 
 // spareFor updates the averages and returns the free processors less what waiting
-// short tasks need and a margin for those that are expected.
+// short tasks need and a margin for those that are expected. Tasks that are larger than every
+// worker do not count.
 func (d *Decider) spareFor(waiting []*group) spareCPU {
 	free := spareCPU{}
 	use := map[aqjob.ServiceID]float64{}
+	largest := map[aqjob.ServiceID]aqtype.Resources{}
 	for _, w := range d.fleet {
 		service := w.info.Service
 		use[service] += float64(w.currentLoad().shortReserved)
+		largest[service] = largest[service].Max(w.info.Capacity)
 		if w.present && w.reachable && !w.info.Draining {
 			free[service] += max(0, w.info.Capacity.MilliCPU-w.used.MilliCPU)
 		}
 	}
 	for _, g := range waiting {
-		if g.spec.Filler || g.spec.Perpetual {
+		service := g.occurrence.job.queue.Service
+		if g.spec.Filler || g.spec.Perpetual || !g.spec.Reserved().Fits(largest[service]) {
 			continue
 		}
 		needed := aqtype.MilliCPU(g.remaining) * g.spec.Size.MilliCPU
-		free[g.occurrence.job.queue.Service] -= needed
-		use[g.occurrence.job.queue.Service] += float64(needed)
+		free[service] -= needed
+		use[service] += float64(needed)
 	}
 	d.shortUse.update(use, d.now)
 	for service, average := range d.shortUse.average {
