--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -278,14 +278,15 @@
 	j := t.group.occurrence.job
 	t.attempt = attempt
 	r := &run{
-		id:        RunID{Task: t.id(), Attempt: attempt},
-		task:      t,
-		worker:    w,
-		state:     runStarting,
-		size:      t.group.spec.Reserved(),
-		orderedAt: d.now,
-		pace:      fullPace,
-		tried:     w.trial == t,
+		id:           RunID{Task: t.id(), Attempt: attempt},
+		task:         t,
+		worker:       w,
+		state:        runStarting,
+		size:         t.group.spec.Reserved(),
+		orderedAt:    d.now,
+		pace:         fullPace,
+		tried:        w.trial == t,
+		orderedClock: w.clock,
 		// A resent start order must carry the same checkpoint.
 		resumeFrom: t.checkpoint,
 	}
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -22,6 +22,7 @@
 	d.noteFirstReport(w)
 	w.reported = report.Incarnation
 	w.reportedAt = d.now
+	w.clock = max(w.clock, report.Clock)
 	d.workerReturned(w)
 	if !w.reachable {
 		w.reachable = true
@@ -51,7 +52,7 @@
 func (d *Decider) runReported(w *worker, report RunReport, of WorkerReport) {
 	r := w.runs[report.Run]
 	if r == nil {
-		d.adoptOrStop(w, report, of.Sent)
+		d.adoptOrStop(w, report, of)
 		return
 	}
 	sent := of.Sent
@@ -118,7 +119,7 @@
 
 // adoptOrStop handles a reported run that this decider does not know. It adopts the run
 // if its task needs one, and stops it as an orphan otherwise.
-func (d *Decider) adoptOrStop(w *worker, report RunReport, sent LogicalTime) {
+func (d *Decider) adoptOrStop(w *worker, report RunReport, of WorkerReport) {
 	d.forgetEarlier(report.Run.Task)
 	t := d.task(report.Run.Task)
 	if t != nil {
@@ -134,24 +135,25 @@
 		return
 	}
 	r := &run{
-		id:         report.Run,
-		task:       t,
-		worker:     w,
-		size:       t.group.spec.Reserved(),
-		orderedAt:  d.now,
-		checkpoint: report.Checkpoint,
-		percent:    report.Percent,
-		report:     report,
-		reportAt:   d.now,
-		pace:       fullPace,
-		reportedIn: sent,
+		id:           report.Run,
+		task:         t,
+		worker:       w,
+		size:         t.group.spec.Reserved(),
+		orderedAt:    d.now,
+		checkpoint:   report.Checkpoint,
+		percent:      report.Percent,
+		report:       report,
+		reportAt:     d.now,
+		pace:         fullPace,
+		reportedIn:   of.Sent,
+		orderedClock: of.Clock,
 	}
 	t.setRun(r)
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 	w.invalidateLoad()
 	d.adoptTrial(r)
-	d.confirm(r, sent)
+	d.confirm(r, of.Sent)
 	d.options.Log.Write(aqlog.RunAdopted, taskAttr(report.Run.Task), workerAttr(w.info.ID),
 		slog.Int("Attempt", int(report.Run.Attempt)), slog.Int("Percent", report.Percent))
 	d.adoptPace(r)
