Count every change of the leader, whoever leads and however it is learned of

Found by the review: a leader that was learned of by its poll, and the terms of this process itself, did not count towards the two changes within 15 s after which no leader yields. Now the numbers of the terms are compared.

Tests: TestTermsOfEveryLeaderCountForAWhile (polls and own terms failed before); TestSlowRoundsEndTheTerm guards that slow rounds end the term at all, which no test did.

--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -4,7 +4,6 @@
 	"context"
 	"hash/fnv"
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -150,8 +149,10 @@
 	n.seenLeader = record
 	n.seenFence = max(n.seenFence, aqworker.Fence(leadItem.ModRevision))
 	n.mu.Unlock()
+	if record != nil {
+		n.noteTerm(record.Term)
+	}
 	if changed {
-		n.countLeadChange()
 		n.log.Write(aqlog.LeaderSeen, slog.String("Leader", record.Node), slog.Int64("Term", record.Term),
 			slog.Int64("Fence", int64(leadItem.ModRevision)))
 	}
@@ -160,6 +161,7 @@
 // learnLeader records a leader from its own poll, which may arrive before the
 // store's watch reports the leader.
 func (n *Node) learnLeader(record aqagent.LeadRecord, fence aqworker.Fence) {
+	n.noteTerm(record.Term)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if fence > n.seenFence {
@@ -199,27 +201,45 @@
 	return delay
 }
 
-// countLeadChange records that another leader leads.
-func (n *Node) countLeadChange() {
+// seenTerm is a term and the elapsed time at which this process learned of it.
+type seenTerm struct {
+	term int64
+	at   time.Duration
+}
+
+// noteTerm records a term, whether this process or another leads in it.
+func (n *Node) noteTerm(term int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if last := len(n.terms) - 1; last >= 0 && n.terms[last].term >= term {
+		return
+	}
 	now := n.clock.Elapsed()
-	n.leadChanges = slices.DeleteFunc(n.leadChanges, func(at time.Duration) bool { return now-at > settledTime })
-	n.leadChanges = append(n.leadChanges, now)
+	// The latest one from before the time is kept, so that the changes since can be counted.
+	for len(n.terms) > 1 && now-n.terms[1].at > settledTime {
+		n.terms = n.terms[1:]
+	}
+	n.terms = append(n.terms, seenTerm{
+		term: term,
+		at:   now,
+	})
 }
 
 // leadIsSettled reports whether the leader has not changed often within settledTime.
 func (n *Node) leadIsSettled() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if len(n.terms) == 0 {
+		return true
+	}
 	now := n.clock.Elapsed()
-	recent := 0
-	for _, at := range n.leadChanges {
-		if now-at <= settledTime {
-			recent++
+	before := n.terms[0].term
+	for _, t := range n.terms {
+		if now-t.at > settledTime {
+			before = t.term
 		}
 	}
-	return recent <= maxLeadChanges
+	return n.terms[len(n.terms)-1].term-before <= maxLeadChanges
 }
 
 // claim tries to acquire the leadership and leads while it is held.
@@ -311,6 +331,7 @@
 		}),
 	}
 	l.agents = newAgentPool(l)
+	n.noteTerm(record.Term)
 	n.log.Write(aqlog.LeadershipAcquired, slog.Int64("Term", record.Term), slog.Int64("Fence", int64(revision)))
 	n.metrics.Inc(aqmetric.LeadTerms)
 	return l
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -96,8 +96,8 @@
 	// seenFence is the highest fencing token of a leader that the lead key or a poll named.
 	seenFence aqworker.Fence
 	stopping  bool
-	// leadChanges holds the elapsed times of the changes of the leader within settledTime.
-	leadChanges []time.Duration
+	// terms holds the terms that this process has learned of within settledTime, in order.
+	terms []seenTerm
 	// yieldedAt is the elapsed time at which this process last yielded the leadership, valid
 	// only with yielded.
 	yieldedAt time.Duration
--- a/pkg/aqsite/yield_test.go
+++ b/pkg/aqsite/yield_test.go
@@ -4,6 +4,15 @@
 	"context"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqround"
+	"acaciaquay/internal/site/aqworker"
+	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqstore"
 )
 
 func TestSlowLeaderYieldsOnlyToAnotherThatCanLead(t *testing.T) {
@@ -24,8 +33,8 @@
 		}},
 		{name: "the leader changes all the time", change: func(l *leader) {
 			addMember(l, "n2", true)
-			for range maxLeadChanges + 1 {
-				l.node.countLeadChange()
+			for term := range int64(maxLeadChanges + 2) {
+				l.node.noteTerm(term)
 			}
 		}},
 	} {
@@ -61,17 +70,58 @@
 	}
 }
 
-func TestLeaderChangesCountForAWhile(t *testing.T) {
+func TestTermsOfEveryLeaderCountForAWhile(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		note func(n *Node, term int64)
+	}{
+		{name: "this process", note: func(n *Node, term int64) { n.newLeader(1, aqagent.LeadRecord{Term: term}, 0) }},
+		{name: "by a poll", note: func(n *Node, term int64) {
+			n.learnLeader(aqagent.LeadRecord{Node: "n2", Term: term}, aqworker.Fence(term))
+		}},
+		{name: "by the lead key", note: func(n *Node, term int64) {
+			value, err := aqjob.Encode(aqagent.LeadRecord{Node: "n2", Term: term})
+			if err != nil {
+				t.Fatal(err)
+			}
+			n.observeLead(aqstore.Item{Key: leadKey, Value: value, ModRevision: aqstore.Revision(term)})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n, clock := testNode(t, newFakeStore())
+			n.noteTerm(6)
+			for change := range maxLeadChanges + 1 {
+				clock.Advance(time.Second)
+				test.note(n, int64(7+change))
+				if got, want := n.leadIsSettled(), change < maxLeadChanges; got != want {
+					t.Errorf("settled after %d changes: %v", change+1, got)
+				}
+			}
+			clock.Advance(settledTime + time.Second)
+			if !n.leadIsSettled() {
+				t.Error("changes count for ever")
+			}
+		})
+	}
+}
+
+// slowClock advances with every reading, so that each round takes long.
+type slowClock struct{ aqclock.Instant }
+
+func (c slowClock) Now() time.Time {
+	c.Advance(2 * aqround.SlowRound)
+	return c.Instant.Now()
+}
+
+func TestSlowRoundsEndTheTerm(t *testing.T) {
 	store := newFakeStore()
 	n, clock := testNode(t, store)
-	for term := range maxLeadChanges + 1 {
-		n.countLeadChange()
-		if got, want := n.leadIsSettled(), term < maxLeadChanges; got != want {
-			t.Errorf("settled after %d changes: %v", term+1, got)
-		}
-	}
-	clock.Advance(settledTime + time.Second)
-	if !n.leadIsSettled() {
-		t.Error("changes count for ever")
+	l := lead(t, n, store)
+	addMember(l, "n2", true)
+	clock.Advance(minTermToYield)
+	n.clock = slowClock{Instant: clock}
+	l.tickLoop(context.Background())
+	if !errors.Is(l.lost, errSlow) {
+		t.Fatalf("the term ended with %v", l.lost)
 	}
 }
