Overdue fillers: any obstacle of the model, every group, gangs and suspects; probes that show a sound worker

Groups of ended jobs are passed over for the rest of the round. - A forbidden filler still waited beside any other filler, on every worker at large. Where harm is expected a worker now gets such a start every 3 s, so that each is measured before the next. - The leftover of processors had no limit in time: the start at a quarter of the pace is judged by a quarter of the size. - Groups that fit nowhere used up the searches of a round: the longest wait goes first, and a search that found nothing is repeated ever more rarely. - Gangs and suspected tasks of fillers, and fillers of advised queues, which got no ticket, were left out. - A suspected worker stayed closed while its probe ran: progress for 3 s clears it, a suspended probe does not count, and a gang may start there. - A halted run with measurements more than 2 s apart on its worker's clock was never found: 1 s of each gap counts.

--- a/pkg/aqdecider/advice.go
+++ b/pkg/aqdecider/advice.go
@@ -130,7 +130,8 @@
 		if !d.feasible(g, w, aqtype.Resources{}) {
 			continue
 		}
-		if score := d.score(g, w, aqtype.Resources{}); score < forbiddenScore {
+		score := d.score(g, w, aqtype.Resources{})
+		if score < forbiddenScore || (g.overdue(d.now) && d.fillerObstacle(g, w, reducedPace) != obstacleLeftover) {
 			unanswered = append(unanswered, scored{worker: w, score: score})
 		}
 	}
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -87,8 +87,6 @@
 	// workersSearched counts the workers that searches for better ones have looked at in one
 	// round of decisions.
 	workersSearched int
-	// overdueSearches counts the searches for overdue fillers in one round of decisions.
-	overdueSearches int
 	// waitsNotedAt is when the waits of groups were looked at last.
 	waitsNotedAt time.Time
 	shortUse     shortUse
@@ -194,7 +192,6 @@
 func (d *Decider) Tick() []Order {
 	clear(d.harmedShares)
 	d.workersSearched = 0
-	d.overdueSearches = 0
 	d.startDueOccurrences()
 	d.reviewWorkers()
 	d.plan()
--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -16,7 +16,7 @@
 	w := r.worker
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.size)
-	w.health.ended(r.id)
+	w.health.ended(r)
 	w.invalidateLoad()
 	t.run = nil
 	t.reconciled = true
@@ -61,7 +61,7 @@
 func (d *Decider) requeue(t *task) {
 	if !t.done && t.run == nil && t.group.ready && !t.group.occurrence.job.state.Final() {
 		d.waiting[t.group] = true
-		t.group.changedAt = d.now
+		t.group.changed(d.now)
 	}
 }
 
--- a/pkg/aqdecider/health.go
+++ b/pkg/aqdecider/health.go
@@ -17,6 +17,9 @@
 	// after that doubles the time, up to maxProbation.
 	firstProbation = 2 * time.Second
 	maxProbation   = 16 * time.Second
+	// soundAfter is how long a run with progress must be seen on a suspected worker to clear
+	// it.
+	soundAfter = 3 * time.Second
 )
 
 // health tracks a worker's failures: failed runs, runs without progress, and starts
@@ -26,9 +29,9 @@
 	failedJobs   []aqjob.ID
 	probationEnd time.Time
 	probation    time.Duration
-	// probe is the run that the suspected worker has been given after its probation, the
-	// zero value if there is none.
-	probe RunID
+	// probe is the run that the suspected worker has been given after its probation, nil if
+	// there is none.
+	probe *run
 }
 
 func (h *health) succeeded() { *h = health{} }
@@ -65,26 +68,33 @@
 // suspected worker gets one task at a time. The runs that it has had before do not count:
 // those of perpetual tasks may never end.
 func (h *health) usable(now time.Time) bool {
-	return !h.suspected() || (now.After(h.probationEnd) && h.probe == RunID{})
+	return !h.suspected() || (now.After(h.probationEnd) && (h.probe == nil || h.probe.pace == 0))
 }
 
 // started records a start on the worker.
-func (h *health) started(id RunID) {
+func (h *health) started(r *run) {
 	if h.suspected() {
-		h.probe = id
+		h.probe = r
 	}
 }
 
 // ended records the end of a run, whatever its outcome.
-func (h *health) ended(id RunID) {
-	if h.probe == id {
-		h.probe = RunID{}
+func (h *health) ended(r *run) {
+	if h.probe == r {
+		h.probe = nil
 	}
 }
 
-// ready records that a perpetual task serves. It clears the worker if that is its probe.
-func (h *health) ready(id RunID) {
-	if h.suspected() && h.probe == id {
+// reported records a report of a run. It clears the worker if the run is its probe and shows
+// that the worker is sound: a perpetual task that serves, or another with progress.
+func (h *health) reported(r *run) {
+	if !h.suspected() || h.probe != r {
+		return
+	}
+	if r.task.group.spec.Perpetual && r.report.Percent >= readyPercent {
+		h.succeeded()
+	}
+	if !r.task.group.spec.Perpetual && r.percent > 0 && r.seen() >= soundAfter {
 		h.succeeded()
 	}
 }
--- a/pkg/aqdecider/interference.go
+++ b/pkg/aqdecider/interference.go
@@ -159,45 +159,78 @@
 // Fillers that wait for long. The interference model may expect harm on every worker, and it
 // learns only from fillers that run.
 const (
-	// fillerPatience is how long a group of fillers waits without a change before one of its
-	// tasks is started at reducedPace, where it is expected to do least harm.
+	// fillerPatience is how long a group of fillers waits without a change until it is overdue.
+	// One of its tasks is then started at reducedPace, where it is expected to do least harm.
 	fillerPatience = 1500 * time.Millisecond
+	// maxOverduePause limits the pause after a search that found no worker.
+	maxOverduePause = 12 * time.Second
 	// maxOverdueSearches limits the searches for such workers in one round of decisions: each
 	// looks at every worker.
 	maxOverdueSearches = 2
+	// slowStartInterval is the interval between two such starts on one worker where harm is
+	// expected, so that the first is measured.
+	slowStartInterval = 3 * time.Second
 	// penaltyOverTarget counts against workers with a serving task over its target.
 	penaltyOverTarget = 10.0
+	// overdueScore is added for workers that would be forbidden otherwise.
+	overdueScore = 1000.0
 )
 
-// startOverdue starts one task of a group of fillers that has waited for fillerPatience.
-func (d *Decider) startOverdue(g *group) {
-	if !g.spec.Filler || g.spec.Gang || d.overdueSearches >= maxOverdueSearches || d.now.Sub(g.changedAt) < fillerPatience {
-		return
-	}
-	pending := g.pending(d.now, d.hasUnreported())
-	position := slices.IndexFunc(pending, func(t *task) bool { return !t.history.Suspected() })
-	if position < 0 {
-		return
+// overdue reports whether the fillers of a group have waited for fillerPatience.
+func (g *group) overdue(now time.Time) bool {
+	return g.spec.Filler && now.Sub(g.changedAt) >= fillerPatience
+}
+
+// changed records a change of the group's tasks.
+func (g *group) changed(now time.Time) {
+	g.changedAt = now
+	g.overduePause = fillerPatience
+	g.overdueSearchAt = now.Add(fillerPatience)
+}
+
+// startOverdue starts one task each of overdue groups, those that have waited longest first.
+func (d *Decider) startOverdue(waiting []*group) {
+	var due []*group
+	for _, g := range waiting {
+		if !g.spec.Gang && g.overdue(d.now) && !d.now.Before(g.overdueSearchAt) {
+			due = append(due, g)
+		}
 	}
-	d.overdueSearches++
-	g.changedAt = d.now
-	if w := d.leastHarmed(g); w != nil {
-		d.startSlowly(pending[position], w)
+	slices.SortStableFunc(due, func(a, b *group) int { return a.overdueSearchAt.Compare(b.overdueSearchAt) })
+	unreported := d.hasUnreported()
+	searches := 0
+	for _, g := range due {
+		if g.occurrence.job.state.Final() {
+			continue
+		}
+		pending := g.pending(d.now, unreported)
+		position := slices.IndexFunc(pending, func(t *task) bool { return !t.history.Suspected() })
+		if position < 0 {
+			continue
+		}
+		if searches++; searches > maxOverdueSearches {
+			return
+		}
+		if w := d.leastHarmed(g); w != nil {
+			d.startSlowly(pending[position], w)
+			continue
+		}
+		g.overduePause = min(maxOverduePause, 2*g.overduePause)
+		g.overdueSearchAt = d.now.Add(g.overduePause)
 	}
 }
 
-// leastHarmed returns the worker with processors left for a filler where it is expected to do
-// least harm at reducedPace, nil if there is none. Where that is too much by the model, it
-// has to be the only filler.
+// leastHarmed returns the worker with processors left for a filler at reducedPace where it is
+// expected to do least harm, nil if there is none.
 func (d *Decider) leastHarmed(g *group) *worker {
 	var best *worker
 	bestScore := 0.0
 	for _, w := range d.fleet {
-		if !d.eligible(g, w, aqtype.Resources{}) || d.fillerObstacle(g, w) == obstacleLeftover {
+		if !d.eligible(g, w, aqtype.Resources{}) || d.fillerObstacle(g, w, reducedPace) == obstacleLeftover {
 			continue
 		}
 		score := d.worstLogTail(w, g.filler(reducedPace))
-		if score > maxLogTail && len(w.currentLoad().fillers) > 0 {
+		if score > maxLogTail && !w.slowStartAt.IsZero() && d.now.Sub(w.slowStartAt) < slowStartInterval {
 			continue
 		}
 		if w.overTarget(d.now) {
@@ -216,5 +249,12 @@
 	t.run.pace = reducedPace
 	t.run.paceAt = d.now
 	t.run.slowSince = d.now
+	w.slowStartAt = d.now
 	w.invalidateLoad()
 }
+
+// mayHarm reports whether the group's tasks may be started where harm is expected: it is overdue
+// and startOverdue cannot start its tasks one by one.
+func (d *Decider) mayHarm(g *group) bool {
+	return g.overdue(d.now) && (g.spec.Gang || g.suspectWaits())
+}
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -194,7 +194,7 @@
 		}
 		g.ready = true
 		g.readyAt = d.now
-		g.changedAt = d.now
+		g.changed(d.now)
 		if g.remaining > 0 {
 			d.waiting[g] = true
 		}
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -319,7 +319,12 @@
 // fillerScore prefers workers with leftover processors. It is forbiddenScore where the
 // filler would do harm.
 func (d *Decider) fillerScore(g *group, w *worker) float64 {
-	if d.fillerObstacle(g, w) != "" {
+	obstacle := d.fillerObstacle(g, w, fullPace)
+	switch {
+	case obstacle == "":
+	case obstacle != obstacleLeftover && d.mayHarm(g):
+		return overdueScore + d.worstLogTail(w, g.filler(fullPace))
+	default:
 		return forbiddenScore
 	}
 	l := w.currentLoad()
@@ -340,15 +345,16 @@
 	obstaclePredictedTail = "PredictedTail"
 )
 
-// fillerObstacle returns why a worker must not get a filler, empty if it may.
-func (d *Decider) fillerObstacle(g *group, w *worker) string {
+// fillerObstacle returns why a worker must not get a filler at a pace, empty if it may.
+func (d *Decider) fillerObstacle(g *group, w *worker, pace int) string {
 	l := w.currentLoad()
+	extra := g.filler(pace)
 	switch {
-	case l.fillerDemand+float64(g.spec.Size.MilliCPU) > maxFillerDemand*l.leftover:
+	case l.fillerDemand+extra.Usage > maxFillerDemand*l.leftover:
 		return obstacleLeftover
 	case w.overTarget(d.now):
 		return obstacleOverTarget
-	case d.worstLogTail(w, g.filler(fullPace)) > maxLogTail:
+	case d.worstLogTail(w, extra) > maxLogTail:
 		return obstaclePredictedTail
 	}
 	return ""
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -23,6 +23,10 @@
 	ranked := d.rankedGroups()
 	spare := d.spareFor(ranked)
 	for _, g := range ranked {
+		if g.occurrence.job.state.Final() {
+			// A suspected task of an earlier group has just ended the job.
+			continue
+		}
 		pending := g.pending(d.now, unreported)
 		if !g.spec.Gang {
 			pending = d.placeSuspects(pending)
@@ -33,12 +37,12 @@
 		if len(pending) > 0 && !noRoom.covers(g) {
 			d.placeGroup(g, pending, noRoom)
 		}
-		d.startOverdue(g)
 		if !g.hasUnplaced() {
 			delete(d.waiting, g)
 		}
 	}
 	d.keepShortages(noRoom)
+	d.startOverdue(ranked)
 }
 
 func (d *Decider) placeGroup(g *group, pending []*task, noRoom shortage) {
@@ -214,7 +218,7 @@
 	if len(w.orphans) > 0 || d.now.Before(w.avoidUntil) || !w.health.usable(d.now) {
 		return false
 	}
-	if w.health.suspected() && tentative != (aqtype.Resources{}) {
+	if w.health.suspected() && !g.spec.Gang && tentative != (aqtype.Resources{}) {
 		return false
 	}
 	if !w.used.Add(tentative).Add(g.spec.Reserved()).Fits(w.info.Capacity) {
@@ -291,11 +295,11 @@
 		resumeFrom: t.checkpoint,
 	}
 	t.setRun(r)
-	t.group.changedAt = d.now
+	t.group.changed(d.now)
 	d.options.Metrics.Observe(aqmetric.TimeWait, d.now.Sub(t.group.readyAt))
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
-	w.health.started(r.id)
+	w.health.started(r)
 	w.invalidateLoad()
 	d.options.Log.Write(aqlog.RunPlaced, taskAttr(r.id.Task), workerAttr(w.info.ID),
 		slog.Int("Attempt", int(attempt)), slog.Duration("Waited", d.now.Sub(t.group.readyAt)),
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -68,9 +68,7 @@
 	r.measure(report.Percent, of)
 	r.report = report
 	r.reportAt = d.now
-	if r.task.group.spec.Perpetual && report.Percent >= readyPercent {
-		w.health.ready(r.id)
-	}
+	w.health.reported(r)
 	r.trackTail(d.now)
 	d.runSeen(r)
 	if report.Checkpoint != "" {
@@ -78,6 +76,10 @@
 	}
 }
 
+// maxGapCounted is how much of the time between two measurements that are far apart counts as
+// time without progress.
+const maxGapCounted = time.Second
+
 // measure applies the progress of a run in a worker's report.
 func (r *run) measure(percent int, of WorkerReport) {
 	if r.measured && (of.Clock < r.measuredAt || (of.ProgressOmitted && percent <= r.percent)) {
@@ -88,8 +90,8 @@
 		r.progressAt = of.Clock
 		r.percent = percent
 	case gap > staleReport:
-		// A worker that was silent or frozen has not shown that its runs are stuck.
-		r.progressAt += gap
+		// A worker that was silent or frozen has hardly shown that its runs are stuck.
+		r.progressAt += gap - maxGapCounted
 	}
 	r.measuredAt = of.Clock
 	r.measured = true
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -66,9 +66,13 @@
 	// ready is set when all groups that this one depends on are done.
 	ready   bool
 	readyAt time.Time
-	// changedAt is when the group could run first, when a task of it was started or came back
-	// last, or when a worker was last looked for as it was overdue.
+	// changedAt is when the group could run first, or when a task of it was started or came back
+	// last.
 	changedAt time.Time
+	// overdueSearchAt is when a worker is next looked for if the group is overdue, overduePause
+	// the last pause before that.
+	overdueSearchAt time.Time
+	overduePause    time.Duration
 	// idleSince is since when noteWaits has seen the group without a run, zero while it has
 	// one.
 	idleSince time.Time
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -230,7 +230,7 @@
 	case !d.eligible(g, w, none):
 		return "NoTicket"
 	case g.spec.Filler:
-		return d.fillerObstacle(g, w)
+		return d.fillerObstacle(g, w, fullPace)
 	}
 	return "Suitable"
 }
