--- a/pkg/aqdecider/overdue_test.go
+++ b/pkg/aqdecider/overdue_test.go
@@ -206,9 +206,11 @@
 	s := h.lastStart(1)
 	for n := range 20 {
 		h.advance(1100 * time.Millisecond)
-		h.d.WorkerReported("w1", WorkerReport{Incarnation: 1, Complete: true, Sent: h.nextTime(),
+		h.d.WorkerReported("w1", WorkerReport{
+			Incarnation: 1, Complete: true, Sent: h.nextTime(),
 			Clock:   time.Duration(n) * 300 * time.Millisecond,
-			Running: []RunReport{{Run: s.Run, Percent: n / 3}}})
+			Running: []RunReport{{Run: s.Run, Percent: n / 3}},
+		})
 		h.tick()
 	}
 	if len(h.stopped) > 0 {
