Overdue fillers wait longer while most of the processors are in use

On a site that is full fillers wait for what others leave, and starts beside serving tasks that near their targets cost these. The users' bound of 3 s holds while under half of the service's capacity is in use; above that a group of fillers is overdue after 10 s.

--- a/pkg/aqdecider/advice.go
+++ b/pkg/aqdecider/advice.go
@@ -131,7 +131,7 @@
 			continue
 		}
 		score := d.score(g, w, aqtype.Resources{})
-		if score < forbiddenScore || (g.overdue(d.now) && d.fillerObstacle(g, w, reducedPace) != obstacleLeftover) {
+		if score < forbiddenScore || (d.overdue(g) && d.fillerObstacle(g, w, reducedPace) != obstacleLeftover) {
 			unanswered = append(unanswered, scored{worker: w, score: score})
 		}
 	}
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -90,9 +90,11 @@
 	// waitsNotedAt is when the waits of groups were looked at last.
 	waitsNotedAt time.Time
 	shortUse     shortUse
-	advice       map[GroupID]*advice
-	now          time.Time
-	wall         time.Time
+	// busy holds the services that use most of their processors, for the patience of fillers.
+	busy   map[aqjob.ServiceID]bool
+	advice map[GroupID]*advice
+	now    time.Time
+	wall   time.Time
 }
 
 // endedJob is a job in a final state. Decider.ended lists them in order of ending.
@@ -125,6 +127,7 @@
 
 		fillerShortages: map[placementClass]fillerShortage{},
 		advice:          map[GroupID]*advice{},
+		busy:            map[aqjob.ServiceID]bool{},
 	}
 }
 
--- a/pkg/aqdecider/interference.go
+++ b/pkg/aqdecider/interference.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciaquay/internal/site/aqinterference"
+	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqtype"
 )
 
@@ -159,9 +160,13 @@
 // Fillers that wait for long. The interference model may expect harm on every worker, and it
 // learns only from fillers that run.
 const (
-	// fillerPatience is how long a group of fillers waits without a change until it is overdue.
-	// One of its tasks is then started at reducedPace, where it is expected to do least harm.
+	// fillerPatience is how long a group of fillers waits without a change until it is overdue,
+	// busyPatience the same while more than busyShare of the service's processors are in use:
+	// then it also waits for what others will leave. One of its tasks is then started at
+	// reducedPace, where it is expected to do least harm.
 	fillerPatience = 1500 * time.Millisecond
+	busyPatience   = 10 * time.Second
+	busyShare      = 0.5
 	// maxOverduePause limits the pause after a search that found no worker.
 	maxOverduePause = 12 * time.Second
 	// maxOverdueSearches limits the searches for such workers in one round of decisions: each
@@ -176,9 +181,28 @@
 	overdueScore = 1000.0
 )
 
-// overdue reports whether the fillers of a group have waited for fillerPatience.
-func (g *group) overdue(now time.Time) bool {
-	return g.spec.Filler && now.Sub(g.changedAt) >= fillerPatience
+// overdue reports whether the fillers of a group have waited for too long.
+func (d *Decider) overdue(g *group) bool {
+	patience := fillerPatience
+	if d.busy[g.occurrence.job.queue.Service] {
+		patience = busyPatience
+	}
+	return g.spec.Filler && d.now.Sub(g.changedAt) >= patience
+}
+
+// noteBusy records the services of which more than busyShare of the processors are in use.
+func (d *Decider) noteBusy() {
+	inUse, capacity := map[aqjob.ServiceID]float64{}, map[aqjob.ServiceID]float64{}
+	for _, w := range d.fleet {
+		if !w.present || !w.reachable {
+			continue
+		}
+		inUse[w.info.Service] += float64(w.used.MilliCPU) + w.currentLoad().fillerDemand
+		capacity[w.info.Service] += float64(w.info.Capacity.MilliCPU)
+	}
+	for service := range capacity {
+		d.busy[service] = inUse[service] > busyShare*capacity[service]
+	}
 }
 
 // changed records a change of the group's tasks.
@@ -192,7 +216,7 @@
 func (d *Decider) startOverdue(waiting []*group) {
 	var due []*group
 	for _, g := range waiting {
-		if !g.spec.Gang && g.overdue(d.now) && !d.now.Before(g.overdueSearchAt) {
+		if !g.spec.Gang && d.overdue(g) && !d.now.Before(g.overdueSearchAt) {
 			due = append(due, g)
 		}
 	}
@@ -256,5 +280,5 @@
 // mayHarm reports whether the group's tasks may be started where harm is expected: it is overdue
 // and startOverdue cannot start its tasks one by one.
 func (d *Decider) mayHarm(g *group) bool {
-	return g.overdue(d.now) && (g.spec.Gang || g.suspectWaits())
+	return d.overdue(g) && (g.spec.Gang || g.suspectWaits())
 }
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -22,6 +22,7 @@
 	noRoom := d.recentShortages()
 	ranked := d.rankedGroups()
 	spare := d.spareFor(ranked)
+	d.noteBusy()
 	for _, g := range ranked {
 		if g.occurrence.job.state.Final() {
 			// A suspected task of an earlier group has just ended the job.
