--- a/review/_standin/chaos.go
+++ b/review/_standin/chaos.go
@@ -81,6 +81,7 @@
 	late       float64
 	rnd        *rand.Rand
 	kinds      map[string]int
+	links      []*link
 }
 
 func (w *world) violate(f string, a ...any) {
@@ -659,11 +660,25 @@
 		if m.addr, err = s.serve(m); err != nil {
 			return notRun
 		}
+		l, err := newLink(m.addr)
+		if err != nil {
+			return notRun
+		}
+		m.addr = l.address()
+		w.links = append(w.links, l)
 		w.ms = append(w.ms, m)
 		go m.beat(s, 0)
 	}
 	for i := range 4 {
+		l, err := newLink(s.address)
+		if err != nil {
+			return notRun
+		}
+		w.links = append(w.links, l)
+		real := s.address
+		s.address = l.address()
 		n, err := s.newNode(i)
+		s.address = real
 		if err != nil {
 			return notRun
 		}
@@ -1003,6 +1018,26 @@
 			s.store.Compact()
 		case "compact":
 			s.store.Compact()
+		case "silent":
+			for _, l := range w.links {
+				l.silence()
+			}
+		case "mkind":
+			m := w.ms[rg.Intn(len(w.ms))]
+			w.mu.Lock()
+			if m.up {
+				w.rec.add("%s crashes, changes kind", m.id)
+				m.crash()
+				time.AfterFunc(back, func() {
+					w.mu.Lock()
+					m.label = map[string]string{"a": "b", "b": "a"}[m.label]
+					m.cpu = []int{8000, 16000}[rg.Intn(2)]
+					m.reset()
+					w.rec.add("%s up as %s %d", m.id, m.label, m.cpu)
+					w.mu.Unlock()
+				})
+			}
+			w.mu.Unlock()
 		case "late":
 			w.mu.Lock()
 			w.late = 0.06
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,6 +20,8 @@
 	"lasting-done": lastingDone,
 	"flap":         flap,
 	"chaos":        chaos,
+	"takeover":     takeover,
+	"kind":         otherKind,
 }
 
 // timeLimit ends a case that hangs.
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,15 +32,17 @@
 
 // site is the platform with its workers, and the processes of the site.
 type site struct {
-	record  *record
-	dir     string
-	done    chan struct{}
-	store   *aqfake.Store
-	address string
-	nodes   []*node
-	minions []*minion
-	servers []*http.Server
-	client  *http.Client
+	record *record
+	dir    string
+	done   chan struct{}
+	// storeDown keeps minions from writing their entries.
+	storeDown atomic.Bool
+	store     *aqfake.Store
+	address   string
+	nodes     []*node
+	minions   []*minion
+	servers   []*http.Server
+	client    *http.Client
 	// advice is the address of the advice service, empty if there is none.
 	advice string
 
@@ -199,7 +204,7 @@
 func (s *site) register(m *minion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.down {
+	if m.down || s.storeDown.Load() {
 		return
 	}
 	m.seq++
@@ -262,13 +267,16 @@
 	exited chan struct{}
 }
 
+// freeAddress returns a free address below the ports that the system gives to connections.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.Intn(18000))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 func (s *site) newNode(number int) (*node, error) {
