--- a/review/_standin/chaos.go
+++ b/review/_standin/chaos.go
@@ -113,7 +113,7 @@
 func (m *cMinion) clock() time.Duration { return time.Since(m.born) }
 
 func (m *cMinion) reset() {
-	m.up = true
+	m.up, m.draining = true, false
 	m.gen++
 	m.born = time.Now()
 	m.fence, m.leaseEnd, m.endN = 0, 0, 0
@@ -602,8 +602,11 @@
 func (m *cMinion) entry() []byte {
 	m.seq++
 	state := "ready"
+	if m.draining {
+		state = "draining"
+	}
 	e := map[string]any{"service": service, "addr": m.addr, "zone": "zone0", "version": "v1", "slots": 8, "state": state,
-		"capacity": map[string]any{"cpu": m.cpu, "mem_mb": m.mem, "gpus": 0}, "labels": []string{m.label, "r1-" + m.id[1:2]},
+		"capacity": map[string]any{"cpu": m.cpu, "mem_mb": m.mem, "gpus": 0}, "labels": []string{m.label, "r1-" + m.id[1:2]}, "remaining_ms": 2000,
 		"born": m.born.UnixMilli(), "seq": m.seq, "cold_left_ms": 0}
 	d, _ := json.Marshal(e)
 	return d
@@ -701,8 +704,13 @@
 	var wg sync.WaitGroup
 	var faulting sync.WaitGroup
 	if trouble {
-		faulting.Add(1)
-		go func() { defer faulting.Done(); w.faults(s, rand.New(rand.NewSource(seed+99)), stopAt, only) }()
+		for i := range 2 {
+			faulting.Add(1)
+			go func() {
+				defer faulting.Done()
+				w.faults(s, rand.New(rand.NewSource(seed+99+int64(i)*1000)), stopAt, only)
+			}()
+		}
 	}
 	for n := 0; time.Now().Before(stopAt); n++ {
 		id := fmt.Sprintf("%08x%08x", seed&0xffffff, n)
@@ -959,7 +967,7 @@
 
 func (w *world) faults(s *site, rg *rand.Rand, stopAt time.Time, only string) {
 	mark := func() { w.mu.Lock(); w.calmSince = time.Now(); w.mu.Unlock() }
-	all := []string{"kill", "killleader", "freeze", "freezeleader", "mcrash", "mcrash", "storedown", "storeslow", "storelost", "storelate", "stall", "compact", "late", "term"}
+	all := []string{"kill", "killleader", "freeze", "freezeleader", "mcrash", "mcrash", "storedown", "storeslow", "storelost", "storelate", "stall", "compact", "late", "term", "drain", "mcrash", "killleader", "silent"}
 	if only != "" {
 		all = strings.Split(only, ",")
 	}
@@ -977,17 +985,49 @@
 		back := time.Duration(200+rg.Intn(3000)) * time.Millisecond
 		switch kind {
 		case "kill", "killleader":
+			n.busy.Lock()
 			n.kill()
 			time.Sleep(back)
 			_ = n.start()
+			n.busy.Unlock()
 		case "term":
+			n.busy.Lock()
 			n.signal(syscall.SIGTERM)
 			<-n.exited
 			_ = n.start()
+			n.busy.Unlock()
+		case "drain":
+			m := w.ms[rg.Intn(len(w.ms))]
+			w.mu.Lock()
+			if m.up && !m.draining {
+				m.draining = true
+				s.store.Put(aqfake.WorkerKey(m.id), m.entry())
+				w.rec.add("%s drains", m.id)
+				time.AfterFunc(2500*time.Millisecond, func() {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					if !m.up || !m.draining {
+						return
+					}
+					m.crash()
+					s.store.Remove(aqfake.WorkerKey(m.id))
+					w.rec.add("%s has left", m.id)
+					time.AfterFunc(3*time.Second, func() {
+						w.mu.Lock()
+						defer w.mu.Unlock()
+						m.reset()
+						s.store.Put(aqfake.WorkerKey(m.id), m.entry())
+						w.rec.add("%s is new", m.id)
+					})
+				})
+			}
+			w.mu.Unlock()
 		case "freeze", "freezeleader":
+			n.busy.Lock()
 			n.signal(syscall.SIGSTOP)
 			time.Sleep(500*time.Millisecond + back)
 			n.signal(syscall.SIGCONT)
+			n.busy.Unlock()
 		case "mcrash":
 			for range 1 + rg.Intn(2) {
 				m := w.ms[rg.Intn(len(w.ms))]
--- a/review/_standin/kind.go
+++ b/review/_standin/kind.go
@@ -54,11 +54,13 @@
 	s.storeDown.Store(trouble)
 	s.restart(m)
 	time.Sleep(3500 * time.Millisecond)
-	s.storeDown.Store(false)
 	s.store.SetFaults(aqfake.StoreFaults{})
 	if trouble {
 		rec.add("the store answers again")
 	}
+	// With the heartbeat's phase, the minions' next entries come 0.9 to 2 s after that.
+	time.Sleep(900 * time.Millisecond)
+	s.storeDown.Store(false)
 	time.Sleep(4 * time.Second)
 	starts := s.startsOf(task)
 	if len(starts) > 1 && starts[1].worker == "m0" {
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -262,6 +262,9 @@
 	settings string
 	log      string
 
+	// busy is held by whoever stops and starts the process.
+	busy sync.Mutex
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
