--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -22,6 +22,7 @@
 	"chaos":        chaos,
 	"takeover":     takeover,
 	"kind":         otherKind,
+	"big":          big,
 }
 
 // timeLimit ends a case that hangs.
