--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,7 +20,7 @@
 	"value-limit":  valueLimit,
 	"flap":         flap,
 	"lasting-done": lastingDone,
-	"other-kind":   otherKind,
+	"late-start":   lateStart,
 }
 
 // timeLimit ends a case that hangs.
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,17 +32,15 @@
 
 // site is the platform with its workers, and the processes of the site.
 type site struct {
-	record *record
-	dir    string
-	done   chan struct{}
-	// storeDown keeps minions from writing their entries.
-	storeDown atomic.Bool
-	store     *aqfake.Store
-	address   string
-	nodes     []*node
-	minions   []*minion
-	servers   []*http.Server
-	client    *http.Client
+	record  *record
+	dir     string
+	done    chan struct{}
+	store   *aqfake.Store
+	address string
+	nodes   []*node
+	minions []*minion
+	servers []*http.Server
+	client  *http.Client
 
 	// work decides how a run goes; the default ends as done at once.
 	work func(worker string, run aqfake.TaskRun) aqfake.Work
@@ -53,6 +50,8 @@
 	running map[string]map[string]int
 	starts  []start
 	ends    []end
+	// noted holds the tasks with an end done that is taken note of.
+	noted map[string]bool
 }
 
 type start struct {
@@ -95,6 +94,9 @@
 // Acknowledged implements aqfake.Observer.
 func (s *site) Acknowledged(worker string, run aqfake.TaskRun, reason string) {
 	s.record.add("minion %s: last_seen covers the end %s of %s attempt %d", worker, reason, run.Task, run.Attempt)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noted[run.Task] = s.noted[run.Task] || reason == "done"
 }
 
 // startsOf returns the starts of a task.
@@ -123,6 +125,13 @@
 	return found
 }
 
+// taken reports whether an end done of a task is taken note of.
+func (s *site) taken(task string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.noted[task]
+}
+
 // runs returns how many runs a task has now.
 func (s *site) runs(task string) int {
 	s.mu.Lock()
@@ -162,6 +171,7 @@
 		dir:     dir,
 		done:    make(chan struct{}),
 		running: map[string]map[string]int{},
+		noted:   map[string]bool{},
 		client:  &http.Client{Timeout: 3 * time.Second},
 		work:    func(string, aqfake.TaskRun) aqfake.Work { return aqfake.Work{} },
 	}
@@ -202,7 +212,7 @@
 func (s *site) register(m *minion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.down || s.storeDown.Load() {
+	if m.down {
 		return
 	}
 	m.seq++
