--- a/review/_standin/lasting.go
+++ b/review/_standin/lasting.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"syscall"
 	"time"
 
 	"acaciaquay/platform/aqfake"
@@ -52,7 +53,7 @@
 	time.Sleep(time.Until(last.Add(firstRun - time.Second)))
 	if trouble {
 		for _, n := range s.nodes {
-			n.signal(killSignal)
+			n.signal(syscall.SIGKILL)
 		}
 		for _, n := range s.nodes {
 			<-n.exited
