--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -26,7 +26,7 @@
 	workerCPU = 64000
 	workerMem = 256000
 	queueHost = "queue.example"
-	prefix    = "/work/"
+	prefix    = "/jobs/"
 	service   = "pool"
 )
 
@@ -179,7 +179,15 @@
 	if s.address, err = s.serve(s.store); err != nil {
 		return s, err
 	}
-	config, err := aqfake.Config(1, 3)
+	config, err := json.Marshal(map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "queue", "host": queueHost, "prefix": prefix, "service": service, "priority": 0,
+			"max_attempts": 3, "stretch": 2.0, "target_duration_ms": 1000,
+		}},
+		"services": []map[string]any{{"name": service, "rejects_overload": false}},
+		"limits":   map[string]any{"max_body_bytes": 262144},
+	})
 	if err != nil {
 		return s, err
 	}
