--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -99,7 +99,8 @@
 		position := 0
 		for _, g := range o.groups {
 			for _, t := range g.tasks {
-				t.done = bitSet(stored.Done, position)
+				// Earlier versions stored perpetual tasks as done.
+				t.done = bitSet(stored.Done, position) && !g.spec.Perpetual
 				for _, attempt := range stored.Failed[position] {
 					t.failed = append(t.failed, Attempt(attempt))
 				}
@@ -257,7 +258,7 @@
 	}
 }
 
-// taskDone records that a task has succeeded.
+// taskDone records that a task has succeeded. Perpetual tasks never do: they end with their job.
 func (d *Decider) taskDone(t *task) {
 	if t.done {
 		return
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -234,11 +234,14 @@
 	}
 	switch e.Reason {
 	case EndDone:
+		d.options.Log.Write(aqlog.RunEnded, taskAttr(e.Run.Task), workerAttr(w.info.ID),
+			slog.Int("Attempt", int(e.Run.Attempt)), slog.String("How", e.Reason.String()))
+		if t.group.spec.Perpetual {
+			return
+		}
 		if t.run != nil {
 			d.stop(t.run, "an earlier attempt succeeded")
 		}
-		d.options.Log.Write(aqlog.RunEnded, taskAttr(e.Run.Task), workerAttr(w.info.ID),
-			slog.Int("Attempt", int(e.Run.Attempt)), slog.String("How", e.Reason.String()))
 		d.taskDone(t)
 	case EndFailed:
 		d.taskFailed(t, w, e.Run.Attempt)
