Renew a worker's lease after a silence only once the leader knows of it

What callers may see: a task runs on two workers at once (TWICE) for some hundred milliseconds, or until the first worker is reached again.

Cause: an agent that finds a worker unresponsive tells the leader when the worker's lease expires. If the worker answered again before the leader had taken it from the agent, the agent renewed the lease, and the leader still started the tasks elsewhere at the time that it had been told. The parameters of the heartbeats now say how many silences of the assignment the leader knows of.

Evidence: TestLeaseIsNotRenewedUntilTheLeaderKnowsOfTheSilence, with the check taken out: 'silence 1: the lease is renewed before the leader knows'.

Why it works: the end that the agent reports includes every renewal that it has sent, and it sends no other before the leader has handled the report.

--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -173,7 +173,7 @@
 func (s *session) awaitWorkerClock() {
 	for range workerClockWaits {
 		s.mu.Lock()
-		known := s.workerClock.known && s.params.Renew
+		known := s.workerClock.known && s.mayRenew()
 		s.mu.Unlock()
 		if known {
 			return
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -92,6 +92,8 @@
 	queue            []aqdecider.Order
 	inFlight         int
 	failedHeartbeats int
+	// silences is the number of Unresponsive events so far.
+	silences int
 	// orderDoneAt is the logical time at which the last start or stop was answered or
 	// abandoned.
 	orderDoneAt aqdecider.LogicalTime
@@ -275,10 +277,14 @@
 	return to, request, s.nextLogicalTime()
 }
 
+// mayRenew reports whether the leader lets the agent renew the lease. The caller holds the
+// lock.
+func (s *session) mayRenew() bool { return s.params.Renew && s.params.Silences == s.silences }
+
 // nextLeaseEnd returns the lease end to request, zero while the lease must not be
 // renewed. The caller holds the lock.
 func (s *session) nextLeaseEnd() aqworker.Time {
-	if !s.workerClock.known || !s.params.Renew || s.failedHeartbeats > 0 {
+	if !s.workerClock.known || !s.mayRenew() || s.failedHeartbeats > 0 {
 		return 0
 	}
 	end := s.workerClock.lowerBoundAt(s.agent.clock.Now()) + aqworker.Time(s.lease)
@@ -333,6 +339,9 @@
 	s.failedHeartbeats++
 	s.differ.Reset()
 	failed := s.failedHeartbeats
+	if failed == failedHeartbeatLimit {
+		s.silences++
+	}
 	expiresIn := time.Duration(-1)
 	if s.workerClock.known {
 		expiresIn = max(0, s.workerClock.passedBy(s.leaseEnd).Sub(s.agent.clock.Now()))
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -91,6 +91,56 @@
 	}
 }
 
+// Guards against the TWICE of issue 35: an agent that had reported a worker as unresponsive, and
+// when its lease expires, renewed the lease as soon as the worker answered again, while the leader
+// still counted on that time.
+func TestLeaseIsNotRenewedUntilTheLeaderKnowsOfTheSilence(t *testing.T) {
+	var last aqworker.HeartbeatRequest
+	fail := false
+	workers := &fakeWorkers{heartbeat: func(r aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
+		last = r
+		if fail {
+			return aqworker.HeartbeatAnswer{}, aqworker.ErrUnanswered
+		}
+		return aqworker.HeartbeatAnswer{Report: aqdecider.WorkerReport{Incarnation: 1}, Clock: aqworker.Time(100 * time.Second)}, nil
+	}}
+	s, _, _ := testSession(t, workers)
+	s.heartbeat()
+	renew := HeartbeatParams{
+		Worker: "w1",
+		Number: 1,
+		Wait:   time.Second,
+		Renew:  true,
+	}
+	s.setParams(renew)
+	for silences := 1; silences <= 3; silences++ {
+		fail = true
+		for range failedHeartbeatLimit {
+			s.heartbeat()
+		}
+		fail = false
+		s.heartbeat()
+		s.heartbeat()
+		if last.LeaseEnd != 0 {
+			t.Fatalf("silence %d: the lease is renewed before the leader knows", silences)
+		}
+		// Parameters that the leader has sent before it knew.
+		renew.Number++
+		s.setParams(renew)
+		s.heartbeat()
+		if last.LeaseEnd != 0 {
+			t.Fatalf("silence %d: earlier parameters renew the lease", silences)
+		}
+		renew.Number++
+		renew.Silences = silences
+		s.setParams(renew)
+		s.heartbeat()
+		if last.LeaseEnd == 0 {
+			t.Fatalf("silence %d: the lease is not renewed though the leader knows", silences)
+		}
+	}
+}
+
 // The computed lease expiry must not be too early for a worker whose clock is slow by
 // clockDrift.
 func TestLapseAllowsForASlowClock(t *testing.T) {
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -61,6 +61,10 @@
 	// assignment. The agent does not renew the lease before, so that the leader knows
 	// when it expires.
 	Renew bool
+	// Silences is the number of Unresponsive events of this assignment that the leader has
+	// received. The agent renews the lease only if these are all: each tells the leader when
+	// the lease expires.
+	Silences int
 }
 
 // OrdersCall gives assignments and orders to an agent. The leader makes one call at a
--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -143,6 +143,7 @@
 	}
 	a.tried[a.member.record.Name] = true
 	a.renew = false
+	a.silences++
 	to := p.pickMember(a.worker, a.tried)
 	if to != nil {
 		p.assign(a, to)
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -133,10 +133,11 @@
 func (a *workerAssignment) updateParams(d *aqdecider.Decider) bool {
 	id := a.worker.ID
 	h := aqagent.HeartbeatParams{
-		Worker: id,
-		Number: a.params.Number,
-		Wait:   aqagent.HeartbeatWaitIdle,
-		Renew:  a.renew,
+		Worker:   id,
+		Number:   a.params.Number,
+		Wait:     aqagent.HeartbeatWaitIdle,
+		Renew:    a.renew,
+		Silences: a.silences,
 	}
 	h.AckedEnd, h.Incarnation = d.AckedEnds(id)
 	if d.Occupied(id) {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -60,8 +60,11 @@
 	// tried lists the members that found the worker unresponsive.
 	tried map[string]bool
 	// renew is set once the worker has answered in this assignment.
-	renew  bool
-	params aqagent.HeartbeatParams
+	renew bool
+	// silences is the number of times that the agent has found the worker unresponsive in this
+	// assignment.
+	silences int
+	params   aqagent.HeartbeatParams
 	// listing is what the worker runs according to the reports of this assignment.
 	listing aqreport.Listing
 	// held is the last report with all ends since the assignment, nil once the leader has
@@ -308,7 +311,9 @@
 	}
 	a.member = to
 	a.params.Renew = false
+	a.params.Silences = 0
 	a.renew = false
+	a.silences = 0
 	a.listing = aqreport.Listing{}
 	if a.held != nil {
 		p.heldLost[a.worker.ID] = true
