--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -65,7 +65,7 @@
 	a := p.assignments[id]
 	report, err := a.listing.Apply(difference)
 	if err != nil {
-		a.leaseExpiresAt = p.leader.node.clock.Now().Add(p.longestLease())
+		a.leaseEndsBy(p.leader.node.clock.Now().Add(p.longestLease()))
 		p.assign(a, a.member)
 		p.mu.Unlock()
 		p.leader.node.metrics.Retried(aqmetric.RetryReportBase)
@@ -122,6 +122,15 @@
 	clear(p.heldLost)
 }
 
+// leaseEndsBy records that the worker's agent may renew its lease no more, so that the lease ends
+// by a time. A deadline that is known stays: without a report since, no agent was told to renew the
+// lease, however many have been tried.
+func (a *workerAssignment) leaseEndsBy(until time.Time) {
+	if a.leaseExpiresAt.IsZero() {
+		a.leaseExpiresAt = until
+	}
+}
+
 // workerUnresponsive assigns an unresponsive worker to another member, which may
 // reach it.
 func (p *agentPool) workerUnresponsive(d *aqdecider.Decider, id aqtype.WorkerID, e aqagent.Unresponsive) {
@@ -131,13 +140,11 @@
 		p.mu.Unlock()
 		return
 	}
-	if a.leaseExpiresAt.IsZero() {
-		expiresIn := e.ExpiresIn
-		if expiresIn < 0 {
-			expiresIn = p.longestLease()
-		}
-		a.leaseExpiresAt = p.leader.node.clock.Now().Add(expiresIn)
+	expiresIn := e.ExpiresIn
+	if expiresIn < 0 {
+		expiresIn = p.longestLease()
 	}
+	a.leaseEndsBy(p.leader.node.clock.Now().Add(expiresIn))
 	if a.tried == nil {
 		a.tried = map[string]bool{}
 	}
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqtype"
@@ -43,6 +44,45 @@
 	}
 }
 
+// Guards against review/5: a crashed worker was given to an agent that was gone for good each time
+// that agent was tried again, and each loss of the agent moved the end of the worker's lease.
+func TestLeaseOfACrashedWorkerEndsThoughItsAgentIsTriedAgain(t *testing.T) {
+	store := newFakeStore()
+	n, clock := testNode(t, store)
+	l := lead(t, n, store)
+	gone := addMember(l, "gone", true)
+	l.agents.addWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
+	l.decide(func(d *aqdecider.Decider) {
+		d.UpdateWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
+		d.MarkPersisted([]aqtype.WorkerID{"w1"})
+		l.agents.reportsReleased = true
+		l.agents.reportReceived(d, "w1", aqreport.Difference{Incarnation: 1, Sent: 1, Complete: true, Whole: true})
+	})
+	lost := n.clock.Now()
+	longest := l.agents.longestLease()
+	const step = 100 * time.Millisecond
+	for passed := time.Duration(0); ; passed += step {
+		if passed%memberRetry == 0 {
+			l.agents.agentFailed(gone, errTest)
+			l.agents.markUp(gone)
+		}
+		ended := false
+		before := l.agents.assignments["w1"].leaseExpiresAt
+		l.decide(l.agents.expireLeases)
+		ended = l.agents.assignments["w1"].leaseExpiresAt.IsZero()
+		if ended && passed <= longest {
+			t.Fatalf("the lease counts as ended after %s, want %s", passed, longest)
+		}
+		if ended {
+			return
+		}
+		if passed > longest+step {
+			t.Fatalf("%s after the loss of the agent the lease still ends at %s", passed, before.Sub(lost))
+		}
+		clock.Advance(step)
+	}
+}
+
 var errTest = errors.New("no answer")
 
 // addMember adds a member to a leader's pool without running the member's loops.
