--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -40,6 +40,8 @@
 	log     *aqlog.Logger
 	metrics *aqmetric.Set
 	guard   aqguard.Guard
+	// instance is the incarnation of the process.
+	instance int64
 
 	mu    sync.Mutex
 	fence aqworker.Fence
@@ -72,6 +74,8 @@
 	Clock    aqclock.Clock
 	Log      *aqlog.Logger
 	Metrics  *aqmetric.Set
+	// Instance is different at every start of the process.
+	Instance int64
 }
 
 // New returns an agent that manages no workers yet.
@@ -83,6 +87,7 @@
 		log:      o.Log,
 		metrics:  o.Metrics,
 		guard:    guard,
+		instance: o.Instance,
 		sessions: map[aqtype.WorkerID]*session{},
 		payloads: aqpayload.New(o.Payloads, o.Clock, o.Log, guard),
 		wake:     make(chan struct{}, 1),
@@ -255,9 +260,10 @@
 	a.answers++
 	a.answeredAt = a.clock.Elapsed()
 	answer := PollAnswer{
-		Number:  a.answers,
-		Events:  a.events,
-		Earlier: a.untoldEarlier(),
+		Number:   a.answers,
+		Instance: a.instance,
+		Events:   a.events,
+		Earlier:  a.untoldEarlier(),
 	}
 	if a.earlierIn == 0 {
 		a.earlierIn = a.answers
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -119,7 +119,10 @@
 type PollAnswer struct {
 	// Number identifies the answer. The leader's next poll acknowledges it.
 	Number uint64
-	Events []EventWire
+	// Instance is the incarnation of the agent's process. One that has restarted does not know
+	// which leader it followed before.
+	Instance int64
+	Events   []EventWire
 	// Earlier holds the runs on workers of which the agent did not know, when it learned of
 	// a new leader, whether they still run.
 	Earlier []aqdecider.EarlierRuns `msgpack:",omitempty"`
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -13,22 +13,29 @@
 // pollLoop polls a member for its events.
 func (p *agentPool) pollLoop(m *member) {
 	for m.ctx.Err() == nil {
-		if !p.leader.mayOrder() {
+		if !p.leader.mayPoll() {
 			aqclock.Sleep(m.ctx, p.leader.node.clock, retryPause)
 			continue
 		}
+		// Without the acknowledgement a poll gives no permit; its answer still shows whom the
+		// agent follows.
+		acked := uint64(0)
+		if p.leader.mayOrder() {
+			acked = m.lastAnswer
+		}
+		sent := p.leader.node.clock.Elapsed()
 		p.mu.Lock()
 		m.polledAt = p.leader.node.clock.Now()
 		p.mu.Unlock()
 		answer, err := m.link.Poll(m.ctx, aqagent.PollCall{
 			Fence:       p.leader.fence,
 			Leader:      p.leader.record,
-			AckedAnswer: m.lastAnswer,
+			AckedAnswer: acked,
 			Checked:     p.leader.node.lastCheck(),
 			Params:      p.changedParams(m),
 			Pending:     p.leader.pendingCounts(),
 			Gather:      p.gatherTime(),
-			Wait:        aqagent.PollWait,
+			Wait:        p.pollWait(),
 		})
 		if err != nil {
 			p.agentFailed(m, err)
@@ -38,7 +45,10 @@
 		}
 		m.lastAnswer = answer.Number
 		p.markUp(m)
-		p.leader.acknowledged(m.record.Name)
+		p.leader.acknowledged(m.record)
+		if answer.Instance == m.record.Incarnation {
+			p.leader.followed(m, sent)
+		}
 		p.noteEarlier(answer.Earlier)
 		p.applyEvents(m, answer.Events)
 		p.waitIdle(m)
@@ -93,6 +103,32 @@
 // minProcessors is the number of cores that a node counts as having at least.
 const minProcessors = 0.01
 
+// agingProof is the age of the last proof of leadership from which the leader asks its agents more
+// often whether they follow it.
+const agingProof = 600 * time.Millisecond
+
+// agingPollWait is how long an agent holds a poll meanwhile.
+const agingPollWait = 150 * time.Millisecond
+
+// pollWait returns how long an agent may hold a poll.
+func (p *agentPool) pollWait() time.Duration {
+	if p.leader.proofAge() > agingProof {
+		return agingPollWait
+	}
+	return aqagent.PollWait
+}
+
+// wakeIdle makes the leader poll the members without workers at once.
+func (p *agentPool) wakeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.ordered {
+		if m.assigned == 0 {
+			aqsignal.Send(m.wakePoll)
+		}
+	}
+}
+
 // idlePoll is how often a member without workers is polled.
 const idlePoll = 2 * time.Second
 
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -21,6 +21,8 @@
 type member struct {
 	record nodeRecord
 	link   agentLink
+	// joinedAt is the elapsed time at which the leader learned of the process.
+	joinedAt time.Duration
 	// up is cleared when a call to the agent fails, and set again when the agent answers
 	// a poll or memberRetry after a failed poll. persisted is set once the stored list of
 	// agents includes the member. The member gets workers only while both are set.
@@ -138,6 +140,7 @@
 	return &member{
 		record:    record,
 		link:      link,
+		joinedAt:  p.leader.node.clock.Elapsed(),
 		up:        true,
 		cancel:    cancel,
 		ctx:       memberCtx,
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -163,6 +163,7 @@
 	agents, memberChanges := l.agents.records()
 	var record fleetRecord
 	record.Agents = agents
+	record.Voters = l.nextVoters(agents)
 	var workerChanges uint64
 	l.decide(func(d *aqdecider.Decider) {
 		record.Workers = d.FleetIDs()
@@ -172,6 +173,9 @@
 	if err != nil {
 		return err
 	}
+	l.mu.Lock()
+	l.support.Propose(record.Voters)
+	l.mu.Unlock()
 	revision, err := l.node.store.Commit(ctx, aqstore.Txn{
 		Conditions: []aqstore.Condition{
 			{Key: leadKey, ModRevision: l.leadKeyRevision},
@@ -182,6 +186,9 @@
 	if err != nil {
 		return l.resolveFleetConflict(err)
 	}
+	l.mu.Lock()
+	l.support.Settle(record.Voters)
+	l.mu.Unlock()
 	l.fleetRevision = revision
 	l.fleetWritten = true
 	l.storedMemberChanges, l.storedWorkerChanges = memberChanges, workerChanges
@@ -195,7 +202,7 @@
 func (l *leader) fleetStored() bool {
 	var changes uint64
 	l.decide(func(d *aqdecider.Decider) { changes = d.FleetChanges() })
-	return l.fleetWritten && l.storedMemberChanges == l.agents.changeCount() && l.storedWorkerChanges == changes
+	return l.fleetWritten && !l.votersDue() && l.storedMemberChanges == l.agents.changeCount() && l.storedWorkerChanges == changes
 }
 
 // resolveFleetConflict adopts the revision of a write whose answer was lost.
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -10,6 +10,7 @@
 
 	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqquorum"
 	"acaciaquay/internal/site/aqround"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
@@ -37,7 +38,8 @@
 	retryPause = 200 * time.Millisecond
 	// watchWait is how long the store may hold one watch call without events.
 	watchWait = 10 * time.Second
-	// proofLimit is how long a leader continues without proof of its leadership.
+	// proofLimit is how long a leader continues without proof of its leadership from the
+	// store, if a majority of the processes follows it.
 	proofLimit = 6 * time.Second
 )
 
@@ -58,7 +60,11 @@
 	decider *aqdecider.Decider
 	// proofAt is the elapsed time at the last proof of leadership.
 	proofAt time.Duration
-	lost    error
+	// support tells whether a majority of the processes follows this leader, succession whether
+	// an earlier leader may have one.
+	support    aqquorum.Support
+	succession aqquorum.Succession
+	lost       error
 	// recovered is set once the stored jobs have been read.
 	recovered bool
 	// directory keeps the newest entries of service discovery.
@@ -70,8 +76,10 @@
 	// fleetRevision is the revision of the stored list of workers and agents;
 	// fleetWritten is set once this leader has written it. storedMemberChanges and
 	// storedWorkerChanges are the change counts that the stored list covers.
-	fleetRevision       aqstore.Revision
-	fleetWritten        bool
+	fleetRevision aqstore.Revision
+	fleetWritten  bool
+	// firstLeader is set if no earlier leader has stored the list.
+	firstLeader         bool
 	storedMemberChanges uint64
 	storedWorkerChanges uint64
 	// unacknowledged holds the agents of an earlier leader that have not yet answered
@@ -92,18 +100,45 @@
 	Workers []aqtype.WorkerID
 	// Agents are the processes that may manage workers for the leader.
 	Agents []nodeRecord
+	// Voters are the processes of which a leader without proof needs a majority. They change at
+	// the earliest proofLimit after the beginning of a term: earlier leaders may count on them
+	// until then. Earlier versions stored none.
+	Voters []aqquorum.Voter `msgpack:",omitempty"`
 }
 
 // leaseDuration is how long workers keep their tasks without a renewal.
 func (l *leader) leaseDuration() time.Duration { return l.node.settings.WorkerLease }
 
-// mayOrder reports whether the leadership was proved within proofLimit.
+// mayOrder reports whether the leadership was proved within aqquorum.UnaidedLimit, or within
+// proofLimit and a majority of the processes still follows this leader.
 func (l *leader) mayOrder() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.node.clock.Elapsed()
+	if l.lost != nil || now-l.proofAt >= proofLimit {
+		return false
+	}
+	if now-l.proofAt < aqquorum.UnaidedLimit {
+		return true
+	}
+	at, known := l.support.MajorityAt()
+	return known && now-at < aqquorum.MajorityLimit
+}
+
+// mayPoll reports whether the leader may still find out that a majority follows it.
+func (l *leader) mayPoll() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.lost == nil && l.node.clock.Elapsed()-l.proofAt < proofLimit
 }
 
+// proofAge returns the time since the last proof of leadership.
+func (l *leader) proofAge() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.clock.Elapsed() - l.proofAt
+}
+
 // deposed ends the term because another process has seen a higher fencing token.
 func (l *leader) deposed(err error) { l.lose(err) }
 
@@ -252,6 +287,12 @@
 			orders = d.Tick()
 		})
 		l.agents.dispatch(orders)
+		if l.proofAge() > agingProof {
+			l.agents.wakeIdle()
+		}
+		if l.votersDue() {
+			aqsignal.Send(l.wakeStore)
+		}
 		took := l.node.clock.Now().Sub(started)
 		l.node.metrics.Observe(aqmetric.TimeRound, took)
 		if meter.Add(took) && l.mayYield() {
--- a/pkg/aqsite/leader_test.go
+++ b/pkg/aqsite/leader_test.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqquorum"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
@@ -151,6 +152,74 @@
 	}
 }
 
+// A leader that the store does not answer continues up to proofLimit, but only while a majority of
+// the processes follows it: otherwise the others may have the next leader.
+func TestLeaderWithoutProofNeedsAMajority(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		follow []string
+		want   time.Duration
+	}{
+		{name: "nobody", want: aqquorum.UnaidedLimit},
+		{name: "half", follow: []string{"n1", "n2"}, want: aqquorum.UnaidedLimit},
+		{name: "a majority", follow: []string{"n1", "n2", "n3"}, want: proofLimit},
+		{name: "no voter", follow: []string{"n1", "n2", "n5"}, want: aqquorum.UnaidedLimit},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			store := newFakeStore()
+			n, clock := testNode(t, store)
+			l := lead(t, n, store)
+			var voters []aqquorum.Voter
+			for _, name := range []string{"n1", "n2", "n3", "n4"} {
+				voters = append(voters, agentRecord(name).voter())
+			}
+			l.support.Settle(voters)
+			const step = 100 * time.Millisecond
+			for passed := time.Duration(0); passed < 2*proofLimit; passed += step {
+				for _, name := range test.follow {
+					l.followed(&member{record: agentRecord(name)}, n.clock.Elapsed())
+				}
+				if may := l.mayOrder(); may != (passed < test.want) {
+					t.Fatalf("after %s may order: %v", passed, may)
+				}
+				clock.Advance(step)
+			}
+			if err := l.prove(context.Background()); err != nil || !l.mayOrder() {
+				t.Fatalf("no permission to give orders after a proof: %v", err)
+			}
+		})
+	}
+}
+
+// A leader that a majority no longer follows stops soon, and finds out when it follows again.
+func TestLeaderWithoutProofLosesItsMajority(t *testing.T) {
+	store := newFakeStore()
+	n, clock := testNode(t, store)
+	l := lead(t, n, store)
+	l.support.Settle([]aqquorum.Voter{agentRecord("n1").voter()})
+	clock.Advance(2 * time.Second)
+	l.followed(&member{record: agentRecord("n1")}, n.clock.Elapsed())
+	if !l.mayOrder() {
+		t.Fatal("a leader with a majority may not give orders")
+	}
+	clock.Advance(aqquorum.MajorityLimit)
+	if l.mayOrder() || !l.mayPoll() {
+		t.Fatalf("without a majority: may order %v, may poll %v", l.mayOrder(), l.mayPoll())
+	}
+	l.followed(&member{record: agentRecord("n1"), joinedAt: n.clock.Elapsed()}, n.clock.Elapsed())
+	if l.mayOrder() {
+		t.Fatal("a process counts that has joined since the last proof")
+	}
+	l.followed(&member{record: agentRecord("n1")}, n.clock.Elapsed())
+	if !l.mayOrder() {
+		t.Fatal("a leader that has its majority again may not give orders")
+	}
+	clock.Advance(proofLimit)
+	if l.mayPoll() {
+		t.Fatal("a leader without proof still polls")
+	}
+}
+
 // A leader that has not read the stored jobs yet answers nothing about them.
 func TestNoAnswersBeforeRecovery(t *testing.T) {
 	store := newFakeStore()
--- a/pkg/aqsite/members.go
+++ b/pkg/aqsite/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqquorum"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
@@ -32,6 +33,13 @@
 	Incarnation int64
 }
 
+func (r nodeRecord) voter() aqquorum.Voter {
+	return aqquorum.Voter{
+		Name:    r.Name,
+		Address: r.Address,
+	}
+}
+
 func (n *Node) ownRecord() nodeRecord {
 	return nodeRecord{
 		Name:        n.settings.Name,
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqquorum"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
@@ -117,6 +119,8 @@
 func (l *leader) readFleet(ctx context.Context) ([]aqtype.WorkerID, []nodeRecord, error) {
 	item, err := l.node.store.Get(ctx, fleetKey)
 	if errors.Is(err, aqstore.ErrNotFound) {
+		// No leader has given work to an agent yet.
+		l.firstLeader = true
 		return nil, nil, nil
 	}
 	if err != nil {
@@ -128,6 +132,10 @@
 		l.node.ignoreEntry(item.Key, err)
 		return []aqtype.WorkerID{unlistedWorkers}, nil, nil
 	}
+	l.mu.Lock()
+	l.support.Inherit(record.Voters)
+	l.succession = aqquorum.NewSuccession(record.Voters)
+	l.mu.Unlock()
 	return record.Workers, record.Agents, nil
 }
 
@@ -146,20 +154,34 @@
 	}
 }
 
-// acknowledged records that an agent has answered a poll of this leader. Once the last
-// one has, no agent renews a lease for an earlier leader any more, so all leases that
-// this leader does not renew end within aqagent.MaxLeaseSpan.
-func (l *leader) acknowledged(name string) {
+// acknowledged records that an agent has answered a poll of this leader.
+//
+// Once a majority has, no earlier leader acts for long, wherever its own agent is. Once the last
+// agent has, no agent renews a lease for an earlier leader any more, so all leases that this leader
+// does not renew end within aqagent.MaxLeaseSpan.
+func (l *leader) acknowledged(record nodeRecord) {
+	now := l.node.clock.Elapsed()
 	l.mu.Lock()
-	waited := l.unacknowledged[name]
-	delete(l.unacknowledged, name)
+	waited := l.unacknowledged[record.Name]
+	delete(l.unacknowledged, record.Name)
 	last := waited && len(l.unacknowledged) == 0
+	majority := l.succession.Take(record.voter())
 	l.mu.Unlock()
-	if !last {
-		return
+	if majority {
+		wait := max(0, aqquorum.EarlierEnd(l.beganAt, now)-now) + l.agents.longestLease()
+		l.node.log.Write(aqlog.EarlierLeadersEnded, slog.Duration("LeasesEndIn", wait))
+		l.limitReportWait(wait)
 	}
-	leasesEnd := l.node.clock.Now().Add(aqagent.MaxLeaseSpan(l.leaseDuration()))
-	l.decide(func(d *aqdecider.Decider) { d.LimitReportWait(leasesEnd) })
+	if last {
+		l.limitReportWait(aqagent.MaxLeaseSpan(l.leaseDuration()))
+	}
+}
+
+// limitReportWait limits how much longer the decider waits for reports of the workers that the
+// earlier leaders' agents managed.
+func (l *leader) limitReportWait(wait time.Duration) {
+	until := l.node.clock.Now().Add(wait)
+	l.decide(func(d *aqdecider.Decider) { d.LimitReportWait(until) })
 }
 
 // addJobs applies a full read of inPrefix: first the jobs, then the cancellations.
--- a/pkg/aqsite/takeover_test.go
+++ b/pkg/aqsite/takeover_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqquorum"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -24,8 +26,16 @@
 	clock *aqclock.Fake
 }
 
+// agentRecord returns the record of an agent that does not answer.
+func agentRecord(name string) nodeRecord {
+	return nodeRecord{
+		Name:    name,
+		Address: "127.0.0.1:1",
+	}
+}
+
 // newTakeover recovers a leader. whileReading is called while it reads the list of workers.
-func newTakeover(t *testing.T, whileReading func(*aqclock.Fake)) *takeover {
+func newTakeover(t *testing.T, whileReading func(*aqclock.Fake), voters ...string) *takeover {
 	t.Helper()
 	store := newFakeStore()
 	n, clock := testNode(t, store)
@@ -34,10 +44,14 @@
 	if err := n.Submit(context.Background(), testJob()); err != nil {
 		t.Fatal(err)
 	}
-	value, err := aqjob.Encode(fleetRecord{
+	record := fleetRecord{
 		Workers: []aqtype.WorkerID{"sound", "gone"},
-		Agents:  []nodeRecord{{Name: "n2", Address: "127.0.0.1:1"}, {Name: "n3", Address: "127.0.0.1:1"}},
-	})
+		Agents:  []nodeRecord{agentRecord("n2"), agentRecord("n3")},
+	}
+	for _, name := range voters {
+		record.Voters = append(record.Voters, agentRecord(name).voter())
+	}
+	value, err := aqjob.Encode(record)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +126,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			k := newTakeover(t, test.whileReading)
-			k.l.acknowledged("n2")
+			k.l.acknowledged(agentRecord("n2"))
 			k.wantStart(proofLimit + aqagent.PermitTime + aqagent.MaxLeaseSpan(k.l.leaseDuration()))
 		})
 	}
@@ -120,10 +134,61 @@
 
 func TestTakeoverWithItsAgentsWaitsForTheLeases(t *testing.T) {
 	k := newTakeover(t, func(*aqclock.Fake) {})
-	k.l.acknowledged("n2")
+	k.l.acknowledged(agentRecord("n2"))
 	k.clock.Advance(time.Second)
-	k.l.acknowledged("n3")
+	k.l.acknowledged(agentRecord("n3"))
 	k.clock.Advance(time.Second)
-	k.l.acknowledged("n2")
+	k.l.acknowledged(agentRecord("n2"))
 	k.wantStart(time.Second + aqagent.MaxLeaseSpan(k.l.leaseDuration()))
 }
+
+// Guards against review/5: with the agent of the earlier leader gone for good, the tasks of workers
+// that had crashed stood still for the whole wait, though the other agents had long answered.
+func TestTakeoverWithMostAgentsWaitsForTheLeases(t *testing.T) {
+	voters := []string{"n1", "n2", "n3"}
+	longest := aqagent.PermitTime + aqagent.MaxLeaseSpan(5*time.Second)
+	for _, test := range []struct {
+		name   string
+		voters []string
+		answer []string
+		after  time.Duration
+		want   time.Duration
+	}{
+		{name: "at once", voters: voters, answer: []string{"n1", "n2"}, want: aqquorum.UnaidedLimit + longest},
+		{
+			name:   "later",
+			voters: voters,
+			answer: []string{"n1", "n2"},
+			after:  3 * time.Second,
+			want:   3*time.Second + aqquorum.MajorityLimit + longest,
+		},
+		{name: "none of the two", voters: voters, answer: []string{"n1"}, want: proofLimit + longest},
+		{name: "not a voter", voters: voters, answer: []string{"n1", "n4"}, want: proofLimit + longest},
+		{name: "stored by an earlier version", answer: []string{"n1", "n2"}, want: proofLimit + longest},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			k := newTakeover(t, func(*aqclock.Fake) {}, test.voters...)
+			k.l.acknowledged(agentRecord(test.answer[0]))
+			k.clock.Advance(test.after)
+			for _, name := range test.answer[1:] {
+				k.l.acknowledged(agentRecord(name))
+			}
+			k.wantStart(test.want)
+		})
+	}
+}
+
+// Earlier leaders may count on the stored voters until proofLimit has passed.
+func TestVotersStayAtTheBeginningOfATerm(t *testing.T) {
+	k := newTakeover(t, func(*aqclock.Fake) {}, "n1", "n2", "n3")
+	before := k.l.support.Stored()
+	k.l.agents.leave("n3")
+	agents, _ := k.l.agents.records()
+	if voters := k.l.nextVoters(agents); len(voters) != 3 || !slices.Equal(voters, before) || k.l.votersDue() {
+		t.Fatalf("voters %v at the beginning of the term, stored %v", voters, before)
+	}
+	k.clock.Advance(proofLimit + time.Millisecond)
+	if voters := k.l.nextVoters(agents); len(voters) != 2 || !k.l.votersDue() {
+		t.Fatalf("voters %v after %s", voters, proofLimit)
+	}
+}
