--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -248,8 +248,8 @@
 			return
 		}
 	}
-	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "stop"),
-		slog.String("Task", order.Run.Task.String()))
+	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.Uint64("Serial", uint64(s.serial)),
+		slog.String("Order", "stop"), slog.String("Task", order.Run.Task.String()))
 	aqclock.Sleep(s.ctx, s.agent.clock, heartbeatRetry)
 	s.reportStop(to, order, false)
 }
@@ -278,7 +278,7 @@
 		return
 	}
 	if err != nil && s.ctx.Err() == nil {
-		s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "pace"),
-			slog.String("Task", order.Run.Task.String()), aqlog.Err(err))
+		s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.Uint64("Serial", uint64(s.serial)),
+			slog.String("Order", "pace"), slog.String("Task", order.Run.Task.String()), aqlog.Err(err))
 	}
 }
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -351,6 +351,7 @@
 	if failed != failedHeartbeatLimit {
 		return
 	}
-	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.String("Order", "look"), aqlog.Err(err))
+	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.Uint64("Serial", uint64(s.serial)),
+		slog.String("Order", "look"), aqlog.Err(err))
 	s.agent.emit(s, Unresponsive{ExpiresIn: expiresIn})
 }
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -75,11 +75,12 @@
 	SiteConfigApplied       = Event{Number: 915, Layer: LayerSite, Level: slog.LevelInfo, Message: "site configuration in force", Meaning: "This process uses the configuration version in the attribute Version."}
 	SettingsReloadRefused   = Event{Number: 916, Layer: LayerSite, Level: slog.LevelWarn, Message: "settings reload refused", Meaning: "The changed settings file is not valid. The earlier settings stay in force."}
 	SettingsReloaded        = Event{Number: 917, Layer: LayerSite, Level: slog.LevelInfo, Message: "settings reloaded", Meaning: "The process read the settings file again."}
-	OrderFailed             = Event{Number: 918, Layer: LayerSite, Level: slog.LevelWarn, Message: "order not answered", Meaning: "A worker did not answer, or refused, a heartbeat (Order is look) or an order (stop, pace). An unanswered order may still take effect. The leader repeats a stop."}
+	OrderFailed             = Event{Number: 918, Layer: LayerSite, Level: slog.LevelWarn, Message: "order not answered", Meaning: "A worker did not answer, or refused, a heartbeat (Order is look) or an order (stop, pace). An unanswered order may still take effect. The leader repeats a stop. Serial is that of event 927."}
 
 	WatchStalled     = Event{Number: 925, Layer: LayerSite, Level: slog.LevelWarn, Message: "watch stalled", Meaning: "While Deaf is true, the store's watch does not report what the leader writes, and the leader reads the full list of workers instead. Deaf is false when the watch works again."}
 	AdviceFailed     = Event{Number: 924, Layer: LayerSite, Level: slog.LevelWarn, Message: "advice request failed", Meaning: "The advice service did not answer. Groups of queues that require advice wait, and the request is repeated."}
 	PayloadMissing   = Event{Number: 926, Layer: LayerSite, Level: slog.LevelWarn, Message: "payload not fetched", Meaning: "Neither the process in From, which accepted the job, nor the store gave this agent the job's payload. Its starts are reported as not sent, and the leader places the tasks again."}
+	WorkerAssigned   = Event{Number: 927, Layer: LayerSite, Level: slog.LevelInfo, Message: "worker assigned", Meaning: "The process in Agent manages the worker for this leader from now on. Serial increases with every assignment of the term. An event 918 of another process with an earlier serial shows that it still manages the worker."}
 	AgentJoined      = Event{Number: 920, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent joined", Meaning: "Another process registered and can manage workers for this leader."}
 	AgentLost        = Event{Number: 921, Layer: LayerSite, Level: slog.LevelWarn, Message: "agent lost", Meaning: "A process does not answer the leader. Its workers are reassigned to other agents."}
 	AgentRecovered   = Event{Number: 922, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent answers again", Meaning: "The leader assigns workers to the process again: the process answered, or the retry delay after its failure is over. It is still down if another event 921 follows."}
@@ -112,6 +113,6 @@
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers, CapacityChanged,
 	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed, EarlierLeadersEnded,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
-	OrderFailed, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
+	OrderFailed, WorkerAssigned, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
 	JobStored, JobRefused, JobInDoubt, CancelStored, StateFromStore, CallFailed,
 }
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sort"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqtype"
 )
 
@@ -332,6 +334,8 @@
 	to.stale[a.worker.ID] = true
 	// The new assignment ends an earlier session of the agent.
 	delete(to.undropped, a.worker.ID)
+	p.leader.node.log.Write(aqlog.WorkerAssigned, slog.String("Worker", string(a.worker.ID)), slog.String("Agent", to.record.Name),
+		slog.Uint64("Serial", uint64(a.serial)))
 	aqsignal.Send(to.wakePoll)
 	to.pending.Assign = append(to.pending.Assign, aqagent.Assignment{
 		Worker: a.worker,
