Drop the sessions of a process whose record is replaced (TWICE)

Cause: the next leader reaches the agents by the stored records, which name the incarnations before the restart. When a process has registered its new one, the leader replaces the member and gives its workers to others. The drops were queued for the replaced member and never sent, and the process, which had begun the sessions after its restart, kept them: it renewed the leases of these workers for the rest of the term. When the worker's real agent got no answer for the length of a lease, the leader took the lease as ended and started the tasks again.

The lease 'ends' at 42.98 s; at 43.99 s the worker answers and still has the run. Tests that failed before: TestProcessThatRegistersAgainDropsItsWorkers: a1 drops [], want w1 (both cases) TestDropEndsTheAssignmentsUpToItsSerial: session with serial 5, want 0 (assignment and drop in one call; assignment after drop)

Why it works: the new member inherits what its process has not been told to drop. A drop names the last assignment that it ends, so it ends no later one, and an assignment that is overtaken by its drop does not begin.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -54,8 +54,10 @@
 	answers    uint64
 	answeredAt time.Duration
 	sessions   map[aqtype.WorkerID]*session
-	payloads   *aqpayload.Cache
-	events     []EventWire
+	// dropped holds the serials up to which the leader has dropped the assignments of a worker.
+	dropped  map[aqtype.WorkerID]Serial
+	payloads *aqpayload.Cache
+	events   []EventWire
 	// earlier holds runs of earlier terms. earlierIn is the number of the first answer that
 	// told the current leader of them, zero before that; earlierTold is set once the leader
 	// has acknowledged it.
@@ -89,6 +91,7 @@
 		guard:    guard,
 		instance: o.Instance,
 		sessions: map[aqtype.WorkerID]*session{},
+		dropped:  map[aqtype.WorkerID]Serial{},
 		payloads: aqpayload.New(o.Payloads, o.Clock, o.Log, guard),
 		wake:     make(chan struct{}, 1),
 	}
@@ -103,6 +106,7 @@
 	if fence > a.fence {
 		a.noteEarlier()
 		a.endSessions()
+		clear(a.dropped)
 		a.fence = fence
 		a.permitAt = noPermit
 		// Skipping a number keeps a poll that acknowledges an earlier answer, or none,
@@ -183,11 +187,8 @@
 		return err
 	}
 	a.lease = call.Lease
-	for _, id := range call.Drop {
-		if s := a.sessions[id]; s != nil {
-			s.cancel()
-			delete(a.sessions, id)
-		}
+	for _, d := range call.Drop {
+		a.drop(d)
 	}
 	for _, next := range call.Assign {
 		a.assign(next)
@@ -205,6 +206,15 @@
 	return nil
 }
 
+// drop ends the session of a dropped assignment. The caller holds the lock.
+func (a *Agent) drop(d Dropped) {
+	a.dropped[d.Worker] = max(a.dropped[d.Worker], d.Serial)
+	if s := a.sessions[d.Worker]; s != nil && s.serial <= d.Serial {
+		s.cancel()
+		delete(a.sessions, d.Worker)
+	}
+}
+
 // setParams applies the leader's parameters. The caller holds the lock.
 func (a *Agent) setParams(params []HeartbeatParams) {
 	for _, p := range params {
@@ -217,6 +227,9 @@
 // assign starts or updates a session. The caller holds the lock.
 func (a *Agent) assign(next Assignment) {
 	id := next.Worker.ID
+	if next.Serial <= a.dropped[id] {
+		return
+	}
 	if s := a.sessions[id]; s != nil {
 		if s.serial == next.Serial {
 			s.updateWorker(next.Worker)
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -141,6 +141,62 @@
 	}
 }
 
+// An assignment ends with its drop, in whatever order the two reach the agent, and a drop ends no
+// later assignment.
+func TestDropEndsTheAssignmentsUpToItsSerial(t *testing.T) {
+	assign := func(serial Serial) OrdersCall {
+		return OrdersCall{
+			Fence:  6,
+			Assign: []Assignment{{Worker: aqdecider.Worker{ID: "w1", Incarnation: 1}, Serial: serial}},
+		}
+	}
+	drop := func(serial Serial) OrdersCall {
+		return OrdersCall{
+			Fence: 6,
+			Drop:  []Dropped{{Worker: "w1", Serial: serial}},
+		}
+	}
+	both := assign(5)
+	both.Drop = drop(5).Drop
+	nextTerm := assign(1)
+	nextTerm.Fence++
+	for _, test := range []struct {
+		name  string
+		calls []OrdersCall
+		want  Serial
+	}{
+		{name: "assigned", calls: []OrdersCall{assign(5)}, want: 5},
+		{name: "dropped", calls: []OrdersCall{assign(5), drop(5)}},
+		{name: "dropped in the same call", calls: []OrdersCall{both}},
+		{name: "assignment arrives later", calls: []OrdersCall{drop(5), assign(5)}},
+		{name: "assigned again", calls: []OrdersCall{assign(5), drop(5), assign(6)}, want: 6},
+		{name: "drop arrives after the next assignment", calls: []OrdersCall{assign(5), assign(6), drop(5)}, want: 6},
+		{name: "next term", calls: []OrdersCall{drop(5), nextTerm}, want: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			workers := &fakeWorkers{heartbeat: func(aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
+				return aqworker.HeartbeatAnswer{}, aqworker.ErrUnanswered
+			}}
+			a := testAgent(workers, aqclock.NewFake())
+			defer a.Stop()
+			for _, call := range test.calls {
+				if err := a.Orders(context.Background(), call); err != nil {
+					t.Fatal(err)
+				}
+			}
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			got := Serial(0)
+			if s := a.sessions["w1"]; s != nil {
+				got = s.serial
+			}
+			if got != test.want {
+				t.Fatalf("session with serial %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 // The computed lease expiry must not be too early for a worker whose clock is slow by
 // clockDrift.
 func TestLapseAllowsForASlowClock(t *testing.T) {
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -45,6 +45,13 @@
 	Params HeartbeatParams
 }
 
+// Dropped ends the assignments of a worker to an agent up to a serial, those included that reach
+// the agent later.
+type Dropped struct {
+	Worker aqtype.WorkerID
+	Serial Serial
+}
+
 // HeartbeatParams are the leader's parameters for the heartbeats to a worker.
 type HeartbeatParams struct {
 	Worker aqtype.WorkerID
@@ -74,7 +81,7 @@
 	Lease time.Duration
 	// Assign is applied before Orders.
 	Assign []Assignment
-	Drop   []aqtype.WorkerID
+	Drop   []Dropped
 	Params []HeartbeatParams
 	Orders []OrderWire
 }
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -13,7 +13,6 @@
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
-	"acaciaquay/pkg/aqtype"
 )
 
 // agentLink calls one agent.
@@ -90,12 +89,12 @@
 }
 
 // keepDrops notes that a call which told a member's agent to drop workers has failed.
-func (p *agentPool) keepDrops(m *member, ids []aqtype.WorkerID) {
+func (p *agentPool) keepDrops(m *member, drops []aqagent.Dropped) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, id := range ids {
-		if m.workers[id] == nil {
-			m.undropped[id] = true
+	for _, drop := range drops {
+		if m.workers[drop.Worker] == nil {
+			m.undropped[drop.Worker] = max(m.undropped[drop.Worker], drop.Serial)
 		}
 	}
 }
@@ -112,8 +111,12 @@
 	m.pending = aqagent.OrdersCall{}
 	if m.up {
 		for _, id := range slices.Sorted(maps.Keys(m.undropped)) {
-			if !slices.Contains(call.Drop, id) {
-				call.Drop = append(call.Drop, id)
+			drop := aqagent.Dropped{
+				Worker: id,
+				Serial: m.undropped[id],
+			}
+			if !slices.Contains(call.Drop, drop) {
+				call.Drop = append(call.Drop, drop)
 			}
 		}
 		clear(m.undropped)
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -50,7 +50,7 @@
 	wakeSend chan struct{}
 	// undropped holds the workers that have been taken from the member, and of which no call
 	// under way or answered has told its agent. The agent may still renew their leases.
-	undropped map[aqtype.WorkerID]bool
+	undropped map[aqtype.WorkerID]aqagent.Serial
 }
 
 // workerAssignment records which member manages a worker.
@@ -119,11 +119,17 @@
 		return false
 	}
 	m := p.newMember(ctx, record, link)
+	if before != nil {
+		// The record of an earlier leader may name an earlier incarnation: the sessions that
+		// the process has begun since are then those of the member before.
+		m.undropped = before.undropped
+	}
 	p.add(m)
 	p.mu.Unlock()
 	if before != nil {
 		before.cancel()
 		p.reassignWorkersOf(before)
+		aqsignal.Send(m.wakeSend)
 	}
 	p.leader.spawn("orders", func() { p.sendLoop(m) })
 	p.leader.spawn("polls", func() { p.pollLoop(m) })
@@ -134,8 +140,8 @@
 // newMember returns a member that is up. The caller holds the lock.
 func (p *agentPool) newMember(ctx context.Context, record nodeRecord, link agentLink) *member {
 	memberCtx, cancel := context.WithCancel(ctx)
-	undropped := map[aqtype.WorkerID]bool{}
-	if before := p.left[record.Name]; before != nil && before.record == record {
+	undropped := map[aqtype.WorkerID]aqagent.Serial{}
+	if before := p.left[record.Name]; before != nil {
 		undropped = before.undropped
 	}
 	delete(p.left, record.Name)
@@ -310,8 +316,11 @@
 		a.member.assigned--
 		delete(a.member.workers, a.worker.ID)
 		delete(a.member.stale, a.worker.ID)
-		a.member.undropped[a.worker.ID] = true
-		a.member.pending.Drop = append(a.member.pending.Drop, a.worker.ID)
+		a.member.undropped[a.worker.ID] = a.serial
+		a.member.pending.Drop = append(a.member.pending.Drop, aqagent.Dropped{
+			Worker: a.worker.ID,
+			Serial: a.serial,
+		})
 		aqsignal.Send(a.member.wakeSend)
 	}
 	a.member = to
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -160,7 +160,9 @@
 	if f.fail {
 		return errTest
 	}
-	f.dropped = append(f.dropped, call.Drop...)
+	for _, drop := range call.Drop {
+		f.dropped = append(f.dropped, drop.Worker)
+	}
 	return nil
 }
 
@@ -231,6 +233,48 @@
 	}
 }
 
+// Guards against the TWICE of issue 35: after a restart of all processes the next leader reaches
+// their agents by the stored records of the earlier incarnations. When a process registered, its
+// workers were given to others, and it was not told: it renewed their leases for the rest of the
+// term, and the leader took leases as expired that were renewed.
+func TestProcessThatRegistersAgainDropsItsWorkers(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		leave bool
+	}{
+		{name: "replaced"},
+		{name: "unregistered before", leave: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			store := newFakeStore()
+			n, _ := testNode(t, store)
+			l := lead(t, n, store)
+			link := &fakeLink{}
+			m := addMember(l, "a1", true)
+			m.link = link
+			l.agents.addWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
+			addMember(l, "a2", true).link = &fakeLink{}
+			l.agents.sendOrders(m)
+			if test.leave {
+				l.agents.leave("a1")
+			}
+			registered := m.record
+			registered.Incarnation++
+			// The loops of the member end at once.
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			l.agents.join(ctx, registered, link)
+			if assigned := l.agents.assignments["w1"].member.record.Name; assigned != "a2" {
+				t.Fatalf("w1 is assigned to %s", assigned)
+			}
+			l.agents.sendOrders(l.agents.members["a1"])
+			if len(link.dropped) != 1 || link.dropped[0] != "w1" {
+				t.Fatalf("a1 drops %v, want w1", link.dropped)
+			}
+		})
+	}
+}
+
 // A worker that comes back to an agent is not dropped there.
 func TestWorkerThatComesBackIsNotDropped(t *testing.T) {
 	store := newFakeStore()
