Repeat no start whose run has been ordered to stop

What callers may see: a task starts again after it has ended as done and the end has been acknowledged (TWICE), where a worker answers a start late and the order to stop later still.

Cause: an order to stop removed a queued start, but the attempts to deliver one that had begun went on, for up to 2.2 s.

Evidence: TestStartIsNotRepeatedAfterItsStop failed before: '3 attempts to start, want 1'.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -250,6 +250,7 @@
 		cancel: cancel,
 		acked:  make(chan struct{}, 1),
 	}
+	s.starting = map[aqdecider.RunID]startDelivery{}
 	a.sessions[id] = s
 	go s.run()
 }
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -25,7 +25,8 @@
 		}
 		return
 	}
-	if _, isStop := o.(aqdecider.Stop); isStop {
+	if stop, isStop := o.(aqdecider.Stop); isStop {
+		s.withdrawStart(stop.Run)
 		s.queue = append([]aqdecider.Order{o}, s.queue...)
 	} else {
 		s.queue = append(s.queue, o)
@@ -88,6 +89,9 @@
 		}
 		if s.ctx.Err() == nil {
 			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
+			if start, isStart := o.(aqdecider.Start); isStart {
+				s.starting[start.Run] = startDelivering
+			}
 			return o, true
 		}
 	}
@@ -95,9 +99,12 @@
 	return nil, false
 }
 
-// dropQueuedStart removes a queued start that a stop of the same run has overtaken. The
-// caller holds the lock.
-func (s *session) dropQueuedStart(run aqdecider.RunID) {
+// withdrawStart removes a queued start that a stop of the same run has overtaken, and ends the
+// attempts to deliver one. The caller holds the lock.
+func (s *session) withdrawStart(run aqdecider.RunID) {
+	if _, delivering := s.starting[run]; delivering {
+		s.starting[run] = startWithdrawn
+	}
 	for i, o := range s.queue {
 		if start, ok := o.(aqdecider.Start); ok && start.Run == run {
 			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
@@ -107,6 +114,7 @@
 }
 
 func (s *session) start(order aqdecider.Start) {
+	defer s.startDelivered(order.Run)
 	started := s.agent.clock.Now()
 	to := s.address()
 	outcome := aqdecider.OutcomeNotSent
@@ -148,6 +156,13 @@
 	})
 }
 
+// startDelivered ends the delivery of a start.
+func (s *session) startDelivered(run aqdecider.RunID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.starting, run)
+}
+
 // reportNotSent reports that a start was not sent, since its payload cannot be had.
 func (s *session) reportNotSent(to aqworker.Address, order aqdecider.Start) {
 	s.agent.metrics.Retried(aqmetric.RetryPayloadMissing)
@@ -190,6 +205,9 @@
 	}
 	s.mu.Lock()
 	end := s.nextLeaseEnd()
+	if s.starting[order.Run] == startWithdrawn {
+		end = 0
+	}
 	if end > 0 {
 		s.runs.started(order.Run, s.agent.clock.Now())
 	}
@@ -226,9 +244,6 @@
 }
 
 func (s *session) stop(order aqdecider.Stop) {
-	s.mu.Lock()
-	s.dropQueuedStart(order.Run)
-	s.mu.Unlock()
 	to := s.address()
 	for range stopTries {
 		bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -67,6 +67,15 @@
 	return time.Duration(float64(lease)/(1-clockDrift)) + expiryMargin
 }
 
+// startDelivery is the state of the delivery of a start.
+type startDelivery int
+
+const (
+	startDelivering startDelivery = iota + 1
+	// startWithdrawn means that the run has been ordered to stop: no further attempt is made.
+	startWithdrawn
+)
+
 // session manages one worker for an agent during one assignment: a loop of
 // heartbeats that renew the worker's lease, and the delivery of orders.
 type session struct {
@@ -88,8 +97,10 @@
 	answered aqdecider.Incarnation
 	// leaseEnd is the latest lease end that this session sent to this incarnation, or
 	// that another agent may have sent before the worker first answered this one.
-	leaseEnd         aqworker.Time
-	queue            []aqdecider.Order
+	leaseEnd aqworker.Time
+	queue    []aqdecider.Order
+	// starting holds the starts that are being delivered.
+	starting         map[aqdecider.RunID]startDelivery
 	inFlight         int
 	failedHeartbeats int
 	// silences is the number of Unresponsive events so far.
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -10,6 +10,7 @@
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
+	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqpeer"
@@ -48,6 +49,7 @@
 		worker: aqdecider.Worker{ID: "w1", Incarnation: 1},
 		params: HeartbeatParams{Worker: "w1", Wait: time.Second},
 	}
+	s.starting = map[aqdecider.RunID]startDelivery{}
 	a.sessions["w1"] = s
 	return s, a, clock.Fake
 }
@@ -141,6 +143,53 @@
 	}
 }
 
+// Guards against a start that is repeated after its run has been ordered to stop: if the order to
+// stop is delayed, the worker executes the repeated start, whose task may be done by then.
+func TestStartIsNotRepeatedAfterItsStop(t *testing.T) {
+	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
+	other := aqdecider.RunID{Task: aqjob.TaskID{Job: "j", Index: 1}, Attempt: 1}
+	for _, test := range []struct {
+		name    string
+		stopped aqdecider.RunID
+		want    int
+	}{
+		{name: "its stop", stopped: run, want: 1},
+		{name: "another's stop", stopped: other, want: startTries},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			starts := 0
+			var s *session
+			workers := &fakeWorkers{
+				start: func(aqworker.StartRequest) error {
+					starts++
+					s.send(aqdecider.Stop{Worker: "w1", Run: test.stopped})
+					return aqworker.ErrUnanswered
+				},
+				stop: func(aqworker.StopRequest) error { return aqworker.ErrUnanswered },
+			}
+			var clock *aqclock.Fake
+			s, _, clock = testSession(t, workers)
+			s.workerClock = clockReading{at: clock.Now(), value: 1, known: true}
+			s.params.Renew = true
+			// Stops are not delivered.
+			s.inFlight = maxOrdersInFlight
+			awaitPayload(t, s, "j")
+			s.send(aqdecider.Start{Worker: "w1", Run: run})
+			order, ok := s.nextOrder()
+			if !ok {
+				t.Fatal("no start to deliver")
+			}
+			s.start(order.(aqdecider.Start))
+			if starts != test.want {
+				t.Fatalf("%d attempts to start, want %d", starts, test.want)
+			}
+			if len(s.starting) != 0 {
+				t.Fatalf("deliveries %v after the end", s.starting)
+			}
+		})
+	}
+}
+
 // An assignment ends with its drop, in whatever order the two reach the agent, and a drop ends no
 // later assignment.
 func TestDropEndsTheAssignmentsUpToItsSerial(t *testing.T) {
