--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -239,18 +239,18 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &session{
-		id:     id,
-		serial: next.Serial,
-		fence:  a.fence,
-		lease:  a.lease,
-		agent:  a,
-		worker: next.Worker,
-		params: next.Params,
-		ctx:    ctx,
-		cancel: cancel,
-		acked:  make(chan struct{}, 1),
+		id:       id,
+		serial:   next.Serial,
+		fence:    a.fence,
+		lease:    a.lease,
+		agent:    a,
+		worker:   next.Worker,
+		params:   next.Params,
+		ctx:      ctx,
+		cancel:   cancel,
+		acked:    make(chan struct{}, 1),
+		starting: map[aqdecider.RunID]startDelivery{},
 	}
-	s.starting = map[aqdecider.RunID]startDelivery{}
 	a.sessions[id] = s
 	go s.run()
 }
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -38,18 +38,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	s := &session{
-		id:     "w1",
-		serial: 1,
-		fence:  5,
-		lease:  5 * time.Second,
-		agent:  a,
-		ctx:    ctx,
-		cancel: cancel,
-		acked:  make(chan struct{}, 1),
-		worker: aqdecider.Worker{ID: "w1", Incarnation: 1},
-		params: HeartbeatParams{Worker: "w1", Wait: time.Second},
-	}
-	s.starting = map[aqdecider.RunID]startDelivery{}
+		id:       "w1",
+		serial:   1,
+		fence:    5,
+		lease:    5 * time.Second,
+		agent:    a,
+		ctx:      ctx,
+		cancel:   cancel,
+		acked:    make(chan struct{}, 1),
+		worker:   aqdecider.Worker{ID: "w1", Incarnation: 1},
+		params:   HeartbeatParams{Worker: "w1", Wait: time.Second},
+		starting: map[aqdecider.RunID]startDelivery{},
+	}
 	a.sessions["w1"] = s
 	return s, a, clock.Fake
 }
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -163,6 +163,7 @@
 	agents, memberChanges := l.agents.records()
 	var record fleetRecord
 	record.Agents = agents
+	renewsVoters := l.votersMayChange()
 	record.Voters = l.nextVoters(agents)
 	var workerChanges uint64
 	l.decide(func(d *aqdecider.Decider) {
@@ -188,6 +189,7 @@
 	}
 	l.mu.Lock()
 	l.support.Settle(record.Voters)
+	l.votersRenewed = renewsVoters
 	l.mu.Unlock()
 	l.fleetRevision = revision
 	l.fleetWritten = true
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -64,7 +64,10 @@
 	// an earlier leader may have one.
 	support    aqquorum.Support
 	succession aqquorum.Succession
-	lost       error
+	// votersRenewed is set once this leader has stored voters of its own. From then on they
+	// change with the members.
+	votersRenewed bool
+	lost          error
 	// recovered is set once the stored jobs have been read.
 	recovered bool
 	// directory keeps the newest entries of service discovery.
--- a/pkg/aqsite/takeover_test.go
+++ b/pkg/aqsite/takeover_test.go
@@ -191,4 +191,10 @@
 	if voters := k.l.nextVoters(agents); len(voters) != 2 || !k.l.votersDue() {
 		t.Fatalf("voters %v after %s", voters, proofLimit)
 	}
+	if err := k.l.storeFleet(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if after := k.l.support.Stored(); len(after) != 2 || k.l.votersDue() {
+		t.Fatalf("stored voters %v, due %v", after, k.l.votersDue())
+	}
 }
--- a/pkg/aqsite/voters.go
+++ b/pkg/aqsite/voters.go
@@ -38,14 +38,12 @@
 	return voters
 }
 
-// votersDue reports whether the stored voters are not those that they should be.
+// votersDue reports whether the stored voters are still those of an earlier leader and may change.
 func (l *leader) votersDue() bool {
 	if !l.votersMayChange() {
 		return false
 	}
-	agents, _ := l.agents.records()
-	next := l.nextVoters(agents)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.support.Holds(next)
+	return !l.votersRenewed
 }
