--- a/internal/site/aqquorum/quorum.go
+++ b/internal/site/aqquorum/quorum.go
@@ -15,10 +15,10 @@
 
 const (
 	// UnaidedLimit is how long a leader continues after its last proof from the store without a
-	// majority of the voters.
+	// majority of the voters. It allows for one lost renewal of the leadership.
 	UnaidedLimit = time.Second
 	// MajorityLimit is how long a leader continues after a majority of the voters last
-	// followed it.
+	// followed it. It is several times the interval at which a leader without proof asks them.
 	MajorityLimit = time.Second
 )
 
