Log delayed starts with their assignment, and repeated orders

Event 928 names the serial of the assignment for each start that reaches its worker late, event 554 how many orders the leader sends again after a worker has been given to an agent. No change of logic.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -249,6 +249,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		acked:    make(chan struct{}, 1),
+		received: map[aqdecider.RunID]time.Time{},
 		starting: map[aqdecider.RunID]startDelivery{},
 	}
 	a.sessions[id] = s
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -20,6 +21,7 @@
 	defer s.mu.Unlock()
 	if start, isStart := o.(aqdecider.Start); isStart {
 		s.queue = append(s.queue, o)
+		s.received[start.Run] = s.agent.clock.Now()
 		if s.agent.payloads.Prepare(s.id, start.Run.Task.Job, start.PayloadSource, s.payloadReady) {
 			s.deliver()
 		}
@@ -108,6 +110,7 @@
 	for i, o := range s.queue {
 		if start, ok := o.(aqdecider.Start); ok && start.Run == run {
 			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
+			delete(s.received, run)
 			return
 		}
 	}
@@ -161,6 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.starting, run)
+	delete(s.received, run)
 }
 
 // reportNotSent reports that a start was not sent, since its payload cannot be had.
@@ -197,6 +201,21 @@
 	}
 }
 
+// startDelayLogged is the time after which the delivery of a start is logged. It is longer than a
+// start takes whose worker answers.
+const startDelayLogged = 250 * time.Millisecond
+
+// logDelayedStart logs an attempt to deliver a start that its worker gets late or again, with the
+// assignment that it is made in. The caller holds the lock.
+func (s *session) logDelayedStart(run aqdecider.RunID) {
+	waited := s.agent.clock.Now().Sub(s.received[run])
+	if waited < startDelayLogged {
+		return
+	}
+	s.agent.log.Write(aqlog.StartDelayed, slog.String("Task", run.Task.String()), slog.Int("Attempt", int(run.Attempt)),
+		slog.String("Worker", string(s.id)), slog.Uint64("Serial", uint64(s.serial)), slog.Duration("Waited", waited))
+}
+
 // tryStart makes one attempt to deliver a start. A worker that does not answer
 // heartbeats gets no starts, since a start renews its lease.
 func (s *session) tryStart(to aqworker.Address, order aqdecider.Start, payload string) error {
@@ -209,6 +228,7 @@
 		end = 0
 	}
 	if end > 0 {
+		s.logDelayedStart(order.Run)
 		s.runs.started(order.Run, s.agent.clock.Now())
 	}
 	s.mu.Unlock()
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -99,6 +99,8 @@
 	// that another agent may have sent before the worker first answered this one.
 	leaseEnd aqworker.Time
 	queue    []aqdecider.Order
+	// received holds when the queued starts, and those that are being delivered, reached the agent.
+	received map[aqdecider.RunID]time.Time
 	// starting holds the starts that are being delivered.
 	starting         map[aqdecider.RunID]startDelivery
 	inFlight         int
@@ -201,6 +203,9 @@
 	s.workerClock = clockReading{}
 	s.leaseEnd = 0
 	s.queue = slices.DeleteFunc(s.queue, func(o aqdecider.Order) bool {
+		if start, isStart := o.(aqdecider.Start); isStart {
+			delete(s.received, start.Run)
+		}
 		_, isStop := o.(aqdecider.Stop)
 		return !isStop
 	})
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -48,6 +48,7 @@
 		acked:    make(chan struct{}, 1),
 		worker:   aqdecider.Worker{ID: "w1", Incarnation: 1},
 		params:   HeartbeatParams{Worker: "w1", Wait: time.Second},
+		received: map[aqdecider.RunID]time.Time{},
 		starting: map[aqdecider.RunID]startDelivery{},
 	}
 	a.sessions["w1"] = s
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -330,6 +330,7 @@
 		return
 	}
 	w.reachable = false
+	starts, stops, paces := 0, 0, 0
 	for _, r := range w.runs {
 		r.confirmed = 0
 		r.stopAcked = 0
@@ -339,15 +340,22 @@
 		case runStarting:
 			r.startResent = true
 			r.startUnknown = 0
+			starts++
 			d.addOrder(d.startOrder(r))
 		case runRunning:
 			if r.pace != fullPace {
+				paces++
 				d.addOrder(Pace{Worker: id, Run: r.id, Percent: r.pace})
 			}
 		case runStopping:
+			stops++
 			d.addOrder(Stop{Worker: id, Run: r.id})
 		}
 	}
+	if starts+stops+paces > 0 {
+		d.options.Log.Write(aqlog.OrdersRepeated, workerAttr(id), slog.Int("Starts", starts), slog.Int("Stops", stops),
+			slog.Int("Paces", paces))
+	}
 }
 
 // LeaseExpired handles an unresponsive worker whose lease has expired by every clock.
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -57,6 +57,7 @@
 	GroupWaits         = Event{Number: 551, Layer: LayerDecider, Level: slog.LevelWarn, Message: "group waits for workers", Meaning: "Tasks of the group could run and have waited for Waited, none of them runs. Why counts the workers by the reason for which they do not suit: NoLeftover means that fillers would use more than other tasks leave, OverTarget that a serving task is over its target now, PredictedTail that the filler is expected to bring one there. Ready is the time since the group could run first; Overdue is true once its fillers may be started in spite of the model, and SearchIn is the time until the next search for that. Repeated ever more rarely, and written for a few groups a second at most."}
 	StopRepeated       = Event{Number: 552, Layer: LayerDecider, Level: slog.LevelWarn, Message: "order to stop repeated", Meaning: "The run has been stopping for Since and neither its end nor its absence is reported, so that its task cannot be placed again. Acked says whether the worker has acknowledged the order."}
 	WorkerSuspected    = Event{Number: 553, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker suspected", Meaning: "Runs of FailedJobs jobs in a row have failed or made no progress on the worker, or it refused a start as unhealthy. It gets no task for Probation, or for two seconds where no other worker suits one, and then one at a time until one succeeds or, if it lasts, is ready. Runs is what it still runs."}
+	OrdersRepeated     = Event{Number: 554, Layer: LayerDecider, Level: slog.LevelInfo, Message: "orders repeated", Meaning: "Another agent manages the worker, or the same one anew. The Starts, Stops and Paces whose outcome is not known are sent again through it."}
 	WorkerLeaseExpired = Event{Number: 546, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker lease expired", Meaning: "The worker did not answer before its lease expired. Its tasks are placed again."}
 
 	LeadershipAcquired      = Event{Number: 900, Layer: LayerSite, Level: slog.LevelInfo, Message: "leadership acquired", Meaning: "This process schedules for the site from now on. Fence is the fencing token of its orders."}
@@ -81,6 +82,7 @@
 	AdviceFailed     = Event{Number: 924, Layer: LayerSite, Level: slog.LevelWarn, Message: "advice request failed", Meaning: "The advice service did not answer. Groups of queues that require advice wait, and the request is repeated."}
 	PayloadMissing   = Event{Number: 926, Layer: LayerSite, Level: slog.LevelWarn, Message: "payload not fetched", Meaning: "Neither the process in From, which accepted the job, nor the store gave this agent the job's payload. Its starts are reported as not sent, and the leader places the tasks again."}
 	WorkerAssigned   = Event{Number: 927, Layer: LayerSite, Level: slog.LevelInfo, Message: "worker assigned", Meaning: "The process in Agent manages the worker for this leader from now on. Serial increases with every assignment of the term. An event 918 of another process with an earlier serial shows that it still manages the worker."}
+	StartDelayed     = Event{Number: 928, Layer: LayerSite, Level: slog.LevelInfo, Message: "start delayed", Meaning: "The agent sends a start to its worker, Waited after the leader's order reached the agent. Until then the worker had not answered the agent, or it left earlier attempts unanswered. Serial is that of event 927: a start with an earlier serial than the worker's last one, or of a run that event 547 names, should not be sent."}
 	AgentJoined      = Event{Number: 920, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent joined", Meaning: "Another process registered and can manage workers for this leader."}
 	AgentLost        = Event{Number: 921, Layer: LayerSite, Level: slog.LevelWarn, Message: "agent lost", Meaning: "A process does not answer the leader. Its workers are reassigned to other agents."}
 	AgentRecovered   = Event{Number: 922, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent answers again", Meaning: "The leader assigns workers to the process again: the process answered, or the retry delay after its failure is over. It is still down if another event 921 follows."}
@@ -109,10 +111,10 @@
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
 	JobAccepted, TaskEvicted, TaskAbandoned, WorkerOnProbation,
 	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
-	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, StopRepeated, WorkerSuspected,
+	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, StopRepeated, WorkerSuspected, OrdersRepeated,
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers, CapacityChanged,
 	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed, EarlierLeadersEnded,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
-	OrderFailed, WorkerAssigned, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
+	OrderFailed, WorkerAssigned, StartDelayed, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
 	JobStored, JobRefused, JobInDoubt, CancelStored, StateFromStore, CallFailed,
 }
