Drop waiting orders of runs that are lost with their worker's lease (TWICE)

Cause: when a worker is given to another agent the leader sends the starts on their way again. Such a start waits among the decider's orders until the next round. If the worker's lease expires in that round, its runs are lost and their tasks placed elsewhere, but the waiting start went out with the next dispatch, in the worker's next assignment. The users' traces have 43 to 55 ms between the assignment and the expiry, which is about one round. Fix: an expired lease and a new assignment drop the worker's waiting orders; those that are still needed are added again. Orders to stop orphaned runs are repeated by the next report with the run. This covers the decider's orders only, not those that the leader has passed on to the pool or the agent.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"acaciaquay/internal/site/aqcrash"
@@ -238,6 +239,11 @@
 
 func (d *Decider) addOrder(o Order) { d.orders = append(d.orders, o) }
 
+// dropOrders drops the orders to a worker that Tick has not returned yet.
+func (d *Decider) dropOrders(id aqtype.WorkerID) {
+	d.orders = slices.DeleteFunc(d.orders, func(o Order) bool { return o.Target() == id })
+}
+
 // HasWork reports whether Tick has orders to return or tasks to place.
 func (d *Decider) HasWork() bool { return len(d.orders) > 0 || len(d.waiting) > 0 }
 
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -330,6 +330,11 @@
 		return
 	}
 	w.reachable = false
+	d.dropOrders(id)
+	for run := range w.orphans {
+		// The next report with the run repeats the order to stop it.
+		w.orphans[run] = time.Time{}
+	}
 	starts, stops, paces := 0, 0, 0
 	for _, r := range w.runs {
 		r.confirmed = 0
@@ -373,6 +378,7 @@
 	for _, r := range w.runs {
 		d.endRun(r, EndLost, r.checkpoint)
 	}
+	d.dropOrders(id)
 	w.orphans = map[RunID]time.Time{}
 	w.reachable = false
 	d.dropIfGone(w)
