--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -195,26 +195,11 @@
 	}
 	a.setParams(call.Params)
 	for _, wire := range call.Orders {
-		order := wire.Unwrap()
-		if order == nil {
-			continue
-		}
-		if s := a.sessions[order.Target()]; s != nil {
-			s.send(order)
-		}
+		a.deliver(wire)
 	}
 	return nil
 }
 
-// drop ends the session of a dropped assignment. The caller holds the lock.
-func (a *Agent) drop(d Dropped) {
-	a.dropped[d.Worker] = max(a.dropped[d.Worker], d.Serial)
-	if s := a.sessions[d.Worker]; s != nil && s.serial <= d.Serial {
-		s.cancel()
-		delete(a.sessions, d.Worker)
-	}
-}
-
 // setParams applies the leader's parameters. The caller holds the lock.
 func (a *Agent) setParams(params []HeartbeatParams) {
 	for _, p := range params {
@@ -224,38 +209,6 @@
 	}
 }
 
-// assign starts or updates a session. The caller holds the lock.
-func (a *Agent) assign(next Assignment) {
-	id := next.Worker.ID
-	if next.Serial <= a.dropped[id] {
-		return
-	}
-	if s := a.sessions[id]; s != nil {
-		if s.serial == next.Serial {
-			s.updateWorker(next.Worker)
-			return
-		}
-		s.cancel()
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &session{
-		id:       id,
-		serial:   next.Serial,
-		fence:    a.fence,
-		lease:    a.lease,
-		agent:    a,
-		worker:   next.Worker,
-		params:   next.Params,
-		ctx:      ctx,
-		cancel:   cancel,
-		acked:    make(chan struct{}, 1),
-		received: map[aqdecider.RunID]time.Time{},
-		starting: map[aqdecider.RunID]startDelivery{},
-	}
-	a.sessions[id] = s
-	go s.run()
-}
-
 // Poll implements agentLink.
 func (a *Agent) Poll(ctx context.Context, call PollCall) (PollAnswer, error) {
 	if err := a.acceptPoll(call); err != nil {
--- a/internal/site/aqagent/fuzz_test.go
+++ b/internal/site/aqagent/fuzz_test.go
@@ -13,7 +13,7 @@
 func FuzzPeerMessages(f *testing.F) {
 	for _, message := range []any{
 		PollAnswer{Events: []EventWire{wrapEvent("w1", 1, ReportReceived{Difference: aqreport.Difference{Whole: true, New: []aqreport.NewRun{{Slot: 1}}}})}},
-		OrdersCall{Orders: []OrderWire{WrapOrder(aqdecider.Start{Worker: "w1"})}},
+		OrdersCall{Orders: []OrderWire{WrapOrder(1, aqdecider.Start{Worker: "w1"})}},
 		PollCall{Params: []HeartbeatParams{{Worker: "w1"}}},
 	} {
 		data, err := aqpeer.Pack(message)
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -137,22 +137,26 @@
 
 // OrderWire carries one order; exactly one of the pointers is set.
 type OrderWire struct {
-	Start *aqdecider.Start `msgpack:",omitempty"`
-	Stop  *aqdecider.Stop  `msgpack:",omitempty"`
-	Pace  *aqdecider.Pace  `msgpack:",omitempty"`
+	// Serial is that of the assignment in which the leader gave the order. It is carried out in no
+	// other one.
+	Serial Serial
+	Start  *aqdecider.Start `msgpack:",omitempty"`
+	Stop   *aqdecider.Stop  `msgpack:",omitempty"`
+	Pace   *aqdecider.Pace  `msgpack:",omitempty"`
 }
 
-// WrapOrder returns the wire form of an order.
-func WrapOrder(o aqdecider.Order) OrderWire {
+// WrapOrder returns the wire form of an order that is given in an assignment.
+func WrapOrder(serial Serial, o aqdecider.Order) OrderWire {
+	wire := OrderWire{Serial: serial}
 	switch order := o.(type) {
 	case aqdecider.Start:
-		return OrderWire{Start: &order}
+		wire.Start = &order
 	case aqdecider.Stop:
-		return OrderWire{Stop: &order}
+		wire.Stop = &order
 	case aqdecider.Pace:
-		return OrderWire{Pace: &order}
+		wire.Pace = &order
 	}
-	return OrderWire{}
+	return wire
 }
 
 // Unwrap returns nil for an order of an unknown kind.
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -83,6 +83,7 @@
 	PayloadMissing   = Event{Number: 926, Layer: LayerSite, Level: slog.LevelWarn, Message: "payload not fetched", Meaning: "Neither the process in From, which accepted the job, nor the store gave this agent the job's payload. Its starts are reported as not sent, and the leader places the tasks again."}
 	WorkerAssigned   = Event{Number: 927, Layer: LayerSite, Level: slog.LevelInfo, Message: "worker assigned", Meaning: "The process in Agent manages the worker for this leader from now on. Serial increases with every assignment of the term. An event 918 of another process with an earlier serial shows that it still manages the worker."}
 	StartDelayed     = Event{Number: 928, Layer: LayerSite, Level: slog.LevelInfo, Message: "start delayed", Meaning: "The agent sends a start to its worker, Waited after the leader's order reached the agent. Until then the worker had not answered the agent, or it left earlier attempts unanswered. Serial is that of event 927: a start with an earlier serial than the worker's last one, or of a run that event 547 names, should not be sent."}
+	OrderOutdated    = Event{Number: 929, Layer: LayerSite, Level: slog.LevelInfo, Message: "outdated order dropped", Meaning: "An order reached the agent after its assignment in Serial had ended, or together with its end. Current is the serial of the worker's present assignment to this agent, zero if there is none. The leader repeats the order there if it still applies."}
 	AgentJoined      = Event{Number: 920, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent joined", Meaning: "Another process registered and can manage workers for this leader."}
 	AgentLost        = Event{Number: 921, Layer: LayerSite, Level: slog.LevelWarn, Message: "agent lost", Meaning: "A process does not answer the leader. Its workers are reassigned to other agents."}
 	AgentRecovered   = Event{Number: 922, Layer: LayerSite, Level: slog.LevelInfo, Message: "agent answers again", Meaning: "The leader assigns workers to the process again: the process answered, or the retry delay after its failure is over. It is still down if another event 921 follows."}
@@ -115,6 +116,6 @@
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers, CapacityChanged,
 	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed, EarlierLeadersEnded,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
-	OrderFailed, WorkerAssigned, StartDelayed, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
+	OrderFailed, WorkerAssigned, StartDelayed, OrderOutdated, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
 	JobStored, JobRefused, JobInDoubt, CancelStored, StateFromStore, CallFailed,
 }
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -76,6 +76,7 @@
 	RetryPayloadMissing RetryReason = "PayloadMissing"
 	RetryReportBase     RetryReason = "ReportBaseMissing"
 	RetryRecovery       RetryReason = "RecoveryRead"
+	RetryOrderOutdated  RetryReason = "OrderOutdated"
 )
 
 // RetryReasons lists every retry reason. BudgetSpent counts the retries that
@@ -84,7 +85,7 @@
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
 	RetryStartUnknown, RetryStopLost, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
-	RetryPayloadMissing, RetryReportBase, RetryRecovery,
+	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated,
 }
 
 // Counter names a counter without a reason.
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		a.member.stale[o.Target()] = true
-		a.member.pending.Orders = append(a.member.pending.Orders, aqagent.WrapOrder(o))
+		a.member.pending.Orders = append(a.member.pending.Orders, aqagent.WrapOrder(a.serial, o))
 		aqsignal.Send(a.member.wakeSend)
 	}
 }
