Apply heartbeat parameters only to the assignment that they are for (TWICE)

What callers may see: a task runs on two workers at once. Cause: the parameters named only the worker. A poll that was on its way when the worker was assigned anew to the same agent, or parameters that waited for the next call, told the new session that the leader had a report of the worker. The agent then renewed the lease without the leader's knowledge, so the end of the lease that the leader waits for was too early. Fix: the parameters name the serial of the assignment.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -200,10 +200,11 @@
 	return nil
 }
 
-// setParams applies the leader's parameters. The caller holds the lock.
+// setParams applies the leader's parameters to the assignments that they are for. The caller holds the
+// lock.
 func (a *Agent) setParams(params []HeartbeatParams) {
 	for _, p := range params {
-		if s := a.sessions[p.Worker]; s != nil {
+		if s := a.sessions[p.Worker]; s != nil && s.serial == p.Serial {
 			s.setParams(p)
 		}
 	}
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -55,6 +55,8 @@
 // HeartbeatParams are the leader's parameters for the heartbeats to a worker.
 type HeartbeatParams struct {
 	Worker aqtype.WorkerID
+	// Serial is that of the assignment that the parameters are for.
+	Serial Serial
 	// Number orders the parameters of one assignment: polls and orders calls carry them
 	// and may overtake each other.
 	Number uint64
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -170,6 +170,7 @@
 	id := a.worker.ID
 	h := aqagent.HeartbeatParams{
 		Worker:   id,
+		Serial:   a.serial,
 		Number:   a.params.Number,
 		Wait:     aqagent.HeartbeatWaitIdle,
 		Renew:    a.renew,
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -338,6 +338,7 @@
 	}
 	p.serial++
 	a.serial = p.serial
+	a.params.Serial = a.serial
 	to.assigned++
 	to.workers[a.worker.ID] = a
 	to.stale[a.worker.ID] = true
--- a/pkg/aqsite/assignment_test.go
+++ b/pkg/aqsite/assignment_test.go
@@ -21,15 +21,24 @@
 type fakeWorker struct {
 	mu        sync.Mutex
 	reachable bool
-	starts    []aqdecider.RunID
+	answers   int
+	// renewed counts the heartbeats that renewed the lease.
+	renewed int
+	starts  []aqdecider.RunID
 }
 
-func (f *fakeWorker) Heartbeat(context.Context, aqworker.Address, aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
+func (f *fakeWorker) Heartbeat(
+	_ context.Context, _ aqworker.Address, r aqworker.HeartbeatRequest,
+) (aqworker.HeartbeatAnswer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.reachable {
 		return aqworker.HeartbeatAnswer{}, aqworker.ErrUnanswered
 	}
+	f.answers++
+	if r.LeaseEnd > 0 {
+		f.renewed++
+	}
 	return aqworker.HeartbeatAnswer{Report: aqdecider.WorkerReport{Incarnation: 1, Complete: true}}, nil
 }
 
@@ -56,38 +65,105 @@
 	return append([]aqdecider.RunID(nil), f.starts...)
 }
 
-// Guards against TWICE: a start that was on its way to a silent worker when the worker's lease expired was
-// delivered in the worker's next assignment to the same agent, once the worker answered.
-func TestLostRunIsNotStartedInTheNextAssignment(t *testing.T) {
+// heartbeats returns how many heartbeats the worker has answered.
+func (f *fakeWorker) heartbeats() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answers
+}
+
+// renewals returns how many of them have renewed the lease.
+func (f *fakeWorker) renewals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.renewed
+}
+
+// assignmentRig is a leader with one agent, which manages one worker.
+type assignmentRig struct {
+	leader      *leader
+	leaderClock aqclock.Instant
+	member      *member
+	// clock is the agent's.
+	clock  *aqclock.Fake
+	worker *fakeWorker
+	// acked is the number of the agent's last answer to a poll.
+	acked uint64
+}
+
+// newAssignmentRig returns a rig whose agent has its first assignment of w1.
+func newAssignmentRig(t *testing.T, reachable bool) *assignmentRig {
+	t.Helper()
 	store := newFakeStore()
 	n, leaderClock := testNode(t, store)
 	l := lead(t, n, store)
-	clock := aqclock.NewFake()
-	worker := &fakeWorker{}
+	r := &assignmentRig{
+		leader:      l,
+		leaderClock: leaderClock,
+		member:      addMember(l, "a1", true),
+		clock:       aqclock.NewFake(),
+		worker:      &fakeWorker{reachable: reachable},
+	}
 	agent := aqagent.New(aqagent.Options{
-		Workers:  worker,
-		Payloads: worker,
-		Clock:    clock,
+		Workers:  r.worker,
+		Payloads: r.worker,
+		Clock:    r.clock,
 		Log:      aqlog.Discard(),
 		Metrics:  aqmetric.New(),
 	})
-	defer agent.Stop()
-	m := addMember(l, "a1", true)
-	m.link = agent
+	t.Cleanup(agent.Stop)
+	r.member.link = agent
 	entry := aqdecider.Worker{ID: "w1", Incarnation: 1}
 	l.agents.addWorker(entry)
-	l.agents.sendOrders(m)
+	l.agents.sendOrders(r.member)
+	l.decide(func(d *aqdecider.Decider) {
+		d.UpdateWorker(entry)
+		d.MarkPersisted([]aqtype.WorkerID{"w1"})
+		l.agents.reportsReleased = true
+	})
+	return r
+}
+
+// poll polls the agent with heartbeat parameters and returns its events.
+func (r *assignmentRig) poll(t *testing.T, params []aqagent.HeartbeatParams) []aqagent.EventWire {
+	t.Helper()
+	// The agent answers a cancelled poll at once.
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	answer, err := r.member.link.Poll(ctx, aqagent.PollCall{
+		Fence:       r.leader.fence,
+		AckedAnswer: r.acked,
+		Params:      params,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.acked = answer.Number
+	runtime.Gosched()
+	return answer.Events
+}
 
+// pollUntilRenewed polls the agent until it may renew the worker's lease.
+func (r *assignmentRig) pollUntilRenewed(t *testing.T) {
+	t.Helper()
+	for renewed := false; !renewed; {
+		renewed = r.leader.agents.assignments["w1"].renew
+		r.leader.agents.applyEvents(r.member, r.poll(t, r.leader.agents.changedParams(r.member)))
+	}
+}
+
+// Guards against TWICE: a start that was on its way to a silent worker when the worker's lease expired was
+// delivered in the worker's next assignment to the same agent, once the worker answered.
+func TestLostRunIsNotStartedInTheNextAssignment(t *testing.T) {
+	r := newAssignmentRig(t, false)
+	l, m, worker := r.leader, r.member, r.worker
 	task := aqjob.TaskID{Job: "j"}
 	lost := aqdecider.RunID{Task: task, Attempt: 1}
 	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: lost}})
 	l.decide(func(d *aqdecider.Decider) {
-		d.UpdateWorker(entry)
-		d.MarkPersisted([]aqtype.WorkerID{"w1"})
-		l.agents.reportsReleased = true
 		l.agents.workerUnresponsive(d, "w1", aqagent.Unresponsive{ExpiresIn: time.Second})
 	})
-	leaderClock.Advance(2 * time.Second)
+	r.leaderClock.Advance(2 * time.Second)
 	l.decide(l.agents.expireLeases)
 	worker.mu.Lock()
 	worker.reachable = true
@@ -96,7 +172,7 @@
 		t.Fatal(err)
 	}
 	l.agents.sendOrders(m)
-	pollUntilRenewed(t, l, m)
+	r.pollUntilRenewed(t)
 	next := aqdecider.RunID{Task: task, Attempt: 2}
 	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: next}})
 	l.agents.sendOrders(m)
@@ -105,7 +181,7 @@
 	}
 	// Wakes a start that waits for the worker's clock.
 	for range 20 {
-		clock.Advance(10 * time.Millisecond)
+		r.clock.Advance(10 * time.Millisecond)
 		runtime.Gosched()
 	}
 	for _, run := range worker.started() {
@@ -115,25 +191,28 @@
 	}
 }
 
-// pollUntilRenewed polls a member's agent until the agent may renew the lease of w1.
-func pollUntilRenewed(t *testing.T, l *leader, m *member) {
-	t.Helper()
-	// The agent answers a cancelled poll at once.
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	acked := uint64(0)
-	for renewed := false; !renewed; {
-		renewed = l.agents.assignments["w1"].renew
-		answer, err := m.link.Poll(ctx, aqagent.PollCall{
-			Fence:       l.fence,
-			AckedAnswer: acked,
-			Params:      l.agents.changedParams(m),
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		acked = answer.Number
-		l.agents.applyEvents(m, answer.Events)
+// Guards against TWICE: a delayed poll with the heartbeat parameters of an earlier assignment let the
+// agent renew the worker's lease before the leader had a report of the present assignment.
+func TestDelayedPollRenewsNoLeaseOfTheNextAssignment(t *testing.T) {
+	r := newAssignmentRig(t, true)
+	l, m, worker := r.leader, r.member, r.worker
+	r.pollUntilRenewed(t)
+	a := l.agents.assignments["w1"]
+	delayed := []aqagent.HeartbeatParams{a.params}
+	l.agents.mu.Lock()
+	l.agents.assign(a, m)
+	l.agents.mu.Unlock()
+	before := worker.heartbeats()
+	l.agents.sendOrders(m)
+	for len(r.poll(t, delayed)) == 0 {
 		runtime.Gosched()
 	}
+	r.poll(t, delayed)
+	for worker.heartbeats() < before+3 {
+		r.clock.Advance(10 * time.Millisecond)
+		r.poll(t, delayed)
+	}
+	if renewals := worker.renewals(); renewals > 0 {
+		t.Fatalf("%d renewals before the leader knows of a report", renewals)
+	}
 }
