Ignore an assignment that arrives after a later one of the same worker (TWICE)

What callers may see: a task runs on two workers at once. Cause: a call whose answer the leader did not get may reach the agent after the next one. The agent began the earlier assignment again and ended the later one, so it carried out orders of the earlier one, which the leader had taken back, and its events were dropped. Evidence: TestDelayedAssignmentDoesNotReplaceALaterOne failed before ("session with serial 1, want 2"). Fix: serials of a worker's sessions only rise in a term.

--- a/internal/site/aqagent/assignment.go
+++ b/internal/site/aqagent/assignment.go
@@ -19,7 +19,8 @@
 	}
 }
 
-// assign starts or updates a session. The caller holds the lock.
+// assign starts or updates a session. Calls may be delayed, so an earlier assignment may arrive after a
+// later one. The caller holds the lock.
 func (a *Agent) assign(next Assignment) {
 	id := next.Worker.ID
 	if next.Serial <= a.dropped[id] {
@@ -30,6 +31,9 @@
 			s.updateWorker(next.Worker)
 			return
 		}
+		if s.serial > next.Serial {
+			return
+		}
 		s.cancel()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/site/aqagent/assignment_test.go
+++ b/internal/site/aqagent/assignment_test.go
@@ -89,3 +89,20 @@
 		}
 	}
 }
+
+// Guards against TWICE: a delayed assignment replaced the session of a later one, and its agent went on with
+// what the leader had taken back.
+func TestDelayedAssignmentDoesNotReplaceALaterOne(t *testing.T) {
+	s, a, _ := testSession(t, &fakeWorkers{})
+	s.serial = 2
+	delayed := OrdersCall{
+		Fence:  5,
+		Assign: []Assignment{{Worker: aqdecider.Worker{ID: "w1", Incarnation: 1}, Serial: 1}},
+	}
+	if err := a.Orders(context.Background(), delayed); err != nil {
+		t.Fatal(err)
+	}
+	if got := a.sessions["w1"]; got != s {
+		t.Errorf("session with serial %d, want 2", got.serial)
+	}
+}
