Repeat an order to run at full pace in a new assignment

What callers may see: a filler stays at a part of its pace to its end. One that was already on its way to an agent that is lost had been lost before, too. Fix: the pace of every run that has been paced is repeated.

--- a/pkg/aqdecider/assignment_test.go
+++ b/pkg/aqdecider/assignment_test.go
@@ -56,3 +56,25 @@
 		t.Errorf("orders %v, want one start", orders)
 	}
 }
+
+// Guards against a filler that stays slow for good: an order to run at full pace that waited when its worker
+// was given to another agent was dropped and not repeated.
+func TestFullPaceIsRepeatedInANewAssignment(t *testing.T) {
+	h := newHarness(t, poolWorker("w1", "r1-1", 8000))
+	filler := tasks(1, 1000)
+	filler.Filler = true
+	h.d.AddJob(testJob(1, filler), nil, 0, false)
+	h.tick()
+	if len(h.started) != 1 {
+		t.Fatalf("%d starts, want 1", len(h.started))
+	}
+	r := h.d.workers["w1"].runs[h.started[0].Run]
+	h.d.setPace(r, reducedPace, 1)
+	h.d.Tick()
+	h.d.setPace(r, fullPace, 0)
+	h.d.WorkerReassigned("w1")
+	h.tick()
+	if len(h.paced) != 1 || h.paced[0].Percent != fullPace {
+		t.Errorf("paces %v, want one to %d", h.paced, fullPace)
+	}
+}
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -348,7 +348,8 @@
 			starts++
 			d.addOrder(d.startOrder(r))
 		case runRunning:
-			if r.pace != fullPace {
+			// The worker may still have an earlier pace, also where the present one is the full pace.
+			if r.pace != fullPace || !r.paceAt.IsZero() {
 				paces++
 				d.addOrder(Pace{Worker: id, Run: r.id, Percent: r.pace})
 			}
