Apply an event only to the assignment that it is of (TWICE)

What callers may see: a task runs on two workers at once, or a worker's leases end while it reports. Cause: the serial of an event was compared under the pool's lock, and the event applied under the same lock taken again. If the agent was lost in between, its last report counted for the next agent's assignment: that one was told to renew the lease, and the end of the lease was forgotten. A silence counted for the next agent too, which then never renewed. Evidence: TestEventOfTheLastAssignmentDoesNotCountForTheNext failed before ("renew true, end of the lease known: false"; "1 silences, tried map[a2:true]"). The calls of other tests name the serial now; their checks are the same. Fix: the serial is compared under the lock under which the event is applied.

--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -24,25 +24,8 @@
 			if !p.isCurrent(m, wire) {
 				continue
 			}
-			id := wire.Worker
-			p.markStale(m, id)
-			switch e := wire.Unwrap().(type) {
-			case aqagent.ReportReceived:
-				p.reportReceived(d, id, e.Difference)
-			case aqagent.Unresponsive:
-				d.WorkerUnresponsive(id)
-				p.workerUnresponsive(d, id, e)
-			case aqagent.StartResult:
-				d.StartAnswered(id, e.Incarnation, e.Run, e.Outcome, e.At)
-			case aqagent.StopResult:
-				if e.Answered {
-					d.StopAnswered(id, e.Incarnation, e.Run, e.At)
-				} else {
-					d.StopUnanswered(id, e.Incarnation, e.Run)
-				}
-			case aqagent.Fenced:
-				deposed = true
-			}
+			p.markStale(m, wire.Worker)
+			deposed = p.applyCurrent(d, wire) || deposed
 		}
 	})
 	if deposed {
@@ -50,19 +33,58 @@
 	}
 }
 
+// applyCurrent passes an event of a current assignment on to the decider. It returns true if the worker
+// has received a higher fencing token.
+func (p *agentPool) applyCurrent(d *aqdecider.Decider, wire aqagent.EventWire) (deposed bool) {
+	id := wire.Worker
+	switch e := wire.Unwrap().(type) {
+	case aqagent.ReportReceived:
+		p.reportReceived(d, id, wire.Serial, e.Difference)
+	case aqagent.Unresponsive:
+		d.WorkerUnresponsive(id)
+		p.workerUnresponsive(d, id, wire.Serial, e)
+	case aqagent.StartResult:
+		d.StartAnswered(id, e.Incarnation, e.Run, e.Outcome, e.At)
+	case aqagent.StopResult:
+		if e.Answered {
+			d.StopAnswered(id, e.Incarnation, e.Run, e.At)
+		} else {
+			d.StopUnanswered(id, e.Incarnation, e.Run)
+		}
+	case aqagent.Fenced:
+		return true
+	}
+	return false
+}
+
 // isCurrent reports whether an event belongs to the worker's current assignment.
 func (p *agentPool) isCurrent(m *member, wire aqagent.EventWire) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := p.assignments[wire.Worker]
-	return a != nil && a.member == m && a.serial == wire.Serial
+	a := p.assignment(wire.Worker, wire.Serial)
+	return a != nil && a.member == m
 }
 
-// reportReceived rebuilds a worker's report and passes it on to the decider. A difference
-// without its base makes the worker's agent report everything again.
-func (p *agentPool) reportReceived(d *aqdecider.Decider, id aqtype.WorkerID, difference aqreport.Difference) {
+// assignment returns a worker's assignment with a serial, nil if it has ended. The caller holds the lock.
+func (p *agentPool) assignment(id aqtype.WorkerID, serial aqagent.Serial) *workerAssignment {
+	if a := p.assignments[id]; a != nil && a.member != nil && a.serial == serial {
+		return a
+	}
+	return nil
+}
+
+// reportReceived rebuilds a worker's report and passes it on to the decider, unless the
+// assignment has ended. A difference without its base makes the worker's agent report
+// everything again.
+func (p *agentPool) reportReceived(
+	d *aqdecider.Decider, id aqtype.WorkerID, serial aqagent.Serial, difference aqreport.Difference,
+) {
 	p.mu.Lock()
-	a := p.assignments[id]
+	a := p.assignment(id, serial)
+	if a == nil {
+		p.mu.Unlock()
+		return
+	}
 	report, err := a.listing.Apply(difference)
 	if err != nil {
 		a.leaseEndsBy(p.leader.node.clock.Now().Add(p.longestLease()))
@@ -132,11 +154,13 @@
 }
 
 // workerUnresponsive assigns an unresponsive worker to another member, which may
-// reach it.
-func (p *agentPool) workerUnresponsive(d *aqdecider.Decider, id aqtype.WorkerID, e aqagent.Unresponsive) {
+// reach it, unless the assignment has ended.
+func (p *agentPool) workerUnresponsive(
+	d *aqdecider.Decider, id aqtype.WorkerID, serial aqagent.Serial, e aqagent.Unresponsive,
+) {
 	p.mu.Lock()
-	a := p.assignments[id]
-	if a == nil || a.member == nil {
+	a := p.assignment(id, serial)
+	if a == nil {
 		p.mu.Unlock()
 		return
 	}
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -29,7 +29,7 @@
 	m.pending = aqagent.OrdersCall{}
 	l.decide(func(d *aqdecider.Decider) {
 		d.UpdateWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
-		l.agents.workerUnresponsive(d, "w1", aqagent.Unresponsive{ExpiresIn: time.Second})
+		l.agents.workerUnresponsive(d, "w1", before, aqagent.Unresponsive{ExpiresIn: time.Second})
 	})
 	clock.Advance(2 * time.Second)
 	l.decide(l.agents.expireLeases)
@@ -56,7 +56,7 @@
 		d.UpdateWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
 		d.MarkPersisted([]aqtype.WorkerID{"w1"})
 		l.agents.reportsReleased = true
-		l.agents.reportReceived(d, "w1", aqreport.Difference{Incarnation: 1, Sent: 1, Complete: true, Whole: true})
+		l.agents.reportReceived(d, "w1", l.agents.assignments["w1"].serial, aqreport.Difference{Incarnation: 1, Sent: 1, Complete: true, Whole: true})
 	})
 	lost := n.clock.Now()
 	longest := l.agents.longestLease()
--- a/pkg/aqsite/assignment_test.go
+++ b/pkg/aqsite/assignment_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
@@ -161,7 +162,7 @@
 	lost := aqdecider.RunID{Task: task, Attempt: 1}
 	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: lost}})
 	l.decide(func(d *aqdecider.Decider) {
-		l.agents.workerUnresponsive(d, "w1", aqagent.Unresponsive{ExpiresIn: time.Second})
+		l.agents.workerUnresponsive(d, "w1", l.agents.assignments["w1"].serial, aqagent.Unresponsive{ExpiresIn: time.Second})
 	})
 	r.leaderClock.Advance(2 * time.Second)
 	l.decide(l.agents.expireLeases)
@@ -216,3 +217,71 @@
 		t.Fatalf("%d renewals before the leader knows of a report", renewals)
 	}
 }
+
+// newEventRig returns a leader with the agents a1, which manages w1, and a2.
+func newEventRig(t *testing.T) (l *leader, clock aqclock.Instant, a1, a2 *member) {
+	t.Helper()
+	store := newFakeStore()
+	n, clock := testNode(t, store)
+	l = lead(t, n, store)
+	a1 = addMember(l, "a1", true)
+	l.agents.addWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
+	a2 = addMember(l, "a2", true)
+	l.decide(func(d *aqdecider.Decider) {
+		d.UpdateWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
+		d.MarkPersisted([]aqtype.WorkerID{"w1"})
+		l.agents.reportsReleased = true
+	})
+	return l, clock, a1, a2
+}
+
+// wholeReport is the first report of w1 in an assignment.
+func wholeReport() *aqagent.ReportReceived {
+	return &aqagent.ReportReceived{Difference: aqreport.Difference{
+		Incarnation: 1,
+		Sent:        1,
+		Complete:    true,
+		Whole:       true,
+	}}
+}
+
+// Guards against TWICE: an event of an agent that was lost while the leader applied it counted for the
+// worker's next assignment.
+func TestEventOfTheLastAssignmentDoesNotCountForTheNext(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		event aqagent.EventWire
+	}{
+		{name: "report", event: aqagent.EventWire{Report: wholeReport()}},
+		{name: "silence", event: aqagent.EventWire{Unresponsive: &aqagent.Unresponsive{ExpiresIn: time.Second}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l, _, a1, a2 := newEventRig(t)
+			a := l.agents.assignments["w1"]
+			test.event.Worker, test.event.Serial = "w1", a.serial
+			reassigned := make(chan struct{})
+			l.decide(func(d *aqdecider.Decider) {
+				if !l.agents.isCurrent(a1, test.event) {
+					t.Fatal("the event is not of the present assignment")
+				}
+				go func() {
+					defer close(reassigned)
+					l.agents.agentFailed(a1, errTest)
+				}()
+				for moved := false; !moved; runtime.Gosched() {
+					l.agents.mu.Lock()
+					moved = a.member == a2
+					l.agents.mu.Unlock()
+				}
+				l.agents.applyCurrent(d, test.event)
+			})
+			<-reassigned
+			if a.renew || a.leaseExpiresAt.IsZero() {
+				t.Errorf("renew %v, end of the lease known: %v", a.renew, !a.leaseExpiresAt.IsZero())
+			}
+			if a.silences != 0 || a.tried["a2"] {
+				t.Errorf("%d silences, tried %v", a.silences, a.tried)
+			}
+		})
+	}
+}
