--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -148,9 +148,22 @@
 // by a time. A deadline that is known stays: without a report since, no agent was told to renew the
 // lease, however many have been tried.
 func (a *workerAssignment) leaseEndsBy(until time.Time) {
-	if a.leaseExpiresAt.IsZero() {
-		a.leaseExpiresAt = until
+	if !a.leaseExpiresAt.IsZero() {
+		return
+	}
+	a.leaseExpiresAt = until
+	if a.othersRenewedUntil.After(until) {
+		a.leaseExpiresAt = a.othersRenewedUntil
+	}
+}
+
+// takenUntold records that the worker is taken from an agent that may renew its lease until it is told,
+// by a time at the latest.
+func (a *workerAssignment) takenUntold(until time.Time) {
+	if a.renew {
+		a.othersRenewedUntil = until
 	}
+	a.leaseEndsBy(until)
 }
 
 // workerUnresponsive assigns an unresponsive worker to another member, which may
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -61,6 +61,10 @@
 	// leaseExpiresAt is when the lease has certainly expired, set while no agent
 	// reaches the worker and zero otherwise.
 	leaseExpiresAt time.Time
+	// othersRenewedUntil is when the lease has certainly expired as far as earlier agents may have
+	// renewed it, which had not been told that the worker was taken from them. The present agent
+	// does not know of that.
+	othersRenewedUntil time.Time
 	// tried lists the members that found the worker unresponsive.
 	tried map[string]bool
 	// renew is set once the worker has answered in this assignment.
