Give an agent that was lost no permit before it knows what was taken from it (TWICE)

What callers may see: a task runs on two workers at once. Cause: a permit is for all sessions of an agent. One that answered again after a loss was told to drop the workers that others manage by then, but the polls that renew its permit did not wait for that call. In between its sessions renewed leases, and delivered starts that had waited for a payload, though the leases may have counted as expired. TestAgentThatAnswersAgainGetsNoPermitBeforeItsDrops fails with the check taken out ("acknowledges answer 3 before the drop of w1 is sent"). Fix: polls of a member that was lost acknowledge nothing until a call with all drops has been answered.

--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -77,6 +77,9 @@
 		return false
 	}
 	if len(call.Assign)+len(call.Drop)+len(call.Params)+len(call.Orders) == 0 {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		m.noteTold()
 		return true
 	}
 	call.Fence = p.leader.fence
@@ -84,10 +87,22 @@
 	if err := m.link.Orders(m.ctx, call); err != nil {
 		p.keepDrops(m, call.Drop)
 		p.agentFailed(m, err)
+		return true
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.noteTold()
 	return true
 }
 
+// noteTold ends the wait for the drops of a member that was lost, unless it has been lost again. The caller
+// holds the lock.
+func (m *member) noteTold() {
+	if m.up && m.tellsAll && len(m.undropped) == 0 {
+		m.untold = false
+	}
+}
+
 // keepDrops notes that a call which told a member's agent to drop workers has failed.
 func (p *agentPool) keepDrops(m *member, drops []aqagent.Dropped) {
 	p.mu.Lock()
@@ -109,6 +124,7 @@
 	defer p.mu.Unlock()
 	call := m.pending
 	m.pending = aqagent.OrdersCall{}
+	m.tellsAll = m.up
 	if m.up {
 		for _, id := range slices.Sorted(maps.Keys(m.undropped)) {
 			drop := aqagent.Dropped{
@@ -138,6 +154,7 @@
 	p.mu.Lock()
 	wasUp := m.up
 	m.up = false
+	m.untold = true
 	p.mu.Unlock()
 	p.leader.node.metrics.Retried(aqmetric.RetryAgentLost)
 	if wasUp {
@@ -152,7 +169,7 @@
 	p.mu.Lock()
 	wasUp := m.up
 	m.up = true
-	if len(m.undropped) > 0 {
+	if m.untold || len(m.undropped) > 0 {
 		aqsignal.Send(m.wakeSend)
 	}
 	p.mu.Unlock()
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -17,12 +17,7 @@
 			aqclock.Sleep(m.ctx, p.leader.node.clock, retryPause)
 			continue
 		}
-		// Without the acknowledgement a poll gives no permit; its answer still shows whom the
-		// agent follows.
-		acked := uint64(0)
-		if p.leader.mayOrder() {
-			acked = m.lastAnswer
-		}
+		acked := p.ackedAnswer(m)
 		sent := p.leader.node.clock.Elapsed()
 		p.mu.Lock()
 		m.polledAt = p.leader.node.clock.Now()
@@ -55,6 +50,20 @@
 	}
 }
 
+// ackedAnswer returns the number of the answer that the next poll of a member acknowledges. Without an
+// acknowledgement a poll gives no permit; its answer still shows whom the agent follows.
+func (p *agentPool) ackedAnswer(m *member) uint64 {
+	if !p.leader.mayOrder() {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m.untold {
+		return 0
+	}
+	return m.lastAnswer
+}
+
 // noteEarlier passes an agent's runs of an earlier term on to the decider.
 func (p *agentPool) noteEarlier(earlier []aqdecider.EarlierRuns) {
 	if len(earlier) == 0 {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -51,6 +51,11 @@
 	// undropped holds the workers that have been taken from the member, and of which no call
 	// under way or answered has told its agent. The agent may still renew their leases.
 	undropped map[aqtype.WorkerID]aqagent.Serial
+	// untold is set from the loss of the member until a call has told its agent of all drops. The agent
+	// gets no permit meanwhile.
+	untold bool
+	// tellsAll is set while the call under way holds all drops. Only the send loop uses it.
+	tellsAll bool
 }
 
 // workerAssignment records which member manages a worker.
@@ -127,6 +132,7 @@
 		// The record of an earlier leader may name an earlier incarnation: the sessions that
 		// the process has begun since are then those of the member before.
 		m.undropped = before.undropped
+		m.untold = true
 	}
 	p.add(m)
 	p.mu.Unlock()
@@ -145,11 +151,13 @@
 func (p *agentPool) newMember(ctx context.Context, record nodeRecord, link agentLink) *member {
 	memberCtx, cancel := context.WithCancel(ctx)
 	undropped := map[aqtype.WorkerID]aqagent.Serial{}
+	untold := false
 	if before := p.left[record.Name]; before != nil {
 		undropped = before.undropped
+		untold = true
 	}
 	delete(p.left, record.Name)
-	return &member{
+	m := &member{
 		record:    record,
 		link:      link,
 		joinedAt:  p.leader.node.clock.Elapsed(),
@@ -161,7 +169,12 @@
 		stale:     map[aqtype.WorkerID]bool{},
 		wakePoll:  make(chan struct{}, 1),
 		undropped: undropped,
+		untold:    untold,
 	}
+	if untold {
+		aqsignal.Send(m.wakeSend)
+	}
+	return m
 }
 
 // records lists the members for the stored list of agents, with the number of
--- a/pkg/aqsite/assignment_test.go
+++ b/pkg/aqsite/assignment_test.go
@@ -328,3 +328,32 @@
 		t.Errorf("the lease counts as expired in %s, want 1s", a.leaseExpiresAt.Sub(clock.Now()))
 	}
 }
+
+// Guards against TWICE: an agent that answered again after a loss got a permit before it was told which
+// workers had been taken from it, and went on with them.
+func TestAgentThatAnswersAgainGetsNoPermitBeforeItsDrops(t *testing.T) {
+	l, _, a1, _ := newEventRig(t)
+	link := &fakeLink{}
+	a1.link = link
+	l.agents.sendOrders(a1)
+	a1.lastAnswer = 3
+	if acked := l.agents.ackedAnswer(a1); acked != 3 {
+		t.Fatalf("acknowledges answer %d, want 3", acked)
+	}
+	l.agents.agentFailed(a1, errTest)
+	l.agents.markUp(a1)
+	if acked := l.agents.ackedAnswer(a1); acked != 0 {
+		t.Fatalf("acknowledges answer %d before the drop of w1 is sent", acked)
+	}
+	link.fail = true
+	l.agents.sendOrders(a1)
+	l.agents.markUp(a1)
+	if acked := l.agents.ackedAnswer(a1); acked != 0 {
+		t.Fatalf("acknowledges answer %d after the call with the drop has failed", acked)
+	}
+	link.fail = false
+	l.agents.sendOrders(a1)
+	if acked := l.agents.ackedAnswer(a1); acked != 3 || len(link.dropped) != 1 {
+		t.Fatalf("acknowledges answer %d after the drop of %v, want 3", acked, link.dropped)
+	}
+}
