Deliver a start once in an assignment

What callers may see: a task of a cancelled job starts after the order to stop it. Cause: a round of decisions and the repetition for a new assignment may both send the start of a run; the order to stop it withdrew only one of the two. Evidence: TestStopWithdrawsAStartThatWasSentTwice failed before ("queued [start stop], want only the stop"). Fix: a session ignores a start that is queued or being delivered.

--- a/internal/site/aqagent/assignment_test.go
+++ b/internal/site/aqagent/assignment_test.go
@@ -106,3 +106,16 @@
 		t.Errorf("session with serial %d, want 2", got.serial)
 	}
 }
+
+// Guards against a start after its stop: a start that was sent twice in one assignment was withdrawn once.
+func TestStopWithdrawsAStartThatWasSentTwice(t *testing.T) {
+	s, _, _ := testSession(t, &fakeWorkers{})
+	s.inFlight = maxOrdersInFlight
+	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
+	s.send(aqdecider.Start{Worker: "w1", Run: run})
+	s.send(aqdecider.Start{Worker: "w1", Run: run})
+	s.send(aqdecider.Stop{Worker: "w1", Run: run})
+	if len(s.queue) != 1 || s.queue[0] != (aqdecider.Stop{Worker: "w1", Run: run}) {
+		t.Errorf("queued %v, want only the stop", s.queue)
+	}
+}
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -20,6 +20,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if start, isStart := o.(aqdecider.Start); isStart {
+		if _, repeated := s.received[start.Run]; repeated {
+			return
+		}
 		s.queue = append(s.queue, o)
 		s.received[start.Run] = s.agent.clock.Now()
 		if s.agent.payloads.Prepare(s.id, start.Run.Task.Job, start.PayloadSource, s.payloadReady) {
