--- a/pkg/aqsite/agentbalance.go
+++ b/pkg/aqsite/agentbalance.go
@@ -73,7 +73,7 @@
 	p.mu.Lock()
 	for _, id := range p.workersOf(m) {
 		a := p.assignments[id]
-		a.takenUntold(now.Add(p.longestLease()))
+		a.mayBeRenewedUntil(now.Add(p.longestLease()))
 		p.assign(a, p.pickMember(a.worker, nil))
 		moved = append(moved, id)
 	}
@@ -118,7 +118,7 @@
 			continue
 		}
 		if a.member != nil {
-			a.takenUntold(now.Add(p.longestLease()))
+			a.mayBeRenewedUntil(now.Add(p.longestLease()))
 		}
 		p.assign(a, to)
 		moved = append(moved, id)
--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -157,9 +157,9 @@
 	}
 }
 
-// takenUntold records that the worker is taken from an agent that may renew its lease until it is told,
-// by a time at the latest.
-func (a *workerAssignment) takenUntold(until time.Time) {
+// mayBeRenewedUntil records that the worker is taken from an agent that does not know of it yet. The
+// leases that this agent still renews have expired by a time.
+func (a *workerAssignment) mayBeRenewedUntil(until time.Time) {
 	if a.renew {
 		a.othersRenewedUntil = until
 	}
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -79,7 +79,7 @@
 	if len(call.Assign)+len(call.Drop)+len(call.Params)+len(call.Orders) == 0 {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		m.noteTold()
+		m.confirmDrops()
 		return true
 	}
 	call.Fence = p.leader.fence
@@ -91,15 +91,15 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m.noteTold()
+	m.confirmDrops()
 	return true
 }
 
-// noteTold ends the wait for the drops of a member that was lost, unless it has been lost again. The caller
-// holds the lock.
-func (m *member) noteTold() {
-	if m.up && m.tellsAll && len(m.undropped) == 0 {
-		m.untold = false
+// confirmDrops records that a member's agent has received its drops, unless the member has been lost
+// again. The caller holds the lock.
+func (m *member) confirmDrops() {
+	if m.up && m.sendsAllDrops && len(m.undropped) == 0 {
+		m.dropsUnconfirmed = false
 	}
 }
 
@@ -124,7 +124,7 @@
 	defer p.mu.Unlock()
 	call := m.pending
 	m.pending = aqagent.OrdersCall{}
-	m.tellsAll = m.up
+	m.sendsAllDrops = m.up
 	if m.up {
 		for _, id := range slices.Sorted(maps.Keys(m.undropped)) {
 			drop := aqagent.Dropped{
@@ -154,7 +154,7 @@
 	p.mu.Lock()
 	wasUp := m.up
 	m.up = false
-	m.untold = true
+	m.dropsUnconfirmed = true
 	p.mu.Unlock()
 	p.leader.node.metrics.Retried(aqmetric.RetryAgentLost)
 	if wasUp {
@@ -169,7 +169,7 @@
 	p.mu.Lock()
 	wasUp := m.up
 	m.up = true
-	if m.untold || len(m.undropped) > 0 {
+	if m.dropsUnconfirmed || len(m.undropped) > 0 {
 		aqsignal.Send(m.wakeSend)
 	}
 	p.mu.Unlock()
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -58,7 +58,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m.untold {
+	if m.dropsUnconfirmed {
 		return 0
 	}
 	return m.lastAnswer
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -51,11 +51,11 @@
 	// undropped holds the workers that have been taken from the member, and of which no call
 	// under way or answered has told its agent. The agent may still renew their leases.
 	undropped map[aqtype.WorkerID]aqagent.Serial
-	// untold is set from the loss of the member until a call has told its agent of all drops. The agent
+	// dropsUnconfirmed is set from the loss of the member until a call has told its agent of all drops. The agent
 	// gets no permit meanwhile.
-	untold bool
-	// tellsAll is set while the call under way holds all drops. Only the send loop uses it.
-	tellsAll bool
+	dropsUnconfirmed bool
+	// sendsAllDrops is set while the call under way holds all drops. Only the send loop uses it.
+	sendsAllDrops bool
 }
 
 // workerAssignment records which member manages a worker.
@@ -132,7 +132,7 @@
 		// The record of an earlier leader may name an earlier incarnation: the sessions that
 		// the process has begun since are then those of the member before.
 		m.undropped = before.undropped
-		m.untold = true
+		m.dropsUnconfirmed = true
 	}
 	p.add(m)
 	p.mu.Unlock()
@@ -151,27 +151,27 @@
 func (p *agentPool) newMember(ctx context.Context, record nodeRecord, link agentLink) *member {
 	memberCtx, cancel := context.WithCancel(ctx)
 	undropped := map[aqtype.WorkerID]aqagent.Serial{}
-	untold := false
+	dropsUnconfirmed := false
 	if before := p.left[record.Name]; before != nil {
 		undropped = before.undropped
-		untold = true
+		dropsUnconfirmed = true
 	}
 	delete(p.left, record.Name)
 	m := &member{
-		record:    record,
-		link:      link,
-		joinedAt:  p.leader.node.clock.Elapsed(),
-		up:        true,
-		cancel:    cancel,
-		ctx:       memberCtx,
-		wakeSend:  make(chan struct{}, 1),
-		workers:   map[aqtype.WorkerID]*workerAssignment{},
-		stale:     map[aqtype.WorkerID]bool{},
-		wakePoll:  make(chan struct{}, 1),
-		undropped: undropped,
-		untold:    untold,
+		record:           record,
+		link:             link,
+		joinedAt:         p.leader.node.clock.Elapsed(),
+		up:               true,
+		cancel:           cancel,
+		ctx:              memberCtx,
+		wakeSend:         make(chan struct{}, 1),
+		workers:          map[aqtype.WorkerID]*workerAssignment{},
+		stale:            map[aqtype.WorkerID]bool{},
+		wakePoll:         make(chan struct{}, 1),
+		undropped:        undropped,
+		dropsUnconfirmed: dropsUnconfirmed,
 	}
-	if untold {
+	if dropsUnconfirmed {
 		aqsignal.Send(m.wakeSend)
 	}
 	return m
--- a/pkg/aqsite/assignment_test.go
+++ b/pkg/aqsite/assignment_test.go
@@ -245,6 +245,12 @@
 	}}
 }
 
+// applyEvent applies an event of the present assignment of w1.
+func applyEvent(l *leader, m *member, e aqagent.EventWire) {
+	e.Worker, e.Serial = "w1", l.agents.assignments["w1"].serial
+	l.agents.applyEvents(m, []aqagent.EventWire{e})
+}
+
 // Guards against TWICE: an event of an agent that was lost while the leader applied it counted for the
 // worker's next assignment.
 func TestEventOfTheLastAssignmentDoesNotCountForTheNext(t *testing.T) {
@@ -291,21 +297,17 @@
 func TestLeaseOfALostAgentIsAwaitedThoughItsWorkerReports(t *testing.T) {
 	l, clock, a1, a2 := newEventRig(t)
 	a := l.agents.assignments["w1"]
-	apply := func(m *member, e aqagent.EventWire) {
-		e.Worker, e.Serial = "w1", a.serial
-		l.agents.applyEvents(m, []aqagent.EventWire{e})
-	}
-	apply(a1, aqagent.EventWire{Report: wholeReport()})
+	applyEvent(l, a1, aqagent.EventWire{Report: wholeReport()})
 	lost := clock.Now()
 	l.agents.agentFailed(a1, errTest)
 	if a.member != a2 {
 		t.Fatal("w1 is not assigned to a2")
 	}
-	apply(a2, aqagent.EventWire{Report: wholeReport()})
+	applyEvent(l, a2, aqagent.EventWire{Report: wholeReport()})
 	const silent = 300 * time.Millisecond
 	clock.Advance(silent)
 	known := aqagent.MaxLeaseSpan(l.leaseDuration()) - silent
-	apply(a2, aqagent.EventWire{Unresponsive: &aqagent.Unresponsive{ExpiresIn: known}})
+	applyEvent(l, a2, aqagent.EventWire{Unresponsive: &aqagent.Unresponsive{ExpiresIn: known}})
 	if ends := lost.Add(aqagent.PermitTime + l.leaseDuration()); a.leaseExpiresAt.Before(ends) {
 		t.Errorf("the lease counts as expired %s before it may end", ends.Sub(a.leaseExpiresAt))
 	}
@@ -315,15 +317,11 @@
 func TestLeaseOfALostAgentIsForgottenInTime(t *testing.T) {
 	l, clock, a1, a2 := newEventRig(t)
 	a := l.agents.assignments["w1"]
-	apply := func(m *member, e aqagent.EventWire) {
-		e.Worker, e.Serial = "w1", a.serial
-		l.agents.applyEvents(m, []aqagent.EventWire{e})
-	}
-	apply(a1, aqagent.EventWire{Report: wholeReport()})
+	applyEvent(l, a1, aqagent.EventWire{Report: wholeReport()})
 	l.agents.agentFailed(a1, errTest)
-	apply(a2, aqagent.EventWire{Report: wholeReport()})
+	applyEvent(l, a2, aqagent.EventWire{Report: wholeReport()})
 	clock.Advance(l.agents.longestLease())
-	apply(a2, aqagent.EventWire{Unresponsive: &aqagent.Unresponsive{ExpiresIn: time.Second}})
+	applyEvent(l, a2, aqagent.EventWire{Unresponsive: &aqagent.Unresponsive{ExpiresIn: time.Second}})
 	if want := clock.Now().Add(time.Second); !a.leaseExpiresAt.Equal(want) {
 		t.Errorf("the lease counts as expired in %s, want 1s", a.leaseExpiresAt.Sub(clock.Now()))
 	}
