Log unanswered starts and the life that an expired lease belongs to

Event 936 names each attempt to start that a worker left unanswered, with the life that it was sent to: it may be carried out seconds later. Event 546 tells how many of its runs were ordered in an earlier life of the worker than the present one. No decision changes.

--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -141,6 +141,7 @@
 			if errors.Is(err, aqworker.ErrUnanswered) {
 				uncertain = true
 				outcome = aqdecider.OutcomeUnknown
+				s.logUnansweredStart(to, order.Run)
 			}
 			s.agent.metrics.Retried(aqmetric.RetryOrderLost)
 			aqclock.Sleep(s.ctx, s.agent.clock, orderRetry)
@@ -219,6 +220,17 @@
 		slog.String("Worker", string(s.id)), slog.Uint64("Serial", uint64(s.serial)), slog.Duration("Waited", waited))
 }
 
+// logUnansweredStart logs an attempt to deliver a start that may still take effect, unless the session
+// has ended.
+func (s *session) logUnansweredStart(to aqworker.Address, run aqdecider.RunID) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	s.agent.log.Write(aqlog.StartUnanswered, slog.String("Task", run.Task.String()), slog.Int("Attempt", int(run.Attempt)),
+		slog.String("Worker", string(s.id)), slog.Uint64("Serial", uint64(s.serial)),
+		slog.Int64("Life", int64(to.Worker.Incarnation)))
+}
+
 // tryStart makes one attempt to deliver a start. A worker that does not answer
 // heartbeats gets no starts, since a start renews its lease.
 func (s *session) tryStart(to aqworker.Address, order aqdecider.Start, payload string) error {
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -156,6 +156,9 @@
 	// stopAcked is when the worker acknowledged the order to stop, zero before
 	// that.
 	stopAcked LogicalTime
+	// earlierLife is set when the worker has restarted since the start was ordered. The run itself has
+	// ended then, but a delayed order may still start it in the worker's present incarnation.
+	earlierLife bool
 	// stopUpdatedAt is when the order to stop was last decided, sent again or
 	// acknowledged.
 	stopUpdatedAt time.Time
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -295,6 +295,7 @@
 		r.stopAcked = 0
 		r.stopUpdatedAt = d.now
 		r.reason = "worker restarted"
+		r.earlierLife = true
 		r.orderedClock = 0
 		d.addOrder(Stop{Worker: w.info.ID, Run: r.id})
 	}
@@ -373,7 +374,8 @@
 	}
 	if len(w.runs) > 0 {
 		d.options.Metrics.Retried(aqmetric.RetryWorkerLost)
-		d.options.Log.Write(aqlog.WorkerLeaseExpired, workerAttr(id), slog.Int("Runs", len(w.runs)))
+		d.options.Log.Write(aqlog.WorkerLeaseExpired, workerAttr(id), slog.Int("Runs", len(w.runs)),
+			slog.Int64("Life", int64(w.info.Incarnation)), slog.Int("EarlierLife", w.runsOfEarlierLife()))
 		d.runsLost(w, false)
 	}
 	for _, r := range w.runs {
@@ -385,4 +387,15 @@
 	d.dropIfGone(w)
 }
 
+// runsOfEarlierLife counts the runs that were ordered in an earlier incarnation.
+func (w *worker) runsOfEarlierLife() int {
+	count := 0
+	for _, r := range w.runs {
+		if r.earlierLife {
+			count++
+		}
+	}
+	return count
+}
+
 func workerAttr(id aqtype.WorkerID) slog.Attr { return slog.String("Worker", string(id)) }
