--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -83,13 +83,7 @@
 func (d *Decider) UpdateWorker(info Worker) {
 	w := d.workers[info.ID]
 	if w == nil {
-		w = &worker{
-			info:       info,
-			emptySince: d.now,
-			runs:       map[RunID]*run{},
-			orphans:    map[RunID]time.Time{},
-		}
-		d.addWorker(w)
+		w = d.newWorker(info)
 		d.resumeSearches()
 		d.unpersisted[info.ID] = true
 		d.options.Log.Write(aqlog.WorkerListed, workerAttr(info.ID), slog.String("Service", string(info.Service)),
@@ -106,6 +100,9 @@
 	if !w.present || !slices.Equal(w.info.Labels, info.Labels) {
 		d.resumeSearches()
 	}
+	if !w.info.SameInstance(info) {
+		d.fleetChanges++
+	}
 	w.info = info
 	w.invalidateLoad()
 	w.rack = rackOf(info.Labels)
@@ -126,6 +123,27 @@
 	}
 }
 
+func (d *Decider) newWorker(info Worker) *worker {
+	w := &worker{
+		info:       info,
+		rack:       rackOf(info.Labels),
+		emptySince: d.now,
+		runs:       map[RunID]*run{},
+		orphans:    map[RunID]time.Time{},
+	}
+	d.addWorker(w)
+	return w
+}
+
+// RestoreWorker adds a worker that an earlier leader knew and that service discovery does not list now, so that
+// it can report what still runs there. Nothing is started on it until it is listed.
+func (d *Decider) RestoreWorker(info Worker) {
+	if d.workers[info.ID] != nil {
+		return
+	}
+	d.newWorker(info).persisted = true
+}
+
 // DelistWorker handles a worker's removal from service discovery.
 func (d *Decider) DelistWorker(id aqtype.WorkerID) {
 	w := d.workers[id]
@@ -245,7 +263,21 @@
 	return ids
 }
 
-// FleetChanges counts the changes of FleetIDs so far.
+// FleetEntries returns the last entries of the workers of FleetIDs as far as they are known, so that the next
+// leader reaches those that are not listed then.
+func (d *Decider) FleetEntries() []Worker {
+	entries := make([]Worker, 0, len(d.fleet))
+	for _, w := range d.fleet {
+		if !w.silent {
+			entry := w.info
+			entry.Draining, entry.Remaining = false, 0
+			entries = append(entries, entry)
+		}
+	}
+	return entries
+}
+
+// FleetChanges counts the changes of FleetIDs, and of where the workers are reached, so far.
 func (d *Decider) FleetChanges() uint64 { return d.fleetChanges }
 
 // HasUnpersistedWorkers reports whether a worker is missing from the stored list.
--- a/pkg/aqsite/keys.go
+++ b/pkg/aqsite/keys.go
@@ -22,6 +22,8 @@
 	// fleetKey lists the workers on which the leader may have started tasks, and the
 	// agents that may manage workers for it.
 	fleetKey = "acaciaquay/fleet"
+	// entriesKey holds the entries of these workers in service discovery.
+	entriesKey = "acaciaquay/entries"
 	// progressPrefix holds the stored progress of jobs.
 	progressPrefix = "acaciaquay/run/"
 	// nodePrefix holds the registered processes.
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -194,6 +194,7 @@
 		{name: "advice", run: l.adviceLoop},
 		{name: "decisions", run: l.tickLoop},
 		{name: "store writes", run: l.storeLoop},
+		{name: "worker entries", run: l.entriesLoop},
 	} {
 		l.spawn(loop.name, func() { loop.run(ctx) })
 	}
--- a/pkg/aqsite/lives_test.go
+++ b/pkg/aqsite/lives_test.go
@@ -167,7 +167,7 @@
 	})
 	t.Cleanup(agent.Stop)
 	r.member.link = agent
-	l.decide(func(d *aqdecider.Decider) { l.agents.reportsReleased = true })
+	l.decide(func(_ *aqdecider.Decider) { l.agents.reportsReleased = true })
 	r.list()
 	r.until("the lease is renewed", func() (renewed bool) {
 		r.worker.locked(func() { renewed = len(r.worker.delayedHolds) > 0 })
