--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -303,7 +303,7 @@
 }
 
 // lockedToken is token for a caller that holds the lock.
-func (s *session) lockedToken() aqworker.Token { return s.fence.Token(s.params.Life) }
+func (s *session) lockedToken() aqworker.Token { return s.fence.Token(s.params.Restarts) }
 
 // unlessOvertaken returns the error of a call, but for a refusal of a token that the leader has raised since.
 // The worker had a later call of this session before, so the call may be repeated.
--- a/internal/site/aqagent/token_test.go
+++ b/internal/site/aqagent/token_test.go
@@ -53,11 +53,11 @@
 		raise := func(token aqworker.Token) {
 			if test.raised && token == aqworker.Fence(5).Token(0) && highest > token {
 				s.setParams(HeartbeatParams{
-					Worker: "w1",
-					Number: 2,
-					Wait:   time.Second,
-					Renew:  true,
-					Life:   1,
+					Worker:   "w1",
+					Number:   2,
+					Wait:     time.Second,
+					Renew:    true,
+					Restarts: 1,
 				})
 			}
 		}
@@ -85,8 +85,8 @@
 	}
 }
 
-// Tokens order calls by their leader first, then by the worker's life.
-func TestTokensOrderLeadersAndLives(t *testing.T) {
+// Tokens order calls by their leader first, then by the worker's restarts.
+func TestTokensOrderLeadersAndRestarts(t *testing.T) {
 	ordered := []aqworker.Token{
 		aqworker.Fence(5).Token(0),
 		aqworker.Fence(5).Token(1),
@@ -131,7 +131,7 @@
 	}
 	params.Number++
 	params.Incarnation = 2
-	params.Life = 1
+	params.Restarts = 1
 	s.setParams(params)
 	s.heartbeat()
 	if last.Wait != time.Second || last.Token != aqworker.Fence(5).Token(1) {
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -65,9 +65,9 @@
 	// numbered them.
 	AckedEnd    int
 	Incarnation aqdecider.Incarnation
-	// Life counts the worker's restarts in the leader's term. The tokens of the agent's calls name it.
-	Life aqworker.Life
-	Wait time.Duration
+	// Restarts counts the worker's restarts in the leader's term. The tokens of the agent's calls name it.
+	Restarts aqworker.Restarts
+	Wait     time.Duration
 	// Renew is set once the leader has received a report of the worker in this
 	// assignment. The agent does not renew the lease before, so that the leader knows
 	// when it expires.
--- a/internal/site/aqworker/worker.go
+++ b/internal/site/aqworker/worker.go
@@ -19,19 +19,19 @@
 // leadership.
 type Fence int64
 
-// Life counts the restarts of one worker that a leader has learned of in its term.
-type Life uint16
+// Restarts counts the restarts of one worker that a leader has learned of in its term.
+type Restarts uint16
 
-// lifeBits is the number of the low bits of a Token that hold the Life.
-const lifeBits = 16
+// restartBits is the number of the low bits of a Token that hold the Restarts.
+const restartBits = 16
 
 // Token is the fencing token of a call to a worker. Workers refuse calls whose token is lower than the
 // highest one that they have received. It rises with every leader and, in its term, with every restart of
 // the worker, so that one call to the new incarnation makes it refuse the delayed calls to earlier ones.
 type Token int64
 
-// Token returns the token of the leader's calls to a worker in one of its lives.
-func (f Fence) Token(life Life) Token { return Token(f)<<lifeBits | Token(life) }
+// Token returns the token of the leader's calls to a worker that has restarted so often in its term.
+func (f Fence) Token(restarts Restarts) Token { return Token(f)<<restartBits | Token(restarts) }
 
 // Client makes calls to workers.
 type Client interface {
--- a/pkg/aqdecider/crashes.go
+++ b/pkg/aqdecider/crashes.go
@@ -37,7 +37,7 @@
 		return
 	}
 	for _, r := range w.runs {
-		if r.earlierLife {
+		if r.earlierIncarnation {
 			continue
 		}
 		d.recordCrash(r.task, aqcrash.Crash{
@@ -72,7 +72,7 @@
 func (d *Decider) runsLost(w *worker, restarted bool) {
 	d.recordCrashes(w)
 	for _, r := range w.runs {
-		if r.earlierLife {
+		if r.earlierIncarnation {
 			continue
 		}
 		t := r.task
--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -27,7 +27,7 @@
 		r.stopAcked = 0
 		r.stopUpdatedAt = d.now
 		r.reason = "worker restarted"
-		r.earlierLife = true
+		r.earlierIncarnation = true
 		d.noteDelayedStart(r)
 		r.orderedClock = 0
 		d.addOrder(Stop{Worker: w.info.ID, Run: r.id})
@@ -121,7 +121,7 @@
 	if len(w.runs) > 0 {
 		d.options.Metrics.Retried(aqmetric.RetryWorkerLost)
 		d.options.Log.Write(aqlog.WorkerLeaseExpired, workerAttr(id), slog.Int("Runs", len(w.runs)),
-			slog.Int64("Life", int64(w.info.Incarnation)), slog.Int("EarlierLife", w.runsOfEarlierLife()))
+			slog.Int64("Life", int64(w.info.Incarnation)), slog.Int("EarlierLife", w.runsOfEarlierIncarnation()))
 		d.runsLost(w, false)
 	}
 	for _, r := range w.runs {
@@ -139,11 +139,11 @@
 	return heldUntil
 }
 
-// runsOfEarlierLife counts the runs that were ordered in an earlier incarnation.
-func (w *worker) runsOfEarlierLife() int {
+// runsOfEarlierIncarnation counts the runs that were ordered in an earlier incarnation.
+func (w *worker) runsOfEarlierIncarnation() int {
 	count := 0
 	for _, r := range w.runs {
-		if r.earlierLife {
+		if r.earlierIncarnation {
 			count++
 		}
 	}
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -161,9 +161,9 @@
 	// stopAcked is when the worker acknowledged the order to stop, zero before
 	// that.
 	stopAcked LogicalTime
-	// earlierLife is set when the worker has restarted since the start was ordered. The run itself has
+	// earlierIncarnation is set when the worker has restarted since the start was ordered. The run itself has
 	// ended then, but a delayed order may still start it in the worker's present incarnation.
-	earlierLife bool
+	earlierIncarnation bool
 	// mayRunUntil is when a run of an earlier incarnation that a delayed order started in the present one
 	// has certainly ended, zero if none can.
 	mayRunUntil time.Time
--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -94,7 +94,7 @@
 		d.WorkerReassigned(id)
 		return
 	}
-	p.noteLife(a, report.Incarnation)
+	p.noteIncarnation(a, report.Incarnation)
 	a.leaseExpiresAt = time.Time{}
 	a.tried = nil
 	a.renew = true
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -181,7 +181,7 @@
 		Worker:   id,
 		Serial:   a.serial,
 		Number:   a.params.Number,
-		Life:     a.params.Life,
+		Restarts: a.params.Restarts,
 		Wait:     aqagent.HeartbeatWaitIdle,
 		Renew:    a.renew,
 		Silences: a.silences,
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -104,9 +104,9 @@
 	left map[string]*member
 	// changes counts the changes of the members.
 	changes uint64
-	// lives holds what is known of the restarts of each worker in this term, also after its removal: the
+	// restarts holds what is known of the restarts of each worker in this term, also after its removal: the
 	// worker may return and must get no lower tokens than before.
-	lives       map[aqtype.WorkerID]workerLife
+	restarts    map[aqtype.WorkerID]workerRestarts
 	assignments map[aqtype.WorkerID]*workerAssignment
 	serial      aqagent.Serial
 }
@@ -117,7 +117,7 @@
 		members:     map[string]*member{},
 		left:        map[string]*member{},
 		heldLost:    map[aqtype.WorkerID]bool{},
-		lives:       map[aqtype.WorkerID]workerLife{},
+		restarts:    map[aqtype.WorkerID]workerRestarts{},
 		assignments: map[aqtype.WorkerID]*workerAssignment{},
 	}
 }
@@ -275,7 +275,7 @@
 		return
 	}
 	a.worker = w
-	p.noteLife(a, w.Incarnation)
+	p.noteIncarnation(a, w.Incarnation)
 	if a.member == nil {
 		p.assign(a, p.pickMember(w, nil))
 		return
@@ -361,7 +361,7 @@
 	p.serial++
 	a.serial = p.serial
 	a.params.Serial = a.serial
-	a.params.Life = p.lives[a.worker.ID].number
+	a.params.Restarts = p.restarts[a.worker.ID].number
 	to.assigned++
 	to.workers[a.worker.ID] = a
 	to.stale[a.worker.ID] = true
--- a/pkg/aqsite/heldruns_test.go
+++ b/pkg/aqsite/heldruns_test.go
@@ -11,7 +11,7 @@
 )
 
 // The leader decides again, once a delayed start can have no effect any more, on a run that the end of a lease of an
-// earlier life has left.
+// earlier incarnation has left.
 func TestRunOfARestartedWorkerIsGivenUpLater(t *testing.T) {
 	l, clock, a1, _ := newEventRig(t)
 	entry := aqdecider.Worker{
@@ -47,7 +47,7 @@
 	}
 	clock.Advance(time.Second)
 	if !occupied() {
-		t.Fatal("the run is given up with the lease of the earlier life")
+		t.Fatal("the run is given up with the lease of the earlier incarnation")
 	}
 	deadline := l.agents.assignments["w1"].leaseExpiresAt
 	if deadline.IsZero() {
--- a/pkg/aqsite/workerrestarts.go
+++ b/pkg/aqsite/workerrestarts.go
@@ -10,34 +10,34 @@
 	"acaciaquay/pkg/aqlog"
 )
 
-// workerLife is what a leader knows of the restarts of one worker.
-type workerLife struct {
+// workerRestarts is what a leader knows of the restarts of one worker.
+type workerRestarts struct {
 	// incarnation is the last one that an entry or a report has named.
 	incarnation aqdecider.Incarnation
 	// number counts the changes of incarnation in this term.
-	number aqworker.Life
+	number aqworker.Restarts
 }
 
-// noteLife raises the token of the calls to a worker if it has restarted, and tells its agent. The entry of another
+// noteIncarnation raises the token of the calls to a worker if it has restarted, and tells its agent. The entry of another
 // writer may name an incarnation that never was; the token then rises without need. The caller holds
 // the lock.
-func (p *agentPool) noteLife(a *workerAssignment, incarnation aqdecider.Incarnation) {
-	before, known := p.lives[a.worker.ID]
+func (p *agentPool) noteIncarnation(a *workerAssignment, incarnation aqdecider.Incarnation) {
+	before, known := p.restarts[a.worker.ID]
 	if known && before.incarnation == incarnation {
 		return
 	}
-	life := workerLife{incarnation: incarnation, number: before.number}
+	now := workerRestarts{incarnation: incarnation, number: before.number}
 	if known && before.number < math.MaxUint16 {
-		life.number++
+		now.number++
 	}
-	p.lives[a.worker.ID] = life
-	if life.number == before.number || a.member == nil {
+	p.restarts[a.worker.ID] = now
+	if now.number == before.number || a.member == nil {
 		return
 	}
-	a.params.Life = life.number
+	a.params.Restarts = now.number
 	a.params.Number++
 	a.member.pending.Params = append(a.member.pending.Params, a.params)
 	aqsignal.Send(a.member.wakeSend)
 	p.leader.node.log.Write(aqlog.WorkerTokenRaised, slog.String("Worker", string(a.worker.ID)),
-		slog.Int64("Life", int64(incarnation)), slog.Int("Restarts", int(life.number)))
+		slog.Int64("Life", int64(incarnation)), slog.Int("Restarts", int(now.number)))
 }
--- a/pkg/aqsite/workerrestarts_test.go
+++ b/pkg/aqsite/workerrestarts_test.go
@@ -17,8 +17,8 @@
 	"acaciaquay/pkg/aqtype"
 )
 
-// mortalWorker checks tokens as a worker does, and forgets everything when it restarts under its id.
-type mortalWorker struct {
+// restartingWorker checks tokens as a worker does, and forgets everything when it restarts under its id.
+type restartingWorker struct {
 	mu          sync.Mutex
 	reachable   bool
 	incarnation aqdecider.Incarnation
@@ -35,13 +35,13 @@
 	stops map[aqdecider.RunID]bool
 }
 
-func newMortalWorker() *mortalWorker {
-	w := &mortalWorker{reachable: true}
+func newRestartingWorker() *restartingWorker {
+	w := &restartingWorker{reachable: true}
 	w.restart()
 	return w
 }
 
-func (w *mortalWorker) restart() {
+func (w *restartingWorker) restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.incarnation++
@@ -52,7 +52,7 @@
 }
 
 // accept checks a call's token. The caller holds the lock.
-func (w *mortalWorker) accept(token aqworker.Token) error {
+func (w *restartingWorker) accept(token aqworker.Token) error {
 	if token < w.token {
 		return aqworker.ErrFenced
 	}
@@ -60,7 +60,7 @@
 	return nil
 }
 
-func (w *mortalWorker) Heartbeat(
+func (w *restartingWorker) Heartbeat(
 	_ context.Context, _ aqworker.Address, r aqworker.HeartbeatRequest,
 ) (aqworker.HeartbeatAnswer, error) {
 	w.mu.Lock()
@@ -82,7 +82,7 @@
 	return aqworker.HeartbeatAnswer{Report: report}, nil
 }
 
-func (w *mortalWorker) Start(_ context.Context, _ aqworker.Address, r aqworker.StartRequest) error {
+func (w *restartingWorker) Start(_ context.Context, _ aqworker.Address, r aqworker.StartRequest) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.delaysStarts {
@@ -93,7 +93,7 @@
 }
 
 // start carries a start out. The caller holds the lock.
-func (w *mortalWorker) start(r aqworker.StartRequest) error {
+func (w *restartingWorker) start(r aqworker.StartRequest) error {
 	if err := w.accept(r.Token); err != nil {
 		return err
 	}
@@ -104,7 +104,7 @@
 	return nil
 }
 
-func (w *mortalWorker) Stop(_ context.Context, _ aqworker.Address, r aqworker.StopRequest) error {
+func (w *restartingWorker) Stop(_ context.Context, _ aqworker.Address, r aqworker.StopRequest) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.reachable {
@@ -118,45 +118,45 @@
 	return nil
 }
 
-func (w *mortalWorker) Pace(context.Context, aqworker.Address, aqworker.PaceRequest) error {
+func (w *restartingWorker) Pace(context.Context, aqworker.Address, aqworker.PaceRequest) error {
 	return nil
 }
 
 // Payload implements aqpayload.Source.
-func (w *mortalWorker) Payload(context.Context, aqjob.ID, string) (string, error) {
+func (w *restartingWorker) Payload(context.Context, aqjob.ID, string) (string, error) {
 	return "payload", nil
 }
 
-func (w *mortalWorker) locked(look func()) {
+func (w *restartingWorker) locked(look func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	look()
 }
 
-// livesRig is a leader with one agent, which manages one worker that may restart.
-type livesRig struct {
+// restartRig is a leader with one agent, which manages one worker that may restart.
+type restartRig struct {
 	t      *testing.T
 	leader *leader
 	clock  aqclock.Instant
 	member *member
 	// agentClock is the agent's.
 	agentClock *aqclock.Fake
-	worker     *mortalWorker
+	worker     *restartingWorker
 	acked      uint64
 }
 
-func newLivesRig(t *testing.T) *livesRig {
+func newRestartRig(t *testing.T) *restartRig {
 	t.Helper()
 	store := newFakeStore()
 	n, clock := testNode(t, store)
 	l := lead(t, n, store)
-	r := &livesRig{
+	r := &restartRig{
 		t:          t,
 		leader:     l,
 		clock:      clock,
 		member:     addMember(l, "a1", true),
 		agentClock: aqclock.NewFake(),
-		worker:     newMortalWorker(),
+		worker:     newRestartingWorker(),
 	}
 	agent := aqagent.New(aqagent.Options{
 		Workers:  r.worker,
@@ -177,7 +177,7 @@
 }
 
 // list applies the worker's entry in service discovery.
-func (r *livesRig) list() {
+func (r *restartRig) list() {
 	entry := aqdecider.Worker{ID: "w1"}
 	r.worker.locked(func() { entry.Incarnation = r.worker.incarnation })
 	r.leader.decide(func(d *aqdecider.Decider) {
@@ -188,7 +188,7 @@
 }
 
 // step lets the leader and its agent exchange messages, and 10 ms pass for the agent.
-func (r *livesRig) step() {
+func (r *restartRig) step() {
 	r.t.Helper()
 	if err := r.leader.prove(context.Background()); err != nil {
 		r.t.Fatal(err)
@@ -212,7 +212,7 @@
 }
 
 // until steps until a condition holds.
-func (r *livesRig) until(what string, holds func() bool) {
+func (r *restartRig) until(what string, holds func() bool) {
 	r.t.Helper()
 	for range 100_000 {
 		if holds() {
@@ -225,7 +225,7 @@
 }
 
 // heartbeats steps until the worker's present incarnation has answered a number of heartbeats.
-func (r *livesRig) heartbeats(count int) {
+func (r *restartRig) heartbeats(count int) {
 	r.t.Helper()
 	r.until("heartbeats", func() (enough bool) {
 		r.worker.locked(func() { enough = r.worker.heartbeats >= count })
@@ -234,7 +234,7 @@
 }
 
 // delayStart orders a start whose first attempt the worker gets late.
-func (r *livesRig) delayStart(run aqdecider.RunID) {
+func (r *restartRig) delayStart(run aqdecider.RunID) {
 	r.t.Helper()
 	r.worker.locked(func() { r.worker.delaysStarts = true })
 	r.leader.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}})
@@ -249,9 +249,9 @@
 	})
 }
 
-// Guards against TWICE (review/2): a delayed start reached the next life of its worker, which knew neither the run
+// Guards against TWICE (review/2): a delayed start reached the next incarnation of its worker, which knew neither the run
 // nor a token that refuses it.
-func TestDelayedStartIsRefusedByTheNextLifeOfItsWorker(t *testing.T) {
+func TestDelayedStartIsRefusedAfterARestart(t *testing.T) {
 	for _, test := range []struct {
 		name   string
 		listed bool
@@ -260,7 +260,7 @@
 		{name: "restart seen in service discovery", listed: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			r := newLivesRig(t)
+			r := newRestartRig(t)
 			run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
 			r.delayStart(run)
 			r.worker.restart()
@@ -270,10 +270,10 @@
 			r.heartbeats(4)
 			r.worker.locked(func() {
 				if err := r.worker.start(r.worker.delayed[0]); err == nil {
-					t.Error("the next life of the worker has started the run")
+					t.Error("the next incarnation of the worker has started the run")
 				}
 				if err := r.worker.accept(r.worker.delayedHolds[0].Token); err == nil {
-					t.Error("a delayed heartbeat has renewed the lease of the next life")
+					t.Error("a delayed heartbeat has renewed the lease of the next incarnation")
 				}
 			})
 			select {
@@ -293,7 +293,7 @@
 		name        string
 		incarnation aqdecider.Incarnation
 		removed     bool
-		want        aqworker.Life
+		want        aqworker.Restarts
 	}{
 		{name: "first entry", incarnation: 1, want: 0},
 		{name: "restart", incarnation: 2, want: 1},
@@ -305,19 +305,19 @@
 			l.agents.removeWorker("w1")
 		}
 		l.agents.addWorker(aqdecider.Worker{ID: "w1", Incarnation: test.incarnation})
-		if got := l.agents.assignments["w1"].params.Life; got != test.want {
-			t.Errorf("%s: life %d, want %d", test.name, got, test.want)
+		if got := l.agents.assignments["w1"].params.Restarts; got != test.want {
+			t.Errorf("%s: %d restarts, want %d", test.name, got, test.want)
 		}
 	}
 	sent := a1.pending.Assign
 	for _, m := range l.agents.ordered {
 		sent = append(sent, m.pending.Assign...)
 	}
-	var highest aqworker.Life
+	var highest aqworker.Restarts
 	for _, a := range sent {
-		highest = max(highest, a.Params.Life)
+		highest = max(highest, a.Params.Restarts)
 	}
 	if highest != 3 {
-		t.Errorf("the agents are told of life %d, want 3", highest)
+		t.Errorf("the agents are told of %d restarts, want 3", highest)
 	}
 }
