Forget removed workers that have not restarted after a minute

The table of restarts had an entry for every worker id of a term. A worker that returns later gets its orders with the token of the first entry; by then no earlier order is on its way. Those that have seen a raised token are kept. TestRemovedWorkersAreForgotten.

--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -385,6 +385,7 @@
 	if a := p.assignments[id]; a != nil {
 		p.assign(a, nil)
 		delete(p.assignments, id)
+		p.forgetRestarts(id)
 	}
 }
 
--- a/pkg/aqsite/workerrestarts.go
+++ b/pkg/aqsite/workerrestarts.go
@@ -3,11 +3,13 @@
 import (
 	"log/slog"
 	"math"
+	"time"
 
 	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqtype"
 )
 
 // workerRestarts is what a leader knows of the restarts of one worker.
@@ -16,6 +18,26 @@
 	incarnation aqdecider.Incarnation
 	// number counts the changes of incarnation in this term.
 	number aqworker.Restarts
+	// removedAt is when the worker was last removed, zero if it never was.
+	removedAt time.Time
+}
+
+// restartMemory is how long a removed worker that has not restarted is remembered. It is longer than an order
+// may be delayed. The others have seen a raised token and are remembered for the whole term.
+const restartMemory = time.Minute
+
+// forgetRestarts notes the removal of a worker and forgets those that were removed long ago. The caller holds the
+// lock.
+func (p *agentPool) forgetRestarts(removed aqtype.WorkerID) {
+	now := p.leader.node.clock.Now()
+	last := p.restarts[removed]
+	last.removedAt = now
+	p.restarts[removed] = last
+	for id, r := range p.restarts {
+		if p.assignments[id] == nil && r.number == 0 && now.Sub(r.removedAt) > restartMemory {
+			delete(p.restarts, id)
+		}
+	}
 }
 
 // noteIncarnation raises the token of the calls to a worker if it has restarted, and tells its agent. The entry of another
--- a/pkg/aqsite/workerrestarts_test.go
+++ b/pkg/aqsite/workerrestarts_test.go
@@ -321,3 +321,24 @@
 		t.Errorf("the agents are told of %d restarts, want 3", highest)
 	}
 }
+
+func TestRemovedWorkersAreForgotten(t *testing.T) {
+	l, clock, _, _ := newEventRig(t)
+	for _, id := range []aqtype.WorkerID{"w1", "w2", "w3"} {
+		l.agents.addWorker(aqdecider.Worker{ID: id, Incarnation: 1})
+	}
+	l.agents.addWorker(aqdecider.Worker{ID: "w2", Incarnation: 2})
+	l.agents.removeWorker("w1")
+	l.agents.removeWorker("w2")
+	clock.Advance(restartMemory + time.Second)
+	l.agents.removeWorker("w3")
+	if _, known := l.agents.restarts["w1"]; known {
+		t.Error("w1, which never restarted, is remembered for good")
+	}
+	if l.agents.restarts["w2"].number != 1 {
+		t.Error("the token of w2 would fall if it returned")
+	}
+	if _, known := l.agents.restarts["w3"]; !known {
+		t.Error("w3 is forgotten while orders may be on their way to it")
+	}
+}
