Repeat no start after its worker has restarted (TWICE)

The attempts to deliver a start took the token anew: one that was being delivered when its worker restarted was repeated in the next incarnation, with the raised token. If the run had ended as done in the earlier one and only the answer was lost, the leader had no run to stop, and the task ran twice. Now an attempt is made only in the incarnation that the first one was made in. Failed before: TestStartIsNotRepeatedAfterARestart.

--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -239,7 +239,8 @@
 	}
 	s.mu.Lock()
 	end, token := s.nextLeaseEnd(), s.lockedToken()
-	if s.starting[order.Run] == startWithdrawn {
+	// An order to an earlier incarnation may have been carried out there.
+	if s.starting[order.Run] == startWithdrawn || s.worker.Incarnation != to.Worker.Incarnation {
 		end = 0
 	}
 	if end > 0 {
--- a/internal/site/aqagent/token_test.go
+++ b/internal/site/aqagent/token_test.go
@@ -138,3 +138,45 @@
 		t.Fatalf("a heartbeat waits %s with token %d", last.Wait, last.Token)
 	}
 }
+
+// Guards against TWICE: a start that was being delivered when its worker restarted was repeated there with the
+// raised token, though the run might have been done before.
+func TestStartIsNotRepeatedAfterARestart(t *testing.T) {
+	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
+	incarnation := aqdecider.Incarnation(1)
+	var s *session
+	workers := &fakeWorkers{
+		heartbeat: func(aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
+			report := aqdecider.WorkerReport{Incarnation: incarnation, Complete: true}
+			return aqworker.HeartbeatAnswer{Report: report, Clock: aqworker.Time(100 * time.Second)}, nil
+		},
+		start: func(r aqworker.StartRequest) error {
+			if incarnation == 2 {
+				t.Errorf("the start is repeated with token %d", r.Token)
+				return nil
+			}
+			incarnation = 2
+			s.heartbeat()
+			s.setParams(HeartbeatParams{
+				Worker:      "w1",
+				Number:      2,
+				Wait:        time.Second,
+				Renew:       true,
+				Incarnation: 2,
+				Restarts:    1,
+			})
+			return aqworker.ErrUnanswered
+		},
+	}
+	s, _, _ = testSession(t, workers)
+	awaitPayload(t, s, "j")
+	s.setParams(HeartbeatParams{
+		Worker:      "w1",
+		Number:      1,
+		Wait:        time.Second,
+		Renew:       true,
+		Incarnation: 1,
+	})
+	s.heartbeat()
+	s.start(aqdecider.Start{Worker: "w1", Run: run})
+}
