Name the reported incarnation of a worker in its assignments

After a report of a restart, each new assignment still named the incarnation of the last entry in service discovery, until the next entry came: for a worker that is cut off from the store, not for a while. The agent then dropped the starts that came with the assignment as those of an earlier incarnation (10 s until they were stopped), and the leader ignored its answers to stops (5 s until they were repeated). Now the pool keeps the reported incarnation, and ignores entries of earlier ones as the decider does. Failed before: TestAssignmentNamesTheReportedIncarnation.

--- a/pkg/aqsite/agentbalance.go
+++ b/pkg/aqsite/agentbalance.go
@@ -133,3 +133,12 @@
 func (p *agentPool) longestLease() time.Duration {
 	return aqagent.PermitTime + aqagent.MaxLeaseSpan(p.leader.leaseDuration())
 }
+
+func (p *agentPool) sortedWorkers() []aqtype.WorkerID {
+	ids := make([]aqtype.WorkerID, 0, len(p.assignments))
+	for id := range p.assignments {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -95,6 +95,9 @@
 		return
 	}
 	p.noteIncarnation(a, report.Incarnation)
+	// The next assignment must not name an earlier incarnation than the orders that come with it.
+	a.reported = report.Incarnation
+	a.worker.Incarnation = report.Incarnation
 	a.leaseExpiresAt = time.Time{}
 	a.tried = nil
 	a.renew = true
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -61,7 +61,10 @@
 // workerAssignment records which member manages a worker.
 type workerAssignment struct {
 	worker aqdecider.Worker
-	member *member
+	// reported is the incarnation of the last report, zero before the first. Entries of earlier ones are
+	// outdated.
+	reported aqdecider.Incarnation
+	member   *member
 	serial aqagent.Serial
 	// leaseExpiresAt is when the lease has certainly expired, set while no agent
 	// reaches the worker and zero otherwise.
@@ -271,7 +274,7 @@
 		a = &workerAssignment{}
 		p.assignments[w.ID] = a
 	}
-	if a.member != nil && a.worker.SameInstance(w) {
+	if w.Incarnation < a.reported || (a.member != nil && a.worker.SameInstance(w)) {
 		return
 	}
 	a.worker = w
@@ -388,12 +391,3 @@
 		p.forgetRestarts(id)
 	}
 }
-
-func (p *agentPool) sortedWorkers() []aqtype.WorkerID {
-	ids := make([]aqtype.WorkerID, 0, len(p.assignments))
-	for id := range p.assignments {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
--- a/pkg/aqsite/workerrestarts_test.go
+++ b/pkg/aqsite/workerrestarts_test.go
@@ -342,3 +342,23 @@
 		t.Error("w3 is forgotten while orders may be on their way to it")
 	}
 }
+
+// Guards against starts that vanish: the next assignment named the incarnation of the last entry, though the leader
+// had a report of a later one. Its agent dropped the orders as those of an earlier incarnation.
+func TestAssignmentNamesTheReportedIncarnation(t *testing.T) {
+	l, _, a1, a2 := newEventRig(t)
+	report := wholeReport()
+	report.Difference.Incarnation = 2
+	applyEvent(l, a1, aqagent.EventWire{Report: report})
+	l.agents.addWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
+	applyEvent(l, a1, aqagent.EventWire{Unresponsive: &aqagent.Unresponsive{ExpiresIn: time.Second}})
+	if len(a2.pending.Assign) != 1 {
+		t.Fatalf("assignments %+v", a2.pending.Assign)
+	}
+	if got := a2.pending.Assign[0].Worker.Incarnation; got != 2 {
+		t.Errorf("the next agent is told of incarnation %d, the leader knows of 2", got)
+	}
+	if got := a2.pending.Assign[0].Params.Restarts; got != 1 {
+		t.Errorf("%d restarts, want 1", got)
+	}
+}
