--- a/pkg/aqdecider/restart_test.go
+++ b/pkg/aqdecider/restart_test.go
@@ -93,3 +93,26 @@
 		t.Fatalf("the run is held for %s", until.Sub(h.now))
 	}
 }
+
+// The next leader must not be told of an earlier incarnation.
+func TestRestartChangesTheStoredEntries(t *testing.T) {
+	h := newHarness(t, poolWorker("w1", "r1-1", 8000))
+	restarted := poolWorker("w1", "r1-1", 8000)
+	restarted.Incarnation = 2
+	for _, test := range []struct {
+		name  string
+		learn func()
+	}{
+		{name: "entry", learn: func() { h.d.UpdateWorker(restarted) }},
+		{name: "report", learn: func() { h.d.WorkerReported("w1", WorkerReport{Incarnation: 3, Complete: true, Sent: 1}) }},
+	} {
+		before := h.d.FleetChanges()
+		test.learn()
+		if h.d.FleetChanges() == before {
+			t.Errorf("%s: not a change", test.name)
+		}
+	}
+	if got := h.d.FleetEntries()[0].Incarnation; got != 3 {
+		t.Errorf("the entry names incarnation %d, want 3", got)
+	}
+}
