Hold a run of a restarted worker only while a start of it may be on its way

The hold went by the age of the run alone: a run whose only attempt to start had been answered was held for up to 21 s, as was one of any age whose result had not counted, and one whose stop the next incarnation had acknowledged before it fell silent. A task that lasts would be LOST meanwhile. Now results of starts say whether an attempt was left unanswered, an agent counts as trying for 10 s at most, and an acknowledged stop ends the hold.

--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -159,6 +159,7 @@
 		Incarnation: to.Worker.Incarnation,
 		Run:         order.Run,
 		Outcome:     outcome,
+		Unanswered:  uncertain,
 		At:          at,
 	})
 }
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -196,6 +196,9 @@
 	Incarnation aqdecider.Incarnation
 	Run         aqdecider.RunID
 	Outcome     aqdecider.Outcome
+	// Unanswered is set if an attempt of this agent to deliver the order got no answer. The worker may
+	// still carry it out.
+	Unanswered bool
 	At          aqdecider.LogicalTime
 }
 
--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -56,8 +56,14 @@
 // noteDelayedStart notes until when a delayed order may make a run of an earlier incarnation run in the
 // worker's present one. That one began after the worker's last report.
 func (d *Decider) noteDelayedStart(r *run) {
-	if !r.startAnswered {
+	if r.startSettled {
+		return
+	}
+	if lastAttempt := r.startSentAt.Add(startTimeout); !r.startAnswered {
 		r.startSentAt = d.now
+		if lastAttempt.Before(d.now) {
+			r.startSentAt = lastAttempt
+		}
 	}
 	if arrivesBy := r.startSentAt.Add(startDelayLimit); r.worker.reportedAt.Before(arrivesBy) {
 		r.mayRunUntil = arrivesBy.Add(d.options.Limits.LeaseMax)
--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -111,6 +111,18 @@
 	r.task.group.overdueSearchAt = d.now
 }
 
+// StartSettled notes that every attempt of an agent to deliver a start was answered. Those of an earlier agent
+// may be on their way.
+func (d *Decider) StartSettled(id aqtype.WorkerID, incarnation Incarnation, runID RunID) {
+	w := d.workers[id]
+	if w == nil || w.info.Incarnation != incarnation {
+		return
+	}
+	if r := w.runs[runID]; r != nil {
+		r.startSettled = !r.startResent
+	}
+}
+
 // StopAnswered handles a worker's acknowledgement of an order to stop: the run ends, or
 // never starts.
 func (d *Decider) StopAnswered(id aqtype.WorkerID, incarnation Incarnation, runID RunID, at LogicalTime) {
@@ -121,6 +133,8 @@
 	if r := w.runs[runID]; r != nil && r.state == runStopping {
 		r.stopAcked = at
 		r.stopUpdatedAt = d.now
+		// The present incarnation refuses a delayed start from now on.
+		r.mayRunUntil = time.Time{}
 	}
 }
 
--- a/pkg/aqdecider/restart_test.go
+++ b/pkg/aqdecider/restart_test.go
@@ -76,21 +76,81 @@
 	}
 }
 
-// A run whose worker restarted long after its start is lost as soon as the lease has ended.
-func TestOldRunOfARestartedWorkerIsNotHeld(t *testing.T) {
-	h := newHarness(t, poolWorker("w1", "r1-1", 8000))
-	h.d.options.Limits.LeaseMax = 6 * time.Second
-	h.d.AddJob(testJob(1, tasks(1, 1000)), nil, 0, false)
-	h.tick()
-	h.report("w1")
-	h.advance(startDelayLimit + time.Second)
-	h.report("w1")
-	h.d.WorkerUnresponsive("w1")
-	restarted := poolWorker("w1", "r1-1", 8000)
-	restarted.Incarnation = 2
-	h.d.UpdateWorker(restarted)
-	if until := h.d.LeaseExpired("w1"); !until.IsZero() {
-		t.Fatalf("the run is held for %s", until.Sub(h.now))
+// A run is lost as soon as the lease has ended if no attempt to start it can be on its way to a worker that has
+// restarted since.
+func TestRunOfARestartedWorkerIsNotHeldWithoutNeed(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// settle tells the decider of the outcome of the start, or lets time pass.
+		settle func(h *harness, run RunID)
+		// acked is set if the next incarnation acknowledges the stop.
+		acked bool
+		held  bool
+	}{
+		{name: "nothing known", settle: func(*harness, RunID) {}, held: true},
+		{
+			name: "answered, with an unanswered attempt",
+			settle: func(h *harness, run RunID) {
+				h.d.StartAnswered("w1", 1, run, OutcomeAccepted, h.nextTime())
+				h.report("w1")
+			},
+			held: true,
+		},
+		{
+			name: "every attempt answered",
+			settle: func(h *harness, run RunID) {
+				h.d.StartSettled("w1", 1, run)
+				h.d.StartAnswered("w1", 1, run, OutcomeAccepted, h.nextTime())
+				h.report("w1")
+			},
+		},
+		{
+			name: "every attempt of the last of two agents answered",
+			settle: func(h *harness, run RunID) {
+				h.d.WorkerReassigned("w1")
+				h.d.StartSettled("w1", 1, run)
+				h.d.StartAnswered("w1", 1, run, OutcomeAccepted, h.nextTime())
+				h.report("w1")
+			},
+			held: true,
+		},
+		{
+			name: "answered long before the restart",
+			settle: func(h *harness, run RunID) {
+				h.d.StartAnswered("w1", 1, run, OutcomeAccepted, h.nextTime())
+				h.advance(startDelayLimit + time.Second)
+				h.report("w1")
+			},
+		},
+		{
+			name: "running for long without an outcome",
+			settle: func(h *harness, _ RunID) {
+				h.report("w1")
+				h.advance(startDelayLimit + startTimeout + time.Second)
+				h.report("w1")
+			},
+		},
+		{name: "stopped in the next incarnation", settle: func(*harness, RunID) {}, acked: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, poolWorker("w1", "r1-1", 8000))
+			h.d.options.Limits.LeaseMax = 6 * time.Second
+			h.d.AddJob(testJob(1, tasks(1, 1000)), nil, 0, false)
+			run := h.d.Tick()[0].(Start).Run
+			h.running["w1"][run] = RunReport{Run: run}
+			test.settle(h, run)
+			h.d.WorkerUnresponsive("w1")
+			restarted := poolWorker("w1", "r1-1", 8000)
+			restarted.Incarnation = 2
+			h.d.UpdateWorker(restarted)
+			if test.acked {
+				h.d.StopAnswered("w1", 2, run, h.nextTime())
+			}
+			h.advance(6 * time.Second)
+			if until := h.d.LeaseExpired("w1"); until.IsZero() == test.held {
+				t.Errorf("held for %s, want held %v", until.Sub(h.now), test.held)
+			}
+		})
 	}
 }
 
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -154,6 +154,8 @@
 	// startAnswered is set once the agent makes no further attempts to deliver the start in the present
 	// assignment.
 	startAnswered bool
+	// startSettled is set if every attempt to deliver the start was answered, so that none is on its way.
+	startSettled bool
 	// orderedClock is the worker's clock in the last report before that, zero if not known.
 	orderedClock time.Duration
 	// confirmed is when the worker accepted or first reported the run.
--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -44,6 +44,9 @@
 		d.WorkerUnresponsive(id)
 		p.workerUnresponsive(d, id, wire.Serial, e)
 	case aqagent.StartResult:
+		if !e.Unanswered {
+			d.StartSettled(id, e.Incarnation, e.Run)
+		}
 		d.StartAnswered(id, e.Incarnation, e.Run, e.Outcome, e.At)
 	case aqagent.StopResult:
 		if e.Answered {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -65,7 +65,7 @@
 	// outdated.
 	reported aqdecider.Incarnation
 	member   *member
-	serial aqagent.Serial
+	serial   aqagent.Serial
 	// leaseExpiresAt is when the lease has certainly expired, set while no agent
 	// reaches the worker and zero otherwise.
 	leaseExpiresAt time.Time
