End a session whose token a worker has refused

With tokens that rise with a worker's restarts, an agent that its leader cannot reach got 409 fence every 150 ms, with the same token for as long as it was cut off, and queued an event each time. TestRefusedTokenIsNotUsedAgain does not end on the code before (the session goes on for ever).

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -292,6 +292,15 @@
 	aqsignal.Send(a.wake)
 }
 
+// refused ends a session whose worker has received a higher token, and tells the leader: either there is a later
+// leader, or the worker has another agent and this one has not been told.
+func (a *Agent) refused(s *session) {
+	a.emit(s, Fenced{})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.cancel()
+}
+
 // Stop ends every session.
 func (a *Agent) Stop() {
 	a.mu.Lock()
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -134,7 +134,7 @@
 	for range startTries {
 		err := s.tryStart(to, order, payload)
 		if errors.Is(err, aqworker.ErrFenced) {
-			s.agent.emit(s, Fenced{})
+			s.agent.refused(s)
 			return
 		}
 		if errors.Is(err, aqworker.ErrUnanswered) || errors.Is(err, aqworker.ErrTooLate) {
@@ -289,7 +289,7 @@
 		err := s.unlessOvertaken(token, s.agent.workers.Stop(bounded, to, aqworker.StopRequest{Token: token, Run: order.Run}))
 		cancel()
 		if errors.Is(err, aqworker.ErrFenced) {
-			s.agent.emit(s, Fenced{})
+			s.agent.refused(s)
 			return
 		}
 		if err == nil || errors.Is(err, aqworker.ErrSuperseded) {
@@ -328,7 +328,7 @@
 		Percent: order.Percent,
 	}))
 	if errors.Is(err, aqworker.ErrFenced) {
-		s.agent.emit(s, Fenced{})
+		s.agent.refused(s)
 		return
 	}
 	if err != nil && s.ctx.Err() == nil {
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -365,7 +365,7 @@
 		return
 	}
 	if errors.Is(err, aqworker.ErrFenced) {
-		s.agent.emit(s, Fenced{})
+		s.agent.refused(s)
 		return
 	}
 	s.mu.Lock()
--- a/internal/site/aqagent/token_test.go
+++ b/internal/site/aqagent/token_test.go
@@ -180,3 +180,39 @@
 	s.heartbeat()
 	s.start(aqdecider.Start{Worker: "w1", Run: run})
 }
+
+// An agent that is cut off from its leader does not go on with a token that the worker has refused, since another agent
+// has been given the worker with a raised one.
+func TestRefusedTokenIsNotUsedAgain(t *testing.T) {
+	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
+	highest := aqworker.Fence(5).Token(0)
+	refusals := 0
+	workers := overtakingWorkers(&highest, func(token aqworker.Token) {
+		if token < highest {
+			refusals++
+		}
+	})
+	s, agent, clock := testSession(t, workers)
+	s.setParams(HeartbeatParams{Worker: "w1", Number: 1, Wait: time.Second, Renew: true})
+	s.heartbeat()
+	highest = aqworker.Fence(5).Token(1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.run()
+	}()
+	for range 60 {
+		clock.Advance(heartbeatRetry)
+	}
+	<-done
+	s.send(aqdecider.Stop{Worker: "w1", Run: run})
+	fenced := 0
+	for _, e := range agent.events {
+		if e.Fenced != nil {
+			fenced++
+		}
+	}
+	if refusals != 1 || fenced != 1 {
+		t.Errorf("%d refused calls, %d events, want one each", refusals, fenced)
+	}
+}
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -199,7 +199,7 @@
 	// Unanswered is set if an attempt of this agent to deliver the order got no answer. The worker may
 	// still carry it out.
 	Unanswered bool
-	At          aqdecider.LogicalTime
+	At         aqdecider.LogicalTime
 }
 
 // StopResult carries the outcome of an order to stop.
