Repeat the orders of the time without an agent when a worker gets one again

What callers could see: a task that waits up to 10 s for its start, or one that is cancelled and runs up to 5 s longer, after the only agent of its worker was lost for a moment. Cause: orders that are decided while a worker has no agent are dropped by dispatch. Once it has one again, the decider must repeat them. rebalance makes it do so, but assignUnassigned (each full read of service discovery) and addWorker (each entry) assign a worker without an agent too, between the moment that the agent is up and the rebalance that follows, and told the decider nothing. The rebalance then finds nothing to do, and the orders wait for their time-outs in the decider. Now both report such a worker as reassigned: assignUnassigned after it has released the pool's lock, addWorker by its result, since it is called while the leader's lock is held. A worker that is new to the leader has no orders to repeat.

--- a/pkg/aqsite/agentbalance.go
+++ b/pkg/aqsite/agentbalance.go
@@ -102,6 +102,24 @@
 	})
 }
 
+// assignUnassigned assigns the workers that no member manages.
+func (p *agentPool) assignUnassigned() {
+	var assigned []aqtype.WorkerID
+	p.mu.Lock()
+	for _, id := range p.sortedWorkers() {
+		a := p.assignments[id]
+		if a.member != nil {
+			continue
+		}
+		p.assign(a, p.pickMember(a.worker, nil))
+		if a.member != nil {
+			assigned = append(assigned, id)
+		}
+	}
+	p.mu.Unlock()
+	p.reportReassigned(assigned)
+}
+
 // rebalance assigns workers without an agent, and moves workers from members that
 // exceed their capacity.
 func (p *agentPool) rebalance() {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -265,23 +265,25 @@
 }
 
 // addWorker assigns a worker that service discovery lists, or updates its entry. The caller
-// passes the entries of a worker in the order of their revisions.
-func (p *agentPool) addWorker(w aqdecider.Worker) {
+// passes the entries of a worker in the order of their revisions. It returns true if a known worker that had no
+// agent has got one: the decider must repeat its orders.
+func (p *agentPool) addWorker(w aqdecider.Worker) (reassigned bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.assignments[w.ID]
-	if a == nil {
+	known := a != nil
+	if !known {
 		a = &workerAssignment{}
 		p.assignments[w.ID] = a
 	}
 	if w.Incarnation < a.reported || (a.member != nil && a.worker.SameInstance(w)) {
-		return
+		return false
 	}
 	a.worker = w
 	p.noteIncarnation(a, w.Incarnation)
 	if a.member == nil {
 		p.assign(a, p.pickMember(w, nil))
-		return
+		return known && a.member != nil
 	}
 	a.member.pending.Assign = append(a.member.pending.Assign, aqagent.Assignment{
 		Worker: w,
@@ -289,17 +291,7 @@
 		Params: a.params,
 	})
 	aqsignal.Send(a.member.wakeSend)
-}
-
-// assignUnassigned assigns the workers that no member manages.
-func (p *agentPool) assignUnassigned() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, a := range p.assignments {
-		if a.member == nil {
-			p.assign(a, p.pickMember(a.worker, nil))
-		}
-	}
+	return false
 }
 
 // workers lists all known workers, in no order.
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -40,7 +40,9 @@
 		return
 	}
 	d.UpdateWorker(w)
-	l.agents.addWorker(w)
+	if l.agents.addWorker(w) {
+		d.WorkerReassigned(w.ID)
+	}
 }
 
 // maxStartAhead is how far the start of a worker may lie ahead of this process's time of day.
