Answer a start by the report that lists its run instead of sending it again

Cause: only a stop of the run ended the attempts to deliver a start or removed one from the queue. A report that showed that the run was running or had ended did not, neither for the next attempts after one without an answer nor for a start that was repeated in a new assignment and waited for its payload, a delivery or the lease. A start whose last attempt got no answer was told to the leader as unknown although a report had listed its run. Now a session remembers which runs the reports of the worker's present incarnation have listed, for a minute at least after the last such report. A start of one of these is not sent and gets the result Accepted at once, also while its payload is missing; so does one that is listed during its last attempt or that is refused. A stop withdraws a start as before. Ruled out: removing the start from the queue without a result, after which the leader would wait for one for 10 s unless the report reaches it; asking when the report was sent, as a run that it lists has been started in any case; remembering the runs for the whole session, which grows without a bound. Remains: an attempt that is under way when the report comes is not recalled. A session does not know the ends that the worker has reported to an earlier session only.

--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -25,7 +25,7 @@
 		}
 		s.queue = append(s.queue, o)
 		s.received[start.Run] = s.agent.clock.Now()
-		if s.agent.payloads.Prepare(s.id, start.Run.Task.Job, start.PayloadSource, s.payloadReady) {
+		if s.startNeedless(start.Run) || s.agent.payloads.Prepare(s.id, start.Run.Task.Job, start.PayloadSource, s.payloadReady) {
 			s.deliver()
 		}
 		return
@@ -88,7 +88,7 @@
 	defer s.mu.Unlock()
 	for i, o := range s.queue {
 		if start, isStart := o.(aqdecider.Start); isStart {
-			if _, fetched, _ := s.agent.payloads.Get(start.Run.Task.Job); !fetched {
+			if _, fetched, _ := s.agent.payloads.Get(start.Run.Task.Job); !fetched && !s.startNeedless(start.Run) {
 				continue
 			}
 		}
@@ -125,12 +125,17 @@
 	to := s.address()
 	outcome := aqdecider.OutcomeNotSent
 	uncertain := false
+	if s.isStartNeedless(order.Run) {
+		s.reportStart(to, order, aqdecider.OutcomeAccepted, uncertain)
+		return
+	}
 	payload, _, err := s.agent.payloads.Get(order.Run.Task.Job)
 	if err != nil {
-		s.reportNotSent(to, order)
+		s.agent.metrics.Retried(aqmetric.RetryPayloadMissing)
+		s.reportStart(to, order, aqdecider.OutcomeNotSent, uncertain)
 		return
 	}
-	s.awaitWorkerClock()
+	s.awaitWorkerClock(order.Run)
 	for range startTries {
 		err := s.tryStart(to, order, payload)
 		if errors.Is(err, aqworker.ErrFenced) {
@@ -153,15 +158,11 @@
 	if s.ctx.Err() != nil {
 		return
 	}
+	if s.isStartNeedless(order.Run) {
+		outcome = aqdecider.OutcomeAccepted
+	}
 	s.agent.metrics.Observe(aqmetric.TimeStart, s.agent.clock.Now().Sub(started))
-	at := s.recordOrderDone()
-	s.agent.emit(s, StartResult{
-		Incarnation: to.Worker.Incarnation,
-		Run:         order.Run,
-		Outcome:     outcome,
-		Unanswered:  uncertain,
-		At:          at,
-	})
+	s.reportStart(to, order, outcome, uncertain)
 }
 
 // startDelivered ends the delivery of a start.
@@ -172,13 +173,13 @@
 	delete(s.received, run)
 }
 
-// reportNotSent reports that a start was not sent, since its payload cannot be had.
-func (s *session) reportNotSent(to aqworker.Address, order aqdecider.Start) {
-	s.agent.metrics.Retried(aqmetric.RetryPayloadMissing)
+// reportStart reports the outcome of a start. unanswered is set if an attempt to deliver it got no answer.
+func (s *session) reportStart(to aqworker.Address, order aqdecider.Start, outcome aqdecider.Outcome, unanswered bool) {
 	s.agent.emit(s, StartResult{
 		Incarnation: to.Worker.Incarnation,
 		Run:         order.Run,
-		Outcome:     aqdecider.OutcomeNotSent,
+		Outcome:     outcome,
+		Unanswered:  unanswered,
 		At:          s.recordOrderDone(),
 	})
 }
@@ -193,13 +194,13 @@
 }
 
 // awaitWorkerClock waits a limited time until the worker's clock is known and its
-// lease may be renewed, which a new session needs for a start.
-func (s *session) awaitWorkerClock() {
+// lease may be renewed, which a new session needs for a start, or until a report lists the run.
+func (s *session) awaitWorkerClock(run aqdecider.RunID) {
 	for range workerClockWaits {
 		s.mu.Lock()
-		known := s.workerClock.known && s.mayRenew()
+		ready := s.workerClock.known && s.mayRenew() || s.startNeedless(run)
 		s.mu.Unlock()
-		if known {
+		if ready {
 			return
 		}
 		aqclock.Sleep(s.ctx, s.agent.clock, orderRetry)
@@ -233,12 +234,17 @@
 }
 
 // tryStart makes one attempt to deliver a start. A worker that does not answer
-// heartbeats gets no starts, since a start renews its lease.
+// heartbeats gets no starts, since a start renews its lease. Nor does one that has or had the run: it has
+// accepted the start.
 func (s *session) tryStart(to aqworker.Address, order aqdecider.Start, payload string) error {
 	if !s.agent.Permitted(s.fence) {
 		return aqworker.ErrTooLate
 	}
 	s.mu.Lock()
+	if s.startNeedless(order.Run) {
+		s.mu.Unlock()
+		return nil
+	}
 	end, token := s.nextLeaseEnd(), s.lockedToken()
 	// An order to an earlier incarnation may have been carried out there.
 	if s.starting[order.Run] == startWithdrawn || s.worker.Incarnation != to.Worker.Incarnation {
--- a/internal/site/aqagent/runlog.go
+++ b/internal/site/aqagent/runlog.go
@@ -7,13 +7,17 @@
 )
 
 // runLog follows which runs a worker may have, so that a later leader learns under which
-// tasks the worker has crashed. The zero value is ready for use.
+// tasks the worker has crashed, and which it certainly has started. The zero value is ready for use.
 type runLog struct {
 	// since holds when each run was started by this session or first reported.
 	since map[aqdecider.RunID]time.Time
 	// sentAt is when the last heartbeat was sent, answeredAt when the last one was answered.
 	sentAt     time.Time
 	answeredAt time.Time
+	// listedAt holds when a report last listed each run as running or ended. Old entries were last removed at
+	// listedSweptAt.
+	listedAt      map[aqdecider.RunID]time.Time
+	listedSweptAt time.Time
 }
 
 func (l *runLog) started(run aqdecider.RunID, now time.Time) {
@@ -31,6 +35,7 @@
 // sent may be missing from the answer.
 func (l *runLog) reported(report aqdecider.WorkerReport, now time.Time) {
 	l.answeredAt = now
+	l.noteListed(report, now)
 	running := make(map[aqdecider.RunID]bool, len(report.Running))
 	for _, r := range report.Running {
 		running[r.Run] = true
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -348,6 +348,7 @@
 		s.leaseEnd = answer.Clock + aqworker.Time(s.lease)
 	}
 	s.runs.reported(answer.Report, s.agent.clock.Now())
+	s.answerListedStarts()
 	for _, e := range answer.Report.Ended {
 		s.lastEnd = max(s.lastEnd, e.Number)
 	}
