--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -65,8 +65,14 @@
 			r.startSentAt = lastAttempt
 		}
 	}
-	if arrivesBy := r.startSentAt.Add(startDelayLimit); r.worker.reportedAt.Before(arrivesBy) {
-		r.mayRunUntil = arrivesBy.Add(d.options.Limits.LeaseMax)
+	reportedAt := r.worker.reportedAt
+	if !reportedAt.Before(r.startSentAt.Add(startDelayLimit)) {
+		return
+	}
+	// A delayed renewal of the earlier incarnation may prolong the run.
+	r.mayRunUntil = r.startSentAt.Add(startDelayLimit + d.options.Limits.LeaseMax)
+	if renewed := reportedAt.Add(startDelayLimit + d.options.Limits.LeaseMax); renewed.After(r.mayRunUntil) {
+		r.mayRunUntil = renewed
 	}
 }
 
--- a/pkg/aqdecider/restart_test.go
+++ b/pkg/aqdecider/restart_test.go
@@ -176,3 +176,29 @@
 		t.Errorf("the entry names incarnation %d, want 3", got)
 	}
 }
+
+// Guards against TWICE: a delayed renewal of an earlier incarnation prolongs what a delayed start has begun in the
+// present one beyond the time for which the run is held.
+func TestHeldRunAwaitsDelayedRenewals(t *testing.T) {
+	const orderDelay = 12 * time.Second
+	h := newHarness(t, poolWorker("w1", "r1-1", 8000))
+	h.d.options.Limits.LeaseMax = 6 * time.Second
+	h.d.AddJob(testJob(1, tasks(1, 1000)), nil, 0, false)
+	run := h.d.Tick()[0].(Start).Run
+	h.advance(700 * time.Millisecond)
+	h.d.StartAnswered("w1", 1, run, OutcomeAccepted, 1)
+	h.running["w1"][run] = RunReport{Run: run}
+	for range 93 {
+		h.advance(100 * time.Millisecond)
+		h.report("w1")
+	}
+	renewedAt := h.now
+	h.d.WorkerUnresponsive("w1")
+	restarted := poolWorker("w1", "r1-1", 8000)
+	restarted.Incarnation = 2
+	h.d.UpdateWorker(restarted)
+	until := h.d.LeaseExpired("w1")
+	if last := renewedAt.Add(orderDelay + h.d.options.Limits.LeaseMax); until.Before(last) {
+		t.Errorf("held %s too short", last.Sub(until))
+	}
+}
