--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -70,10 +70,11 @@
 		return
 	}
 	// A delayed renewal of the earlier incarnation may prolong the run.
-	r.mayRunUntil = r.startSentAt.Add(startDelayLimit + d.options.Limits.LeaseMax)
-	if renewed := reportedAt.Add(startDelayLimit + d.options.Limits.LeaseMax); renewed.After(r.mayRunUntil) {
-		r.mayRunUntil = renewed
+	last := r.startSentAt
+	if reportedAt.After(last) {
+		last = reportedAt
 	}
+	r.mayRunUntil = last.Add(startDelayLimit + d.options.Limits.LeaseMax)
 }
 
 // WorkerReassigned handles the assignment of a worker to another agent: logical time
