Deliver delayed orders to the next life of a worker in the soak

The fault has a random source of its own, so that seeds play the others as before. The known gap before the first call with a raised token is left out: a new life gets them 3 s after its first answer. The summary counts what later lives got and accepted. Seed 41003 is a regression with this option; the others play without it.

--- a/cmd/aqsoak/main.go
+++ b/cmd/aqsoak/main.go
@@ -22,6 +22,7 @@
 	workers := app.Flag("workers", "Workers.").Default("6").Int()
 	dir := app.Flag("dir", "Directory for settings and logs.").Default(".run/soak").String()
 	regressionsOnly := app.Flag("regressions", "Run the seeds that have failed before instead of the others.").Bool()
+	delayAcrossRestarts := app.Flag("delay-across-restarts", "Also delay orders to workers on their way while these restart.").Bool()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -29,32 +30,30 @@
 	if *verbose {
 		out = os.Stdout
 	}
-	var seeds []int64
-	if *regressionsOnly {
-		for _, regression := range aqsoak.Regressions {
-			seeds = append(seeds, regression.Seed)
-		}
-	} else {
+	runs := aqsoak.Regressions
+	if !*regressionsOnly {
+		runs = nil
 		for seed := *first; seed < *first+*count; seed++ {
-			seeds = append(seeds, seed)
+			runs = append(runs, aqsoak.Regression{Seed: seed, DelayAcrossRestarts: *delayAcrossRestarts})
 		}
 	}
 	failed := 0
-	for _, seed := range seeds {
+	for _, run := range runs {
 		result, err := aqsoak.Run(aqsoak.Options{
-			Seed:      seed,
-			Program:   *program,
-			Dir:       filepath.Join(*dir, fmt.Sprintf("seed%d", seed)),
-			FaultTime: *faultTime,
-			Processes: *processes,
-			Workers:   *workers,
-			Out:       out,
+			Seed:                run.Seed,
+			Program:             *program,
+			Dir:                 filepath.Join(*dir, fmt.Sprintf("seed%d", run.Seed)),
+			FaultTime:           *faultTime,
+			Processes:           *processes,
+			Workers:             *workers,
+			DelayAcrossRestarts: run.DelayAcrossRestarts,
+			Out:                 out,
 		})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(2)
 		}
-		fmt.Printf("seed %d: %s\n", seed, result.Summary)
+		fmt.Printf("seed %d: %s\n", run.Seed, result.Summary)
 		for _, violation := range result.Violations {
 			fmt.Printf("  violation: %s\n", violation)
 		}
@@ -62,7 +61,7 @@
 			failed++
 		}
 	}
-	fmt.Printf("%d passed, %d failed\n", len(seeds)-failed, failed)
+	fmt.Printf("%d passed, %d failed\n", len(runs)-failed, failed)
 	if failed > 0 {
 		os.Exit(1)
 	}
--- a/pkg/aqsoak/checker.go
+++ b/pkg/aqsoak/checker.go
@@ -77,6 +77,7 @@
 	// endCounts counts the ended runs by the reason of the end.
 	endCounts  map[string]int
 	starts     int
+	transit    transitCounts
 	violations []string
 	startedAt  time.Time
 }
@@ -106,7 +107,11 @@
 func (c *Checker) Summary() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return fmt.Sprintf("%d jobs, %d runs, ends %v", len(c.jobs), c.starts, c.endCounts)
+	summary := fmt.Sprintf("%d jobs, %d runs, ends %v", len(c.jobs), c.starts, c.endCounts)
+	if c.transit == (transitCounts{}) {
+		return summary
+	}
+	return summary + ", " + c.transit.String()
 }
 
 func (c *Checker) addViolation(format string, values ...any) {
--- a/pkg/aqsoak/faults.go
+++ b/pkg/aqsoak/faults.go
@@ -158,6 +158,7 @@
 	for _, h := range s.hosts {
 		h.link.Set(LinkHealthy)
 		h.worker.SetLateRate(0)
+		h.worker.SetTransitRate(0)
 		s.setCapacity(h, hostMilliCPU)
 	}
 }
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -45,7 +45,9 @@
 	FaultTime time.Duration
 	Processes int
 	Workers   int
-	Out       io.Writer
+	// DelayAcrossRestarts adds the fault "orders delayed on their way across a restart".
+	DelayAcrossRestarts bool
+	Out                 io.Writer
 }
 
 // Result is the outcome of one soak.
@@ -115,6 +117,14 @@
 		defer s.running.Done()
 		s.submitCrashingJobs(faultCtx, settleCtx, others)
 	}()
+	if o.DelayAcrossRestarts {
+		s.running.Add(1)
+		transitRandom := rand.New(rand.NewSource(o.Seed + transitSource))
+		go func() {
+			defer s.running.Done()
+			s.delayAcrossRestarts(faultCtx, transitRandom)
+		}()
+	}
 	s.injectFaults(faultCtx, random)
 	s.endFaults()
 	s.running.Wait()
@@ -184,6 +194,7 @@
 	}
 	h := &host{worker: w, link: link}
 	w.OnCrash = func() { s.recoverCrashed(context.Background(), h) }
+	w.OnDelivery = s.recordDelivery
 	s.hosts = append(s.hosts, h)
 	s.register(h)
 	return nil
