--- a/pkg/aqsoak/regressions.go
+++ b/pkg/aqsoak/regressions.go
@@ -18,5 +18,5 @@
 	{Seed: 323, Cause: "a paused agent counted delayed polls as a permit to continue"},
 	{Seed: 7002, Cause: "a fake worker executed a start that was on its way when the worker crashed, and never ended the run"},
 	{Seed: 9200, Cause: "a reload signal before main ended the process, or one before the program had begun"},
-	{Seed: 41003, DelayAcrossRestarts: true, Cause: "the next life of a worker accepted starts that were delayed on their way to the earlier one (issue 41, 66ac7a2)"},
+	{Seed: 41003, DelayAcrossRestarts: true, Cause: "the next incarnation of a worker accepted starts that were delayed on their way to the earlier one (issue 41, 66ac7a2)"},
 }
--- a/pkg/aqsoak/transit.go
+++ b/pkg/aqsoak/transit.go
@@ -58,15 +58,15 @@
 
 // transitCounts counts the orders that were delayed on their way and executed.
 type transitCounts struct {
-	sameLife int
-	// nextLife counts those that a later incarnation of their worker has executed or refused, and
-	// nextLifeAccepted those of them that were not refused.
-	nextLife         int
-	nextLifeAccepted int
+	sameIncarnation int
+	// nextIncarnation counts those that a later incarnation of their worker has executed or refused, and
+	// nextIncarnationAccepted those of them that were not refused.
+	nextIncarnation         int
+	nextIncarnationAccepted int
 }
 
 func (t transitCounts) String() string {
-	return fmt.Sprintf("delayed orders: %d to the same life, %d to a later one, %d of these accepted", t.sameLife, t.nextLife, t.nextLifeAccepted)
+	return fmt.Sprintf("delayed orders: %d to the same incarnation, %d to a later one, %d of these accepted", t.sameIncarnation, t.nextIncarnation, t.nextIncarnationAccepted)
 }
 
 func (s *soak) recordDelivery(d aqfake.Delivery) {
@@ -78,11 +78,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !d.AcrossRestart {
-		c.transit.sameLife++
+		c.transit.sameIncarnation++
 		return
 	}
-	c.transit.nextLife++
+	c.transit.nextIncarnation++
 	if d.Refusal == "" {
-		c.transit.nextLifeAccepted++
+		c.transit.nextIncarnationAccepted++
 	}
 }
