--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -223,7 +223,7 @@
 }
 
 // logUnansweredStart logs an attempt to deliver a start that may still take effect, unless the session
-// has ended it.
+// has ended.
 func (s *session) logUnansweredStart(to aqworker.Address, run aqdecider.RunID) {
 	if s.ctx.Err() != nil {
 		return
