Cancel submissions that are still on their way when DELETE is answered

Cause: Node.cancelOnce looked for the job and returned ErrNoJob without storing anything if there was none. Nothing kept a write that was still on its way from taking effect.

Now the cancellation is stored first, and the job is looked up after that, only to choose the answer. A job that is added later is cancelled as it is added, by the present leader or by the next one, which reads both from the store. Stored cancellations were never deleted; now they are, after the retention period and after their job's records, so that those of unknown jobs do not accumulate.

Ruled out: a condition on the cancellation in the submission's write. It would answer a repeated submission of a cancelled job with a conflict, though the submitter is told that it remains one job; with this change it is stored and shown as cancelled.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -83,9 +83,13 @@
 	earlierIdle map[aqcrash.Instance]bool
 	// earlierTrials holds the tasks with a trial of an earlier term, by where it may run.
 	earlierTrials map[aqcrash.Instance][]*task
-	// earlyCancels holds the cancellations of jobs that are not known yet.
-	earlyCancels map[aqjob.ID]time.Time
-	model        *aqinterference.Model
+	// cancelled holds the jobs of cancellations, known or not.
+	cancelled map[aqjob.ID]bool
+	// cancellations lists the same in the order in which this decider has learned of them.
+	cancellations []cancellation
+	// expiredCancels holds the jobs whose stored cancellations are to be deleted.
+	expiredCancels []aqjob.ID
+	model          *aqinterference.Model
 	// harmedShares caches the model's answers of one round of decisions.
 	harmedShares map[aqinterference.Image]float64
 	// fillerShortages holds the classes of fillers for which no worker was found of late.
@@ -131,7 +135,7 @@
 		dirty:         map[aqjob.ID]*job{},
 		unstoredEnds:  map[aqtype.WorkerID]bool{},
 		unpersisted:   map[aqtype.WorkerID]bool{},
-		earlyCancels:  map[aqjob.ID]time.Time{},
+		cancelled:     map[aqjob.ID]bool{},
 		exposed:       map[aqtype.WorkerID]exposure{},
 		earlier:       map[aqjob.TaskID]aqcrash.Crash{},
 		earlierIdle:   map[aqcrash.Instance]bool{},
@@ -261,14 +265,9 @@
 // HasWork reports whether Tick has orders to return or tasks to place.
 func (d *Decider) HasWork() bool { return len(d.orders) > 0 || len(d.waiting) > 0 }
 
-// expireJobs marks ended jobs for deletion after the retention period. It drops
-// early cancellations of the same age.
+// expireJobs marks ended jobs for deletion after the retention period, and cancellations after them.
 func (d *Decider) expireJobs() {
-	for id, at := range d.earlyCancels {
-		if d.now.Sub(at) > d.options.Limits.Retention {
-			delete(d.earlyCancels, id)
-		}
-	}
+	d.expireCancellations()
 	d.expireExposures()
 	for len(d.ended) > 0 && d.now.Sub(d.ended[0].at) > d.options.Limits.Retention {
 		j := d.jobs[d.ended[0].id]
--- a/pkg/aqdecider/decider_test.go
+++ b/pkg/aqdecider/decider_test.go
@@ -233,6 +233,32 @@
 	}
 }
 
+// The cancellation of a job that is still stored is kept: the job would be read without it by the next leader.
+func TestCancellationIsKeptAsLongAsItsJob(t *testing.T) {
+	h := newHarness(t, poolWorker("w1", "r1-1", 8000))
+	job := testJob(1, tasks(1, 1000))
+	h.d.Cancel(job.ID)
+	h.advance(time.Hour)
+	h.tick()
+	h.d.AddJob(job, nil, 0, false)
+	h.advance(time.Minute)
+	h.tick()
+	if batch := h.d.TakeBatch(); len(batch.ExpiredCancels) != 0 {
+		t.Fatal("the cancellation of a stored job is deleted")
+	}
+	h.advance(time.Hour)
+	h.tick()
+	batch := h.d.TakeBatch()
+	if len(batch.Records) != 1 || !batch.Records[0].Delete {
+		t.Fatalf("records %+v, want the deletion of the job", batch.Records)
+	}
+	h.d.RecordStored(batch.Records[0], 2)
+	h.tick()
+	if batch := h.d.TakeBatch(); len(batch.ExpiredCancels) != 1 || len(h.started) != 0 {
+		t.Fatalf("%d cancellations are deleted after the job, want 1; %d starts", len(batch.ExpiredCancels), len(h.started))
+	}
+}
+
 func TestDrainingWorkerIsEmptiedInTime(t *testing.T) {
 	h := newHarness(t, poolWorker("w1", "r1-1", 8000))
 	perpetual := tasks(1, 1000)
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -54,8 +54,7 @@
 	if !j.started {
 		d.countUnstarted(j.queue.ID, 1)
 	}
-	if _, cancelled := d.earlyCancels[spec.ID]; cancelled {
-		delete(d.earlyCancels, spec.ID)
+	if d.cancelled[spec.ID] {
 		d.finish(j, aqjob.StateCancelled, "submitter cancelled")
 		return
 	}
@@ -211,18 +210,6 @@
 	return true
 }
 
-// Cancel cancels a job. The cancellation may arrive before the job itself.
-func (d *Decider) Cancel(id aqjob.ID) {
-	j := d.jobs[id]
-	if j == nil {
-		d.earlyCancels[id] = d.now
-		return
-	}
-	if !j.state.Final() {
-		d.finish(j, aqjob.StateCancelled, "submitter cancelled")
-	}
-}
-
 // finish puts a job into a final state and stops its runs.
 func (d *Decider) finish(j *job, state aqjob.State, reason string) {
 	if !j.started {
--- a/pkg/aqdecider/records.go
+++ b/pkg/aqdecider/records.go
@@ -30,6 +30,8 @@
 // Batch holds the records that are written to the store together.
 type Batch struct {
 	Records []Record
+	// ExpiredCancels lists the jobs whose cancellations are to be deleted.
+	ExpiredCancels []aqjob.ID
 	// ends holds, by worker, the last end whose effects the records include.
 	ends map[aqtype.WorkerID]endCursor
 }
@@ -46,10 +48,10 @@
 	d.dirty[j.spec.ID] = j
 }
 
-// Dirty reports whether there are records to store, ends to acknowledge or workers to
+// Dirty reports whether there are records to store, cancellations to delete, ends to acknowledge or workers to
 // add to the stored list.
 func (d *Decider) Dirty() bool {
-	return len(d.dirty) > 0 || len(d.unstoredEnds) > 0 || d.HasUnpersistedWorkers()
+	return len(d.dirty) > 0 || len(d.expiredCancels) > 0 || len(d.unstoredEnds) > 0 || d.HasUnpersistedWorkers()
 }
 
 // HasUnstoredFinalState reports whether a job has reached a final state that is not
@@ -65,7 +67,11 @@
 
 // TakeBatch returns all unstored records. At most one batch is in flight at a time.
 func (d *Decider) TakeBatch() Batch {
-	b := Batch{ends: map[aqtype.WorkerID]endCursor{}}
+	b := Batch{
+		ExpiredCancels: d.expiredCancels,
+		ends:           map[aqtype.WorkerID]endCursor{},
+	}
+	d.expiredCancels = nil
 	for id, j := range d.dirty {
 		r := Record{
 			Job:      id,
--- a/pkg/aqsite/commit.go
+++ b/pkg/aqsite/commit.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,9 @@
 // or three entries in addition to the condition on the lead key.
 const recordsPerTxn = 10
 
+// cancelsPerTxn is the same for the deletion of cancellations.
+const cancelsPerTxn = aqstore.MaxTxnEntries - 1
+
 // storeLoop stores decisions in rounds, one round at a time.
 func (l *leader) storeLoop(ctx context.Context) {
 	for {
@@ -87,6 +91,13 @@
 			l.storeRecords(ctx, records)
 		})
 	}
+	for expired := range slices.Chunk(batch.ExpiredCancels, cancelsPerTxn) {
+		group.Add(1)
+		l.spawn("delete cancellations", func() {
+			defer group.Done()
+			l.deleteCancels(ctx, expired)
+		})
+	}
 	group.Wait()
 	select {
 	case <-l.ended:
@@ -101,7 +112,16 @@
 	l.node.metrics.Observe(aqmetric.TimeCommit, l.node.clock.Now().Sub(started))
 }
 
-// storeRecords repeats one transaction until its outcome is known.
+// deleteCancels deletes the cancellations of jobs whose submissions cannot reach the store any more.
+func (l *leader) deleteCancels(ctx context.Context, jobs []aqjob.ID) {
+	txn := aqstore.Txn{Conditions: []aqstore.Condition{{Key: leadKey, ModRevision: l.leadKeyRevision}}}
+	for _, id := range jobs {
+		txn.Deletes = append(txn.Deletes, cancelKey(id))
+	}
+	l.commitRecords(ctx, txn, nil)
+}
+
+// storeRecords stores records in one transaction.
 func (l *leader) storeRecords(ctx context.Context, records []aqdecider.Record) {
 	txn := aqstore.Txn{Conditions: []aqstore.Condition{{Key: leadKey, ModRevision: l.leadKeyRevision}}}
 	for _, r := range records {
@@ -127,6 +147,11 @@
 		}
 		txn.Puts = append(txn.Puts, aqstore.Put{Key: jobKey(r.Job), Value: remainder})
 	}
+	l.commitRecords(ctx, txn, records)
+}
+
+// commitRecords repeats one transaction until its outcome is known.
+func (l *leader) commitRecords(ctx context.Context, txn aqstore.Txn, records []aqdecider.Record) {
 	for ctx.Err() == nil {
 		revision, err := l.node.store.Commit(ctx, txn)
 		l.node.recordStoreResult(err)
@@ -139,7 +164,7 @@
 			if l.alreadyApplied(conflict, txn, records) {
 				return
 			}
-			l.lose(errors.WithMessage(err, "progress was written by another process"))
+			l.lose(errors.WithMessage(err, "written by another process"))
 			return
 		}
 		l.commitFailed(ctx, err)
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -127,31 +127,32 @@
 	}
 }
 
-// Cancel stores the cancellation of a job. It returns ErrNoJob when there is no such job.
+// Cancel stores the cancellation of a job. It returns ErrNoJob when there is no such job; a submission of it
+// that reaches the store later is cancelled then.
 func (n *Node) Cancel(ctx context.Context, id aqjob.ID) error {
 	for {
-		err := n.cancelOnce(ctx, id)
-		if err == nil || errors.Is(err, ErrNoJob) {
-			return err
+		err := n.storeCancel(ctx, id)
+		if err == nil {
+			break
 		}
 		aqclock.Sleep(ctx, n.clock, submitPause)
 		if ctx.Err() != nil {
 			return errors.WithMessage(ErrOutcomeUnknown, err.Error())
 		}
 	}
+	if answer, err := n.queryState(ctx, id); err == nil && answer.Known {
+		return nil
+	}
+	_, err := n.store.Get(ctx, jobKey(id))
+	n.recordStoreResult(err)
+	if errors.Is(err, aqstore.ErrNotFound) {
+		return ErrNoJob
+	}
+	// The cancellation is stored, whether there is such a job or not.
+	return nil
 }
 
-func (n *Node) cancelOnce(ctx context.Context, id aqjob.ID) error {
-	if answer, err := n.queryState(ctx, id); err != nil || !answer.Known {
-		_, err := n.store.Get(ctx, jobKey(id))
-		n.recordStoreResult(err)
-		if errors.Is(err, aqstore.ErrNotFound) {
-			return ErrNoJob
-		}
-		if err != nil {
-			return err
-		}
-	}
+func (n *Node) storeCancel(ctx context.Context, id aqjob.ID) error {
 	_, err := n.create(ctx, cancelKey(id), []byte{})
 	var conflict *aqstore.ConflictError
 	if errors.As(err, &conflict) {
