Look for the cancellation before adding a job that the watch has not delivered

The proof now names the keys of the cancellations as conditions, so that it tells in the same call which of them are stored.

Evidence: TestNotifiedJobIsAddedWithItsCancellation fails with the former notify.go: the job is "queued". The calls of prove in tests have got its new parameter; their checks are the same.

--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -121,7 +121,7 @@
 	if call, ok := l.agents.takeOrders(m); ok {
 		t.Fatalf("orders after a pause: %+v", call)
 	}
-	if err := l.prove(context.Background()); err != nil {
+	if _, err := l.prove(context.Background(), nil); err != nil {
 		t.Fatal(err)
 	}
 	if call, ok := l.agents.takeOrders(m); !ok || len(call.Orders) != 1 {
--- a/pkg/aqsite/assignment_test.go
+++ b/pkg/aqsite/assignment_test.go
@@ -169,7 +169,7 @@
 	worker.mu.Lock()
 	worker.reachable = true
 	worker.mu.Unlock()
-	if err := l.prove(context.Background()); err != nil {
+	if _, err := l.prove(context.Background(), nil); err != nil {
 		t.Fatal(err)
 	}
 	l.agents.sendOrders(m)
--- a/pkg/aqsite/cancel_test.go
+++ b/pkg/aqsite/cancel_test.go
@@ -88,6 +88,43 @@
 	}
 }
 
+// Guards against UNASKED: while its watch was stalled, the leader started a job that another process reported,
+// though the cancellation, whose notification was lost, was stored.
+func TestNotifiedJobIsAddedWithItsCancellation(t *testing.T) {
+	store := newFakeStore()
+	n, clock := testNode(t, store)
+	l := lead(t, n, store)
+	n.current = nil
+	if err := n.Cancel(context.Background(), testJob().ID); !errors.Is(err, ErrNoJob) {
+		t.Fatalf("cancel: %v, want ErrNoJob", err)
+	}
+	value, err := aqjob.Encode(testJob())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.handleNotify(notifyCall{
+		Job:     testJob().ID,
+		Value:   value,
+		Created: 99,
+	})
+	clock.Advance(time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	store.fault = func(aqstore.Txn) (error, bool) {
+		cancel()
+		return nil, false
+	}
+	l.notifiedJobsLoop(ctx)
+	if l.lost != nil {
+		t.Fatalf("leadership lost: %v", l.lost)
+	}
+	store.fault = nil
+	l.recovered = true
+	l.storeRound(context.Background())
+	if state, known, _ := l.state(testJob().ID); !known || state != aqjob.StateCancelled {
+		t.Fatalf("the job is %q (known: %v), want cancelled", state, known)
+	}
+}
+
 // eventsAfter returns the changes of jobs and cancellations after a revision.
 func eventsAfter(t *testing.T, store *fakeStore, revision aqstore.Revision) []aqstore.Event {
 	t.Helper()
--- a/pkg/aqsite/leader_test.go
+++ b/pkg/aqsite/leader_test.go
@@ -143,7 +143,7 @@
 	if l.mayOrder() {
 		t.Fatal("a leader gives orders without proof")
 	}
-	if err := l.prove(context.Background()); err != nil || !l.mayOrder() {
+	if _, err := l.prove(context.Background(), nil); err != nil || !l.mayOrder() {
 		t.Fatalf("no permission to give orders after a proof: %v", err)
 	}
 	clock.Suspend(proofLimit)
@@ -184,7 +184,7 @@
 				}
 				clock.Advance(step)
 			}
-			if err := l.prove(context.Background()); err != nil || !l.mayOrder() {
+			if _, err := l.prove(context.Background(), nil); err != nil || !l.mayOrder() {
 				t.Fatalf("no permission to give orders after a proof: %v", err)
 			}
 		})
--- a/pkg/aqsite/notify.go
+++ b/pkg/aqsite/notify.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -90,15 +92,20 @@
 		if len(overdue) == 0 {
 			continue
 		}
-		err := l.prove(ctx)
-		if err != nil {
-			continue
-		}
-		l.decide(func(d *aqdecider.Decider) {
-			for id, notified := range overdue {
-				l.addJob(d, id, notified.item, nil)
+		for jobs := range slices.Chunk(slices.Collect(maps.Keys(overdue)), cancelsPerTxn) {
+			cancelled, err := l.prove(ctx, jobs)
+			if err != nil {
+				break
 			}
-		})
+			l.decide(func(d *aqdecider.Decider) {
+				for _, id := range cancelled {
+					d.Cancel(id)
+				}
+				for _, id := range jobs {
+					l.addJob(d, id, overdue[id].item, nil)
+				}
+			})
+		}
 	}
 }
 
@@ -121,22 +128,35 @@
 	return overdue
 }
 
-// prove asks the store whether the lead key is still this leader's.
-func (l *leader) prove(ctx context.Context) error {
+// prove asks the store whether the lead key is still this leader's. It returns those of at most cancelsPerTxn jobs
+// whose cancellations are stored: a watch that has not delivered a job has not delivered its cancellation either.
+func (l *leader) prove(ctx context.Context, jobs []aqjob.ID) (cancelled []aqjob.ID, err error) {
 	sent := l.node.clock.Elapsed()
-	_, err := l.node.store.Commit(ctx, aqstore.Txn{
-		Conditions: []aqstore.Condition{{Key: leadKey, ModRevision: l.leadKeyRevision}},
-	})
+	txn := aqstore.Txn{Conditions: []aqstore.Condition{{Key: leadKey, ModRevision: l.leadKeyRevision}}}
+	for _, id := range jobs {
+		txn.Conditions = append(txn.Conditions, aqstore.Condition{Key: cancelKey(id)})
+	}
+	_, err = l.node.store.Commit(ctx, txn)
 	var conflict *aqstore.ConflictError
 	if errors.As(err, &conflict) {
-		l.lose(errors.WithMessage(err, "lead key changed"))
-		return err
+		leads := false
+		for _, item := range conflict.Current {
+			leads = leads || item.Key == leadKey && item.ModRevision == l.leadKeyRevision
+			if id, ok := jobIDFromKey(cancelPrefix, item.Key); ok && item.ModRevision > 0 {
+				cancelled = append(cancelled, id)
+			}
+		}
+		if !leads {
+			l.lose(errors.WithMessage(err, "lead key changed"))
+			return nil, err
+		}
+		err = nil
 	}
 	l.node.recordStoreResult(err)
 	if err == nil {
 		l.recordProof(sent)
 	}
-	return err
+	return cancelled, err
 }
 
 // recordProof records that a call, sent when the given time had elapsed, has proved
--- a/pkg/aqsite/workerrestarts_test.go
+++ b/pkg/aqsite/workerrestarts_test.go
@@ -190,7 +190,7 @@
 // step lets the leader and its agent exchange messages, and 10 ms pass for the agent.
 func (r *restartRig) step() {
 	r.t.Helper()
-	if err := r.leader.prove(context.Background()); err != nil {
+	if _, err := r.leader.prove(context.Background(), nil); err != nil {
 		r.t.Fatal(err)
 	}
 	r.leader.agents.sendOrders(r.member)
