Log the lease ends that calls to an earlier incarnation carry

The logs could not tell which call gave a worker a lease end beyond the leader's reckoning, nor on whose clock: 936 has LeaseEnd, 918 of a heartbeat has LeaseEnd and ExpiresIn, and the new event 938 shows the clock of the incarnation that an agent meets beside the lease end it sent to the one before.

No change of logic.

--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -137,7 +137,7 @@
 	}
 	s.awaitWorkerClock(order.Run)
 	for range startTries {
-		err := s.tryStart(to, order, payload)
+		end, err := s.tryStart(to, order, payload)
 		if errors.Is(err, aqworker.ErrFenced) {
 			s.agent.refused(s)
 			return
@@ -146,7 +146,7 @@
 			if errors.Is(err, aqworker.ErrUnanswered) {
 				uncertain = true
 				outcome = aqdecider.OutcomeUnknown
-				s.logUnansweredStart(to, order.Run)
+				s.logUnansweredStart(to, order.Run, end)
 			}
 			s.agent.metrics.Retried(aqmetric.RetryOrderLost)
 			aqclock.Sleep(s.ctx, s.agent.clock, orderRetry)
@@ -224,26 +224,26 @@
 
 // logUnansweredStart logs an attempt to deliver a start that may still take effect, unless the session
 // has ended.
-func (s *session) logUnansweredStart(to aqworker.Address, run aqdecider.RunID) {
+func (s *session) logUnansweredStart(to aqworker.Address, run aqdecider.RunID, end aqworker.Time) {
 	if s.ctx.Err() != nil {
 		return
 	}
 	s.agent.log.Write(aqlog.StartUnanswered, slog.String("Task", run.Task.String()), slog.Int("Attempt", int(run.Attempt)),
 		slog.String("Worker", string(s.id)), slog.Uint64("Serial", uint64(s.serial)),
-		slog.Int64("Life", int64(to.Worker.Incarnation)))
+		slog.Int64("Life", int64(to.Worker.Incarnation)), slog.Duration("LeaseEnd", time.Duration(end)))
 }
 
 // tryStart makes one attempt to deliver a start. A worker that does not answer
 // heartbeats gets no starts, since a start renews its lease. Nor does one that has or had the run: it has
-// accepted the start.
-func (s *session) tryStart(to aqworker.Address, order aqdecider.Start, payload string) error {
+// accepted the start. It returns the lease end in the call, zero if none was made.
+func (s *session) tryStart(to aqworker.Address, order aqdecider.Start, payload string) (aqworker.Time, error) {
 	if !s.agent.Permitted(s.fence) {
-		return aqworker.ErrTooLate
+		return 0, aqworker.ErrTooLate
 	}
 	s.mu.Lock()
 	if s.startNeedless(order.Run) {
 		s.mu.Unlock()
-		return nil
+		return 0, nil
 	}
 	end, token := s.nextLeaseEnd(), s.lockedToken()
 	// An order to an earlier incarnation may have been carried out there.
@@ -256,7 +256,7 @@
 	}
 	s.mu.Unlock()
 	if end == 0 {
-		return aqworker.ErrTooLate
+		return 0, aqworker.ErrTooLate
 	}
 	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
@@ -266,7 +266,7 @@
 		Order:    order,
 		Payload:  payload,
 	})
-	return s.unlessOvertaken(token, err)
+	return end, s.unlessOvertaken(token, err)
 }
 
 // startOutcome maps the answer to a start to its outcome. After an unanswered attempt,
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -337,6 +337,7 @@
 		return
 	}
 	if incarnation != to.Worker.Incarnation || incarnation != s.worker.Incarnation {
+		s.logLifeMet(answer)
 		s.resetIncarnation()
 		s.worker.Incarnation = incarnation
 	}
@@ -361,6 +362,13 @@
 	}
 }
 
+// logLifeMet logs an answer of a later incarnation than the worker was taken to be in. The caller holds the lock.
+func (s *session) logLifeMet(answer aqworker.HeartbeatAnswer) {
+	s.agent.log.Write(aqlog.WorkerLifeMet, slog.String("Worker", string(s.id)), slog.Uint64("Serial", uint64(s.serial)),
+		slog.Int64("Life", int64(answer.Report.Incarnation)), slog.Int64("Before", int64(s.worker.Incarnation)),
+		slog.Duration("Clock", time.Duration(answer.Clock)), slog.Duration("LeaseEnd", time.Duration(s.leaseEnd)))
+}
+
 func (s *session) heartbeatFailed(to aqworker.Address, err error) {
 	if s.ctx.Err() != nil {
 		return
@@ -380,7 +388,7 @@
 	if failed == failedHeartbeatLimit {
 		s.silences++
 	}
-	expiresIn := time.Duration(-1)
+	expiresIn, leaseEnd := time.Duration(-1), s.leaseEnd
 	if s.workerClock.known {
 		expiresIn = max(0, s.workerClock.passedBy(s.leaseEnd).Sub(s.agent.clock.Now()))
 	}
@@ -390,6 +398,7 @@
 		return
 	}
 	s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.Uint64("Serial", uint64(s.serial)),
-		slog.String("Order", "look"), aqlog.Err(err))
+		slog.String("Order", "look"), slog.Duration("LeaseEnd", time.Duration(leaseEnd)), slog.Duration("ExpiresIn", expiresIn),
+		aqlog.Err(err))
 	s.agent.emit(s, Unresponsive{ExpiresIn: expiresIn})
 }
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -407,7 +407,7 @@
 	if last.LeaseEnd != 0 || last.AckedEnd != 0 {
 		t.Errorf("after a suspension: %+v", last)
 	}
-	if err := s.tryStart(s.address(), aqdecider.Start{Worker: "w1"}, ""); !errors.Is(err, aqworker.ErrTooLate) {
+	if _, err := s.tryStart(s.address(), aqdecider.Start{Worker: "w1"}, ""); !errors.Is(err, aqworker.ErrTooLate) {
 		t.Errorf("a start after a suspension: %v", err)
 	}
 	if a.Permitted(5) {
