Keep a run while a lease of a call to an earlier incarnation may last

At 5.74 and 5.87 s an agent that does not know of the restart has sent starts with lease ends of 2:12:32 on the clock of the earlier incarnation. The clock of the present one is at 2:05:00, so that the worker shortens them to the longest lease that it grants, 10 s, for all that it runs. The leader learns of the restart at 5.95 s, the raised token keeps later calls out, and run 2 is placed at 6.44 s. The worker is cut off from 7.6 s. The agent reckons with its own lease of 5 s, the leader gives run 2 up at 12.41 s and places run 3; run 2 lapses at 16.07 s, 10.1 s after the last such start. New clocks begin anywhere; where the present one is ahead of the earlier one the call is refused as late.

Now nothing is started in an incarnation before it has answered a heartbeat with its raised token, from which on it refuses calls to earlier ones. That answer is marked in the report (Settled), and the decider keeps the runs of the incarnation for the longest lease after it, whichever agent manages the worker, though the lease that its agents renew has expired. A first heartbeat with a raised token does not wait for ends. The parameters that raise it name the incarnation at once.

Ruled out: runs of the earlier incarnation that go on (they end with it), a session that renews without the leader's knowledge (one agent, one serial), and a second agent that shortens the reckoning (the deadline stays that of the first). Weighed: reckoning with the longest lease always (tasks of every lost worker would wait 10 s instead of 5 s), and quarantine of restarted workers (their room is lost).

TestHeartbeatAfterARestartDoesNotWait expected the first heartbeat with the raised token to wait; it now expects that this one does not and the next one does.

--- a/internal/site/aqagent/assignment.go
+++ b/internal/site/aqagent/assignment.go
@@ -50,6 +50,8 @@
 		acked:    make(chan struct{}, 1),
 		received: map[aqdecider.RunID]time.Time{},
 		starting: map[aqdecider.RunID]startDelivery{},
+		// The agent before may not have had an answer to a call with the raised token.
+		unsettled: next.Params.Restarts > 0,
 	}
 	a.sessions[id] = s
 	go s.run()
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -193,12 +193,12 @@
 	return s.orderDoneAt
 }
 
-// awaitWorkerClock waits a limited time until the worker's clock is known and its
-// lease may be renewed, which a new session needs for a start, or until a report lists the run.
+// awaitWorkerClock waits a limited time until the worker's clock is known, its
+// lease may be renewed and its restarts are settled, which a start needs, or until a report lists the run.
 func (s *session) awaitWorkerClock(run aqdecider.RunID) {
 	for range workerClockWaits {
 		s.mu.Lock()
-		ready := s.workerClock.known && s.mayRenew() || s.startNeedless(run)
+		ready := s.workerClock.known && s.mayRenew() && !s.unsettled || s.startNeedless(run)
 		s.mu.Unlock()
 		if ready {
 			return
@@ -247,7 +247,7 @@
 	}
 	end, token := s.nextLeaseEnd(), s.lockedToken()
 	// An order to an earlier incarnation may have been carried out there.
-	if s.starting[order.Run] == startWithdrawn || s.worker.Incarnation != to.Worker.Incarnation {
+	if s.starting[order.Run] == startWithdrawn || s.worker.Incarnation != to.Worker.Incarnation || s.unsettled {
 		end = 0
 	}
 	if end > 0 {
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -95,6 +95,11 @@
 	workerClock clockReading
 	// answered is the incarnation of the last answer, zero before the first.
 	answered aqdecider.Incarnation
+	// unsettled is set from a restart of the worker until the present incarnation has answered a heartbeat with the
+	// token that the leader has raised for it. Until then it accepts calls to earlier incarnations, whose lease ends
+	// are on other clocks: it may keep what it runs for the longest lease that it grants, beyond leaseEnd. Nothing
+	// is started meanwhile, so that the leader can tell until when that holds for a run.
+	unsettled bool
 	// leaseEnd is the latest lease end that this session sent to this incarnation, or
 	// that another agent may have sent before the worker first answered this one.
 	leaseEnd aqworker.Time
@@ -200,6 +205,7 @@
 // orders to start or pace runs in it. Orders to stop apply to every incarnation. The
 // caller holds the lock.
 func (s *session) resetIncarnation() {
+	s.unsettled = true
 	s.workerClock = clockReading{}
 	s.leaseEnd = 0
 	s.queue = slices.DeleteFunc(s.queue, func(o aqdecider.Order) bool {
@@ -256,23 +262,32 @@
 
 // heartbeat sends one heartbeat and reports whether the worker answered.
 func (s *session) heartbeat() bool {
-	to, request, sent := s.nextHeartbeat()
-	bounded, cancel := context.WithTimeout(s.ctx, request.Wait+heartbeatMargin)
-	answer, err := s.agent.workers.Heartbeat(bounded, to, request)
+	next := s.nextHeartbeat()
+	bounded, cancel := context.WithTimeout(s.ctx, next.request.Wait+heartbeatMargin)
+	answer, err := s.agent.workers.Heartbeat(bounded, next.to, next.request)
 	cancel()
 	if err != nil {
-		s.heartbeatFailed(to, s.unlessOvertaken(request.Token, err))
+		s.heartbeatFailed(next.to, s.unlessOvertaken(next.request.Token, err))
 		return false
 	}
-	answer.Report.Sent = sent
+	answer.Report.Sent = next.sent
 	answer.Report.Clock = time.Duration(answer.Clock)
-	s.heartbeatAnswered(to, answer)
+	s.heartbeatAnswered(next, answer)
 	return true
 }
 
+// sentHeartbeat is a heartbeat request and what was known when it was built.
+type sentHeartbeat struct {
+	to      aqworker.Address
+	request aqworker.HeartbeatRequest
+	sent    aqdecider.LogicalTime
+	// tokenOf is the incarnation for which the leader has chosen the token.
+	tokenOf aqdecider.Incarnation
+}
+
 // nextHeartbeat builds a heartbeat request. It does not renew the lease of a worker that
 // did not answer the last heartbeat, so that the lease can expire.
-func (s *session) nextHeartbeat() (aqworker.Address, aqworker.HeartbeatRequest, aqdecider.LogicalTime) {
+func (s *session) nextHeartbeat() sentHeartbeat {
 	permitted := s.agent.Permitted(s.fence)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -286,13 +301,18 @@
 	if permitted && s.failedHeartbeats == 0 && s.params.Incarnation == s.worker.Incarnation {
 		request.AckedEnd = s.params.AckedEnd
 	}
-	// While the leader does not know of a restart, the worker accepts delayed calls to its earlier
-	// incarnation. The next heartbeat, which ends that, must not wait.
-	if request.LeaseEnd > 0 && s.params.Incarnation == s.worker.Incarnation {
+	// The heartbeat that ends the time in which the worker accepts calls to its earlier incarnations must
+	// not wait.
+	if request.LeaseEnd > 0 && !s.unsettled && s.params.Incarnation == s.worker.Incarnation {
 		request.Wait = s.params.Wait
 	}
 	s.runs.heartbeatSent(s.agent.clock.Now())
-	return to, request, s.nextLogicalTime()
+	return sentHeartbeat{
+		to:      to,
+		request: request,
+		sent:    s.nextLogicalTime(),
+		tokenOf: s.params.Incarnation,
+	}
 }
 
 // token returns the token of the next call.
@@ -329,18 +349,22 @@
 	return end
 }
 
-func (s *session) heartbeatAnswered(to aqworker.Address, answer aqworker.HeartbeatAnswer) {
+func (s *session) heartbeatAnswered(asked sentHeartbeat, answer aqworker.HeartbeatAnswer) {
 	s.mu.Lock()
 	incarnation := answer.Report.Incarnation
 	if incarnation < s.worker.Incarnation {
 		s.mu.Unlock()
 		return
 	}
-	if incarnation != to.Worker.Incarnation || incarnation != s.worker.Incarnation {
+	if incarnation != asked.to.Worker.Incarnation || incarnation != s.worker.Incarnation {
 		s.logLifeMet(answer)
 		s.resetIncarnation()
 		s.worker.Incarnation = incarnation
 	}
+	answer.Report.Settled = s.unsettled && asked.tokenOf == incarnation
+	if answer.Report.Settled {
+		s.unsettled = false
+	}
 	s.answered = incarnation
 	s.failedHeartbeats = 0
 	s.workerClock = clockReading{at: s.agent.clock.Now(), value: answer.Clock, known: true}
@@ -355,10 +379,15 @@
 	}
 	// The leader waits for a report of the time after an order.
 	afterOrder := answer.Report.Sent > s.orderDoneAt && s.differ.Sent() <= s.orderDoneAt
-	difference, news := s.differ.Difference(answer.Report, s.agent.clock.Now(), reportInterval(s.params.Wait), afterOrder)
+	difference, news := s.differ.Difference(
+		answer.Report, s.agent.clock.Now(), reportInterval(s.params.Wait), afterOrder || answer.Report.Settled,
+	)
 	s.mu.Unlock()
 	if news {
-		s.agent.emit(s, ReportReceived{Difference: difference})
+		s.agent.emit(s, ReportReceived{
+			Difference: difference,
+			Settled:    answer.Report.Settled,
+		})
 	}
 }
 
--- a/internal/site/aqagent/token_test.go
+++ b/internal/site/aqagent/token_test.go
@@ -134,11 +134,79 @@
 	params.Restarts = 1
 	s.setParams(params)
 	s.heartbeat()
+	if last.Wait != 0 || last.Token != aqworker.Fence(5).Token(1) {
+		t.Fatalf("the first heartbeat with the raised token waits %s, its token is %d", last.Wait, last.Token)
+	}
+	s.heartbeat()
 	if last.Wait != time.Second || last.Token != aqworker.Fence(5).Token(1) {
 		t.Fatalf("a heartbeat waits %s with token %d", last.Wait, last.Token)
 	}
 }
 
+// Guards against TWICE: until a worker that has restarted refuses calls to its earlier incarnations, nobody knows
+// until when a lease of one of them may last, and nothing may be started there.
+func TestNothingIsStartedBeforeARestartIsSettled(t *testing.T) {
+	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
+	incarnation := aqdecider.Incarnation(1)
+	starts := 0
+	workers := &fakeWorkers{
+		heartbeat: func(aqworker.HeartbeatRequest) (aqworker.HeartbeatAnswer, error) {
+			report := aqdecider.WorkerReport{Incarnation: incarnation, Complete: true}
+			return aqworker.HeartbeatAnswer{Report: report, Clock: aqworker.Time(100 * time.Second)}, nil
+		},
+		start: func(aqworker.StartRequest) error {
+			starts++
+			return nil
+		},
+	}
+	s, agent, _ := testSession(t, workers)
+	awaitPayload(t, s, "j")
+	params := HeartbeatParams{
+		Worker:      "w1",
+		Number:      1,
+		Wait:        time.Second,
+		Renew:       true,
+		Incarnation: 1,
+	}
+	s.setParams(params)
+	s.heartbeat()
+	settled := func() (count int) {
+		for _, e := range agent.events {
+			if e.Report != nil && e.Report.Settled {
+				count++
+			}
+		}
+		return count
+	}
+	for _, step := range []struct {
+		name    string
+		do      func()
+		starts  int
+		settled int
+	}{
+		{name: "restart", do: func() { incarnation = 2; s.heartbeat(); s.heartbeat() }},
+		{name: "raised token", do: func() {
+			params.Number, params.Incarnation, params.Restarts = 2, 2, 1
+			s.setParams(params)
+		}},
+		{name: "answer", do: s.mustAnswer, starts: 1, settled: 1},
+		{name: "another answer", do: s.mustAnswer, starts: 2, settled: 1},
+	} {
+		step.do()
+		s.start(aqdecider.Start{Worker: "w1", Run: run})
+		if starts != step.starts || settled() != step.settled {
+			t.Errorf("%s: %d starts and %d settled reports, want %d and %d", step.name, starts, settled(), step.starts, step.settled)
+		}
+		run.Attempt++
+	}
+}
+
+func (s *session) mustAnswer() {
+	if !s.heartbeat() {
+		panic("the worker does not answer")
+	}
+}
+
 // Guards against TWICE: a start that was being delivered when its worker restarted was repeated there with the
 // raised token, though the run might have been done before.
 func TestStartIsNotRepeatedAfterARestart(t *testing.T) {
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -182,6 +182,8 @@
 // ReportReceived carries what a worker's report changes.
 type ReportReceived struct {
 	Difference aqreport.Difference
+	// Settled is that of aqdecider.WorkerReport.
+	Settled bool
 }
 
 // Unresponsive means that a worker does not answer.
--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -42,6 +42,15 @@
 	w.orphans = map[RunID]time.Time{}
 	w.reachable = false
 	w.health = health{}
+	w.unsettled = true
+	w.strayLeaseUntil = time.Time{}
+}
+
+// settle notes that the worker refuses calls to its earlier incarnations. One that it accepted just before may have
+// given it the longest lease.
+func (d *Decider) settle(w *worker) {
+	w.unsettled = false
+	w.strayLeaseUntil = d.now.Add(d.options.Limits.LeaseMax)
 }
 
 // noteStartEnded notes that agents make no more attempts to deliver the start.
@@ -123,28 +132,43 @@
 	}
 }
 
-// LeaseExpired handles an unresponsive worker whose lease has expired by every clock. Its runs are lost, but
-// for those that a delayed order may still start in a later incarnation: the lease says nothing of that one.
-// It returns when the last of these has certainly ended, zero if there are none. The caller calls it again
-// then, unless the worker answers before.
+// LeaseExpired handles an unresponsive worker whose lease has expired by every clock, as far as its agents have
+// renewed it. Its runs are lost, but for those that calls to an earlier incarnation may start or keep alive:
+// the lease says nothing of these calls. It returns when the last of these runs has certainly ended, zero if
+// there are none. The caller calls it again then, unless the worker answers before.
 func (d *Decider) LeaseExpired(id aqtype.WorkerID) (heldUntil time.Time) {
 	w := d.workers[id]
 	if w == nil {
 		return time.Time{}
 	}
+	if w.unsettled {
+		// The agents that may have settled it without the leader's knowledge have lost their permits.
+		d.settle(w)
+	}
+	var ended []*run
+	for _, r := range w.runs {
+		until := r.mayRunUntil
+		if !r.earlierIncarnation {
+			until = w.strayLeaseUntil
+		}
+		if !d.now.Before(until) {
+			ended = append(ended, r)
+			continue
+		}
+		if until.After(heldUntil) {
+			heldUntil = until
+		}
+	}
 	if len(w.runs) > 0 {
 		d.options.Metrics.Retried(aqmetric.RetryWorkerLost)
 		d.options.Log.Write(aqlog.WorkerLeaseExpired, workerAttr(id), slog.Int("Runs", len(w.runs)),
-			slog.Int64("Life", int64(w.info.Incarnation)), slog.Int("EarlierLife", w.runsOfEarlierIncarnation()))
+			slog.Int64("Life", int64(w.info.Incarnation)), slog.Int("EarlierLife", w.runsOfEarlierIncarnation()),
+			slog.Int("Held", len(w.runs)-len(ended)), slog.Duration("StrayLease", max(0, w.strayLeaseUntil.Sub(d.now))))
+	}
+	if !d.now.Before(w.strayLeaseUntil) {
 		d.runsLost(w, false)
 	}
-	for _, r := range w.runs {
-		if d.now.Before(r.mayRunUntil) {
-			if r.mayRunUntil.After(heldUntil) {
-				heldUntil = r.mayRunUntil
-			}
-			continue
-		}
+	for _, r := range ended {
 		d.endRun(r, EndLost, r.checkpoint)
 	}
 	w.orphans = map[RunID]time.Time{}
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -19,6 +19,9 @@
 	if report.Incarnation != w.info.Incarnation {
 		d.workerRestarted(w, report.Incarnation)
 	}
+	if report.Settled {
+		d.settle(w)
+	}
 	d.noteFirstReport(w)
 	w.reported = report.Incarnation
 	w.reportedAt = d.now
--- a/pkg/aqdecider/restart_test.go
+++ b/pkg/aqdecider/restart_test.go
@@ -76,6 +76,50 @@
 	}
 }
 
+// Guards against TWICE: a run that was started after a restart is kept while a lease of a call to the earlier incarnation
+// may last, whatever the lease that its agent has renewed, and is given up after that.
+func TestStrayLeaseHoldsRunsOfTheIncarnation(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// settled is set if the decider learns that the worker refuses calls to its earlier incarnations.
+		settled bool
+		// passed is the time from then to the end of the lease.
+		passed time.Duration
+		want   time.Duration
+	}{
+		{name: "lost soon", settled: true, passed: time.Second, want: 5 * time.Second},
+		{name: "lost later", settled: true, passed: 6 * time.Second, want: 0},
+		{name: "agent lost with the report", passed: time.Second, want: 6 * time.Second},
+	} {
+		h := newHarness(t, poolWorker("w1", "r1-1", 8000))
+		h.d.options.Limits.LeaseMax = 6 * time.Second
+		restarted := poolWorker("w1", "r1-1", 8000)
+		restarted.Incarnation = 2
+		h.d.UpdateWorker(restarted)
+		h.d.WorkerReported("w1", WorkerReport{Incarnation: 2, Complete: true, Sent: h.nextTime(), Settled: test.settled})
+		h.d.AddJob(testJob(1, tasks(1, 1000)), nil, 0, false)
+		h.d.MarkPersisted(h.d.FleetIDs())
+		h.tick()
+		if len(h.started) != 1 {
+			t.Fatalf("%s: %d starts, want 1", test.name, len(h.started))
+		}
+		h.advance(test.passed)
+		h.d.WorkerUnresponsive("w1")
+		until := h.d.LeaseExpired("w1")
+		held := time.Duration(0)
+		if !until.IsZero() {
+			held = until.Sub(h.now)
+		}
+		if held != test.want || h.d.Occupied("w1") != (test.want > 0) {
+			t.Errorf("%s: held for %s, want %s", test.name, held, test.want)
+		}
+		h.advance(held)
+		if again := h.d.LeaseExpired("w1"); !again.IsZero() || h.d.Occupied("w1") {
+			t.Errorf("%s: the run is held again", test.name)
+		}
+	}
+}
+
 // A run is lost as soon as the lease has ended if no attempt to start it can be on its way to a worker that has
 // restarted since.
 func TestRunOfARestartedWorkerIsNotHeldWithoutNeed(t *testing.T) {
--- a/pkg/aqdecider/types.go
+++ b/pkg/aqdecider/types.go
@@ -119,6 +119,9 @@
 	ProgressOmitted bool
 	// Complete is unset when the worker has more ends than the report holds.
 	Complete bool
+	// Settled is set once after a restart, by which time the worker refuses calls to its earlier incarnations.
+	// Agents start nothing there before.
+	Settled bool
 }
 
 // Order is an order to a worker. It is sealed: Start, Stop and Pace.
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -21,6 +21,11 @@
 	present bool
 	// persisted is set when the stored list of workers includes this one.
 	persisted bool
+	// unsettled is set from a restart until a report with Settled.
+	unsettled bool
+	// strayLeaseUntil is until when a lease may last that a call to an earlier incarnation has given to the present
+	// one, zero if none can. Such a call holds a lease end on another clock.
+	strayLeaseUntil time.Time
 	// emptySince is since when the worker has been known to run nothing, with all its ends
 	// stored, and has not been reachable; zero while that is not so. silent is set once that has
 	// lasted for silenceTimeout; nothing can run on the worker for this leader until it reports.
--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"acaciaquay/internal/site/aqagent"
-	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqmetric"
@@ -39,7 +38,7 @@
 	id := wire.Worker
 	switch e := wire.Unwrap().(type) {
 	case aqagent.ReportReceived:
-		p.reportReceived(d, id, wire.Serial, e.Difference)
+		p.reportReceived(d, id, wire.Serial, e)
 	case aqagent.Unresponsive:
 		d.WorkerUnresponsive(id)
 		p.workerUnresponsive(d, id, wire.Serial, e)
@@ -80,7 +79,7 @@
 // assignment has ended. A difference without its base makes the worker's agent report
 // everything again.
 func (p *agentPool) reportReceived(
-	d *aqdecider.Decider, id aqtype.WorkerID, serial aqagent.Serial, difference aqreport.Difference,
+	d *aqdecider.Decider, id aqtype.WorkerID, serial aqagent.Serial, e aqagent.ReportReceived,
 ) {
 	p.mu.Lock()
 	a := p.assignment(id, serial)
@@ -88,7 +87,7 @@
 		p.mu.Unlock()
 		return
 	}
-	report, err := a.listing.Apply(difference)
+	report, err := a.listing.Apply(e.Difference)
 	if err != nil {
 		a.leaseEndsBy(p.leader.node.clock.Now().Add(p.longestLease()))
 		p.assign(a, a.member)
@@ -97,6 +96,7 @@
 		d.WorkerReassigned(id)
 		return
 	}
+	report.Settled = e.Settled
 	p.noteIncarnation(a, report.Incarnation)
 	// The next assignment must not name an earlier incarnation than the orders that come with it.
 	a.reported = report.Incarnation
@@ -107,6 +107,7 @@
 	if !p.reportsReleased {
 		if a.held != nil && a.held.Incarnation == report.Incarnation {
 			report.Ended = append(a.held.Ended, report.Ended...)
+			report.Settled = report.Settled || a.held.Settled
 		}
 		a.held = &report
 		delete(p.heldLost, id)
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -56,7 +56,9 @@
 		d.UpdateWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
 		d.MarkPersisted([]aqtype.WorkerID{"w1"})
 		l.agents.reportsReleased = true
-		l.agents.reportReceived(d, "w1", l.agents.assignments["w1"].serial, aqreport.Difference{Incarnation: 1, Sent: 1, Complete: true, Whole: true})
+		l.agents.reportReceived(d, "w1", l.agents.assignments["w1"].serial, aqagent.ReportReceived{
+			Difference: aqreport.Difference{Incarnation: 1, Sent: 1, Complete: true, Whole: true},
+		})
 	})
 	lost := n.clock.Now()
 	longest := l.agents.longestLease()
--- a/pkg/aqsite/workerrestarts.go
+++ b/pkg/aqsite/workerrestarts.go
@@ -57,6 +57,7 @@
 		return
 	}
 	a.params.Restarts = now.number
+	a.params.AckedEnd, a.params.Incarnation = 0, incarnation
 	a.params.Number++
 	a.member.pending.Params = append(a.member.pending.Params, a.params)
 	aqsignal.Send(a.member.wakeSend)
--- a/pkg/aqsite/workerrestarts_test.go
+++ b/pkg/aqsite/workerrestarts_test.go
@@ -133,6 +133,9 @@
 	look()
 }
 
+// testLeaseMax is the longest lease that the workers of restart rigs grant, longer than those that agents renew.
+const testLeaseMax = 10 * time.Second
+
 // restartRig is a leader with one agent, which manages one worker that may restart.
 type restartRig struct {
 	t      *testing.T
@@ -149,6 +152,7 @@
 	t.Helper()
 	store := newFakeStore()
 	n, clock := testNode(t, store)
+	n.settings.Decider.LeaseMax = aqagent.MaxLeaseSpan(testLeaseMax)
 	l := lead(t, n, store)
 	r := &restartRig{
 		t:          t,
@@ -178,7 +182,12 @@
 
 // list applies the worker's entry in service discovery.
 func (r *restartRig) list() {
-	entry := aqdecider.Worker{ID: "w1"}
+	entry := aqdecider.Worker{
+		ID:       "w1",
+		Service:  "s",
+		Labels:   []string{"a", "r1-1"},
+		Capacity: aqtype.Resources{MilliCPU: 1000, Memory: 1000},
+	}
 	r.worker.locked(func() { entry.Incarnation = r.worker.incarnation })
 	r.leader.decide(func(d *aqdecider.Decider) {
 		d.UpdateWorker(entry)
@@ -285,6 +294,57 @@
 	}
 }
 
+// runTask adds a job with one task and steps until it runs on the worker.
+func (r *restartRig) runTask() {
+	r.t.Helper()
+	r.leader.decide(func(d *aqdecider.Decider) {
+		d.AddJob(&aqjob.Job{
+			ID:     "0000000000000001",
+			Queue:  aqjob.Queue{ID: "q", Service: "s", MaxAttempts: 2, Stretch: 2},
+			Groups: []aqjob.Group{{Count: 1, Size: aqtype.Resources{MilliCPU: 1000, Memory: 10}, Estimate: time.Second}},
+		}, nil, 0, false)
+	})
+	r.until("a run", func() (running bool) {
+		var orders []aqdecider.Order
+		r.leader.decide(func(d *aqdecider.Decider) { orders = d.Tick() })
+		r.leader.agents.dispatch(orders)
+		r.worker.locked(func() { running = len(r.worker.running) > 0 })
+		return running
+	})
+}
+
+// Guards against TWICE: a call to the earlier incarnation of a worker, with a lease end on the clock of that one, gave the
+// present one the longest lease. After a silence the leader gave its run up by the lease that the agent had renewed.
+func TestRunIsKeptWhileALeaseOfACallToAnEarlierIncarnationMayLast(t *testing.T) {
+	r := newRestartRig(t)
+	r.worker.restart()
+	r.list()
+	r.until("a call with the raised token", func() (raised bool) {
+		r.worker.locked(func() { raised = r.worker.token > r.worker.delayedHolds[0].Token })
+		return raised
+	})
+	// The worker has accepted such a call just before.
+	end := r.clock.Now().Add(testLeaseMax)
+	r.runTask()
+	r.worker.locked(func() { r.worker.reachable = false })
+	r.until("the agent finds the worker unresponsive", func() bool {
+		return !r.leader.agents.assignments["w1"].leaseExpiresAt.IsZero()
+	})
+	const step = 100 * time.Millisecond
+	for occupied := true; occupied; {
+		r.clock.Advance(step)
+		r.leader.decide(r.leader.agents.expireLeases)
+		r.leader.decide(func(d *aqdecider.Decider) { occupied = d.Occupied("w1") })
+		now := r.clock.Now()
+		if !occupied && !now.After(end) {
+			t.Fatalf("the run is given up %s before its lease has ended", end.Sub(now))
+		}
+		if latest := end.Add(aqagent.MaxLeaseSpan(testLeaseMax) - testLeaseMax + step); occupied && now.After(latest) {
+			t.Fatalf("the run is held %s longer than its lease can last", now.Sub(latest))
+		}
+	}
+}
+
 // Guards against a leader that deposes itself: a worker that is removed and listed again must not get lower
 // tokens than before.
 func TestTokenOfAWorkerDoesNotFall(t *testing.T) {
