Let the next leader wait for leases of calls to earlier incarnations

The next leader waited for the leases only that agents renew (5.2 s after the last agent has answered it), so it started the task elsewhere up to 5 s too early. The same holds for a worker that had been removed before it returned, and after a restart that the earlier leader had not learned of.

The stored list now names the workers that may have such a lease (Restarted). Nothing is started on a restarted worker before the list names it, as with new workers. The next leader waits longer for these by the difference of the two leases, and counts anew from their first report to it, when they refuse the calls of earlier leaders. Workers that are listed in a later incarnation than the stored entry says count as restarted.

Test rigs that model the stored list now store restarts too.

--- a/pkg/aqdecider/crash_sim_test.go
+++ b/pkg/aqdecider/crash_sim_test.go
@@ -214,6 +214,7 @@
 	c.releaseHeld()
 	c.fleet = c.decider.FleetIDs()
 	c.decider.MarkPersisted(c.fleet)
+	c.decider.MarkRestartsStored(c.decider.RestartedIDs())
 	for _, o := range c.decider.Tick() {
 		c.deliver(o)
 	}
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -83,6 +83,14 @@
 	earlierIdle map[aqcrash.Instance]bool
 	// earlierTrials holds the tasks with a trial of an earlier term, by where it may run.
 	earlierTrials map[aqcrash.Instance][]*task
+	// restarted holds the workers in whose present incarnation a lease may last that a call to an earlier one has
+	// given. unstoredRestarts holds those of them that the stored list does not name.
+	restarted        map[aqtype.WorkerID]bool
+	unstoredRestarts map[aqtype.WorkerID]bool
+	// inheritedRestarts holds those that an earlier decider has named and that have not reported to this one.
+	inheritedRestarts map[aqtype.WorkerID]bool
+	// strayExtra is how much longer their leases may last than those that agents renew.
+	strayExtra time.Duration
 	// cancelled holds the jobs of cancellations, known or not.
 	cancelled map[aqjob.ID]bool
 	// cancellations lists the same in the order in which this decider has learned of them.
@@ -136,6 +144,7 @@
 		unstoredEnds:  map[aqtype.WorkerID]bool{},
 		unpersisted:   map[aqtype.WorkerID]bool{},
 		cancelled:     map[aqjob.ID]bool{},
+		restarted:     map[aqtype.WorkerID]bool{},
 		exposed:       map[aqtype.WorkerID]exposure{},
 		earlier:       map[aqjob.TaskID]aqcrash.Crash{},
 		earlierIdle:   map[aqcrash.Instance]bool{},
@@ -143,6 +152,9 @@
 		model:         aqinterference.New(),
 		harmedShares:  map[aqinterference.Image]float64{},
 
+		unstoredRestarts:  map[aqtype.WorkerID]bool{},
+		inheritedRestarts: map[aqtype.WorkerID]bool{},
+
 		fillerShortages: map[placementClass]fillerShortage{},
 		advice:          map[GroupID]*advice{},
 		busy:            map[aqjob.ServiceID]bool{},
@@ -171,21 +183,22 @@
 }
 
 // AwaitReports records workers that may still run tasks of an earlier decider. Their
-// leases have certainly expired by the time until. A later time known for a worker stays.
+// leases, as far as agents renew them, have certainly expired by the time until. A later time known for a worker stays.
 func (d *Decider) AwaitReports(ids []aqtype.WorkerID, until time.Time) {
 	for _, id := range ids {
-		if until.After(d.unreported[id]) {
-			d.unreported[id] = until
+		if last := d.lastLeaseEnd(id, until); last.After(d.unreported[id]) {
+			d.unreported[id] = last
 		}
 	}
 	d.fleetChanges++
 }
 
-// LimitReportWait brings the deadline of all unreported workers forward to until.
+// LimitReportWait brings the deadline of all unreported workers forward to when their leases have certainly
+// expired, as far as agents renew them.
 func (d *Decider) LimitReportWait(until time.Time) {
 	for id, before := range d.unreported {
-		if until.Before(before) {
-			d.unreported[id] = until
+		if last := d.lastLeaseEnd(id, until); last.Before(before) {
+			d.unreported[id] = last
 		}
 	}
 }
@@ -268,6 +281,7 @@
 // expireJobs marks ended jobs for deletion after the retention period, and cancellations after them.
 func (d *Decider) expireJobs() {
 	d.expireCancellations()
+	d.expireStrayLeases()
 	d.expireExposures()
 	for len(d.ended) > 0 && d.now.Sub(d.ended[0].at) > d.options.Limits.Retention {
 		j := d.jobs[d.ended[0].id]
--- a/pkg/aqdecider/decider_test.go
+++ b/pkg/aqdecider/decider_test.go
@@ -76,8 +76,9 @@
 	}
 }
 
-// tick runs one round and starts its tasks on the workers.
+// tick stores the restarts, runs one round and starts its tasks on the workers.
 func (h *harness) tick() {
+	h.d.MarkRestartsStored(h.d.RestartedIDs())
 	for _, o := range h.d.Tick() {
 		switch order := o.(type) {
 		case Start:
--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -42,15 +42,7 @@
 	w.orphans = map[RunID]time.Time{}
 	w.reachable = false
 	w.health = health{}
-	w.unsettled = true
-	w.strayLeaseUntil = time.Time{}
-}
-
-// settle notes that the worker refuses calls to its earlier incarnations. One that it accepted just before may have
-// given it the longest lease.
-func (d *Decider) settle(w *worker) {
-	w.unsettled = false
-	w.strayLeaseUntil = d.now.Add(d.options.Limits.LeaseMax)
+	d.expectStrayLease(w)
 }
 
 // noteStartEnded notes that agents make no more attempts to deliver the start.
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -218,7 +218,7 @@
 // permission of the advice service.
 func (d *Decider) feasible(g *group, w *worker, tentative aqtype.Resources) bool {
 	j := g.occurrence.job
-	if !w.present || !w.reachable || !w.persisted || w.info.Draining || w.info.Service != j.queue.Service {
+	if !w.present || !w.reachable || !d.isStored(w) || w.info.Draining || w.info.Service != j.queue.Service {
 		return false
 	}
 	if len(w.orphans) > 0 || d.now.Before(w.avoidUntil) || !w.health.usable(d.now) {
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -19,6 +19,7 @@
 	if report.Incarnation != w.info.Incarnation {
 		d.workerRestarted(w, report.Incarnation)
 	}
+	d.settleInherited(w)
 	if report.Settled {
 		d.settle(w)
 	}
--- a/pkg/aqdecider/sim_test.go
+++ b/pkg/aqdecider/sim_test.go
@@ -55,6 +55,8 @@
 	fleet []aqtype.WorkerID
 	// storingFleet is the list that is being stored, nil if none is.
 	storingFleet []aqtype.WorkerID
+	// storingRestarts holds the restarts that storingFleet names.
+	storingRestarts []aqtype.WorkerID
 	// ackedDone holds the tasks whose successful end the leader has acknowledged.
 	ackedDone map[aqjob.TaskID]bool
 	// failed holds the attempts whose failure the leader has acknowledged.
@@ -173,6 +175,7 @@
 	s.fleet = s.decider.FleetIDs()
 	s.storingFleet = nil
 	s.decider.MarkPersisted(s.fleet)
+	s.decider.MarkRestartsStored(s.decider.RestartedIDs())
 }
 
 // storeFleet stores the list of workers if it has changed, in two steps, between which it may
@@ -182,10 +185,12 @@
 		s.fleet = s.storingFleet
 		s.storingFleet = nil
 		s.decider.MarkPersisted(s.fleet)
+		s.decider.MarkRestartsStored(s.storingRestarts)
 		return
 	}
 	if s.decider.HasUnpersistedWorkers() {
 		s.storingFleet = s.decider.FleetIDs()
+		s.storingRestarts = s.decider.RestartedIDs()
 	}
 }
 
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -72,7 +72,7 @@
 		return "Unlisted"
 	case !w.reachable:
 		return "Silent"
-	case !w.persisted:
+	case !d.isStored(w):
 		return "Unstored"
 	case w.info.Draining:
 		return "Draining"
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -23,8 +23,7 @@
 	persisted bool
 	// unsettled is set from a restart until a report with Settled.
 	unsettled bool
-	// strayLeaseUntil is until when a lease may last that a call to an earlier incarnation has given to the present
-	// one, zero if none can. Such a call holds a lease end on another clock.
+	// strayLeaseUntil is until when a stray lease may last, zero if none can.
 	strayLeaseUntil time.Time
 	// emptySince is since when the worker has been known to run nothing, with all its ends
 	// stored, and has not been reachable; zero while that is not so. silent is set once that has
@@ -141,9 +140,13 @@
 }
 
 // RestoreWorker adds a worker that an earlier leader knew and that service discovery does not list now, so that
-// it can report what still runs there. Nothing is started on it until it is listed.
+// it can report what still runs there. Nothing is started on it until it is listed. One that is listed in a later
+// incarnation has restarted, which the earlier leader may not have learned.
 func (d *Decider) RestoreWorker(info Worker) {
-	if d.workers[info.ID] != nil {
+	if w := d.workers[info.ID]; w != nil {
+		if w.info.Incarnation > info.Incarnation {
+			d.inheritRestart(info.ID)
+		}
 		return
 	}
 	d.newWorker(info).persisted = true
@@ -285,8 +288,10 @@
 // FleetChanges counts the changes of FleetIDs, and of where the workers are reached, so far.
 func (d *Decider) FleetChanges() uint64 { return d.fleetChanges }
 
-// HasUnpersistedWorkers reports whether a worker is missing from the stored list.
-func (d *Decider) HasUnpersistedWorkers() bool { return len(d.unpersisted) > 0 }
+// HasUnpersistedWorkers reports whether a worker, or its restart, is missing from the stored list.
+func (d *Decider) HasUnpersistedWorkers() bool {
+	return len(d.unpersisted) > 0 || len(d.unstoredRestarts) > 0
+}
 
 // Known reports whether the decider still tracks a worker.
 func (d *Decider) Known(id aqtype.WorkerID) bool { return d.workers[id] != nil }
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -265,9 +265,10 @@
 }
 
 // addWorker assigns a worker that service discovery lists, or updates its entry. The caller
-// passes the entries of a worker in the order of their revisions. It returns true if a known worker that had no
-// agent has got one: the decider must repeat its orders.
-func (p *agentPool) addWorker(w aqdecider.Worker) (reassigned bool) {
+// passes the entries of a worker in the order of their revisions. reassigned is set if a known worker that had no
+// agent has got one: the decider must repeat its orders. restarted is set if the worker has been known in an earlier
+// incarnation.
+func (p *agentPool) addWorker(w aqdecider.Worker) (reassigned, restarted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.assignments[w.ID]
@@ -277,13 +278,13 @@
 		p.assignments[w.ID] = a
 	}
 	if w.Incarnation < a.reported || (a.member != nil && a.worker.SameInstance(w)) {
-		return false
+		return false, false
 	}
 	a.worker = w
-	p.noteIncarnation(a, w.Incarnation)
+	restarted = p.noteIncarnation(a, w.Incarnation)
 	if a.member == nil {
 		p.assign(a, p.pickMember(w, nil))
-		return known && a.member != nil
+		return known && a.member != nil, restarted
 	}
 	a.member.pending.Assign = append(a.member.pending.Assign, aqagent.Assignment{
 		Worker: w,
@@ -291,7 +292,7 @@
 		Params: a.params,
 	})
 	aqsignal.Send(a.member.wakeSend)
-	return false
+	return false, restarted
 }
 
 // workers lists all known workers, in no order.
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -40,9 +40,13 @@
 		return
 	}
 	d.UpdateWorker(w)
-	if l.agents.addWorker(w) {
+	reassigned, restarted := l.agents.addWorker(w)
+	if reassigned {
 		d.WorkerReassigned(w.ID)
 	}
+	if restarted {
+		d.WorkerReplaced(w.ID)
+	}
 }
 
 // maxStartAhead is how far the start of a worker may lie ahead of this process's time of day.
@@ -170,6 +174,7 @@
 	var workerChanges uint64
 	l.decide(func(d *aqdecider.Decider) {
 		record.Workers = d.FleetIDs()
+		record.Restarted = d.RestartedIDs()
 		workerChanges = d.FleetChanges()
 	})
 	value, err := aqjob.Encode(record)
@@ -196,7 +201,10 @@
 	l.fleetRevision = revision
 	l.fleetWritten = true
 	l.storedMemberChanges, l.storedWorkerChanges = memberChanges, workerChanges
-	l.decide(func(d *aqdecider.Decider) { d.MarkPersisted(record.Workers) })
+	l.decide(func(d *aqdecider.Decider) {
+		d.MarkPersisted(record.Workers)
+		d.MarkRestartsStored(record.Restarted)
+	})
 	l.agents.markPersisted(agents)
 	return nil
 }
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -107,6 +107,9 @@
 // fleetRecord is the value of the fleet key.
 type fleetRecord struct {
 	Workers []aqtype.WorkerID
+	// Restarted are those of them that have restarted so recently that a lease may last there longer than one
+	// that an agent renews.
+	Restarted []aqtype.WorkerID `msgpack:",omitempty"`
 	// Agents are the processes that may manage workers for the leader.
 	Agents []nodeRecord
 	// Voters are the processes of which a leader without proof needs a majority. They change at
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -50,10 +50,9 @@
 // takeOverWorkers reads the stored list of workers and agents and service discovery, and
 // makes the agents manage the workers.
 func (l *leader) takeOverWorkers(ctx context.Context) (aqstore.Revision, error) {
-	var fleet []aqtype.WorkerID
-	var agents []nodeRecord
+	var fleet fleetRecord
 	err := l.persist(ctx, func() (err error) {
-		fleet, agents, err = l.readFleet(ctx)
+		fleet, err = l.readFleet(ctx)
 		return err
 	})
 	if err != nil {
@@ -66,12 +65,13 @@
 	l.setQueues(l.node.routes.config())
 	l.decide(func(d *aqdecider.Decider) {
 		// Nothing was started on a worker that is listed but not in the stored list.
-		d.AwaitReports(fleet, l.earlierLeasesEnd())
+		d.InheritRestarts(fleet.Restarted, l.strayExtra())
+		d.AwaitReports(fleet.Workers, l.earlierLeasesEnd())
 	})
 	l.agents.join(ctx, l.node.ownRecord(), l.node.agent)
-	l.joinAgents(ctx, agents)
+	l.joinAgents(ctx, fleet.Agents)
 	l.applyWorkerSnapshot(listed, workersFrom)
-	l.inheritedFleet = fleet
+	l.inheritedFleet = fleet.Workers
 	return workersFrom, l.persist(ctx, func() error { return l.storeFleet(ctx) })
 }
 
@@ -83,6 +83,11 @@
 	return l.node.clock.Now().Add(proofLimit + l.agents.longestLease() - sinceBegin)
 }
 
+// strayExtra is how much longer than a lease that an agent has renewed the longest one may last that a worker grants.
+func (l *leader) strayExtra() time.Duration {
+	return max(0, l.node.settings.Decider.LeaseMax-aqagent.MaxLeaseSpan(l.leaseDuration()))
+}
+
 // readAll reads every item under a prefix.
 func (l *leader) readAll(ctx context.Context, prefix string) (items []aqstore.Item, from aqstore.Revision, err error) {
 	err = l.persist(ctx, func() (err error) {
@@ -117,27 +122,30 @@
 // never reports, so tasks that may run on them wait until every lease has expired.
 const unlistedWorkers aqtype.WorkerID = "unlisted"
 
-func (l *leader) readFleet(ctx context.Context) ([]aqtype.WorkerID, []nodeRecord, error) {
+func (l *leader) readFleet(ctx context.Context) (fleetRecord, error) {
 	item, err := l.node.store.Get(ctx, fleetKey)
 	if errors.Is(err, aqstore.ErrNotFound) {
 		// No leader has given work to an agent yet.
 		l.firstLeader = true
-		return nil, nil, nil
+		return fleetRecord{}, nil
 	}
 	if err != nil {
-		return nil, nil, err
+		return fleetRecord{}, err
 	}
 	l.fleetRevision = item.ModRevision
 	var record fleetRecord
 	if err := decode(item.Value, &record); err != nil {
 		l.node.ignoreEntry(item.Key, err)
-		return []aqtype.WorkerID{unlistedWorkers}, nil, nil
+		return fleetRecord{
+			Workers:   []aqtype.WorkerID{unlistedWorkers},
+			Restarted: []aqtype.WorkerID{unlistedWorkers},
+		}, nil
 	}
 	l.mu.Lock()
 	l.support.Inherit(record.Voters)
 	l.succession = aqquorum.NewSuccession(record.Voters)
 	l.mu.Unlock()
-	return record.Workers, record.Agents, nil
+	return record, nil
 }
 
 // joinAgents adds the agents of an earlier leader to this leader's pool. Once each
--- a/pkg/aqsite/takeover_test.go
+++ b/pkg/aqsite/takeover_test.go
@@ -39,18 +39,24 @@
 	t.Helper()
 	store := newFakeStore()
 	n, clock := testNode(t, store)
+	record := fleetRecord{Workers: []aqtype.WorkerID{"sound", "gone"}}
+	for _, name := range voters {
+		record.Voters = append(record.Voters, agentRecord(name).voter())
+	}
+	return takeOver(t, n, store, clock, record, whileReading)
+}
+
+// takeOver is newTakeover with the stored list of an earlier leader.
+func takeOver(
+	t *testing.T, n *Node, store *fakeStore, clock aqclock.Instant, record fleetRecord, whileReading func(*aqclock.Fake),
+) *takeover {
+	t.Helper()
 	n.routes.apply(&Config{Version: 1})
 	listWorkers(t, n, store, "sound")
 	if err := n.Submit(context.Background(), testJob()); err != nil {
 		t.Fatal(err)
 	}
-	record := fleetRecord{
-		Workers: []aqtype.WorkerID{"sound", "gone"},
-		Agents:  []nodeRecord{agentRecord("n2"), agentRecord("n3")},
-	}
-	for _, name := range voters {
-		record.Voters = append(record.Voters, agentRecord(name).voter())
-	}
+	record.Agents = []nodeRecord{agentRecord("n2"), agentRecord("n3")}
 	value, err := aqjob.Encode(record)
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/aqsite/unassigned_test.go
+++ b/pkg/aqsite/unassigned_test.go
@@ -128,7 +128,7 @@
 		{name: "new, an agent", up: true, id: "w2"},
 	} {
 		m.up = test.up
-		if got := l.agents.addWorker(aqdecider.Worker{ID: test.id, Incarnation: 1}); got != test.want {
+		if got, _ := l.agents.addWorker(aqdecider.Worker{ID: test.id, Incarnation: 1}); got != test.want {
 			t.Errorf("%s: reassigned %v, want %v", test.name, got, test.want)
 		}
 	}
--- a/pkg/aqsite/workerrestarts.go
+++ b/pkg/aqsite/workerrestarts.go
@@ -41,12 +41,12 @@
 }
 
 // noteIncarnation raises the token of the calls to a worker if it has restarted, and tells its agent. The entry of another
-// writer may name an incarnation that never was; the token then rises without need. The caller holds
-// the lock.
-func (p *agentPool) noteIncarnation(a *workerAssignment, incarnation aqdecider.Incarnation) {
+// writer may name an incarnation that never was; the token then rises without need. It reports whether the worker has
+// been known in another incarnation. The caller holds the lock.
+func (p *agentPool) noteIncarnation(a *workerAssignment, incarnation aqdecider.Incarnation) (restarted bool) {
 	before, known := p.restarts[a.worker.ID]
 	if known && before.incarnation == incarnation {
-		return
+		return false
 	}
 	now := workerRestarts{incarnation: incarnation, number: before.number}
 	if known && before.number < math.MaxUint16 {
@@ -54,7 +54,7 @@
 	}
 	p.restarts[a.worker.ID] = now
 	if now.number == before.number || a.member == nil {
-		return
+		return known
 	}
 	a.params.Restarts = now.number
 	a.params.AckedEnd, a.params.Incarnation = 0, incarnation
@@ -63,4 +63,5 @@
 	aqsignal.Send(a.member.wakeSend)
 	p.leader.node.log.Write(aqlog.WorkerTokenRaised, slog.String("Worker", string(a.worker.ID)),
 		slog.Int64("Life", int64(incarnation)), slog.Int("Restarts", int(now.number)))
+	return known
 }
--- a/pkg/aqsite/workerrestarts_test.go
+++ b/pkg/aqsite/workerrestarts_test.go
@@ -304,6 +304,9 @@
 			Groups: []aqjob.Group{{Count: 1, Size: aqtype.Resources{MilliCPU: 1000, Memory: 10}, Estimate: time.Second}},
 		}, nil, 0, false)
 	})
+	if err := r.leader.storeFleet(context.Background()); err != nil {
+		r.t.Fatal(err)
+	}
 	r.until("a run", func() (running bool) {
 		var orders []aqdecider.Order
 		r.leader.decide(func(d *aqdecider.Decider) { orders = d.Tick() })
