Name the process in calls to agents

Cause: a call of the leader named no process. The member that was gone was still polled at its address, so that one process answered as two members. Agent.Poll gave its events to whichever poll came first, and the leader dropped those that came with the wrong one (isCurrent), while the agent took them for delivered: an end in them was lost.

Polls and orders now name the process, and one with another name refuses them before it looks at the fencing token.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -40,7 +40,8 @@
 	log     *aqlog.Logger
 	metrics *aqmetric.Set
 	guard   aqguard.Guard
-	// instance is the incarnation of the process.
+	// name is the name of the process, instance its incarnation.
+	name     string
 	instance int64
 
 	mu    sync.Mutex
@@ -76,7 +77,8 @@
 	Clock    aqclock.Clock
 	Log      *aqlog.Logger
 	Metrics  *aqmetric.Set
-	// Instance is different at every start of the process.
+	// Name is the name of the process, Instance is different at every start of it.
+	Name     string
 	Instance int64
 }
 
@@ -89,6 +91,7 @@
 		log:      o.Log,
 		metrics:  o.Metrics,
 		guard:    guard,
+		name:     o.Name,
 		instance: o.Instance,
 		sessions: map[aqtype.WorkerID]*session{},
 		dropped:  map[aqtype.WorkerID]Serial{},
@@ -97,6 +100,14 @@
 	}
 }
 
+// acceptName refuses a call for another process, which had this one's address before.
+func (a *Agent) acceptName(name string) error {
+	if name != a.name {
+		return aqpeer.Errorf(aqpeer.CodeNotFound, "this is %s, not %s", a.name, name)
+	}
+	return nil
+}
+
 // acceptFence refuses a fencing token below the highest one received. For a higher one
 // it ends the sessions of the earlier leader. The caller holds the lock.
 func (a *Agent) acceptFence(fence aqworker.Fence) error {
@@ -181,6 +192,9 @@
 
 // Orders implements agentLink.
 func (a *Agent) Orders(_ context.Context, call OrdersCall) error {
+	if err := a.acceptName(call.Agent); err != nil {
+		return err
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err := a.acceptFence(call.Fence); err != nil {
@@ -212,6 +226,9 @@
 
 // Poll implements agentLink.
 func (a *Agent) Poll(ctx context.Context, call PollCall) (PollAnswer, error) {
+	if err := a.acceptName(call.Agent); err != nil {
+		return PollAnswer{}, err
+	}
 	if err := a.acceptPoll(call); err != nil {
 		return PollAnswer{}, err
 	}
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -81,6 +81,8 @@
 // OrdersCall gives assignments and orders to an agent. The leader makes one call at a
 // time to one agent.
 type OrdersCall struct {
+	// Agent is the name of the process that the call is for. The process at its address may be another one by now.
+	Agent string
 	Fence aqworker.Fence
 	Lease time.Duration
 	// Assign is applied before Orders.
@@ -93,6 +95,8 @@
 // PollCall asks an agent for its events. The agent holds the call for up to Wait until
 // it has one, but answers at once while it has no permit.
 type PollCall struct {
+	// Agent is that of OrdersCall.
+	Agent string
 	Fence aqworker.Fence
 	// Leader is the calling leader. An agent that the store does not serve learns of a
 	// new leader from it.
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -82,6 +82,7 @@
 		m.confirmDrops()
 		return true
 	}
+	call.Agent = m.record.Name
 	call.Fence = p.leader.fence
 	call.Lease = p.leader.leaseDuration()
 	if err := m.link.Orders(m.ctx, call); err != nil {
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -23,6 +23,7 @@
 		m.polledAt = p.leader.node.clock.Now()
 		p.mu.Unlock()
 		answer, err := m.link.Poll(m.ctx, aqagent.PollCall{
+			Agent:       m.record.Name,
 			Fence:       p.leader.fence,
 			Leader:      p.leader.record,
 			AckedAnswer: acked,
--- a/pkg/aqsite/assignment_test.go
+++ b/pkg/aqsite/assignment_test.go
@@ -111,6 +111,7 @@
 		Clock:    r.clock,
 		Log:      aqlog.Discard(),
 		Metrics:  aqmetric.New(),
+		Name:     "a1",
 	})
 	t.Cleanup(agent.Stop)
 	r.member.link = agent
@@ -132,6 +133,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	answer, err := r.member.link.Poll(ctx, aqagent.PollCall{
+		Agent:       r.member.record.Name,
 		Fence:       r.leader.fence,
 		AckedAnswer: r.acked,
 		Params:      params,
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -157,6 +157,7 @@
 		Clock:    n.clock,
 		Log:      n.log,
 		Metrics:  n.metrics,
+		Name:     n.settings.Name,
 		Instance: n.incarnation,
 	}
 }
--- a/pkg/aqsite/workerrestarts_test.go
+++ b/pkg/aqsite/workerrestarts_test.go
@@ -168,6 +168,7 @@
 		Clock:    r.agentClock,
 		Log:      aqlog.Discard(),
 		Metrics:  aqmetric.New(),
+		Name:     "a1",
 	})
 	t.Cleanup(agent.Stop)
 	r.member.link = agent
@@ -207,6 +208,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	answer, err := r.member.link.Poll(ctx, aqagent.PollCall{
+		Agent:       "a1",
 		Fence:       r.leader.fence,
 		AckedAnswer: r.acked,
 		Params:      r.leader.agents.changedParams(r.member),
