Remove members that were shut down

Cause: a process that gets SIGTERM removes its registration and serves on for 2.5 s. The leader ignored the removal, since the agent still answered, and never looked again. The process stayed a member, an agent and a voter for good, also for the next leaders. Once half of the voters were gone no new leader found a majority, and each waited for proofLimit and the longest lease. A process that is killed could stay for the same reason, when its registration ended just after it counted as up for the next try.

The removal is remembered now. A member that is not registered leaves once its agent has not answered for as long as a registration lasts; one whose renewals the store refuses stays while it answers, and the registration of the same process clears the mark. Leaving wakes the writer of the stored list.

Ruled out: removing it with the registration (a store that refuses some machines would cost agents that work), and at the first failed call (during an outage that has ended all registrations a moment's failure would cost every agent).

Evidence: TestMemberThatWasShutDownLeaves fails with the former memberUnregistered (the member stays).

--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -156,11 +156,16 @@
 	wasUp := m.up
 	m.up = false
 	m.dropsUnconfirmed = true
+	gone := p.isGone(m) && p.members[m.record.Name] == m
 	p.mu.Unlock()
 	p.leader.node.metrics.Retried(aqmetric.RetryAgentLost)
 	if wasUp {
 		p.leader.node.log.Write(aqlog.AgentLost, slog.String("Agent", m.record.Name), aqlog.Err(err))
 	}
+	if gone {
+		p.leave(m.record.Name)
+		return
+	}
 	p.reassignWorkersOf(m)
 }
 
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -36,10 +36,13 @@
 		if err != nil {
 			p.agentFailed(m, err)
 			aqclock.Sleep(m.ctx, p.leader.node.clock, memberRetry)
-			p.markUp(m)
+			if m.ctx.Err() == nil {
+				p.markUp(m)
+			}
 			continue
 		}
 		m.lastAnswer = answer.Number
+		p.noteAnswer(m)
 		p.markUp(m)
 		p.leader.acknowledged(m.record)
 		if answer.Instance == m.record.Incarnation {
@@ -51,6 +54,14 @@
 	}
 }
 
+// noteAnswer notes that a member's agent has answered a poll.
+func (p *agentPool) noteAnswer(m *member) {
+	now := p.leader.node.clock.Elapsed()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.answeredAt = now
+}
+
 // ackedAnswer returns the number of the answer that the next poll of a member acknowledges. Without an
 // acknowledgement a poll gives no permit; its answer still shows whom the agent follows.
 func (p *agentPool) ackedAnswer(m *member) uint64 {
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -19,6 +19,10 @@
 // workers to it again and repeats the poll.
 const memberRetry = 700 * time.Millisecond
 
+// goneTimeout is how long a process that is not registered must not have answered to have ended. It is several times
+// memberRetry.
+const goneTimeout = nodeTTL
+
 // member is one process that the leader may use as an agent.
 type member struct {
 	record nodeRecord
@@ -30,8 +34,13 @@
 	// agents includes the member. The member gets workers only while both are set.
 	up        bool
 	persisted bool
-	cancel    context.CancelFunc
-	ctx       context.Context
+	// unregistered is set if the process is not registered. It leaves once it has not answered for goneTimeout;
+	// before, the store may only have refused its renewals.
+	unregistered bool
+	// answeredAt is the elapsed time at which the agent last answered a poll, joinedAt before the first answer.
+	answeredAt time.Duration
+	cancel     context.CancelFunc
+	ctx        context.Context
 	// lastAnswer is the number of the last answer to a poll. Only the poll loop uses
 	// it.
 	lastAnswer uint64
@@ -131,6 +140,7 @@
 	p.mu.Lock()
 	before := p.members[record.Name]
 	if before != nil && before.record == record {
+		before.unregistered = false
 		p.mu.Unlock()
 		return false
 	}
@@ -164,10 +174,12 @@
 		dropsUnconfirmed = true
 	}
 	delete(p.left, record.Name)
+	now := p.leader.node.clock.Elapsed()
 	m := &member{
 		record:           record,
 		link:             link,
-		joinedAt:         p.leader.node.clock.Elapsed(),
+		joinedAt:         now,
+		answeredAt:       now,
 		up:               true,
 		cancel:           cancel,
 		ctx:              memberCtx,
@@ -244,6 +256,7 @@
 	if m != nil {
 		m.cancel()
 		p.reassignWorkersOf(m)
+		aqsignal.Send(p.leader.wakeStore)
 	}
 }
 
@@ -306,12 +319,22 @@
 	return ids
 }
 
-// responsive reports whether a member is up.
-func (p *agentPool) responsive(name string) bool {
+// noteUnregistered notes that a member is not registered and reports whether it is gone.
+func (p *agentPool) noteUnregistered(name string) (gone bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.members[name]
-	return m != nil && m.up
+	if m == nil {
+		return false
+	}
+	m.unregistered = true
+	return !m.up || p.isGone(m)
+}
+
+// isGone reports whether a member that is not registered has not answered for so long that its process has ended. The
+// caller holds the lock.
+func (p *agentPool) isGone(m *member) bool {
+	return m.unregistered && p.leader.node.clock.Elapsed()-m.answeredAt >= goneTimeout
 }
 
 // hasStrongMember reports whether another process that claims the leadership without delay is
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -109,6 +109,51 @@
 	}
 }
 
+// Guards against LOST (review/8): a process that was shut down removed its registration while its agent still answered, and
+// stayed a member and a voter for good. Once half of the voters were gone no new leader had a majority.
+func TestMemberThatWasShutDownLeaves(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// meanwhile happens shortly before the agent fails for the last time.
+		meanwhile func(l *leader, m *member)
+		// after is how long the agent fails.
+		after  time.Duration
+		leaves bool
+	}{
+		{name: "shut down", after: goneTimeout, leaves: true},
+		{name: "failed for a moment", after: goneTimeout - time.Millisecond},
+		{name: "answers again", after: goneTimeout, meanwhile: func(l *leader, m *member) { l.agents.noteAnswer(m) }},
+		{name: "registered again", after: goneTimeout, meanwhile: func(l *leader, m *member) {
+			l.agents.join(context.Background(), m.record, m.link)
+		}},
+	} {
+		store := newFakeStore()
+		n, clock := testNode(t, store)
+		l := lead(t, n, store)
+		m := addMember(l, "a1", true)
+		addMember(l, "a2", true)
+		l.memberUnregistered("a1")
+		if len(l.agents.names()) != 2 {
+			t.Fatalf("%s: a member that answers is removed", test.name)
+		}
+		clock.Advance(test.after)
+		if test.meanwhile != nil {
+			test.meanwhile(l, m)
+		}
+		l.agents.agentFailed(m, errTest)
+		if left := len(l.agents.names()) == 1; left != test.leaves {
+			t.Errorf("%s: left %v, want %v", test.name, left, test.leaves)
+		}
+		clock.Advance(proofLimit)
+		if err := l.storeFleet(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if voters := l.support.Stored(); test.leaves && len(voters) != 1 {
+			t.Errorf("%s: voters %v, want one", test.name, voters)
+		}
+	}
+}
+
 // A leader that was paused between a decision and its order sends nothing until it has
 // proved its leadership again.
 func TestPausedLeaderSendsNoOrders(t *testing.T) {
--- a/pkg/aqsite/members.go
+++ b/pkg/aqsite/members.go
@@ -135,13 +135,12 @@
 	}
 }
 
-// memberUnregistered removes a process whose registration has ended, unless its agent is
-// up: the store may have refused the process's renewals.
+// memberUnregistered removes a process whose registration has ended. One whose agent is up stays until that has
+// not answered for goneTimeout: the store may have refused the process's renewals.
 func (l *leader) memberUnregistered(name string) {
-	if name == l.node.settings.Name || l.agents.responsive(name) {
-		return
+	if name != l.node.settings.Name && l.agents.noteUnregistered(name) {
+		l.agents.leave(name)
 	}
-	l.agents.leave(name)
 }
 
 func (l *leader) applyMember(ctx context.Context, item aqstore.Item) {
