Store large progress without some checkpoints

Cause: a job's progress is one record, whatever its size, with a checkpoint for each task that is not done. The store refuses a larger value than value_bytes, the leader repeated the write until its term ended, and the round of writes waited for it. value_bytes was not read.

Progress is now encoded within the limit (Bounds.StoreValueMax), without as many checkpoints as necessary. What is done and what has failed is always stored. The leader itself still knows the checkpoints; after a change of the leader tasks whose checkpoint was left out start again from the beginning, which costs work and no correctness.

Weighed: several records a job. It keeps all checkpoints, but a job's transaction would span more entries than the store takes at once, so it needs an order of writes of its own.

--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -133,6 +133,8 @@
 		PeerAddress: s.PeerAddress,
 		Processors:  s.Processors,
 		WorkerLease: min(workerLease, s.LeaseMax-leaseMargin),
+
+		StoreValueMax: s.StoreValueMax,
 		Decider: aqdecider.Limits{
 			DrainMargin: drainMargin,
 			Retention:   s.Retention + retentionMargin,
--- a/pkg/aqsettings/site.go
+++ b/pkg/aqsettings/site.go
@@ -31,6 +31,8 @@
 	// Processors is the number of cores that this process may use, possibly a
 	// fraction.
 	Processors float64
+	// StoreValueMax is the maximum size in bytes of a value in the store.
+	StoreValueMax int
 	// LeaseMax is the longest lease that a worker grants.
 	LeaseMax time.Duration
 	// StopGrace is how long a worker takes to stop a run.
@@ -46,6 +48,9 @@
 	LogLayers string
 }
 
+// minStoreValueMax holds what the site stores of the largest job besides its checkpoints.
+const minStoreValueMax = 64 << 10
+
 // SiteFields lists the settings of a site's process in the order of the docs.
 var SiteFields = []Field{
 	required("Site", "Name", "name", "Name of this process, unique among the processes of the site.",
@@ -89,6 +94,16 @@
 			return nil
 		}),
 
+	optional("Bounds", "StoreValueMax", "bytes", "1048576",
+		"Maximum size of a value in the store, at least 65536. A job's progress that is larger is stored without some of its tasks' checkpoints.",
+		func(s *Settings, value string) error {
+			bytes, err := strconv.Atoi(value)
+			if err != nil || bytes < minStoreValueMax {
+				return errors.Errorf("%q is not a number of bytes of at least %d", value, minStoreValueMax)
+			}
+			s.Site.StoreValueMax = bytes
+			return nil
+		}),
 	duration("Bounds", "LeaseMax", "10s", time.Second, time.Hour,
 		"Longest lease that a worker grants.",
 		func(s *Settings) *time.Duration { return &s.Site.LeaseMax }),
--- a/pkg/aqsite/commit.go
+++ b/pkg/aqsite/commit.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"log/slog"
 	"slices"
 	"sync"
 
@@ -125,11 +126,15 @@
 func (l *leader) storeRecords(ctx context.Context, records []aqdecider.Record) {
 	txn := aqstore.Txn{Conditions: []aqstore.Condition{{Key: leadKey, ModRevision: l.leadKeyRevision}}}
 	for _, r := range records {
-		value, err := aqjob.Encode(r.Progress)
+		value, omitted, err := r.Progress.EncodeWithin(l.node.settings.StoreValueMax)
 		if err != nil {
 			l.lose(err)
 			return
 		}
+		if omitted > 0 && l.node.ignored.Allow(progressKey(r.Job), l.node.clock.Now()) {
+			l.node.log.Write(aqlog.ProgressTrimmed, slog.String("Job", string(r.Job)), slog.Int("Omitted", omitted),
+				slog.Int("Bytes", len(value)))
+		}
 		key := progressKey(r.Job)
 		txn.Conditions = append(txn.Conditions, aqstore.Condition{Key: key, ModRevision: r.Expect})
 		if r.Delete {
--- a/pkg/aqsite/fake_test.go
+++ b/pkg/aqsite/fake_test.go
@@ -136,7 +136,10 @@
 			PeerAddress: "127.0.0.1:1",
 			Processors:  1,
 			WorkerLease: 5 * time.Second,
-			Decider:     aqdecider.Limits{Retention: time.Hour},
+
+			StoreValueMax: 1 << 20,
+
+			Decider: aqdecider.Limits{Retention: time.Hour},
 		},
 		Store:       store,
 		Clock:       clock,
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -35,7 +35,9 @@
 	Processors float64
 	// WorkerLease is how long a worker keeps its tasks without a renewal of its lease.
 	WorkerLease time.Duration
-	Decider     aqdecider.Limits
+	// StoreValueMax is the maximum size in bytes of a value in the store.
+	StoreValueMax int
+	Decider       aqdecider.Limits
 }
 
 // Options configure a node.
@@ -70,7 +72,7 @@
 	peers  *aqpeer.Pool
 	agent  *aqagent.Agent
 	routes routes
-	// ignored limits the log lines about entries that are ignored.
+	// ignored limits the log lines about entries that are ignored, in part or as a whole.
 	ignored aqthrottle.Throttle
 	// accepted holds payloads for the agents of other processes.
 	accepted acceptedPayloads
