--- a/pkg/aqdecider/strayleases.go
+++ b/pkg/aqdecider/strayleases.go
@@ -13,13 +13,19 @@
 // grants, whatever its agents have renewed. A worker accepts such calls from its restart until it has had a call
 // with the token that the leader has raised for it, or one of a later leader.
 
-// expectStrayLease notes that a worker has restarted. Nothing is started there before the stored list names it, so that
-// the next leader knows how long its runs may last.
+// expectStrayLease notes that a worker has restarted.
 func (d *Decider) expectStrayLease(w *worker) {
 	w.unsettled = true
 	w.strayLeaseUntil = time.Time{}
+	d.nameRestart(w)
+}
+
+// nameRestart makes the stored list name a worker as restarted. Nothing is started there before, so that the next leader
+// knows how long its runs may last.
+func (d *Decider) nameRestart(w *worker) {
 	d.restarted[w.info.ID] = true
 	d.unstoredRestarts[w.info.ID] = true
+	d.fleetChanges++
 }
 
 // WorkerReplaced notes that a worker which this decider does not know any more has returned in a later incarnation.
@@ -33,7 +39,9 @@
 func (d *Decider) settle(w *worker) {
 	w.unsettled = false
 	w.strayLeaseUntil = d.now.Add(d.options.Limits.LeaseMax)
-	d.restarted[w.info.ID] = true
+	if !d.restarted[w.info.ID] {
+		d.nameRestart(w)
+	}
 }
 
 // mayHaveStrayLease reports whether a lease of a call to an earlier incarnation may last.
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -19,10 +19,6 @@
 // workers to it again and repeats the poll.
 const memberRetry = 700 * time.Millisecond
 
-// goneTimeout is how long a process that is not registered must not have answered to have ended. It is several times
-// memberRetry.
-const goneTimeout = nodeTTL
-
 // member is one process that the leader may use as an agent.
 type member struct {
 	record nodeRecord
@@ -319,24 +315,6 @@
 	return ids
 }
 
-// noteUnregistered notes that a member is not registered and reports whether it is gone.
-func (p *agentPool) noteUnregistered(name string) (gone bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := p.members[name]
-	if m == nil {
-		return false
-	}
-	m.unregistered = true
-	return !m.up || p.isGone(m)
-}
-
-// isGone reports whether a member that is not registered has not answered for so long that its process has ended. The
-// caller holds the lock.
-func (p *agentPool) isGone(m *member) bool {
-	return m.unregistered && p.leader.node.clock.Elapsed()-m.answeredAt >= goneTimeout
-}
-
 // hasStrongMember reports whether another process that claims the leadership without delay is
 // up.
 func (p *agentPool) hasStrongMember() bool {
--- a/pkg/aqsite/members.go
+++ b/pkg/aqsite/members.go
@@ -22,6 +22,9 @@
 	nodeTTL = 4 * time.Second
 	// nodeRenewInterval is the interval between renewals. Two in a row may be lost.
 	nodeRenewInterval = time.Second
+	// goneTimeout is how long a process that is not registered must not have answered to have ended. It is several
+	// times memberRetry.
+	goneTimeout = nodeTTL
 )
 
 // nodeRecord is the value of a process's key under nodePrefix.
@@ -143,6 +146,24 @@
 	}
 }
 
+// noteUnregistered notes that a member is not registered and reports whether it is gone.
+func (p *agentPool) noteUnregistered(name string) (gone bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[name]
+	if m == nil {
+		return false
+	}
+	m.unregistered = true
+	return !m.up || p.isGone(m)
+}
+
+// isGone reports whether a member that is not registered has not answered for so long that its process has ended. The
+// caller holds the lock.
+func (p *agentPool) isGone(m *member) bool {
+	return m.unregistered && p.leader.node.clock.Elapsed()-m.answeredAt >= goneTimeout
+}
+
 func (l *leader) applyMember(ctx context.Context, item aqstore.Item) {
 	var record nodeRecord
 	if err := decode(item.Value, &record); err != nil {
--- a/pkg/aqsite/workerrestarts.go
+++ b/pkg/aqsite/workerrestarts.go
@@ -53,11 +53,14 @@
 		now.number++
 	}
 	p.restarts[a.worker.ID] = now
-	if now.number == before.number || a.member == nil {
+	if now.number == before.number {
 		return known
 	}
 	a.params.Restarts = now.number
 	a.params.AckedEnd, a.params.Incarnation = 0, incarnation
+	if a.member == nil {
+		return known
+	}
 	a.params.Number++
 	a.member.pending.Params = append(a.member.pending.Params, a.params)
 	aqsignal.Send(a.member.wakeSend)
