Count a stray lease from the first settled report of an incarnation

A worker that was lost for good within ten seconds of a change of its agent held its tasks for the longest lease instead of the one that agents renew.

Only the first settled report of an incarnation counts: it refuses stray calls since then. If the lease ends before anybody has told of one, the time counts from there once, and the first settled report after it counts again.

Evidence: TestStrayLeaseCountsFromTheFirstSettledReport fails on the commit before: "settled long before: held true, want false".

--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -133,9 +133,9 @@
 	if w == nil {
 		return time.Time{}
 	}
-	if w.unsettled {
-		// The agents that may have settled it without the leader's knowledge have lost their permits.
-		d.settle(w)
+	if w.unsettled && w.strayLeaseUntil.IsZero() {
+		// An agent that was lost may have settled it and started runs. It has lost its permit by now.
+		w.strayLeaseUntil = d.now.Add(d.options.Limits.LeaseMax)
 	}
 	var ended []*run
 	for _, r := range w.runs {
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -20,7 +20,8 @@
 		d.workerRestarted(w, report.Incarnation)
 	}
 	d.settleInherited(w)
-	if report.Settled {
+	// Each later agent settles the incarnation anew, which has refused stray calls since the first did.
+	if report.Settled && w.unsettled {
 		d.settle(w)
 	}
 	d.noteFirstReport(w)
--- a/pkg/aqdecider/restart_test.go
+++ b/pkg/aqdecider/restart_test.go
@@ -120,6 +120,49 @@
 	}
 }
 
+// A later agent finds a worker settled that has long refused calls to its earlier incarnations: nothing is held for that.
+// A worker that nobody had settled when its lease ended is settled by the first agent that reaches it.
+func TestStrayLeaseCountsFromTheFirstSettledReport(t *testing.T) {
+	settledReport := func(h *harness) {
+		h.d.WorkerReported("w1", WorkerReport{Incarnation: 2, Complete: true, Sent: h.nextTime(), Settled: true})
+	}
+	for _, test := range []struct {
+		name string
+		// before happens after the restart.
+		before func(h *harness)
+		held   bool
+	}{
+		{name: "settled long before", before: func(h *harness) {
+			settledReport(h)
+			h.advance(6 * time.Second)
+			h.d.WorkerReassigned("w1")
+		}},
+		{name: "lease ended before", held: true, before: func(h *harness) {
+			h.d.LeaseExpired("w1")
+			h.advance(6 * time.Second)
+			h.d.LeaseExpired("w1")
+		}},
+	} {
+		h := newHarness(t, poolWorker("w1", "r1-1", 8000))
+		h.d.options.Limits.LeaseMax = 6 * time.Second
+		restarted := poolWorker("w1", "r1-1", 8000)
+		restarted.Incarnation = 2
+		h.d.UpdateWorker(restarted)
+		test.before(h)
+		settledReport(h)
+		h.d.AddJob(testJob(1, tasks(1, 1000)), nil, 0, false)
+		h.tick()
+		if len(h.started) != 1 {
+			t.Fatalf("%s: %d starts, want 1", test.name, len(h.started))
+		}
+		h.d.WorkerUnresponsive("w1")
+		h.d.LeaseExpired("w1")
+		if h.d.Occupied("w1") != test.held {
+			t.Errorf("%s: held %v, want %v", test.name, !test.held, test.held)
+		}
+	}
+}
+
 // A run is lost as soon as the lease has ended if no attempt to start it can be on its way to a worker that has
 // restarted since.
 func TestRunOfARestartedWorkerIsNotHeldWithoutNeed(t *testing.T) {
--- a/pkg/aqdecider/types.go
+++ b/pkg/aqdecider/types.go
@@ -119,8 +119,8 @@
 	ProgressOmitted bool
 	// Complete is unset when the worker has more ends than the report holds.
 	Complete bool
-	// Settled is set once after a restart, by which time the worker refuses calls to its earlier incarnations.
-	// Agents start nothing there before.
+	// Settled is set once by each agent after a restart, by which time the worker refuses calls to its earlier
+	// incarnations. Agents start nothing there before.
 	Settled bool
 }
 
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -21,7 +21,7 @@
 	present bool
 	// persisted is set when the stored list of workers includes this one.
 	persisted bool
-	// unsettled is set from a restart until a report with Settled.
+	// unsettled is set from a restart until the first report with Settled.
 	unsettled bool
 	// strayLeaseUntil is until when a stray lease may last, zero if none can.
 	strayLeaseUntil time.Time
