check-config: check a configuration before it is sent

Operators find errors, routes that never match, contradictions and the changes against the version in force before the store acknowledges a version.

--- a/cmd/acaciaquay/cmds/commands.go
+++ b/cmd/acaciaquay/cmds/commands.go
@@ -100,6 +100,7 @@
 	addCtl(app, e, actions)
 	addExplain(app, e, actions)
 	addShow(app, e, actions)
+	addCheckConfig(app, e, actions)
 	return app, actions
 }
 
