--- a/cmd/acaciaquay/cmds/show.go
+++ b/cmd/acaciaquay/cmds/show.go
@@ -39,6 +39,8 @@
 	actions[overview.FullCommand()] = v.overview
 	workers := show.Command("workers", "List workers with their condition, used resources and capacity.")
 	actions[workers.FullCommand()] = v.workers
+	evacuations := show.Command("evacuations", "List what is left in evacuated zones, and why.")
+	actions[evacuations.FullCommand()] = v.evacuations
 	jobs := show.Command("jobs", "List jobs that have not ended, oldest first.")
 	limit := jobs.Flag("most", "Maximum number of jobs.").Default("100").Int()
 	actions[jobs.FullCommand()] = func(ctx context.Context) error { return v.jobs(ctx, *limit) }
@@ -121,6 +123,20 @@
 	return v.env.table(rows)
 }
 
+func (v *viewer) evacuations(ctx context.Context) error {
+	var left []aqdecider.EvacuationView
+	if printed, err := v.get(ctx, aqprocess.PathEvacuations, &left); err != nil || printed {
+		return err
+	}
+	rows := [][]string{{"ZONE", "SINCE", "GROUP", "RUNS", "WHY"}}
+	for _, e := range left {
+		rows = append(rows, []string{
+			string(e.Zone), e.Since.Round(time.Millisecond).String(), e.Group, fmt.Sprint(e.Runs), e.Why,
+		})
+	}
+	return v.env.table(rows)
+}
+
 func jobRows(jobs ...aqdecider.JobView) [][]string {
 	rows := [][]string{{"JOB", "QUEUE", "STATE", "AGE", "RUNNING", "WAITING"}}
 	for _, j := range jobs {
--- a/cmd/acaciaquay/cmds/show_test.go
+++ b/cmd/acaciaquay/cmds/show_test.go
@@ -22,7 +22,11 @@
 	answers := map[string]any{
 		aqprocess.PathOverview: aqsite.Overview{Process: "n1", Leading: leading, Leader: "n2", Term: 3},
 		aqprocess.PathWorkers:  []aqdecider.WorkerView{{Worker: "w1", Condition: "Draining", Runs: 2}},
-		aqprocess.PathJobs:     []aqdecider.JobView{{Job: "j1", State: aqjob.StateQueued, Age: time.Second, Waiting: 4}},
+		aqprocess.PathEvacuations: []aqdecider.EvacuationView{{
+			Zone: "z1",
+			Why:  "it runs to its end",
+		}},
+		aqprocess.PathJobs: []aqdecider.JobView{{Job: "j1", State: aqjob.StateQueued, Age: time.Second, Waiting: 4}},
 		aqprocess.PathJobs + "/j1": aqsite.JobDetail{
 			Job:    aqdecider.JobView{Job: "j1", State: aqjob.StateQueued},
 			Groups: []aqdecider.GroupView{{Group: "j1.0.0", Tasks: 4, Why: "no worker takes it; NoRoom: 2"}},
@@ -56,6 +60,7 @@
 	}{
 		{name: "overview", args: []string{"--address", other, "overview"}, status: ExitOK, want: "n2"},
 		{name: "workers", args: []string{"--address", leader, "workers"}, status: ExitOK, want: "Draining"},
+		{name: "evacuations", args: []string{"--address", leader, "evacuations"}, status: ExitOK, want: "it runs to its end"},
 		{name: "jobs", args: []string{"--address", leader, "jobs"}, status: ExitOK, want: "1s"},
 		{name: "job", args: []string{"--address", leader, "job", "j1"}, status: ExitOK, want: "no worker takes it; NoRoom: 2"},
 		{name: "JSON", args: []string{"--address", leader, "--json", "job", "j1"}, status: ExitOK, want: `"Why":"no worker`},
--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -10,6 +10,7 @@
 
 	"acaciaquay/internal/base/aqguard"
 	"acaciaquay/internal/base/aqsignal"
+	"acaciaquay/internal/site/aqevacuation"
 	"acaciaquay/internal/site/aqpayload"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
@@ -65,6 +66,8 @@
 	earlier     []earlierRuns
 	earlierIn   uint64
 	earlierTold bool
+	// evacuations is from the last poll that has renewed the permit. Without a permit it does not count.
+	evacuations aqevacuation.Knowledge
 	wake        chan struct{}
 	// OnPoll is called with every accepted poll.
 	OnPoll func(PollCall)
@@ -190,6 +193,13 @@
 	return fence == a.fence && a.clock.Elapsed()-a.permitAt < PermitTime
 }
 
+// mayStartIn reports whether runs may be started on workers of a zone.
+func (a *Agent) mayStartIn(zone aqtype.Zone) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.evacuations.MayStart(zone, a.clock.Elapsed())
+}
+
 // Orders implements agentLink.
 func (a *Agent) Orders(_ context.Context, call OrdersCall) error {
 	if err := a.acceptName(call.Agent); err != nil {
@@ -292,6 +302,8 @@
 	}
 	if call.AckedAnswer == a.answers {
 		a.permitAt = a.answeredAt
+		// The leader has sent the poll after it had received that answer.
+		a.evacuations = aqevacuation.FromReport(call.Evacuations, a.answeredAt)
 		a.earlierTold = a.earlierIn > 0
 	}
 	a.setParams(call.Params)
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -153,6 +153,9 @@
 			continue
 		}
 		outcome = startOutcome(err, uncertain)
+		if errors.Is(err, errZoneClosed) {
+			s.logWithheldStart(to, order.Run)
+		}
 		break
 	}
 	if s.ctx.Err() != nil {
@@ -233,6 +236,16 @@
 		slog.Int64("Life", int64(to.Worker.Incarnation)), slog.Duration("LeaseEnd", time.Duration(end)))
 }
 
+// errZoneClosed means that nothing may be started in the worker's zone, and that no call was made.
+var errZoneClosed = errors.New("agent: zone is evacuated, or not known to be open")
+
+// logWithheldStart logs a start that was not sent because of its worker's zone.
+func (s *session) logWithheldStart(to aqworker.Address, run aqdecider.RunID) {
+	s.agent.metrics.Retried(aqmetric.RetryZoneClosed)
+	s.agent.log.Write(aqlog.StartWithheld, slog.String("Task", run.Task.String()), slog.Int("Attempt", int(run.Attempt)),
+		slog.String("Worker", string(s.id)), slog.String("Zone", string(to.Worker.Zone)))
+}
+
 // tryStart makes one attempt to deliver a start. A worker that does not answer
 // heartbeats gets no starts, since a start renews its lease. Nor does one that has or had the run: it has
 // accepted the start. It returns the lease end in the call, zero if none was made.
@@ -240,11 +253,16 @@
 	if !s.agent.Permitted(s.fence) {
 		return 0, aqworker.ErrTooLate
 	}
+	open := s.agent.mayStartIn(to.Worker.Zone)
 	s.mu.Lock()
 	if s.startNeedless(order.Run) {
 		s.mu.Unlock()
 		return 0, nil
 	}
+	if !open {
+		s.mu.Unlock()
+		return 0, errZoneClosed
+	}
 	end, token := s.nextLeaseEnd(), s.lockedToken()
 	// An order to an earlier incarnation may have been carried out there.
 	if s.starting[order.Run] == startWithdrawn || s.worker.Incarnation != to.Worker.Incarnation || s.unsettled {
@@ -258,7 +276,7 @@
 	if end == 0 {
 		return 0, aqworker.ErrTooLate
 	}
-	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	bounded, cancel := context.WithTimeout(s.ctx, OrderTimeout)
 	defer cancel()
 	err := s.agent.workers.Start(bounded, to, aqworker.StartRequest{
 		Token:    token,
@@ -277,6 +295,8 @@
 		return aqdecider.OutcomeAccepted
 	case uncertain, errors.Is(err, aqworker.ErrSuperseded), errors.Is(err, aqworker.ErrOtherWorker):
 		return aqdecider.OutcomeUnknown
+	case errors.Is(err, errZoneClosed):
+		return aqdecider.OutcomeNotSent
 	case errors.Is(err, aqworker.ErrNoRoom):
 		return aqdecider.OutcomeNoRoom
 	case errors.Is(err, aqworker.ErrNoTicket):
@@ -291,7 +311,7 @@
 	to := s.address()
 	for range stopTries {
 		token := s.token()
-		bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		bounded, cancel := context.WithTimeout(s.ctx, OrderTimeout)
 		err := s.unlessOvertaken(token, s.agent.workers.Stop(bounded, to, aqworker.StopRequest{Token: token, Run: order.Run}))
 		cancel()
 		if errors.Is(err, aqworker.ErrFenced) {
@@ -326,7 +346,7 @@
 
 func (s *session) pace(order aqdecider.Pace) {
 	to, token := s.address(), s.token()
-	bounded, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	bounded, cancel := context.WithTimeout(s.ctx, OrderTimeout)
 	defer cancel()
 	err := s.unlessOvertaken(token, s.agent.workers.Pace(bounded, to, aqworker.PaceRequest{
 		Token:   token,
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -34,8 +34,8 @@
 	maxAckWait = 140 * time.Millisecond
 	// heartbeatRetry is the pause after a failed heartbeat.
 	heartbeatRetry = 150 * time.Millisecond
-	// orderTimeout limits one attempt to deliver an order.
-	orderTimeout = 700 * time.Millisecond
+	// OrderTimeout limits one attempt to deliver an order.
+	OrderTimeout = 700 * time.Millisecond
 	// startTries and stopTries limit the attempts to deliver one order.
 	startTries = 3
 	stopTries  = 3
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciaquay/internal/site/aqevacuation"
 	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
@@ -110,6 +111,8 @@
 	Params  []HeartbeatParams
 	// Pending are the leader's counts of jobs that have not started.
 	Pending PendingCounts
+	// Evacuations is what the leader knows of evacuated zones, nil where nobody evacuates zones.
+	Evacuations *aqevacuation.Report `msgpack:",omitempty"`
 	// Gather is how long the agent gathers events after its last answer, and after the
 	// first event.
 	Gather time.Duration
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciaquay/internal/site/aqcrash"
+	"acaciaquay/internal/site/aqevacuation"
 	"acaciaquay/internal/site/aqinterference"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
@@ -118,8 +119,17 @@
 	// busy holds the services of which most processors are reserved, for the patience of fillers.
 	busy   map[aqjob.ServiceID]bool
 	advice map[GroupID]*advice
-	now    time.Time
-	wall   time.Time
+	// zones holds the conditions of the zones, nil if nobody evacuates zones. evacuatedAt holds since when this decider
+	// knows of each evacuation, and emptied the evacuated zones that have been found empty.
+	zones       map[aqtype.Zone]aqevacuation.Condition
+	evacuatedAt map[aqtype.Zone]time.Time
+	emptied     map[aqtype.Zone]bool
+	// leaving holds the tasks on their way out of evacuated zones with the workers that had room for them.
+	leaving map[*task]*worker
+	// leaveAt is when the evacuated zones are looked at next.
+	leaveAt time.Time
+	now     time.Time
+	wall    time.Time
 }
 
 // endedJob is a job in a final state. Decider.ended lists them in order of ending.
@@ -158,6 +168,10 @@
 		fillerShortages: map[placementClass]fillerShortage{},
 		advice:          map[GroupID]*advice{},
 		busy:            map[aqjob.ServiceID]bool{},
+
+		evacuatedAt: map[aqtype.Zone]time.Time{},
+		emptied:     map[aqtype.Zone]bool{},
+		leaving:     map[*task]*worker{},
 	}
 }
 
@@ -232,6 +246,7 @@
 	d.overdueLooks = 0
 	d.startDueOccurrences()
 	d.reviewWorkers()
+	d.leaveZones()
 	d.plan()
 	d.tryResting()
 	d.noteWaits()
--- a/pkg/aqdecider/headroom.go
+++ b/pkg/aqdecider/headroom.go
@@ -39,7 +39,7 @@
 		service := w.info.Service
 		use[service] += float64(w.currentLoad().shortReserved)
 		largest[service] = largest[service].Max(w.info.Capacity)
-		if w.present && w.reachable && !w.info.Draining {
+		if w.present && w.reachable && !w.info.Draining && d.zoneOpen(w) {
 			free[service] += max(0, w.info.Capacity.MilliCPU-w.used.MilliCPU)
 		}
 	}
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -196,6 +196,8 @@
 	// weightOffRack exceeds the score by load of every task that does not serve: tasks
 	// on another rack than their data take longer by a constant factor.
 	weightOffRack = 2.0
+	// weightCold exceeds the score by load as well: a worker is slow for a while after its start.
+	weightCold = 1.5
 	// weightSuspected prefers workers without recent failures for every task.
 	weightSuspected = 4.0
 	// weightAvoided keeps a task off workers on which it failed or made no progress,
@@ -218,7 +220,7 @@
 // permission of the advice service.
 func (d *Decider) feasible(g *group, w *worker, tentative aqtype.Resources) bool {
 	j := g.occurrence.job
-	if !w.present || !w.reachable || !d.isStored(w) || w.info.Draining || w.info.Service != j.queue.Service {
+	if !w.present || !w.reachable || !d.isStored(w) || w.info.Draining || w.info.Service != j.queue.Service || !d.zoneOpen(w) {
 		return false
 	}
 	if len(w.orphans) > 0 || d.now.Before(w.avoidUntil) || !w.health.usable(d.now) {
@@ -270,6 +272,9 @@
 	if g.spec.Affinity != "" && string(w.rack) != g.spec.Affinity {
 		score += weightOffRack
 	}
+	if d.now.Before(w.coldUntil) {
+		score += weightCold
+	}
 	if w.health.suspected() {
 		score += weightSuspected
 	}
--- a/pkg/aqdecider/types.go
+++ b/pkg/aqdecider/types.go
@@ -39,6 +39,8 @@
 	Draining    bool
 	// Remaining is the minimum time until a draining worker leaves.
 	Remaining time.Duration
+	// Cold is how much longer the worker remains slow after its start.
+	Cold time.Duration
 }
 
 // SameInstance reports whether two entries have the same address and incarnation. The
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -15,8 +15,8 @@
 	Worker  aqtype.WorkerID
 	Service aqjob.ServiceID
 	Zone    aqtype.Zone
-	// Condition is Usable, Draining, Silent, Unlisted, Unstored, Suspected, Avoided or
-	// HeldForTrial.
+	// Condition is Usable, Draining, Silent, Unlisted, Unstored, Suspected, Avoided,
+	// HeldForTrial, ZoneEvacuated or ZoneUnverified.
 	Condition string
 	Runs      int
 	Used      aqtype.Resources
@@ -76,6 +76,8 @@
 		return "Unstored"
 	case w.info.Draining:
 		return "Draining"
+	case !d.zoneOpen(w):
+		return zoneConditionNames[d.zones[w.info.Zone]]
 	case len(w.orphans) > 0 || d.now.Before(w.avoidUntil):
 		return "Avoided"
 	case !w.health.usable(d.now):
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -51,6 +51,8 @@
 	// leavesAt is the earliest time at which a draining worker leaves, zero if this incarnation
 	// has not been listed as draining.
 	leavesAt time.Time
+	// coldUntil is until when the worker is slow after its start.
+	coldUntil time.Time
 	// avoidUntil is the time before which nothing is started after a refusal.
 	avoidUntil time.Time
 	health     health
@@ -111,6 +113,7 @@
 	w.invalidateLoad()
 	w.rack = rackOf(info.Labels)
 	w.present = true
+	w.coldUntil = d.now.Add(info.Cold)
 	if info.Capacity != before {
 		d.capacityChanged(w, before)
 	}
@@ -278,7 +281,7 @@
 	for _, w := range d.fleet {
 		if !w.silent {
 			entry := w.info
-			entry.Draining, entry.Remaining = false, 0
+			entry.Draining, entry.Remaining, entry.Cold = false, 0, 0
 			entries = append(entries, entry)
 		}
 	}
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -77,6 +77,7 @@
 	RetryReportBase     RetryReason = "ReportBaseMissing"
 	RetryRecovery       RetryReason = "RecoveryRead"
 	RetryOrderOutdated  RetryReason = "OrderOutdated"
+	RetryZoneClosed     RetryReason = "ZoneClosed"
 )
 
 // RetryReasons lists every retry reason. BudgetSpent counts the retries that
@@ -85,7 +86,7 @@
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
 	RetryStartUnknown, RetryStopLost, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
-	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated,
+	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated, RetryZoneClosed,
 }
 
 // Counter names a counter without a reason.
@@ -109,7 +110,9 @@
 	RunsLost          Counter = "aq_runs_lost_with_worker_total"
 	JobsCrashing      Counter = "aq_jobs_crashing_workers_total"
 	// GroupWaits counts the log lines about groups that wait for workers.
-	GroupWaits      Counter = "aq_group_waits_total"
+	GroupWaits Counter = "aq_group_waits_total"
+	// ZoneMoves counts the runs that were stopped to leave an evacuated zone.
+	ZoneMoves       Counter = "aq_zone_moves_total"
 	LeadTerms       Counter = "aq_lead_terms_total"
 	LogLinesDropped Counter = "aq_log_lines_dropped_total"
 	PanicsContained Counter = "aq_panics_contained_total"
@@ -119,7 +122,7 @@
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, LeadTerms, LogLinesDropped, PanicsContained,
+	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, ZoneMoves, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -134,7 +134,8 @@
 		Processors:  s.Processors,
 		WorkerLease: min(workerLease, s.LeaseMax-leaseMargin),
 
-		StoreValueMax: s.StoreValueMax,
+		StoreValueMax:  s.StoreValueMax,
+		EvacuateWithin: s.EvacuateWithin,
 		Decider: aqdecider.Limits{
 			DrainMargin: drainMargin,
 			Retention:   s.Retention + retentionMargin,
--- a/pkg/aqprocess/view.go
+++ b/pkg/aqprocess/view.go
@@ -16,6 +16,8 @@
 	PathOverview = "/site"
 	PathWorkers  = "/site/workers"
 	PathJobs     = "/site/jobs"
+	// PathEvacuations shows what is left in evacuated zones.
+	PathEvacuations = "/site/evacuations"
 )
 
 // defaultJobLimit is the maximum number of jobs in an answer when the request sets none.
@@ -41,6 +43,10 @@
 		workers, err := node.ViewWorkers()
 		respond(w, workers, err)
 	})
+	mux.HandleFunc("GET "+PathEvacuations, func(w http.ResponseWriter, _ *http.Request) {
+		left, err := node.ViewEvacuations()
+		respond(w, left, err)
+	})
 	mux.HandleFunc("GET "+PathJobs, func(w http.ResponseWriter, r *http.Request) {
 		limit, err := strconv.Atoi(r.URL.Query().Get("most"))
 		if err != nil || limit < 1 {
--- a/pkg/aqsettings/site.go
+++ b/pkg/aqsettings/site.go
@@ -41,6 +41,9 @@
 	PaceDelay time.Duration
 	// StopLimit is the time between a stop signal and the kill of this process.
 	StopLimit time.Duration
+	// EvacuateWithin is the time after an operator's evacuation of a zone from which nothing may be started
+	// there, zero if nobody evacuates zones.
+	EvacuateWithin time.Duration
 	// Retention is how long the state of an ended job can be queried.
 	Retention time.Duration
 	// LogLayers selects the log events that are written, in the form that aqlog.New
@@ -116,6 +119,9 @@
 	duration("Bounds", "StopLimit", "6s", time.Second, 10*time.Minute,
 		"Time between a stop signal and the kill of this process.",
 		func(s *Settings) *time.Duration { return &s.Site.StopLimit }),
+	duration("Bounds", "EvacuateWithin", "0s", 0, 10*time.Minute,
+		"Time after an operator's evacuation of a zone from which nothing may be started there. Starts also stop while the store cannot be asked for nearly that long. Zero if nobody evacuates zones.",
+		func(s *Settings) *time.Duration { return &s.Site.EvacuateWithin }),
 	duration("Bounds", "Retention", "2m", time.Second, 30*24*time.Hour,
 		"How long the state of an ended job can be queried.",
 		func(s *Settings) *time.Duration { return &s.Site.Retention }),
--- a/pkg/aqsite/check.go
+++ b/pkg/aqsite/check.go
@@ -88,9 +88,12 @@
 		},
 	}
 	l := n.leading()
+	var zones zoneCheck
 	if l != nil {
 		l.probe.check(l)
 		txn.Puts = []aqstore.Put{{Key: probeKey, Value: []byte{}}}
+		zones = l.checkZones(ctx)
+		txn.Conditions = append(txn.Conditions, zones.conditions...)
 	}
 	revision, err := n.store.Commit(ctx, txn)
 	var conflict *aqstore.ConflictError
@@ -103,6 +106,7 @@
 		if l != nil && l.leadKeyRevision == lead {
 			l.recordProof(elapsed)
 			l.probe.written(revision, n.clock.Now())
+			l.zonesVerified(zones, elapsed)
 		}
 		return
 	}
@@ -119,4 +123,8 @@
 	if currentLead != lead {
 		aqsignal.Send(n.leadKeyChanged)
 	}
+	if zones.changed(conflict) {
+		n.recordStoreResult(l.readEvacuations(ctx))
+		aqsignal.Send(n.checkNow)
+	}
 }
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -268,6 +268,7 @@
 		leadKeyRevision: revision,
 		proofAt:         proofAt,
 		directory:       newDirectory(),
+		evacuations:     newEvacuations(n.settings.EvacuateWithin),
 		unacknowledged:  map[string]bool{},
 		notifiedJobs:    map[aqjob.ID]notifiedJob{},
 		resync:          make(chan struct{}, 1),
--- a/pkg/aqsite/interfaces.go
+++ b/pkg/aqsite/interfaces.go
@@ -9,6 +9,7 @@
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
+	"acaciaquay/pkg/aqtype"
 )
 
 // Advisor asks the advice service which workers may run a group.
@@ -41,4 +42,8 @@
 	// WorkerIDOf returns the id of the worker that a key under WorkerPrefix lists.
 	WorkerIDOf   func(key string) string
 	DecodeConfig func(value []byte) (*Config, error)
+	// EvacuationPrefix is where operators evacuate zones, and EvacuationKey returns the key of a zone below it, empty if
+	// there can be none.
+	EvacuationPrefix string
+	EvacuationKey    func(aqtype.Zone) string
 }
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -74,6 +74,8 @@
 	directory directory
 	// probe checks that the watches still deliver events.
 	probe watchProbe
+	// evacuations is what the leader knows of evacuated zones.
+	evacuations evacuations
 	// resync triggers a full read of the list of workers.
 	resync chan struct{}
 	// fleetRevision is the revision of the stored list of workers and agents;
@@ -297,6 +299,7 @@
 		started := l.node.clock.Now()
 		l.decide(func(d *aqdecider.Decider) {
 			l.agents.expireLeases(d)
+			d.SetZones(l.zoneConditions())
 			orders = d.Tick()
 		})
 		l.agents.dispatch(orders)
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -37,7 +37,10 @@
 	WorkerLease time.Duration
 	// StoreValueMax is the maximum size in bytes of a value in the store.
 	StoreValueMax int
-	Decider       aqdecider.Limits
+	// EvacuateWithin is the time after the evacuation of a zone from which nothing may be started there, zero if
+	// nobody evacuates zones.
+	EvacuateWithin time.Duration
+	Decider        aqdecider.Limits
 }
 
 // Options configure a node.
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -72,6 +72,9 @@
 	l.joinAgents(ctx, fleet.Agents)
 	l.applyWorkerSnapshot(listed, workersFrom)
 	l.inheritedFleet = fleet.Workers
+	if err := l.persist(ctx, func() error { return l.readEvacuations(ctx) }); err != nil {
+		return 0, err
+	}
 	return workersFrom, l.persist(ctx, func() error { return l.storeFleet(ctx) })
 }
 
--- a/pkg/aqsite/view.go
+++ b/pkg/aqsite/view.go
@@ -68,6 +68,12 @@
 	return workers, err
 }
 
+// ViewEvacuations lists what is left in evacuated zones, and why.
+func (n *Node) ViewEvacuations() (left []aqdecider.EvacuationView, err error) {
+	err = n.view(func(d *aqdecider.Decider) { left = d.ViewEvacuations() })
+	return left, err
+}
+
 // ViewJobs lists up to limit jobs that have not ended, the oldest first.
 func (n *Node) ViewJobs(limit int) (jobs []aqdecider.JobView, err error) {
 	err = n.view(func(d *aqdecider.Decider) { jobs = d.ViewJobs(limit) })
