--- a/internal/site/aqevacuation/knowledge.go
+++ b/internal/site/aqevacuation/knowledge.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,12 +21,16 @@
 	Unverified Condition = iota
 	Open
 	Evacuated
+	// Reopening means that the zone is open, but the leader's agents may not have learned of it. A leader starts
+	// nothing there yet.
+	Reopening
 )
 
 var conditionNames = map[Condition]string{
 	Unverified: "Unverified",
 	Open:       "Open",
 	Evacuated:  "Evacuated",
+	Reopening:  "Reopening",
 }
 
 // String returns the name that logs and views use.
@@ -38,24 +43,40 @@
 	Revision aqstore.Revision
 	// VerifiedAt is an elapsed time of this process. The store held the state at that time or later.
 	VerifiedAt time.Duration
+	// ReopenedAt is the VerifiedAt at which the zone was found open after it had been closed, zero if it never was.
+	ReopenedAt time.Duration
+}
+
+// Times are the times on which knowledge depends.
+type Times struct {
+	// Bound is the time after an evacuation from which nothing may be started in its zone, zero if nobody evacuates
+	// zones.
+	Bound time.Duration
+	// Call is how long a call to a worker may take.
+	Call time.Duration
+	// Tell is how long it takes until a leader's agents know what it knows.
+	Tell time.Duration
 }
 
 // Knowledge is what a process knows of the evacuations. The zero value means that nobody evacuates zones.
 type Knowledge struct {
 	// limit is the age from which a state is not used any more, zero if nobody evacuates zones.
 	limit time.Duration
+	// tell is that of the Times.
+	tell time.Duration
 	// zones holds the states by zone.
 	zones map[aqtype.Zone]ZoneState
 }
 
-// New returns the knowledge of a process that has read nothing. After the bound has passed since an evacuation nothing may be
-// started in its zone; callTime is how long a call to a worker may take.
-func New(bound, callTime time.Duration) Knowledge {
-	if bound <= 0 {
+// New returns the knowledge of a leader that has read nothing.
+func New(t Times) Knowledge {
+	if t.Bound <= 0 {
 		return Knowledge{}
 	}
 	// With a very short bound half of it is left to the calls.
-	return withLimit(max(bound-callTime, bound/2))
+	k := withLimit(max(t.Bound-t.Call, t.Bound/2))
+	k.tell = t.Tell
+	return k
 }
 
 func withLimit(limit time.Duration) Knowledge {
@@ -71,20 +92,33 @@
 // Read applies a full read of the evacuations that was sent at an elapsed time. It covers the given zones and those that are
 // evacuated.
 func (k Knowledge) Read(evacuated map[aqtype.Zone]aqstore.Revision, zones []aqtype.Zone, at time.Duration) {
+	before := maps.Clone(k.zones)
 	clear(k.zones)
 	for _, zone := range zones {
-		k.zones[zone] = ZoneState{
+		k.set(before, ZoneState{
 			Zone:       zone,
 			VerifiedAt: at,
-		}
+		})
 	}
 	for zone, revision := range evacuated {
-		k.zones[zone] = ZoneState{
+		k.set(before, ZoneState{
 			Zone:       zone,
 			Revision:   revision,
 			VerifiedAt: at,
+		})
+	}
+}
+
+// set sets the state of a zone. before holds the states of all zones until then.
+func (k Knowledge) set(before map[aqtype.Zone]ZoneState, state ZoneState) {
+	if last, known := before[state.Zone]; known {
+		state.ReopenedAt = last.ReopenedAt
+		// Agents close a zone up to the time earlier that they learn later.
+		if state.Revision == 0 && (last.Revision > 0 || state.VerifiedAt-last.VerifiedAt >= k.limit-k.tell) {
+			state.ReopenedAt = state.VerifiedAt
 		}
 	}
+	k.zones[state.Zone] = state
 }
 
 // Watched returns the states that the next check verifies: those of the given zones and of all evacuated ones, in order of their names.
@@ -123,7 +157,7 @@
 			continue
 		}
 		state.VerifiedAt = at
-		k.zones[state.Zone] = state
+		k.set(k.zones, state)
 	}
 }
 
@@ -147,15 +181,19 @@
 	return k.Condition(zone, now) == Open
 }
 
-// Conditions returns the conditions of all known zones at an elapsed time, nil if nobody evacuates zones. A zone that
-// it does not hold is Unverified.
+// Conditions returns the conditions of all known zones for a leader's decisions at an elapsed time, nil if nobody evacuates
+// zones. A zone that it does not hold is Unverified.
 func (k Knowledge) Conditions(now time.Duration) map[aqtype.Zone]Condition {
 	if !k.Used() {
 		return nil
 	}
 	conditions := make(map[aqtype.Zone]Condition, len(k.zones))
-	for zone := range k.zones {
-		conditions[zone] = k.Condition(zone, now)
+	for zone, state := range k.zones {
+		condition := k.Condition(zone, now)
+		if condition == Open && state.ReopenedAt > 0 && now-state.ReopenedAt < k.tell {
+			condition = Reopening
+		}
+		conditions[zone] = condition
 	}
 	return conditions
 }
--- a/pkg/aqdecider/evacuation.go
+++ b/pkg/aqdecider/evacuation.go
@@ -27,29 +27,32 @@
 func (d *Decider) SetZones(conditions map[aqtype.Zone]aqevacuation.Condition) {
 	before := d.zones
 	d.zones = conditions
+	for zone := range d.evacuatedAt {
+		if conditions[zone] != aqevacuation.Evacuated {
+			delete(d.evacuatedAt, zone)
+			delete(d.emptied, zone)
+		}
+	}
 	reopened := false
-	for zone, condition := range conditions {
+	for _, zone := range slices.Sorted(maps.Keys(conditions)) {
 		was, known := before[zone]
+		condition := conditions[zone]
 		if known && was == condition {
 			continue
 		}
-		if condition != aqevacuation.Evacuated {
-			delete(d.evacuatedAt, zone)
-			delete(d.emptied, zone)
-		}
 		workers, runs := d.countZone(zone)
-		event := aqlog.ZoneUnverified
-		switch condition {
-		case aqevacuation.Evacuated:
+		var event aqlog.Event
+		switch {
+		case condition == aqevacuation.Evacuated:
 			event = aqlog.ZoneEvacuated
 			d.evacuatedAt[zone] = d.now
-		case aqevacuation.Open:
+		case condition == aqevacuation.Unverified:
+			event = aqlog.ZoneUnverified
+		case condition == aqevacuation.Open && known:
 			event = aqlog.ZoneReopened
-			reopened = reopened || known
-			if !known {
-				continue
-			}
-		case aqevacuation.Unverified:
+			reopened = true
+		default:
+			continue
 		}
 		d.options.Log.Write(event, slog.String("Zone", string(zone)), slog.Int("Workers", workers), slog.Int("Runs", runs))
 	}
@@ -103,6 +106,7 @@
 var zoneConditionNames = map[aqevacuation.Condition]string{
 	aqevacuation.Unverified: "ZoneUnverified",
 	aqevacuation.Evacuated:  "ZoneEvacuated",
+	aqevacuation.Reopening:  "ZoneReopening",
 }
 
 // leaveZones stops what leaves the evacuated zones now.
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -16,7 +16,7 @@
 	Service aqjob.ServiceID
 	Zone    aqtype.Zone
 	// Condition is Usable, Draining, Silent, Unlisted, Unstored, Suspected, Avoided,
-	// HeldForTrial, ZoneEvacuated or ZoneUnverified.
+	// HeldForTrial, ZoneEvacuated, ZoneUnverified or ZoneReopening.
 	Condition string
 	Runs      int
 	Used      aqtype.Resources
--- a/pkg/aqsite/evacuations.go
+++ b/pkg/aqsite/evacuations.go
@@ -22,8 +22,15 @@
 	knowledge aqevacuation.Knowledge
 }
 
+// tellMargin is added to the time for which an agent holds a poll: the time until the agents know what the leader knows.
+const tellMargin = 150 * time.Millisecond
+
 func newEvacuations(bound time.Duration) evacuations {
-	return evacuations{knowledge: aqevacuation.New(bound, aqagent.OrderTimeout)}
+	return evacuations{knowledge: aqevacuation.New(aqevacuation.Times{
+		Bound: bound,
+		Call:  aqagent.OrderTimeout,
+		Tell:  aqagent.PollWait + tellMargin,
+	})}
 }
 
 // maxCheckedZones limits the conditions of a check, which has others as well. With more zones the leader reads
