--- a/cmd/aqsoak/main.go
+++ b/cmd/aqsoak/main.go
@@ -23,6 +23,7 @@
 	dir := app.Flag("dir", "Directory for settings and logs.").Default(".run/soak").String()
 	regressionsOnly := app.Flag("regressions", "Run the seeds that have failed before instead of the others.").Bool()
 	delayAcrossRestarts := app.Flag("delay-across-restarts", "Also delay orders to workers on their way while these restart.").Bool()
+	evacuations := app.Flag("evacuations", "Also evacuate zones.").Bool()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -34,7 +35,11 @@
 	if !*regressionsOnly {
 		runs = nil
 		for seed := *first; seed < *first+*count; seed++ {
-			runs = append(runs, aqsoak.Regression{Seed: seed, DelayAcrossRestarts: *delayAcrossRestarts})
+			runs = append(runs, aqsoak.Regression{
+				Seed:                seed,
+				DelayAcrossRestarts: *delayAcrossRestarts,
+				Evacuations:         *evacuations,
+			})
 		}
 	}
 	failed := 0
@@ -47,6 +52,7 @@
 			Processes:           *processes,
 			Workers:             *workers,
 			DelayAcrossRestarts: run.DelayAcrossRestarts,
+			Evacuations:         run.Evacuations,
 			Out:                 out,
 		})
 		if err != nil {
--- a/pkg/aqsoak/checker.go
+++ b/pkg/aqsoak/checker.go
@@ -78,6 +78,7 @@
 	endCounts  map[string]int
 	starts     int
 	transit    transitCounts
+	zoneChecks zoneChecks
 	violations []string
 	startedAt  time.Time
 }
@@ -91,6 +92,7 @@
 		tasks:            map[string]*taskHistory{},
 		reservedMilliCPU: map[string]int64{},
 		capacities:       map[string]*capacity{},
+		zoneChecks:       newZoneChecks(),
 		endCounts:        map[string]int{},
 		startedAt:        time.Now(),
 	}
@@ -108,10 +110,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	summary := fmt.Sprintf("%d jobs, %d runs, ends %v", len(c.jobs), c.starts, c.endCounts)
-	if c.transit == (transitCounts{}) {
-		return summary
+	if c.transit != (transitCounts{}) {
+		summary += ", " + c.transit.String()
 	}
-	return summary + ", " + c.transit.String()
+	if c.zoneChecks.evacuations > 0 {
+		summary += ", " + c.zoneChecks.String()
+	}
+	return summary
 }
 
 func (c *Checker) addViolation(format string, values ...any) {
@@ -211,6 +216,7 @@
 			}
 		}
 	}
+	c.checkZone(worker, run)
 	t.started = true
 	t.runsOn[worker] = run.Attempt
 	c.reservedMilliCPU[worker] += g.MilliCPU
--- a/pkg/aqsoak/faults.go
+++ b/pkg/aqsoak/faults.go
@@ -24,6 +24,8 @@
 	restartDelay = 500 * time.Millisecond
 	// workerDrainTime is the time from marking a worker as draining to its crash.
 	workerDrainTime = 2 * time.Second
+	// maxDisturbance is the longest disturbance of a link or of a worker's orders.
+	maxDisturbance = 4 * time.Second
 )
 
 func (s *soak) randomProcess(random *rand.Rand) *process {
@@ -37,11 +39,11 @@
 	return time.Duration(random.Int63n(int64(limit)))
 }
 
-// disturbLink puts a link into a random faulty state for up to 4 s.
+// disturbLink puts a link into a random faulty state for up to maxDisturbance.
 func disturbLink(ctx context.Context, link *Proxy, random *rand.Rand) {
 	state := LinkState(1 + random.Intn(int(LinkRefused)))
 	link.Set(state)
-	sleep(ctx, randomDuration(random, 4*time.Second))
+	sleep(ctx, randomDuration(random, maxDisturbance))
 	link.Set(LinkHealthy)
 	if random.Intn(2) == 0 {
 		link.Reset()
@@ -87,7 +89,9 @@
 		disturbLink(ctx, s.randomProcess(random).storeLink, random)
 	}},
 	{name: "worker link", inject: func(ctx context.Context, s *soak, random *rand.Rand) {
-		disturbLink(ctx, s.randomWorker(random).link, random)
+		h := s.randomWorker(random)
+		s.checker.heldUp(h.worker.ID, maxDisturbance+heldUpFor)
+		disturbLink(ctx, h.link, random)
 	}},
 	{name: "store", inject: func(ctx context.Context, s *soak, random *rand.Rand) {
 		s.store.SetFaults([]aqfake.StoreFaults{
@@ -123,8 +127,9 @@
 	}},
 	{name: "late orders", inject: func(ctx context.Context, s *soak, random *rand.Rand) {
 		h := s.randomWorker(random)
+		s.checker.heldUp(h.worker.ID, maxDisturbance+heldUpFor)
 		h.worker.SetLateRate(0.4)
-		sleep(ctx, randomDuration(random, 4*time.Second))
+		sleep(ctx, randomDuration(random, maxDisturbance))
 		h.worker.SetLateRate(0)
 	}},
 	{name: "configuration", inject: func(_ context.Context, s *soak, _ *rand.Rand) { s.configure() }},
--- a/pkg/aqsoak/process.go
+++ b/pkg/aqsoak/process.go
@@ -37,7 +37,7 @@
 	unexpectedExits []string
 }
 
-func newProcess(program, dir string, number int, store string) (*process, error) {
+func newProcess(program, dir string, number int, store string, evacuations bool) (*process, error) {
 	link, err := NewProxy(store)
 	if err != nil {
 		return nil, err
@@ -71,6 +71,9 @@
 StopGrace = 100ms
 StopLimit = 6s
 `, p.name, number%2, addresses[0], addresses[1], addresses[2], addresses[3], link.Address())
+	if evacuations {
+		settings += fmt.Sprintf("EvacuateWithin = %s\n", evacuateWithin)
+	}
 	return p, errors.Wrap(os.WriteFile(p.settingsFile, []byte(settings), 0o600), "soak: write settings")
 }
 
--- a/pkg/aqsoak/process_test.go
+++ b/pkg/aqsoak/process_test.go
@@ -29,7 +29,7 @@
 	if err := os.WriteFile(program, []byte("#!/bin/sh\n"+script), 0o700); err != nil {
 		t.Fatal(err)
 	}
-	p, err := newProcess(program, dir, 1, "127.0.0.1:1")
+	p, err := newProcess(program, dir, 1, "127.0.0.1:1", false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/aqsoak/regressions.go
+++ b/pkg/aqsoak/regressions.go
@@ -5,7 +5,9 @@
 	Seed int64
 	// DelayAcrossRestarts is set for a seed that has failed with this option.
 	DelayAcrossRestarts bool
-	Cause               string
+	// Evacuations is set for a seed that has failed with this option.
+	Evacuations bool
+	Cause       string
 }
 
 // Regressions lists every seed that has ever failed.
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -47,7 +47,9 @@
 	Workers   int
 	// DelayAcrossRestarts adds the fault "orders delayed on their way across a restart".
 	DelayAcrossRestarts bool
-	Out                 io.Writer
+	// Evacuations adds evacuations of zones.
+	Evacuations bool
+	Out         io.Writer
 }
 
 // Result is the outcome of one soak.
@@ -61,6 +63,7 @@
 type host struct {
 	worker *aqfake.Worker
 	link   *Proxy
+	zone   string
 }
 
 type soak struct {
@@ -125,6 +128,14 @@
 			s.delayAcrossRestarts(faultCtx, transitRandom)
 		}()
 	}
+	if o.Evacuations {
+		s.running.Add(1)
+		evacuationRandom := rand.New(rand.NewSource(o.Seed + evacuationSource))
+		go func() {
+			defer s.running.Done()
+			s.evacuateZones(faultCtx, evacuationRandom)
+		}()
+	}
 	s.injectFaults(faultCtx, random)
 	s.endFaults()
 	s.running.Wait()
@@ -170,7 +181,7 @@
 		}
 	}
 	for n := range s.options.Processes {
-		p, err := newProcess(program, s.options.Dir, n, address)
+		p, err := newProcess(program, s.options.Dir, n, address, s.options.Evacuations)
 		if err != nil {
 			return err
 		}
@@ -192,7 +203,15 @@
 	if err != nil {
 		return err
 	}
-	h := &host{worker: w, link: link}
+	h := &host{
+		worker: w,
+		link:   link,
+		zone:   zoneName(0),
+	}
+	if s.options.Evacuations {
+		h.zone = zoneName(number)
+		s.checker.zoneChecks.zones[w.ID] = h.zone
+	}
 	w.OnCrash = func() { s.recoverCrashed(context.Background(), h) }
 	w.OnDelivery = s.recordDelivery
 	s.hosts = append(s.hosts, h)
@@ -202,7 +221,7 @@
 
 // register writes the worker's entry into service discovery.
 func (s *soak) register(h *host) {
-	s.store.Put(aqfake.WorkerKey(h.worker.ID), h.worker.Entry(aqfake.Pool, h.link.Address(), "zone0"))
+	s.store.Put(aqfake.WorkerKey(h.worker.ID), h.worker.Entry(aqfake.Pool, h.link.Address(), h.zone))
 }
 
 // configure writes the next version of the configuration.
