One look at an evacuated zone goes on where the last one ended

Tasks without a place elsewhere used up the searches of every look, and later workers were never reached: the new test fails without the offset.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -126,10 +126,11 @@
 	emptied     map[aqtype.Zone]bool
 	// leaving holds the tasks on their way out of evacuated zones with the workers that had room for them.
 	leaving map[*task]*worker
-	// leaveAt is when the evacuated zones are looked at next.
-	leaveAt time.Time
-	now     time.Time
-	wall    time.Time
+	// leaveAt is when the evacuated zones are looked at next, leaveFrom the position in the fleet where that begins.
+	leaveAt   time.Time
+	leaveFrom int
+	now       time.Time
+	wall      time.Time
 }
 
 // endedJob is a job in a final state. Decider.ended lists them in order of ending.
@@ -269,7 +270,7 @@
 			continue
 		}
 		w.reviewAt = d.now.Add(reviewPeriod)
-		d.evacuate(w)
+		d.stopDraining(w)
 		d.resendOrders(w)
 		d.paceFillers(w)
 		d.relocate(w)
--- a/pkg/aqdecider/evacuation.go
+++ b/pkg/aqdecider/evacuation.go
@@ -117,21 +117,22 @@
 	d.leaveAt = d.now.Add(leavePeriod)
 	c := d.newClearance()
 	running := map[aqtype.Zone]bool{}
-	for _, w := range d.fleet {
+	from := d.leaveFrom
+	d.leaveFrom = 0
+	for i := range d.fleet {
+		position := (from + i) % len(d.fleet)
+		w := d.fleet[position]
 		if !d.zoneEvacuated(w) {
 			continue
 		}
 		running[w.info.Zone] = running[w.info.Zone] || len(w.runs) > 0
-		if !w.reachable || w.info.Draining {
-			continue
-		}
-		for _, r := range w.runsInOrder() {
-			if r.state != runRunning {
-				continue
-			}
-			if verdict, places := c.judge(r); verdict == aqevacuation.Leaves {
-				c.leave(r, places)
-			}
+		switch {
+		case !w.reachable, w.info.Draining:
+		case d.workersSearched < maxWorkersSearched:
+			c.judgeAll(w)
+		case d.leaveFrom == 0:
+			// The next look begins with the first worker that this one has not reached.
+			d.leaveFrom = position
 		}
 	}
 	for zone, since := range d.evacuatedAt {
@@ -207,6 +208,18 @@
 	c.spare.take(g, 1)
 }
 
+// judgeAll stops the runs of a worker that leave its zone now.
+func (c *clearance) judgeAll(w *worker) {
+	for _, r := range w.runsInOrder() {
+		if r.state != runRunning {
+			continue
+		}
+		if verdict, places := c.judge(r); verdict == aqevacuation.Leaves {
+			c.leave(r, places)
+		}
+	}
+}
+
 // judge decides whether a run leaves its zone now, and where there is room for its task, or for all members of its gang.
 func (c *clearance) judge(r *run) (aqevacuation.Verdict, []*worker) {
 	kind, places := c.describe(r)
@@ -304,6 +317,8 @@
 
 // ViewEvacuations returns what is left in the evacuated zones, by zone and group.
 func (d *Decider) ViewEvacuations() []EvacuationView {
+	// The last round of decisions may have searched as much as it may.
+	d.workersSearched = 0
 	c := d.newClearance()
 	found := map[EvacuationView]int{}
 	for zone, since := range d.evacuatedAt {
--- a/pkg/aqdecider/evacuation_test.go
+++ b/pkg/aqdecider/evacuation_test.go
@@ -306,6 +306,25 @@
 	}
 }
 
+// Tasks that have no place elsewhere do not keep the others waiting, though one look cannot search for all.
+func TestTasksWithoutAPlaceDelayNoOthers(t *testing.T) {
+	h := newZoneHarness(t, 40, 8000)
+	bound := perpetual(90, 90)
+	bound.Constraint = "r1-a"
+	h.d.AddJob(testJob(1, bound), nil, 0, false)
+	h.run(60)
+	h.d.AddJob(testJob(2, perpetual(1, 1)), nil, 0, false)
+	h.run(60)
+	if h.left() != 91 {
+		t.Fatalf("%d runs in the zone, want 91", h.left())
+	}
+	h.evacuate("a")
+	h.run(30)
+	if h.left() != 90 {
+		t.Errorf("%d runs are left in the zone, want the 90 that have no place elsewhere", h.left())
+	}
+}
+
 // Tasks that end run to their end; a filler that is suspended is interrupted and resumes from its checkpoint elsewhere.
 func TestFinishingAndSlowedTasksInAnEvacuatedZone(t *testing.T) {
 	for _, test := range []struct {
--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -149,9 +149,9 @@
 	}
 }
 
-// evacuate stops the runs of a draining worker: perpetual tasks at once, all others
+// stopDraining stops the runs of a draining worker: perpetual tasks at once, all others
 // DrainMargin before the worker leaves.
-func (d *Decider) evacuate(w *worker) {
+func (d *Decider) stopDraining(w *worker) {
 	if !w.info.Draining {
 		return
 	}
