--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -244,17 +244,17 @@
 // canDisrupt reports whether a healthy task of the group may be stopped to run
 // elsewhere. A perpetual group allows it while fewer of its tasks than its disruption
 // budget, at least one, are unavailable.
-func (g *group) canDisrupt() bool {
-	if !g.spec.Perpetual {
-		return true
-	}
-	unavailable := 0
+func (g *group) canDisrupt() bool { return !g.spec.Perpetual || g.disruptions() > 0 }
+
+// disruptions returns how many more tasks of a perpetual group may be stopped now.
+func (g *group) disruptions() int {
+	allowed := max(1, g.spec.DisruptionBudget)
 	for _, t := range g.tasks {
-		if t.run == nil || t.run.state != runRunning || t.run.report.Percent < readyPercent {
-			unavailable++
+		if t.run == nil || t.run.state != runRunning || t.run.report.Percent < readyPercent || !t.run.worker.reachable {
+			allowed--
 		}
 	}
-	return unavailable < max(1, g.spec.DisruptionBudget)
+	return allowed
 }
 
 // slowForLong reports whether a filler with checkpoints has been below relocatePace for
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"acaciaquay/internal/site/aqurgency"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqtype"
@@ -38,6 +39,7 @@
 			pending = d.placeSuspects(pending)
 		}
 		if g.spec.Perpetual {
+			pending = d.withoutYielded(pending)
 			pending = pending[:d.admitted(spare, g, len(pending))]
 		}
 		if len(pending) > 0 && (!noRoom.covers(g) || d.overdueGangDue(g)) {
@@ -49,6 +51,7 @@
 	}
 	d.keepShortages(noRoom)
 	d.startOverdue(ranked)
+	d.makeRoom(ranked, unreported)
 }
 
 func (d *Decider) placeGroup(g *group, pending []*task, noRoom shortage) {
@@ -68,11 +71,8 @@
 	}
 }
 
-// topPriority sorts before every priority of a queue.
-const topPriority = -1
-
 // interrupted reports whether a task of the group has been started before, is not done
-// and has no run.
+// and has no run, and did not give way to others.
 func (g *group) interrupted() bool {
 	for _, t := range g.tasks {
 		if t.interrupted() {
@@ -82,7 +82,7 @@
 	return false
 }
 
-func (t *task) interrupted() bool { return t.run == nil && !t.done && t.started }
+func (t *task) interrupted() bool { return t.run == nil && !t.done && t.started && !t.gaveWay }
 
 // hasUnplaced reports whether a task of the group needs a run.
 func (g *group) hasUnplaced() bool {
@@ -107,61 +107,26 @@
 	return tasks
 }
 
-// rank orders groups by class (on time, late, hopeless), then by priority, then by due
-// time.
-type rank struct {
-	class    int
-	priority int
-	due      time.Time
-}
-
-// The classes of a rank. A job that takes longer than hopelessFactor times its objective
-// has no value to its submitter any more and gets only capacity that others leave.
-const (
-	classOnTime = iota
-	classLate
-	classHopeless
-
-	hopelessFactor = 3
-)
-
-func (d *Decider) rank(g *group) rank {
+func (d *Decider) rank(g *group) aqurgency.Rank {
 	j := g.occurrence.job
-	allowed := time.Duration(j.queue.Stretch*float64(j.criticalPath)) + j.queue.Target
-	due := g.occurrence.dueAt.Add(allowed)
-	r := rank{class: classOnTime, priority: j.queue.Priority, due: due}
-	if g.spec.Perpetual {
-		r.due = g.readyAt.Add(j.queue.Target)
-		if g.interrupted() {
-			// Users of a task that has served before notice its absence.
-			r.due = g.readyAt
-			r.priority = topPriority
-		}
-		return r
+	w := aqurgency.Work{
+		Priority: j.queue.Priority,
+		DueAt:    g.occurrence.dueAt,
+		Allowed:  time.Duration(j.queue.Stretch*float64(j.criticalPath)) + j.queue.Target,
 	}
-	switch {
-	case d.now.After(g.occurrence.dueAt.Add(hopelessFactor * allowed)):
-		r.class = classHopeless
-	case d.now.After(due):
-		r.class = classLate
-	}
-	return r
-}
-
-func (r rank) less(o rank) bool {
-	switch {
-	case r.class != o.class:
-		return r.class < o.class
-	case r.priority != o.priority:
-		return r.priority < o.priority
+	if g.spec.Perpetual {
+		w.Lasting = true
+		w.Interrupted = g.interrupted()
+		w.DueAt = g.readyAt
+		w.Allowed = j.queue.Target
 	}
-	return r.due.Before(o.due)
+	return aqurgency.RankOf(w, d.now)
 }
 
 func (d *Decider) rankedGroups() []*group {
 	type ranked struct {
 		group *group
-		rank  rank
+		rank  aqurgency.Rank
 	}
 	all := make([]ranked, 0, len(d.waiting))
 	for g := range d.waiting {
@@ -171,7 +136,7 @@
 		if all[i].rank == all[k].rank {
 			return all[i].group.before(all[k].group)
 		}
-		return all[i].rank.less(all[k].rank)
+		return all[i].rank.Less(all[k].rank)
 	})
 	groups := make([]*group, len(all))
 	for i, r := range all {
@@ -217,6 +182,11 @@
 // feasible reports whether a task of a group may be started on a worker, apart from the
 // permission of the advice service.
 func (d *Decider) feasible(g *group, w *worker, tentative aqtype.Resources) bool {
+	return w.used.Add(tentative).Add(g.spec.Reserved()).Fits(w.info.Capacity) && d.suitsButForRoom(g, w, tentative)
+}
+
+// suitsButForRoom is feasible for a worker that has room.
+func (d *Decider) suitsButForRoom(g *group, w *worker, tentative aqtype.Resources) bool {
 	j := g.occurrence.job
 	if !w.present || !w.reachable || !d.isStored(w) || w.info.Draining || w.info.Service != j.queue.Service {
 		return false
@@ -227,9 +197,6 @@
 	if w.health.suspected() && !g.spec.Gang && tentative != (aqtype.Resources{}) {
 		return false
 	}
-	if !w.used.Add(tentative).Add(g.spec.Reserved()).Fits(w.info.Capacity) {
-		return false
-	}
 	if g.spec.Constraint != "" && !slices.Contains(w.info.Labels, g.spec.Constraint) {
 		return false
 	}
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -123,6 +123,10 @@
 	// that was ordered last, zero if it never was.
 	moved   bool
 	movedAt time.Time
+	// gaveWay is set while the task waits because its run was stopped to make room, gaveWayAt is
+	// when that was ordered last, zero if it never was.
+	gaveWay   bool
+	gaveWayAt time.Time
 	// suspectSince is since when the task has waited for an isolated run, zero while it does
 	// not.
 	suspectSince time.Time
@@ -226,6 +230,7 @@
 	t.reconciled = true
 	t.started = true
 	t.moved = false
+	t.gaveWay = false
 	t.suspectSince = time.Time{}
 	t.group.idleSince, t.group.waitLoggedAt = time.Time{}, time.Time{}
 }
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -58,6 +58,7 @@
 	StopRepeated       = Event{Number: 552, Layer: LayerDecider, Level: slog.LevelWarn, Message: "order to stop repeated", Meaning: "The run has been stopping for Since and neither its end nor its absence is reported, so that its task cannot be placed again. Acked says whether the worker has acknowledged the order."}
 	WorkerSuspected    = Event{Number: 553, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker suspected", Meaning: "Runs of FailedJobs jobs in a row have failed or made no progress on the worker, or it refused a start as unhealthy. It gets no task for Probation, or for two seconds where no other worker suits one, and then one at a time until one succeeds or, if it lasts, is ready. Runs is what it still runs."}
 	OrdersRepeated     = Event{Number: 554, Layer: LayerDecider, Level: slog.LevelInfo, Message: "orders repeated", Meaning: "Another agent manages the worker, or the same one anew. The Starts, Stops and Paces whose outcome is not known are sent again through it."}
+	RoomMade           = Event{Number: 566, Layer: LayerDecider, Level: slog.LevelInfo, Message: "room made for an urgent group", Meaning: "A group that found no room for Waited gets what Runs on the worker give up: lasting tasks within the number that their job says may be away, or work of less urgent queues that can be resumed or fills. CoreSeconds is what the stops cost."}
 	WorkerLeaseExpired = Event{Number: 546, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker lease expired", Meaning: "The worker did not answer before its lease expired, as far as its agents have renewed it. Its tasks are placed again, but for those in Held. Life is the start of the worker's incarnation, as far as it is known; EarlierLife is how many of the Runs were ordered in an earlier one, which has ended, and have not been stopped in this one. Held is how many are kept, since calls to an earlier incarnation may start them or keep them alive; StrayLease is how much longer a lease of such a call may last."}
 
 	LeadershipAcquired      = Event{Number: 900, Layer: LayerSite, Level: slog.LevelInfo, Message: "leadership acquired", Meaning: "This process schedules for the site from now on. Fence is the fencing token of its orders."}
@@ -116,7 +117,7 @@
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
 	JobAccepted, TaskEvicted, TaskAbandoned, WorkerOnProbation,
 	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
-	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, StopRepeated, WorkerSuspected, OrdersRepeated,
+	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, RoomMade, StopRepeated, WorkerSuspected, OrdersRepeated,
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers, CapacityChanged,
 	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed, EarlierLeadersEnded,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -77,6 +77,7 @@
 	RetryReportBase     RetryReason = "ReportBaseMissing"
 	RetryRecovery       RetryReason = "RecoveryRead"
 	RetryOrderOutdated  RetryReason = "OrderOutdated"
+	RetryGaveWay        RetryReason = "GaveWay"
 )
 
 // RetryReasons lists every retry reason. BudgetSpent counts the retries that
@@ -85,7 +86,7 @@
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
 	RetryStartUnknown, RetryStopLost, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
-	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated,
+	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated, RetryGaveWay,
 }
 
 // Counter names a counter without a reason.
