Urgent groups go before lasting ones, and what loses least gives way to them

Ruled out: memory held by fillers (7 stops in a trial that let only those give way), the leader's processor (jobs loaded after 5 ms at the median), refused starts (one).

--- a/pkg/aqdecider/makeroom.go
+++ b/pkg/aqdecider/makeroom.go
@@ -194,7 +194,8 @@
 	return stops, loss, true
 }
 
-// withinBudgets leaves out runs of lasting groups beyond the number that each may miss.
+// withinBudgets leaves out runs of lasting groups beyond the number that each may miss. Tasks on workers that do
+// not answer may be away.
 func withinBudgets(runs []*run) []*run {
 	taken := map[*group]int{}
 	return slices.DeleteFunc(runs, func(r *run) bool {
@@ -203,12 +204,23 @@
 			return false
 		}
 		taken[g]++
-		return taken[g] > g.disruptions()
+		return taken[g] > g.disruptions()-g.unheard()
 	})
 }
 
-// mayGiveWay reports whether a run may be stopped for a group: a lasting one of a job that says how many of its
-// tasks may be away, within that number; another of a less urgent queue that resumes, or a filler.
+// unheard counts the tasks of a group that run on workers which do not answer.
+func (g *group) unheard() int {
+	n := 0
+	for _, t := range g.tasks {
+		if t.run != nil && t.run.state == runRunning && !t.run.worker.reachable {
+			n++
+		}
+	}
+	return n
+}
+
+// mayGiveWay reports whether a run may be stopped for a group: a lasting one at work of a queue that is no more
+// urgent, or one of a less urgent queue that resumes or fills. A gang would have to give way as a whole.
 func (d *Decider) mayGiveWay(r *run, to *group) bool {
 	g := r.task.group
 	if r.state != runRunning || g.spec.Gang || r.tried || r.task.history.Suspected() ||
@@ -217,7 +229,7 @@
 	}
 	priority, urgent := g.occurrence.job.queue.Priority, to.occurrence.job.queue.Priority
 	if g.spec.Perpetual {
-		return priority >= urgent && r.report.Percent >= readyPercent && g.canDisrupt()
+		return priority >= urgent && r.report.Percent >= readyPercent
 	}
 	return priority > urgent && (g.spec.Filler || g.spec.Checkpointing)
 }
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -250,7 +250,7 @@
 func (g *group) disruptions() int {
 	allowed := max(1, g.spec.DisruptionBudget)
 	for _, t := range g.tasks {
-		if t.run == nil || t.run.state != runRunning || t.run.report.Percent < readyPercent || !t.run.worker.reachable {
+		if t.run == nil || t.run.state != runRunning || t.run.report.Percent < readyPercent {
 			allowed--
 		}
 	}
