--- a/internal/site/aqurgency/rank.go
+++ b/internal/site/aqurgency/rank.go
@@ -28,6 +28,8 @@
 	DueAt time.Time
 	// Allowed is how long the occurrence may take.
 	Allowed time.Duration
+	// Left is how long the occurrence is expected to take from now on if the group starts at once.
+	Left time.Duration
 	// Lasting is set for tasks that run until their job is cancelled.
 	Lasting bool
 	// Interrupted is set for a lasting group if a failure has ended a run of it that is not replaced.
@@ -60,10 +62,10 @@
 	if w.Lasting {
 		return r
 	}
-	switch {
-	case now.After(w.DueAt.Add(usefulFactor * w.Allowed)):
+	switch end := now.Add(w.Left); {
+	case end.After(w.DueAt.Add(usefulFactor * w.Allowed)):
 		r.standing = Hopeless
-	case now.After(r.due):
+	case end.After(r.due):
 		r.standing = Late
 	}
 	return r
--- a/internal/site/aqurgency/urgency_test.go
+++ b/internal/site/aqurgency/urgency_test.go
@@ -34,6 +34,8 @@
 		{name: "urgent late", work: Work{DueAt: ago(3 * time.Second), Allowed: allowed}},
 		{name: "urgent", work: Work{DueAt: now, Allowed: allowed}},
 		{name: "urgent due soon", work: Work{DueAt: ago(time.Second), Allowed: allowed}},
+		{name: "urgent that cannot be in time", work: Work{DueAt: ago(time.Second), Allowed: allowed, Left: 1500 * time.Millisecond}},
+		{name: "urgent that can be of use no more", work: Work{DueAt: ago(5 * time.Second), Allowed: allowed, Left: 1500 * time.Millisecond}},
 	}
 	slices.SortFunc(groups, func(a, b struct {
 		name string
@@ -111,3 +113,38 @@
 		t.Error("a task may be stopped again too soon, or never")
 	}
 }
+
+// Rough estimates count less the rougher they are, good ones stay, and other queues do not matter.
+func TestDurations(t *testing.T) {
+	const work = time.Second
+	learn := func(off func(n int) (estimate, took time.Duration)) time.Duration {
+		var d Durations
+		for n := range 100 {
+			estimate, took := off(n)
+			d.Observe("batch", estimate, took)
+		}
+		d.Observe("batch", 0, work)
+		if got := d.Expect("other", work); got != work {
+			t.Errorf("a queue without observations expects %s", got)
+		}
+		return d.Expect("batch", 4*work).Round(10 * time.Millisecond)
+	}
+	for _, test := range []struct {
+		name string
+		off  func(n int) (estimate, took time.Duration)
+		want time.Duration
+	}{
+		{name: "good", off: func(n int) (time.Duration, time.Duration) {
+			return time.Duration(1+n%8) * work, time.Duration(1+n%8) * work
+		}, want: 4 * work},
+		{name: "half", off: func(n int) (time.Duration, time.Duration) {
+			return time.Duration(1+n%8) * work, time.Duration(2+2*(n%8)) * work
+		}, want: 8 * work},
+		{name: "of no use", off: func(n int) (time.Duration, time.Duration) { return time.Duration(1+n%8) * work, 2 * work }, want: 2 * work},
+		{name: "all alike", off: func(int) (time.Duration, time.Duration) { return work, 2 * work }, want: 2 * work},
+	} {
+		if got := learn(test.off); got != test.want {
+			t.Errorf("%s: expected %s, want %s", test.name, got, test.want)
+		}
+	}
+}
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -7,6 +7,7 @@
 
 	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/internal/site/aqinterference"
+	"acaciaquay/internal/site/aqurgency"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
@@ -98,6 +99,8 @@
 	// expiredCancels holds the jobs whose stored cancellations are to be deleted.
 	expiredCancels []aqjob.ID
 	model          *aqinterference.Model
+	// durations is what the tasks of each queue have taken in this term.
+	durations aqurgency.Durations
 	// harmedShares caches the model's answers of one round of decisions.
 	harmedShares map[aqinterference.Image]float64
 	// fillerShortages holds the classes of fillers for which no worker was found of late.
--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -30,6 +30,7 @@
 	switch reason {
 	case EndDone:
 		w.health.succeeded()
+		d.noteDuration(r)
 		if !t.group.spec.Perpetual && !j.state.Final() {
 			d.taskDone(t)
 			d.releaseIfIdle(j)
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -26,16 +26,15 @@
 		return
 	}
 	j := &job{
-		spec:         spec,
-		queue:        spec.Queue,
-		criticalPath: spec.CriticalPath(),
-		inherited:    inherited,
-		acceptedAt:   d.now.Add(-d.age(spec)),
-		state:        aqjob.StateQueued,
-		storedState:  aqjob.StateQueued,
-		occurrences:  map[aqjob.Occurrence]*occurrence{},
-		doneAbove:    map[aqjob.Occurrence]bool{},
-		revision:     revision,
+		spec:        spec,
+		queue:       spec.Queue,
+		inherited:   inherited,
+		acceptedAt:  d.now.Add(-d.age(spec)),
+		state:       aqjob.StateQueued,
+		storedState: aqjob.StateQueued,
+		occurrences: map[aqjob.Occurrence]*occurrence{},
+		doneAbove:   map[aqjob.Occurrence]bool{},
+		revision:    revision,
 	}
 	if q, ok := d.queues[spec.Queue.ID]; ok {
 		j.queue = q
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -109,10 +109,12 @@
 
 func (d *Decider) rank(g *group) aqurgency.Rank {
 	j := g.occurrence.job
+	path, left := d.outlook(g)
 	w := aqurgency.Work{
 		Priority: j.queue.Priority,
 		DueAt:    g.occurrence.dueAt,
-		Allowed:  time.Duration(j.queue.Stretch*float64(j.criticalPath)) + j.queue.Target,
+		Allowed:  j.allowed(path),
+		Left:     left,
 	}
 	if g.spec.Perpetual {
 		w.Lasting = true
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -14,9 +14,6 @@
 type job struct {
 	spec  *aqjob.Job
 	queue aqjob.Queue
-	// criticalPath is the longest path through the job's groups by estimated run
-	// time.
-	criticalPath time.Duration
 	// inherited jobs were accepted before this decider took over.
 	inherited bool
 	// acceptedAt is on the monotonic clock of this process.
@@ -61,6 +58,11 @@
 	tasks      []*task
 	// image is the number of the group's image in the interference model.
 	image aqinterference.Image
+	// took is how long the first task took that is done, zero if none is.
+	took time.Duration
+	// expected is how long a task is expected to take, pathFrom the longest path from the group on. Both are
+	// those of the last call of outlook.
+	expected, pathFrom time.Duration
 	// remaining counts the tasks that are not done.
 	remaining int
 	// ready is set when all groups that this one depends on are done.
