Reject submissions that would wait until they are of no use

The leader estimates from the work that waits and the processors of the listed workers how long a submission of each queue waits at least, and its polls carry that to every process. A process rejects a job whose first group could not begin within three times its objective, with a Retry-After behind the work ahead, spread by the time that the job may take. Before it says so it stores a mark that keeps delayed writes of earlier attempts out; a job that is stored is answered with success, and a later attempt replaces the mark. Estimates older than 2.5 s, missing ones, and a store that does not take the mark accept.

--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciaquay/internal/site/aqbacklog"
 	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
@@ -110,6 +111,8 @@
 	Params  []HeartbeatParams
 	// Pending are the leader's counts of jobs that have not started.
 	Pending PendingCounts
+	// Backlog is how long submissions would wait.
+	Backlog aqbacklog.Estimate
 	// Gather is how long the agent gathers events after its last answer, and after the
 	// first event.
 	Gather time.Duration
--- /dev/null
+++ b/pkg/aqdecider/backlog.go
@@ -0,0 +1,82 @@
+package aqdecider
+
+import (
+	"cmp"
+	"slices"
+
+	"acaciaquay/internal/site/aqbacklog"
+	"acaciaquay/internal/site/aqurgency"
+	"acaciaquay/pkg/aqjob"
+)
+
+// Backlog returns the least waits of submissions, by what waits for workers now.
+func (d *Decider) Backlog() []aqbacklog.Wait {
+	if len(d.waiting) == 0 {
+		return nil
+	}
+	byLane := map[aqbacklog.Lane]aqbacklog.Ahead{}
+	for g := range d.waiting {
+		if g.spec.Perpetual {
+			continue
+		}
+		lane := aqbacklog.Lane{
+			Service:  g.occurrence.job.queue.Service,
+			Filler:   g.spec.Filler,
+			Priority: g.occurrence.job.queue.Priority,
+		}
+		_, tasks := g.counts()
+		work := aqbacklog.CoreSeconds(float64(tasks) * float64(g.spec.Size.MilliCPU) / 1000 * g.spec.Estimate.Seconds())
+		ahead := byLane[lane]
+		ahead.Lane = lane
+		switch d.rank(g).Standing() {
+		case aqurgency.OnTime:
+			ahead.OnTime += work
+		case aqurgency.Late:
+			ahead.Late += work
+		case aqurgency.Hopeless:
+		}
+		byLane[lane] = ahead
+	}
+	lanes := make([]aqbacklog.Ahead, 0, len(byLane))
+	for _, ahead := range byLane {
+		lanes = append(lanes, ahead)
+	}
+	return aqbacklog.Waits(lanes, d.capacities())
+}
+
+// capacities returns the processors of the listed workers, whether they answer now or not: without what lasting
+// tasks reserve that need not give way, and for fillers what they are expected to leave.
+func (d *Decider) capacities() []aqbacklog.Capacity {
+	cores := map[aqjob.ServiceID]*[2]float64{}
+	for _, w := range d.fleet {
+		if !w.present {
+			continue
+		}
+		service := cores[w.info.Service]
+		if service == nil {
+			service = &[2]float64{}
+			cores[w.info.Service] = service
+		}
+		lasting := 0.0
+		for _, r := range w.runs {
+			if spec := r.task.group.spec; spec.Perpetual {
+				mayMiss := float64(max(1, spec.DisruptionBudget)) / float64(spec.Count)
+				lasting += float64(spec.Reserved().MilliCPU) * max(0, 1-mayMiss)
+			}
+		}
+		service[0] += max(0, float64(w.info.Capacity.MilliCPU)-lasting) / 1000
+		service[1] += max(0, float64(w.info.Capacity.MilliCPU)-servingLoad*lasting) / 1000
+	}
+	var capacities []aqbacklog.Capacity
+	for service, amounts := range cores {
+		for i, amount := range amounts {
+			capacities = append(capacities, aqbacklog.Capacity{
+				Service: service,
+				Filler:  i == 1,
+				Cores:   amount,
+			})
+		}
+	}
+	slices.SortFunc(capacities, func(a, b aqbacklog.Capacity) int { return cmp.Compare(a.Service, b.Service) })
+	return capacities
+}
--- a/pkg/aqdecider/makeroom_test.go
+++ b/pkg/aqdecider/makeroom_test.go
@@ -55,17 +55,25 @@
 	l.d.AddJob(testJob(number, g), nil, 0, false)
 }
 
-// urgent submits a job that may take stretch times its work and a quarter of a second.
-func (l *playedLoad) urgent(number, count int, cpu aqtype.MilliCPU) {
+// urgentJob returns a job that may take one and a half times its work and a quarter of a second.
+func (l *playedLoad) urgentJob(number, count int, cpu aqtype.MilliCPU) *aqjob.Job {
 	g := tasks(count, cpu)
 	g.Estimate = playWork
 	j := testJob(number, g)
 	j.Queue.ID, j.Queue.Stretch, j.Queue.Target = "urgent", 1.5, 250*time.Millisecond
 	j.AcceptedAt = l.now.UnixMilli()
+	return j
+}
+
+func (l *playedLoad) submit(j *aqjob.Job) {
 	l.submitted[j.ID] = l.now
 	l.d.AddJob(j, nil, 0, false)
 }
 
+func (l *playedLoad) urgent(number, count int, cpu aqtype.MilliCPU) {
+	l.submit(l.urgentJob(number, count, cpu))
+}
+
 func (l *playedLoad) step() {
 	l.advance(playStep)
 	var due []EndReport
--- a/pkg/aqjob/job.go
+++ b/pkg/aqjob/job.go
@@ -153,6 +153,9 @@
 	// Closed marks the remainder of a job that has ended: only ID and the id of its queue
 	// are set. It keeps a repeated submission from storing the job again.
 	Closed bool `msgpack:",omitempty"`
+	// Rejected is set with Closed if the job was never accepted. Such a mark keeps delayed writes of earlier
+	// attempts out, and gives way to a later attempt.
+	Rejected bool `msgpack:",omitempty"`
 	// AcceptedAt is the wall-clock time of acceptance in milliseconds since
 	// 1970, by the clock of the host that accepted it.
 	AcceptedAt int64
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -97,6 +97,7 @@
 	JobStored      = Event{Number: 930, Layer: LayerIntake, Level: slog.LevelInfo, Message: "job accepted", Meaning: "The job is stored. Took is the time since its arrival."}
 	JobRefused     = Event{Number: 931, Layer: LayerIntake, Level: slog.LevelWarn, Message: "job refused", Meaning: "The job was not accepted and will never run. The reason is in Reason."}
 	JobInDoubt     = Event{Number: 932, Layer: LayerIntake, Level: slog.LevelWarn, Message: "job acceptance unknown", Meaning: "The store did not answer whether it stored the job. The submitter is told that the outcome is unknown."}
+	JobRejected    = Event{Number: 945, Layer: LayerIntake, Level: slog.LevelWarn, Message: "job rejected", Meaning: "The job would have waited for Wait at least, until it is of no use any more, because of the work ahead of it. It is marked as rejected, so that it never runs, unless its submitter sends it again after ReturnAfter."}
 	CancelStored   = Event{Number: 933, Layer: LayerIntake, Level: slog.LevelInfo, Message: "cancellation accepted", Meaning: "The cancellation is stored. The leader learns of it through its watch."}
 	StateFromStore = Event{Number: 934, Layer: LayerIntake, Level: slog.LevelInfo, Message: "state read from the store", Meaning: "The leader did not answer, so the process answered a status call from the store."}
 	CallFailed     = Event{Number: 935, Layer: LayerIntake, Level: slog.LevelWarn, Message: "call failed", Meaning: "The process answered a submitter's call with an error. Reason tells why a body was refused; otherwise Status is the HTTP status. After 500 or 504 the call may still take effect."}
@@ -122,5 +123,5 @@
 	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed, EarlierLeadersEnded,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
 	OrderFailed, WorkerAssigned, StartDelayed, OrderOutdated, StartUnanswered, WorkerTokenRaised, WorkerLifeMet, ProgressTrimmed, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
-	JobStored, JobRefused, JobInDoubt, CancelStored, StateFromStore, CallFailed,
+	JobStored, JobRefused, JobRejected, JobInDoubt, CancelStored, StateFromStore, CallFailed,
 }
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -40,6 +40,7 @@
 	RefusedMethod         RefusalReason = "MethodNotAllowed"
 	RefusedNoLeader       RefusalReason = "NoLeader"
 	RefusedEntry          RefusalReason = "StoredEntryInvalid"
+	RefusedBacklog        RefusalReason = "Backlog"
 )
 
 // RefusalReasons lists every refusal reason.
@@ -47,7 +48,7 @@
 	RefusedBadRequest, RefusedNoService, RefusedNoEndpoint, RefusedQueueFull, RefusedDeadline, RefusedConnect,
 	RefusedStopping, RefusedTooLarge, RefusedNotOwner, RefusedNoOwner, RefusedKeyConflict, RefusedShardFull,
 	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedKeyUsed, RefusedFrameTooLarge,
-	RefusedFrameMalformed, RefusedNoQueue, RefusedNoConfig, RefusedNoJob, RefusedMethod, RefusedNoLeader, RefusedEntry,
+	RefusedFrameMalformed, RefusedNoQueue, RefusedNoConfig, RefusedNoJob, RefusedMethod, RefusedNoLeader, RefusedEntry, RefusedBacklog,
 }
 
 // RetryReason says why something was tried again.
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -30,6 +30,7 @@
 			Checked:     p.leader.node.lastCheck(),
 			Params:      p.changedParams(m),
 			Pending:     p.leader.pendingCounts(),
+			Backlog:     p.leader.tellBacklog(),
 			Gather:      p.gatherTime(),
 			Wait:        p.pollWait(),
 		})
--- a/pkg/aqsite/forward.go
+++ b/pkg/aqsite/forward.go
@@ -33,6 +33,8 @@
 type commitAnswer struct {
 	Result   commitResult
 	Revision aqstore.Revision
+	// Marks holds the key's item after a conflict if it is the mark of a rejected job.
+	Marks []aqstore.Item `msgpack:",omitempty"`
 }
 
 // create writes a key that must not exist. It first commits directly and then
@@ -84,7 +86,7 @@
 	case commitDone:
 		return answer.Revision, nil
 	case commitConflict:
-		return 0, &aqstore.ConflictError{}
+		return 0, &aqstore.ConflictError{Current: answer.Marks}
 	case commitRefused:
 		return 0, errors.WithMessage(aqstore.ErrRefused, "by the leader")
 	case commitUnknown:
@@ -103,7 +105,11 @@
 	case err == nil:
 		return commitAnswer{Result: commitDone, Revision: revision}, nil
 	case errors.As(err, &conflict):
-		return commitAnswer{Result: commitConflict}, nil
+		answer := commitAnswer{Result: commitConflict}
+		if item, found := currentItem(conflict, in.Key); found && isRejected(item) {
+			answer.Marks = []aqstore.Item{item}
+		}
+		return answer, nil
 	case errors.Is(err, aqstore.ErrRefused):
 		return commitAnswer{Result: commitRefused}, nil
 	}
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -94,10 +94,13 @@
 	if err != nil {
 		return errors.WithMessage(ErrNotAccepted, err.Error())
 	}
+	if answered, err := n.rejectHopeless(ctx, job); answered {
+		return err
+	}
 	uncertain := false
 	for {
 		var created aqstore.Revision
-		created, err = n.create(ctx, jobKey(job.ID), value)
+		created, err = n.createJob(ctx, job.ID, value)
 		if err == nil {
 			n.accepted.add(job, n.clock.Now())
 			n.notifyLeader(notifyCall{Job: job.ID, Value: value, Created: created})
@@ -143,9 +146,9 @@
 	if answer, err := n.queryState(ctx, id); err == nil && answer.Known {
 		return nil
 	}
-	_, err := n.store.Get(ctx, jobKey(id))
+	item, err := n.store.Get(ctx, jobKey(id))
 	n.recordStoreResult(err)
-	if errors.Is(err, aqstore.ErrNotFound) {
+	if errors.Is(err, aqstore.ErrNotFound) || (err == nil && isRejected(item)) {
 		return ErrNoJob
 	}
 	// The cancellation is stored, whether there is such a job or not.
@@ -218,8 +221,8 @@
 	if !errors.Is(err, aqstore.ErrNotFound) {
 		return "", errors.WithMessage(ErrOutcomeUnknown, err.Error())
 	}
-	_, err = n.store.Get(ctx, jobKey(id))
-	if errors.Is(err, aqstore.ErrNotFound) {
+	item, err = n.store.Get(ctx, jobKey(id))
+	if errors.Is(err, aqstore.ErrNotFound) || (err == nil && isRejected(item)) {
 		return "", ErrNoJob
 	}
 	if err != nil {
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -94,6 +94,8 @@
 	// unacknowledged holds the agents of an earlier leader that have not yet answered
 	// a poll of this one: they may still accept orders of the earlier leader.
 	unacknowledged map[string]bool
+	// backlog is what the leader's polls tell of waits.
+	backlog backlogEstimate
 	// notifiedJobs are stored jobs that other processes have reported and the watch
 	// has not delivered yet.
 	notifiedJobs map[aqjob.ID]notifiedJob
@@ -298,6 +300,7 @@
 		l.decide(func(d *aqdecider.Decider) {
 			l.agents.expireLeases(d)
 			orders = d.Tick()
+			l.estimateBacklog(d)
 		})
 		l.agents.dispatch(orders)
 		if l.proofAge() > agingProof {
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -78,6 +78,10 @@
 	accepted acceptedPayloads
 	// pendingJobs are the leader's counts for submitters.
 	pendingJobs pendingCounts
+	// backlog is the leader's last estimate of how long submissions would wait.
+	backlog backlogEstimate
+	// rejections gives the lease of the marks of rejected jobs.
+	rejections rejectionLease
 	// configRevision and leadRevision are the last known revisions of the configuration
 	// and of the lead key; a lead key that does not exist has revision zero.
 	configRevision maxRevision
@@ -145,6 +149,7 @@
 		if n.agent.Permitted(call.Fence) {
 			n.applyCheckReport(call.Checked)
 			n.pendingJobs.set(call.Pending, n.clock.Elapsed())
+			n.backlog.set(call.Backlog, n.clock.Elapsed())
 		}
 	}
 	n.agent.RegisterHandlers(n.server)
