Finish what has begun also if that will be just too late

Cause: a job that had begun and could not be in time any more was put last, and what it had done was lost.

--- a/pkg/aqdecider/durations.go
+++ b/pkg/aqdecider/durations.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// outlookInterval is how long the expected times of an occurrence are used.
+const outlookInterval = 500 * time.Millisecond
+
 // noteDuration learns from the first task of a group that is done, unless it was paced or resumed.
 func (d *Decider) noteDuration(r *run) {
 	g := r.task.group
@@ -15,23 +18,31 @@
 // outlook returns how long the longest path of the group's occurrence is expected to take, and the rest of it from
 // the group on.
 func (d *Decider) outlook(g *group) (path, left time.Duration) {
-	groups := g.occurrence.groups
-	for _, o := range groups {
-		o.expected = o.took
-		if o.took == 0 {
-			o.expected = d.durations.Expect(o.occurrence.job.queue.ID, o.spec.Estimate)
-		}
-		o.pathFrom = 0
+	o := g.occurrence
+	if o.outlookAt.IsZero() || d.now.Sub(o.outlookAt) >= outlookInterval {
+		o.outlookAt = d.now
+		d.updateOutlook(o)
+	}
+	return o.path, g.pathFrom
+}
+
+func (d *Decider) updateOutlook(o *occurrence) {
+	for _, g := range o.groups {
+		g.pathFrom = 0
 	}
-	for i := len(groups) - 1; i >= 0; i-- {
-		o := groups[i]
-		o.pathFrom += o.expected
-		for _, before := range o.spec.After {
-			groups[before].pathFrom = max(groups[before].pathFrom, o.pathFrom)
+	o.path = 0
+	for i := len(o.groups) - 1; i >= 0; i-- {
+		g := o.groups[i]
+		if g.took > 0 {
+			g.pathFrom += g.took
+		} else {
+			g.pathFrom += d.durations.Expect(o.job.queue.ID, g.spec.Estimate)
+		}
+		for _, before := range g.spec.After {
+			o.groups[before].pathFrom = max(o.groups[before].pathFrom, g.pathFrom)
 		}
-		path = max(path, o.pathFrom)
+		o.path = max(o.path, g.pathFrom)
 	}
-	return path, g.pathFrom
 }
 
 // allowed returns how long an occurrence may take.
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -114,7 +114,10 @@
 		Priority: j.queue.Priority,
 		DueAt:    g.occurrence.dueAt,
 		Allowed:  j.allowed(path),
-		Left:     left,
+	}
+	if !j.started {
+		// What has begun is finished also if that will be just too late.
+		w.Left = left
 	}
 	if g.spec.Perpetual {
 		w.Lasting = true
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -48,6 +48,9 @@
 	number aqjob.Occurrence
 	dueAt  time.Time
 	groups []*group
+	// path is the expected length of the longest path as of outlookAt, which is zero before the first outlook.
+	path      time.Duration
+	outlookAt time.Time
 }
 
 // group is one group of one occurrence.
@@ -60,9 +63,8 @@
 	image aqinterference.Image
 	// took is how long the first task took that is done, zero if none is.
 	took time.Duration
-	// expected is how long a task is expected to take, pathFrom the longest path from the group on. Both are
-	// those of the last call of outlook.
-	expected, pathFrom time.Duration
+	// pathFrom is the expected length of the longest path from the group on, as of the occurrence's outlookAt.
+	pathFrom time.Duration
 	// remaining counts the tasks that are not done.
 	remaining int
 	// ready is set when all groups that this one depends on are done.
