--- a/internal/site/aqurgency/choose.go
+++ b/internal/site/aqurgency/choose.go
@@ -14,7 +14,11 @@
 type Holding interface{ isHolding() }
 
 // Serving is held by a lasting run at work: its users miss it until it runs elsewhere.
-type Serving struct{}
+type Serving struct {
+	// Alone is set if its worker serves for other images and not otherwise for its own. Fillers beside it have
+	// to spare more images than elsewhere.
+	Alone bool
+}
 
 // Resuming is held by a run that saves its progress when it is stopped.
 type Resuming struct{}
@@ -48,6 +52,9 @@
 	switch h := h.(type) {
 	case Serving:
 		lost = ReturnAfter
+		if h.Alone {
+			lost /= 2
+		}
 	case Resuming:
 		lost = restartTime
 	case Repeating:
--- a/internal/site/aqurgency/urgency_test.go
+++ b/internal/site/aqurgency/urgency_test.go
@@ -67,6 +67,7 @@
 	}
 	serving := run(3200, 6400, Serving{})
 	small := run(1000, 2000, Serving{})
+	alone := run(3200, 6400, Serving{Alone: true})
 	filler := Run{Reserved: size(0, 3200), Loss: Loss(size(1800, 0), Resuming{})}
 	fresh := Run{Reserved: size(0, 3200), Loss: Loss(size(1800, 0), Repeating{})}
 	aged := Run{Reserved: size(0, 3200), Loss: Loss(size(1800, 0), Repeating{Done: 3 * time.Second})}
@@ -82,6 +83,7 @@
 		{name: "one that resumes before one that repeats", missing: size(0, 3000), runs: []Run{aged, filler}},
 		{name: "one that has just begun is as good", missing: size(0, 3000), runs: []Run{aged, fresh}},
 		{name: "the smaller serving task", missing: size(800, 0), runs: []Run{serving, small}},
+		{name: "one alone of its image", missing: size(3000, 0), runs: []Run{serving, alone}},
 		{name: "no superfluous ones", missing: size(2500, 0), runs: []Run{small, small, serving}},
 		{name: "two serving tasks", missing: size(4000, 0), runs: []Run{serving, small, serving}},
 		{name: "processors and memory", missing: size(2000, 9000), runs: []Run{filler, serving, filler}},
--- a/pkg/aqdecider/makeroom.go
+++ b/pkg/aqdecider/makeroom.go
@@ -238,13 +238,28 @@
 func (d *Decider) holding(r *run) aqurgency.Holding {
 	switch spec := r.task.group.spec; {
 	case spec.Perpetual:
-		return aqurgency.Serving{}
+		return aqurgency.Serving{Alone: r.aloneOfItsImage()}
 	case spec.Checkpointing:
 		return aqurgency.Resuming{}
 	}
 	return aqurgency.Repeating{Done: d.now.Sub(r.orderedAt)}
 }
 
+// aloneOfItsImage reports whether the run serves beside other images only.
+func (r *run) aloneOfItsImage() bool {
+	others := false
+	for _, o := range r.worker.runs {
+		if o == r || o.task.group.spec.TailTarget <= 0 {
+			continue
+		}
+		if o.task.group.image == r.task.group.image {
+			return false
+		}
+		others = true
+	}
+	return others && r.task.group.spec.TailTarget > 0
+}
+
 // withoutYielded leaves out the lasting tasks that gave way of late.
 func (d *Decider) withoutYielded(pending []*task) []*task {
 	return slices.DeleteFunc(pending, func(t *task) bool {
--- a/pkg/aqdecider/makeroom_test.go
+++ b/pkg/aqdecider/makeroom_test.go
@@ -279,3 +279,21 @@
 		}
 	}
 }
+
+// Of two lasting tasks, the one that is alone of its image on its worker gives way.
+func TestLastingTaskAloneOfItsImageGivesWay(t *testing.T) {
+	l := newPlayedLoad(t, poolWorker("w1", "r1-1", 10000))
+	for number, image := range []string{"same", "same", "other"} {
+		g := tasks(1, 3000)
+		g.Perpetual, g.Image, g.TailTarget = true, image, time.Second
+		l.d.AddJob(testJob(number, g), nil, 0, false)
+		l.step()
+	}
+	l.urgent(firstUrgent, 1, 3000)
+	for range 8 {
+		l.step()
+	}
+	if len(l.stopped) != 1 || l.stopped[0].Run.Task.Job != testJob(2).ID {
+		t.Errorf("stopped %v", l.stopped)
+	}
+}
