--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"acaciaquay/internal/site/aqbacklog"
 	"acaciaquay/internal/site/aqevacuation"
 	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/internal/site/aqworker"
@@ -113,6 +114,8 @@
 	Pending PendingCounts
 	// Evacuations is what the leader knows of evacuated zones, nil where nobody evacuates zones.
 	Evacuations *aqevacuation.Report `msgpack:",omitempty"`
+	// Backlog is how long submissions would wait.
+	Backlog aqbacklog.Estimate
 	// Gather is how long the agent gathers events after its last answer, and after the
 	// first event.
 	Gather time.Duration
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -14,9 +14,6 @@
 type job struct {
 	spec  *aqjob.Job
 	queue aqjob.Queue
-	// criticalPath is the longest path through the job's groups by estimated run
-	// time.
-	criticalPath time.Duration
 	// inherited jobs were accepted before this decider took over.
 	inherited bool
 	// acceptedAt is on the monotonic clock of this process.
@@ -51,6 +48,9 @@
 	number aqjob.Occurrence
 	dueAt  time.Time
 	groups []*group
+	// path is the expected length of the longest path as of outlookAt, which is zero before the first outlook.
+	path      time.Duration
+	outlookAt time.Time
 }
 
 // group is one group of one occurrence.
@@ -61,6 +61,10 @@
 	tasks      []*task
 	// image is the number of the group's image in the interference model.
 	image aqinterference.Image
+	// took is how long the first task took that is done, zero if none is.
+	took time.Duration
+	// pathFrom is the expected length of the longest path from the group on, as of the occurrence's outlookAt.
+	pathFrom time.Duration
 	// remaining counts the tasks that are not done.
 	remaining int
 	// ready is set when all groups that this one depends on are done.
@@ -123,6 +127,10 @@
 	// that was ordered last, zero if it never was.
 	moved   bool
 	movedAt time.Time
+	// gaveWay is set while the task waits because its run was stopped to make room, gaveWayAt is
+	// when that was ordered last, zero if it never was.
+	gaveWay   bool
+	gaveWayAt time.Time
 	// suspectSince is since when the task has waited for an isolated run, zero while it does
 	// not.
 	suspectSince time.Time
@@ -226,6 +234,7 @@
 	t.reconciled = true
 	t.started = true
 	t.moved = false
+	t.gaveWay = false
 	t.suspectSince = time.Time{}
 	t.group.idleSince, t.group.waitLoggedAt = time.Time{}, time.Time{}
 }
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -62,6 +62,7 @@
 	ZoneReopened       = Event{Number: 561, Layer: LayerDecider, Level: slog.LevelInfo, Message: "zone open again", Meaning: "The zone is not evacuated any more, or the leader knows again that it is not. Tasks are placed there again. Runs is what still ran there."}
 	ZoneUnverified     = Event{Number: 562, Layer: LayerDecider, Level: slog.LevelWarn, Message: "zone not verified", Meaning: "The leader has not learned from the store for nearly Bounds.EvacuateWithin whether the zone is evacuated. Until it does, nothing is started there: look for event 910. Once at the start of a term it is usual."}
 	ZoneEmpty          = Event{Number: 563, Layer: LayerDecider, Level: slog.LevelInfo, Message: "evacuated zone is empty", Meaning: "Nothing runs any more on the workers of the zone. Took is the time since the leader learned of the evacuation."}
+	RoomMade           = Event{Number: 566, Layer: LayerDecider, Level: slog.LevelInfo, Message: "room made for an urgent group", Meaning: "A group that found no room for Waited gets what Runs on the worker give up: lasting tasks within the number that their job says may be away, or work of less urgent queues that can be resumed or fills. CoreSeconds is what the stops cost."}
 	WorkerLeaseExpired = Event{Number: 546, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker lease expired", Meaning: "The worker did not answer before its lease expired, as far as its agents have renewed it. Its tasks are placed again, but for those in Held. Life is the start of the worker's incarnation, as far as it is known; EarlierLife is how many of the Runs were ordered in an earlier one, which has ended, and have not been stopped in this one. Held is how many are kept, since calls to an earlier incarnation may start them or keep them alive; StrayLease is how much longer a lease of such a call may last."}
 
 	LeadershipAcquired      = Event{Number: 900, Layer: LayerSite, Level: slog.LevelInfo, Message: "leadership acquired", Meaning: "This process schedules for the site from now on. Fence is the fencing token of its orders."}
@@ -102,6 +103,7 @@
 	JobStored      = Event{Number: 930, Layer: LayerIntake, Level: slog.LevelInfo, Message: "job accepted", Meaning: "The job is stored. Took is the time since its arrival."}
 	JobRefused     = Event{Number: 931, Layer: LayerIntake, Level: slog.LevelWarn, Message: "job refused", Meaning: "The job was not accepted and will never run. The reason is in Reason."}
 	JobInDoubt     = Event{Number: 932, Layer: LayerIntake, Level: slog.LevelWarn, Message: "job acceptance unknown", Meaning: "The store did not answer whether it stored the job. The submitter is told that the outcome is unknown."}
+	JobRejected    = Event{Number: 945, Layer: LayerIntake, Level: slog.LevelWarn, Message: "job rejected", Meaning: "The job would have waited for Wait at least, until it is of no use any more, because of the work ahead of it. It is marked as rejected, so that it never runs, unless its submitter sends it again after ReturnAfter."}
 	CancelStored   = Event{Number: 933, Layer: LayerIntake, Level: slog.LevelInfo, Message: "cancellation accepted", Meaning: "The cancellation is stored. The leader learns of it through its watch."}
 	StateFromStore = Event{Number: 934, Layer: LayerIntake, Level: slog.LevelInfo, Message: "state read from the store", Meaning: "The leader did not answer, so the process answered a status call from the store."}
 	CallFailed     = Event{Number: 935, Layer: LayerIntake, Level: slog.LevelWarn, Message: "call failed", Meaning: "The process answered a submitter's call with an error. Reason tells why a body was refused; otherwise Status is the HTTP status. After 500 or 504 the call may still take effect."}
@@ -122,12 +124,12 @@
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
 	JobAccepted, TaskEvicted, TaskAbandoned, WorkerOnProbation,
 	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
-	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, StopRepeated, WorkerSuspected, OrdersRepeated,
+	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, RoomMade, StopRepeated, WorkerSuspected, OrdersRepeated,
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers, CapacityChanged,
 	ZoneEvacuated, ZoneReopened, ZoneUnverified, ZoneEmpty,
 	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed, EarlierLeadersEnded,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
 	OrderFailed, WorkerAssigned, StartDelayed, OrderOutdated, StartUnanswered, WorkerTokenRaised, WorkerLifeMet, ProgressTrimmed, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing,
 	EvacuationsRead, StartWithheld,
-	JobStored, JobRefused, JobInDoubt, CancelStored, StateFromStore, CallFailed,
+	JobStored, JobRefused, JobRejected, JobInDoubt, CancelStored, StateFromStore, CallFailed,
 }
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -40,6 +40,7 @@
 	RefusedMethod         RefusalReason = "MethodNotAllowed"
 	RefusedNoLeader       RefusalReason = "NoLeader"
 	RefusedEntry          RefusalReason = "StoredEntryInvalid"
+	RefusedBacklog        RefusalReason = "Backlog"
 )
 
 // RefusalReasons lists every refusal reason.
@@ -47,7 +48,7 @@
 	RefusedBadRequest, RefusedNoService, RefusedNoEndpoint, RefusedQueueFull, RefusedDeadline, RefusedConnect,
 	RefusedStopping, RefusedTooLarge, RefusedNotOwner, RefusedNoOwner, RefusedKeyConflict, RefusedShardFull,
 	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedKeyUsed, RefusedFrameTooLarge,
-	RefusedFrameMalformed, RefusedNoQueue, RefusedNoConfig, RefusedNoJob, RefusedMethod, RefusedNoLeader, RefusedEntry,
+	RefusedFrameMalformed, RefusedNoQueue, RefusedNoConfig, RefusedNoJob, RefusedMethod, RefusedNoLeader, RefusedEntry, RefusedBacklog,
 }
 
 // RetryReason says why something was tried again.
@@ -78,6 +79,7 @@
 	RetryRecovery       RetryReason = "RecoveryRead"
 	RetryOrderOutdated  RetryReason = "OrderOutdated"
 	RetryZoneClosed     RetryReason = "ZoneClosed"
+	RetryGaveWay        RetryReason = "GaveWay"
 )
 
 // RetryReasons lists every retry reason. BudgetSpent counts the retries that
@@ -86,7 +88,7 @@
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
 	RetryStartUnknown, RetryStopLost, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
-	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated, RetryZoneClosed,
+	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated, RetryGaveWay, RetryZoneClosed,
 }
 
 // Counter names a counter without a reason.
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -31,6 +31,7 @@
 			Params:      p.changedParams(m),
 			Pending:     p.leader.pendingCounts(),
 			Evacuations: p.leader.evacuationReport(),
+			Backlog:     p.leader.tellBacklog(),
 			Gather:      p.gatherTime(),
 			Wait:        p.pollWait(),
 		})
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -96,6 +96,8 @@
 	// unacknowledged holds the agents of an earlier leader that have not yet answered
 	// a poll of this one: they may still accept orders of the earlier leader.
 	unacknowledged map[string]bool
+	// backlog is what the leader's polls tell of waits.
+	backlog backlogEstimate
 	// notifiedJobs are stored jobs that other processes have reported and the watch
 	// has not delivered yet.
 	notifiedJobs map[aqjob.ID]notifiedJob
@@ -301,6 +303,7 @@
 			l.agents.expireLeases(d)
 			d.SetZones(l.zoneConditions())
 			orders = d.Tick()
+			l.estimateBacklog(d)
 		})
 		l.agents.dispatch(orders)
 		if l.proofAge() > agingProof {
