--- a/pkg/aqdecider/makeroom.go
+++ b/pkg/aqdecider/makeroom.go
@@ -38,11 +38,7 @@
 		claimed: map[*worker]aqtype.Resources{},
 		none:    shortage{},
 	}
-	for _, w := range d.fleet {
-		if slices.ContainsFunc(w.runList(), func(r *run) bool { return r.state == runStopping }) {
-			s.coming = append(s.coming, w)
-		}
-	}
+	started := false
 	for _, g := range ranked {
 		if s.looks >= maxRoomLooks || s.stops >= maxRoomStops {
 			return
@@ -50,10 +46,28 @@
 		if !d.mayDisplace(g) || s.none.covers(g) {
 			continue
 		}
+		if !started {
+			started = true
+			s.coming = d.stoppingWorkers()
+		}
 		d.makeRoomFor(&s, g, g.pending(d.now, unreported))
 	}
 }
 
+// stoppingWorkers returns the workers with runs that are being stopped.
+func (d *Decider) stoppingWorkers() []*worker {
+	var found []*worker
+	for _, w := range d.fleet {
+		for _, r := range w.runs {
+			if r.state == runStopping {
+				found = append(found, w)
+				break
+			}
+		}
+	}
+	return found
+}
+
 // runList returns the runs in no order.
 func (w *worker) runList() []*run {
 	list := make([]*run, 0, len(w.runs))
@@ -157,6 +171,7 @@
 		d.options.Log.Write(aqlog.RoomMade, slog.String("Group", g.key().String()), workerAttr(w.info.ID),
 			slog.Int("Runs", len(runs)), slog.Float64("CoreSeconds", float64(loss)),
 			slog.Duration("Waited", d.now.Sub(g.readyAt)), slog.Int("Priority", g.occurrence.job.queue.Priority))
+		d.options.Metrics.Add(aqmetric.WorkGivenUp, int(loss*1000))
 		for _, r := range runs {
 			r.task.gaveWay = true
 			r.task.gaveWayAt = d.now
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -111,7 +111,9 @@
 	RunsLost          Counter = "aq_runs_lost_with_worker_total"
 	JobsCrashing      Counter = "aq_jobs_crashing_workers_total"
 	// GroupWaits counts the log lines about groups that wait for workers.
-	GroupWaits      Counter = "aq_group_waits_total"
+	GroupWaits Counter = "aq_group_waits_total"
+	// WorkGivenUp counts what stops for more urgent tasks cost, as events 566 say.
+	WorkGivenUp     Counter = "aq_work_given_up_core_milliseconds_total"
 	LeadTerms       Counter = "aq_lead_terms_total"
 	LogLinesDropped Counter = "aq_log_lines_dropped_total"
 	PanicsContained Counter = "aq_panics_contained_total"
@@ -121,7 +123,7 @@
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, LeadTerms, LogLinesDropped, PanicsContained,
+	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, WorkGivenUp, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
