--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"acaciaquay/internal/site/aqbacklog"
+	"acaciaquay/internal/site/aqevacuation"
 	"acaciaquay/internal/site/aqreport"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqdecider"
@@ -111,6 +112,8 @@
 	Params  []HeartbeatParams
 	// Pending are the leader's counts of jobs that have not started.
 	Pending PendingCounts
+	// Evacuations is what the leader knows of evacuated zones, nil where nobody evacuates zones.
+	Evacuations *aqevacuation.Report `msgpack:",omitempty"`
 	// Backlog is how long submissions would wait.
 	Backlog aqbacklog.Estimate
 	// Gather is how long the agent gathers events after its last answer, and after the
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -78,6 +78,7 @@
 	RetryReportBase     RetryReason = "ReportBaseMissing"
 	RetryRecovery       RetryReason = "RecoveryRead"
 	RetryOrderOutdated  RetryReason = "OrderOutdated"
+	RetryZoneClosed     RetryReason = "ZoneClosed"
 	RetryGaveWay        RetryReason = "GaveWay"
 )
 
@@ -87,7 +88,7 @@
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
 	RetryStartUnknown, RetryStopLost, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
-	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated, RetryGaveWay,
+	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated, RetryGaveWay, RetryZoneClosed,
 }
 
 // Counter names a counter without a reason.
@@ -113,7 +114,9 @@
 	// GroupWaits counts the log lines about groups that wait for workers.
 	GroupWaits Counter = "aq_group_waits_total"
 	// WorkGivenUp counts what stops for more urgent tasks cost, as events 566 say.
-	WorkGivenUp     Counter = "aq_work_given_up_core_milliseconds_total"
+	WorkGivenUp Counter = "aq_work_given_up_core_milliseconds_total"
+	// ZoneMoves counts the runs that were stopped to leave an evacuated zone.
+	ZoneMoves       Counter = "aq_zone_moves_total"
 	LeadTerms       Counter = "aq_lead_terms_total"
 	LogLinesDropped Counter = "aq_log_lines_dropped_total"
 	PanicsContained Counter = "aq_panics_contained_total"
@@ -123,7 +126,7 @@
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, WorkGivenUp, LeadTerms, LogLinesDropped, PanicsContained,
+	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, ZoneMoves, WorkGivenUp, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
