--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -113,6 +113,8 @@
 	JobsCrashing      Counter = "aq_jobs_crashing_workers_total"
 	// GroupWaits counts the log lines about groups that wait for workers.
 	GroupWaits Counter = "aq_group_waits_total"
+	// WorkGivenUp counts what stops for more urgent tasks cost, as events 566 say.
+	WorkGivenUp Counter = "aq_work_given_up_core_milliseconds_total"
 	// ZoneMoves counts the runs that were stopped to leave an evacuated zone.
 	ZoneMoves       Counter = "aq_zone_moves_total"
 	LeadTerms       Counter = "aq_lead_terms_total"
@@ -124,7 +126,7 @@
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, ZoneMoves, LeadTerms, LogLinesDropped, PanicsContained,
+	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, ZoneMoves, WorkGivenUp, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
