Tests: crowds of clients at the real processes, before the change

Checked are that the process lives, its peak resident memory plus unread bytes, its descriptors, and that one ordinary request is answered while the crowd stays. The settings Intake.Memory and Intake.Descriptors are read and checked and have no effect yet.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(CURDIR)/.bin
 GO_FILES := $(shell find cmd internal pkg platform -name '*.go' -not -path '*/aqproto/*')
 
-.PHONY: all build demo test lint generate tools fuzz model model-mutants capacity lab bench-requests bench-urgent soak clean
+.PHONY: all build demo test crowds lint generate tools fuzz model model-mutants capacity lab bench-requests bench-urgent soak clean
 
 all: build
 
@@ -18,6 +18,11 @@
 	_scripts/check-linking
 	go test -race -count=1 ./...
 
+# Brings crowds of misbehaving clients to the processes, one crowd at a time and apart from
+# the other tests.
+crowds:
+	go test -tags crowd -count=1 -p 1 -timeout 30m -run '^TestCrowd' ./pkg/aqprocess
+
 # Fuzzes every decoder of bytes from outside, for a fixed number of inputs each.
 fuzz:
 	_scripts/fuzz
--- a/pkg/aqprocess/process_test.go
+++ b/pkg/aqprocess/process_test.go
@@ -30,11 +30,19 @@
 	processes map[string]*exec.Cmd
 	gateways  []string
 	operators []string
+	// extra is added to the settings of each host.
+	extra string
 }
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{}}
+	return newClusterWith(t, "")
+}
+
+// newClusterWith starts a cluster whose hosts have more settings.
+func newClusterWith(t *testing.T, extra string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{}, extra: extra}
 	for _, program := range []string{"acaciaquay", "aqstandin"} {
 		build := exec.Command("go", "build", "-o", filepath.Join(c.dir, program), "acaciaquay/cmd/"+program)
 		if out, err := build.CombinedOutput(); err != nil {
@@ -86,7 +94,7 @@
 CallerAddress = %s
 PeerAddress = %s
 OperatorAddress = %s
-`, number, c.platform, c.platform, c.address(), c.address(), caller, c.address(), operator)
+%s`, number, c.platform, c.platform, c.address(), c.address(), caller, c.address(), operator, c.extra)
 	file := filepath.Join(c.dir, fmt.Sprintf("host%d.ini", number))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
@@ -169,6 +177,33 @@
 	return r
 }
 
+// createFolio creates a service and waits until it answers. It returns the start of a URL
+// that ends with the duration of a request.
+func (c *cluster) createFolio() string {
+	c.t.Helper()
+	c.until("the service is accepted", func() bool {
+		_, err := c.client().CreateService(c.t.Context(), connect.NewRequest(&pb.CreateServiceRequest{Service: &pb.Service{
+			Name:      "folio",
+			Team:      "counter",
+			Urgency:   pb.Urgency_URGENCY_URGENT,
+			Size:      &pb.Size{MilliCpu: 1000, MemoryMib: 64},
+			Instances: 2,
+		}}))
+		return err == nil
+	})
+	url := "http://" + c.gateways[0] + "/folio/run?size=5000&work="
+	c.until("the service answers", func() bool {
+		r, err := http.Get(url + "1ms")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = r.Body.Close() }()
+		_, _ = io.Copy(io.Discard, r.Body)
+		return r.StatusCode == http.StatusOK
+	})
+	return url
+}
+
 // Freezes one scheduler for longer than every lease, until the other has finished the
 // job. Then resumes it and kills the other while tasks run. Guards against tasks that
 // are lost, run twice or started beyond the capacity of a worker.
@@ -193,26 +228,7 @@
 // delay its shutdown.
 func TestPlannedStopOfAGateway(t *testing.T) {
 	c := newCluster(t)
-	c.until("the service is accepted", func() bool {
-		_, err := c.client().CreateService(t.Context(), connect.NewRequest(&pb.CreateServiceRequest{Service: &pb.Service{
-			Name:      "folio",
-			Team:      "counter",
-			Urgency:   pb.Urgency_URGENCY_URGENT,
-			Size:      &pb.Size{MilliCpu: 1000, MemoryMib: 64},
-			Instances: 2,
-		}}))
-		return err == nil
-	})
-	url := "http://" + c.gateways[0] + "/folio/run?size=5000&work="
-	c.until("the service answers", func() bool {
-		r, err := http.Get(url + "1ms")
-		if err != nil {
-			return false
-		}
-		defer func() { _ = r.Body.Close() }()
-		_, _ = io.Copy(io.Discard, r.Body)
-		return r.StatusCode == http.StatusOK
-	})
+	url := c.createFolio()
 	before := c.truth().RequestsRun
 	type answer struct {
 		body []byte
--- a/pkg/aqsettings/fields.go
+++ b/pkg/aqsettings/fields.go
@@ -22,7 +22,9 @@
 }
 
 // Fields lists the settings of gateways and schedulers in the order of the docs.
-var Fields = []Field{
+var Fields = append(hostFields, intakeFields...)
+
+var hostFields = []Field{
 	required("Process", "Id", "name", "Name of this host, unique among all hosts.",
 		name(func(s *Settings, v string) { s.Process.ID = aqtype.ProcessID(v) })),
 	required("Process", "Zone", "name", "Availability zone of this host, one of Shards.Zones.",
--- a/pkg/aqsettings/parse.go
+++ b/pkg/aqsettings/parse.go
@@ -45,6 +45,7 @@
 		return Site{}, errors.Wrapf(err, "read settings %s", file)
 	}
 	s, err := load(file, parsed, SiteFields)
+	s.Site.Intake = s.Intake
 	return s.Site, err
 }
 
@@ -55,6 +56,7 @@
 		return Site{}, errors.Wrapf(err, "read settings %s", file)
 	}
 	s, err := load(file, parsed, SiteFields)
+	s.Site.Intake = s.Intake
 	return s.Site, err
 }
 
--- a/pkg/aqsettings/settings.go
+++ b/pkg/aqsettings/settings.go
@@ -21,6 +21,8 @@
 	Session   Session
 	Gateway   Gateway
 	Log       Log
+	// Intake is also set by LoadSite and ParseSite.
+	Intake Intake
 	// Site is set by LoadSite and ParseSite, which leave the other fields empty.
 	Site Site
 }
@@ -32,6 +34,15 @@
 	Zone aqtype.Zone
 }
 
+// Intake limits what clients may make a process hold. Zero means a default that is derived
+// from Memory and Descriptors.
+type Intake struct {
+	// Memory is the memory in MiB that the process may use.
+	Memory int
+	// Descriptors is the number of file descriptors that the process may use.
+	Descriptors int
+}
+
 // Platform holds the addresses of the platform and the timing of calls to it.
 type Platform struct {
 	Store    string
--- a/pkg/aqsettings/site.go
+++ b/pkg/aqsettings/site.go
@@ -46,13 +46,17 @@
 	// LogLayers selects the log events that are written, in the form that aqlog.New
 	// reads.
 	LogLayers string
+	// Intake limits what clients may make this process hold.
+	Intake Intake
 }
 
 // minStoreValueMax holds what the site stores of the largest job besides its checkpoints.
 const minStoreValueMax = 64 << 10
 
 // SiteFields lists the settings of a site's process in the order of the docs.
-var SiteFields = []Field{
+var SiteFields = append(siteFields, intakeFields...)
+
+var siteFields = []Field{
 	required("Site", "Name", "name", "Name of this process, unique among the processes of the site.",
 		name(func(s *Settings, v string) { s.Site.Name = v })),
 	required("Site", "Zone", "name", "Availability zone of this process.",
