--- /dev/null
+++ b/internal/front/aqintake/conn.go
@@ -0,0 +1,389 @@
+package aqintake
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// past is a deadline that ends a read immediately.
+var past = time.Unix(1, 0)
+
+// part is the part of a request that is read next.
+type part int
+
+const (
+	partHead part = iota
+	partBody
+	// partNone is while a request is at work: net/http reads ahead to notice a client
+	// that disconnects.
+	partNone
+)
+
+// unknownLength is the length of a chunked body.
+const unknownLength = -1
+
+// conn is a client's connection. It sees the bytes of heads before net/http does. Only one
+// goroutine at a time reads from it.
+type conn struct {
+	net.Conn
+	intake *Intake
+	entry  entry
+
+	mu sync.Mutex
+	// outer is the read deadline that net/http sets, own that of the intake; the earlier
+	// one is in force. Zero means none.
+	outer time.Time
+	own   time.Time
+	// writeSet is whether somebody else has set a write deadline.
+	writeSet bool
+	// refused is set when the connection has to close; reads then fail.
+	refused bool
+	// number counts the requests.
+	number int
+	part   part
+	head   headScanner
+	// headStart is when the first byte of the head arrived, zero before.
+	headStart time.Time
+	// pending holds what was received past the end of a head.
+	pending []byte
+	// bodyLeft is what is left to read of the body, or unknownLength.
+	bodyLeft int64
+	// streams is whether the handler passes the body on instead of holding it.
+	streams bool
+	// bodyStart and windowStart are when the body and its present pace window began,
+	// windowBytes what has arrived in the window.
+	bodyStart   time.Time
+	windowStart time.Time
+	windowBytes int
+	// aheadBytes and aheadLines bound what net/http may have read past the end of a chunked
+	// body.
+	aheadBytes int
+	aheadLines int
+}
+
+func newConn(i *Intake, raw net.Conn, port *portEntry) *conn {
+	c := &conn{Conn: raw, intake: i}
+	c.entry = entry{
+		port:      port,
+		address:   addressOf(raw),
+		interrupt: c.interrupt,
+	}
+	return c
+}
+
+func (c *conn) remote() string { return c.RemoteAddr().String() }
+
+// interrupt ends reads for good. The reader then finds its entry evicted.
+func (c *conn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setOwnDeadline(past)
+}
+
+// setOwnDeadline sets the intake's read deadline. It can't move one that is past. The lock
+// must be held.
+func (c *conn) setOwnDeadline(t time.Time) {
+	if c.own.Equal(t) || c.own.Equal(past) {
+		return
+	}
+	c.own = t
+	_ = c.Conn.SetReadDeadline(earliest(c.outer, c.own))
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outer = t
+	return c.Conn.SetReadDeadline(earliest(c.outer, c.own))
+}
+
+// SetWriteDeadline implements net.Conn. While a deadline is set, the intake sets none.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.writeSet = !t.IsZero()
+	c.mu.Unlock()
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// CloseWrite lets net/http close one direction.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.intake.ledger.remove(&c.entry)
+	return err
+}
+
+// Read implements net.Conn. In a head it returns nothing past the end of the head, and in
+// a body of known length nothing past the end of the body.
+func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.refused {
+		c.mu.Unlock()
+		return 0, &refusedError{refusal: refusalBudget}
+	}
+	if c.part == partBody && c.bodyLeft > 0 && int64(len(p)) > c.bodyLeft {
+		p = p[:c.bodyLeft]
+	}
+	n := copy(p, c.pending)
+	if c.pending = c.pending[n:]; len(c.pending) == 0 {
+		c.pending = nil
+	}
+	waits := n == 0
+	if deadline := c.readDeadline(); waits && !deadline.IsZero() {
+		c.setOwnDeadline(deadline)
+	}
+	c.mu.Unlock()
+	var err error
+	if waits {
+		n, err = c.Conn.Read(p)
+	}
+	return c.received(p, n, err)
+}
+
+// readDeadline returns the deadline of a read that waits for the client, zero if only
+// net/http's applies.
+func (c *conn) readDeadline() time.Time {
+	limits := &c.intake.limits
+	switch {
+	case c.part == partHead && !c.headStart.IsZero():
+		return c.headStart.Add(limits.HeadTime)
+	case c.part == partBody && c.bodyLeft != 0:
+		return earliest(c.bodyStart.Add(limits.BodyTime), c.windowStart.Add(limits.PaceWindow))
+	}
+	return time.Time{}
+}
+
+// received accounts for n bytes that net/http is about to get, and for the error of the
+// read.
+func (c *conn) received(p []byte, n int, err error) (int, error) {
+	c.mu.Lock()
+	current := c.part
+	if err != nil {
+		slowHead := current == partHead && (c.number == 0 || !c.headStart.IsZero())
+		c.mu.Unlock()
+		return n, c.readFailed(current, slowHead, err)
+	}
+	switch current {
+	case partHead:
+		return c.receivedHead(p, n)
+	case partBody:
+		switch {
+		case c.bodyLeft == unknownLength:
+			c.countAhead(p, n)
+		case c.bodyLeft > 0:
+			c.bodyLeft -= int64(n)
+		}
+	}
+	c.mu.Unlock()
+	return n, nil
+}
+
+// readFailed reports a read that a deadline of the intake has ended.
+func (c *conn) readFailed(current part, slowHead bool, err error) error {
+	if current == partNone || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	why := c.intake.ledger.whyEvicted(&c.entry)
+	switch {
+	case why != refusalNone:
+		c.refuse(why)
+		return &refusedError{refusal: why}
+	case current == partBody:
+		why = refusalBodySlow
+		if c.streams {
+			why = refusalBodyStalled
+		}
+		c.refuse(why)
+		return &refusedError{refusal: why}
+	case slowHead:
+		c.refuse(refusalHeadSlow)
+	}
+	return err
+}
+
+// receivedHead counts the head, keeps back what follows it and reserves memory for it.
+// The lock is held and released.
+func (c *conn) receivedHead(p []byte, n int) (int, error) {
+	first := c.headStart.IsZero()
+	ended := c.head.ended
+	used := c.head.scan(p[:n])
+	if !ended && used < n {
+		c.pending = append(bytes.Clone(p[used:n]), c.pending...)
+	}
+	if first {
+		c.headStart = c.intake.clock.Now()
+	}
+	tooLarge := c.head.bytes > c.intake.limits.HeadBytes || c.head.lines > c.intake.limits.HeadLines
+	cost := c.head.cost()
+	c.mu.Unlock()
+	if tooLarge {
+		c.answer(answerTooLarge)
+		c.refuse(refusalHeadTooLarge)
+		return 0, &refusedError{refusal: refusalHeadTooLarge}
+	}
+	if !c.intake.ledger.reserveHead(&c.entry, cost, first) {
+		c.answer(answerFull)
+		c.refuse(refusalBudget)
+		return 0, &refusedError{refusal: refusalBudget}
+	}
+	return used, nil
+}
+
+// countAhead notes how much of the data of a chunked body may lie behind its end. net/http
+// reads into its buffer of len(p) bytes if that is empty, or else into the rest of it.
+func (c *conn) countAhead(p []byte, n int) {
+	lines := bytes.Count(p[:n], []byte{'\n'})
+	if len(p) >= readBufferBytes {
+		c.aheadBytes, c.aheadLines = 0, 0
+	}
+	c.aheadBytes += n
+	c.aheadLines += lines
+}
+
+// readBufferBytes is the size of the buffer into which net/http reads.
+const readBufferBytes = 4096
+
+// refuse makes all later reads fail and reports why, once.
+func (c *conn) refuse(why refusal) {
+	c.mu.Lock()
+	before := c.refused
+	c.refused = true
+	c.pending = nil
+	c.mu.Unlock()
+	if !before {
+		c.intake.reporter.report(why, c.remote())
+	}
+	c.interrupt()
+}
+
+// answer writes an answer to a request that net/http has not read.
+func (c *conn) answer(text string) {
+	_ = c.Conn.SetWriteDeadline(c.intake.clock.Now().Add(answerTime))
+	_, _ = io.WriteString(c.Conn, text)
+}
+
+// beginBody marks the end of a head, whose request has a body of that length. It returns
+// the request's number, and false if the request must be refused.
+func (c *conn) beginBody(length int64, streams bool) (int, bool) {
+	c.mu.Lock()
+	c.number++
+	c.streams = streams
+	number := c.number
+	first := c.headStart.IsZero()
+	c.part = partBody
+	if length == 0 {
+		c.part = partNone
+	}
+	if c.bodyLeft = length; !c.head.ended {
+		c.bodyLeft = unknownLength
+	}
+	cost := c.head.cost()
+	if length != 0 {
+		now := c.intake.clock.Now()
+		c.bodyStart, c.windowStart, c.windowBytes = now, now, 0
+	}
+	c.setOwnDeadline(time.Time{})
+	c.mu.Unlock()
+	ledger := c.intake.ledger
+	if ledger.reserveHead(&c.entry, cost, first) && (length != 0 || ledger.work(&c.entry)) {
+		return number, true
+	}
+	c.refuse(refusalBudget)
+	return number, false
+}
+
+// bodyReceived accounts for bytes of the body that the handler gets.
+func (c *conn) bodyReceived(number, n int) error {
+	c.mu.Lock()
+	if c.number != number || c.part != partBody {
+		c.mu.Unlock()
+		return nil
+	}
+	c.windowBytes += n
+	advanced := c.windowBytes >= c.intake.limits.BodyPace
+	if advanced {
+		c.windowBytes = 0
+		c.windowStart = c.intake.clock.Now()
+	}
+	c.mu.Unlock()
+	if advanced {
+		c.intake.ledger.advance(&c.entry)
+	}
+	if c.streams || c.intake.ledger.reserveBody(&c.entry, Bytes(n*bodyByteCost)) {
+		return nil
+	}
+	c.refuse(refusalBudget)
+	return &refusedError{refusal: refusalBudget}
+}
+
+// bodyEnded marks that a request is complete.
+func (c *conn) bodyEnded(number int) error {
+	c.mu.Lock()
+	if c.number != number || c.part != partBody {
+		c.mu.Unlock()
+		return nil
+	}
+	c.part = partNone
+	c.setOwnDeadline(time.Time{})
+	c.mu.Unlock()
+	if c.intake.ledger.work(&c.entry) {
+		return nil
+	}
+	c.refuse(refusalBudget)
+	return &refusedError{refusal: refusalBudget}
+}
+
+// endRequest prepares for the next head. It is called when the answer has been written and
+// the rest of the body discarded.
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	c.part = partHead
+	c.head = headScanner{}
+	c.head.skip(c.aheadBytes, c.aheadLines)
+	c.aheadBytes, c.aheadLines = 0, 0
+	c.headStart = time.Time{}
+	c.setOwnDeadline(time.Time{})
+	c.mu.Unlock()
+	c.intake.ledger.idle(&c.entry)
+}
+
+// writePace is the least number of bytes a second that a client must read of a large write.
+const writePace = 16 << 10
+
+// Write implements net.Conn. A client must read at a least pace.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	set := c.writeSet
+	c.mu.Unlock()
+	if !set {
+		limit := c.intake.limits.WriteTime + time.Duration(len(p)/writePace)*time.Second
+		_ = c.Conn.SetWriteDeadline(c.intake.clock.Now().Add(limit))
+	}
+	n, err := c.Conn.Write(p)
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.refuse(refusalAnswerUnread)
+	}
+	return n, err
+}
--- a/pkg/aqdocs/pages.go
+++ b/pkg/aqdocs/pages.go
@@ -59,6 +59,10 @@
 	for _, c := range aqmetric.Counters {
 		fmt.Fprintf(&b, "- `%s`\n", c)
 	}
+	b.WriteString("\n## Gauges\n\n")
+	for _, g := range aqmetric.Gauges {
+		fmt.Fprintf(&b, "- `%s`\n", g)
+	}
 	b.WriteString("\n## Latency histograms, in seconds\n\n")
 	for _, t := range aqmetric.Timings {
 		fmt.Fprintf(&b, "- `%s`\n", t)
--- a/pkg/aqgateway/forward.go
+++ b/pkg/aqgateway/forward.go
@@ -23,6 +23,9 @@
 	errNotSent = errors.New("gateway: no connection to the endpoint")
 	// errConnectionLost means that the request may have reached the endpoint.
 	errConnectionLost = errors.New("gateway: connection lost after the request was sent")
+	// errCallerBody means that the caller's body ended early. The request may have reached the
+	// endpoint, which is not to blame.
+	errCallerBody = errors.New("gateway: the caller's body ended early")
 )
 
 // hopHeaders are the hop-by-hop headers, which a proxy must not forward.
@@ -70,6 +73,17 @@
 // the transport retries nothing by itself, not even a request without a body.
 type singleReadBody struct {
 	io.Reader
+	// failed is set when the caller's body can't be read to its end.
+	failed *atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b singleReadBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		b.failed.Store(true)
+	}
+	return n, err
 }
 
 // Close implements io.Closer. It does nothing: the server closes the caller's body.
@@ -87,7 +101,7 @@
 	_ = r.response.Body.Close()
 }
 
-// try sends a request once. The error is errNotSent or errConnectionLost.
+// try sends a request once. The error is errNotSent, errConnectionLost or errCallerBody.
 func (f *forwarder) try(
 	ctx context.Context, r *http.Request, identified request, e *aqroute.Endpoint,
 ) (*reply, error) {
@@ -97,7 +111,8 @@
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	guard := newWatchdog(f.clock, f.progressTimeout, cancel)
-	response, err := f.transport.RoundTrip(outgoing(ctx, r, identified, e))
+	var bodyFailed atomic.Bool
+	response, err := f.transport.RoundTrip(outgoing(ctx, r, identified, e, &bodyFailed))
 	if err == nil {
 		guard.feed()
 		return &reply{response: response, guard: guard}, nil
@@ -106,6 +121,9 @@
 	if !connected.Load() {
 		return nil, errors.WithMessage(errNotSent, err.Error())
 	}
+	if bodyFailed.Load() {
+		return nil, errors.WithMessage(errCallerBody, err.Error())
+	}
 	return nil, errors.WithMessage(errConnectionLost, err.Error())
 }
 
@@ -129,7 +147,9 @@
 	return true
 }
 
-func outgoing(ctx context.Context, r *http.Request, identified request, e *aqroute.Endpoint) *http.Request {
+func outgoing(
+	ctx context.Context, r *http.Request, identified request, e *aqroute.Endpoint, bodyFailed *atomic.Bool,
+) *http.Request {
 	out := r.Clone(ctx)
 	out.URL = &url.URL{
 		Scheme:   "http",
@@ -144,7 +164,10 @@
 	out.RequestURI = ""
 	out.Close = false
 	out.GetBody = nil
-	out.Body = singleReadBody{Reader: r.Body}
+	out.Body = singleReadBody{
+		Reader: r.Body,
+		failed: bodyFailed,
+	}
 	dropHopHeaders(out.Header)
 	return out
 }
--- a/pkg/aqgateway/gateway.go
+++ b/pkg/aqgateway/gateway.go
@@ -233,11 +233,11 @@
 }
 
 // recordFailure counts a failed attempt against its endpoint, unless the caller
-// disconnected or its deadline has passed.
+// disconnected, its body ended early or its deadline has passed.
 func (g *Gateway) recordFailure(
 	ctx context.Context, service *serviceState, endpoint *aqroute.Endpoint, err error,
 ) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, errCallerBody) {
 		service.release(endpoint)
 		return
 	}
@@ -252,6 +252,9 @@
 func (g *Gateway) mayRetry(ctx context.Context, r *http.Request, identified request, err error) bool {
 	notSent := errors.Is(err, errNotSent)
 	bodyless := r.ContentLength == 0
+	if errors.Is(err, errCallerBody) {
+		return false
+	}
 	repeatable := notSent || (identified.idempotent && bodyless)
 	if ctx.Err() != nil || !repeatable {
 		return false
--- a/pkg/aqjob/job.go
+++ b/pkg/aqjob/job.go
@@ -187,8 +187,9 @@
 
 // Limits of one job.
 const (
+	// MaxGroups is the maximum number of task groups.
+	MaxGroups       = 64
 	maxPayloadBytes = 4000
-	maxGroups       = 64
 	maxTasks        = 10000
 	maxRepeats      = 100000
 	idDigits        = 16
@@ -205,8 +206,8 @@
 	switch {
 	case len(j.Payload) > maxPayloadBytes:
 		return errors.Errorf("payload is longer than %d bytes", maxPayloadBytes)
-	case len(j.Groups) == 0 || len(j.Groups) > maxGroups:
-		return errors.Errorf("number of task groups must be from 1 to %d", maxGroups)
+	case len(j.Groups) == 0 || len(j.Groups) > MaxGroups:
+		return errors.Errorf("number of task groups must be from 1 to %d", MaxGroups)
 	case j.Repeats < 0 || j.Repeats > maxRepeats:
 		return errors.Errorf("number of occurrences must be from 0 to %d", maxRepeats)
 	case j.Repeats > 1 && j.Period <= 0:
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -108,9 +108,23 @@
 // PanicContained reports a panic that cost one call or loop and not the process.
 var PanicContained = Event{Number: 105, Layer: LayerProcess, Level: slog.LevelWarn, Message: "panic contained", Meaning: "A call or loop met a value that it could not handle. Where names it, Stack shows the place in the code. The call failed, or the loop began again; a leader gave up its term. Report it as a fault."}
 
+// Refusals of clients that would make the process hold too much. Count is the number of
+// refusals since the last line about the kind; there is at most one line in ten seconds.
+var (
+	IntakeConnectionsFull = Event{Number: 120, Layer: LayerProcess, Level: slog.LevelWarn, Message: "connections full", Meaning: "Connections are near Intake.Connections. A slow or idle one was closed in favour of a new one, or a new one was closed. Count is the number since the last line, Remote the last of them."}
+	IntakeAddressFull     = Event{Number: 121, Layer: LayerProcess, Level: slog.LevelWarn, Message: "connections of an address full", Meaning: "The connections of one remote address are near Intake.ConnectionsPerAddress. One of them was closed."}
+	IntakeHeadTooLarge    = Event{Number: 122, Layer: LayerProcess, Level: slog.LevelWarn, Message: "request head too large", Meaning: "A head was over Intake.HeadBytes or Intake.HeadLines. It was answered with 431, and its connection closed."}
+	IntakeHeadSlow        = Event{Number: 123, Layer: LayerProcess, Level: slog.LevelWarn, Message: "request head too slow", Meaning: "A head was not complete within Intake.HeadTime, or a new connection sent nothing. It was closed."}
+	IntakeBodySlow        = Event{Number: 124, Layer: LayerProcess, Level: slog.LevelWarn, Message: "request body too slow", Meaning: "A body was not complete within Intake.BodyTime or slower than Intake.BodyPace. Its request was refused and has not run."}
+	IntakeFull            = Event{Number: 125, Layer: LayerProcess, Level: slog.LevelWarn, Message: "intake budget full", Meaning: "The heads and bodies that are being read need more than Intake.Budget. The slowest of their requests were refused, and have not run."}
+	IntakeAnswerUnread    = Event{Number: 126, Layer: LayerProcess, Level: slog.LevelWarn, Message: "answer not read", Meaning: "A client did not read its answer within Intake.WriteTime. Its connection was closed."}
+	IntakeBodyStalled     = Event{Number: 127, Layer: LayerProcess, Level: slog.LevelWarn, Message: "request body stalled", Meaning: "As event 124, at a gateway that had passed on the beginning of the body. The outcome of the request is unknown."}
+)
+
 // Events lists every event.
 var Events = []Event{
 	ProcessStarted, ProcessStopping, ProcessStopped, TLSOff, LinesDropped, PanicContained,
+	IntakeConnectionsFull, IntakeAddressFull, IntakeHeadTooLarge, IntakeHeadSlow, IntakeBodySlow, IntakeFull, IntakeAnswerUnread, IntakeBodyStalled,
 	MemberJoined, MemberLeft, LeaseLost, StoreUnavailable, StoreBack,
 	SegmentInDoubt, OwnershipLost, ShardTaken, ShardReleased, SnapshotWritten, TakeoverFailed,
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -40,6 +40,12 @@
 	RefusedMethod         RefusalReason = "MethodNotAllowed"
 	RefusedNoLeader       RefusalReason = "NoLeader"
 	RefusedEntry          RefusalReason = "StoredEntryInvalid"
+	RefusedConnections    RefusalReason = "ConnectionsFull"
+	RefusedAddress        RefusalReason = "AddressConnectionsFull"
+	RefusedHeadTooLarge   RefusalReason = "HeadTooLarge"
+	RefusedHeadSlow       RefusalReason = "HeadSlow"
+	RefusedBodySlow       RefusalReason = "BodySlow"
+	RefusedIntakeFull     RefusalReason = "IntakeFull"
 )
 
 // RefusalReasons lists every refusal reason.
@@ -48,6 +54,7 @@
 	RefusedStopping, RefusedTooLarge, RefusedNotOwner, RefusedNoOwner, RefusedKeyConflict, RefusedShardFull,
 	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedKeyUsed, RefusedFrameTooLarge,
 	RefusedFrameMalformed, RefusedNoQueue, RefusedNoConfig, RefusedNoJob, RefusedMethod, RefusedNoLeader, RefusedEntry,
+	RefusedConnections, RefusedAddress, RefusedHeadTooLarge, RefusedHeadSlow, RefusedBodySlow, RefusedIntakeFull,
 }
 
 // RetryReason says why something was tried again.
@@ -113,6 +120,10 @@
 	LeadTerms       Counter = "aq_lead_terms_total"
 	LogLinesDropped Counter = "aq_log_lines_dropped_total"
 	PanicsContained Counter = "aq_panics_contained_total"
+	// BodiesStalled counts bodies that stopped arriving after their beginning had been
+	// passed on, AnswersUnread answers that clients did not read.
+	BodiesStalled Counter = "aq_bodies_stalled_total"
+	AnswersUnread Counter = "aq_answers_unread_total"
 )
 
 // Counters lists every counter without a reason.
@@ -120,8 +131,23 @@
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
 	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, LeadTerms, LogLinesDropped, PanicsContained,
+	BodiesStalled, AnswersUnread,
 }
 
+// Gauge names a value that goes up and down.
+type Gauge string
+
+// The gauges.
+const (
+	// IntakeBytes is the memory that is reserved for requests that are being read.
+	IntakeBytes Gauge = "aq_intake_reserved_bytes"
+	// IntakeConnections is the number of connections of clients.
+	IntakeConnections Gauge = "aq_intake_connections"
+)
+
+// Gauges lists every gauge with a fixed name.
+var Gauges = []Gauge{IntakeBytes, IntakeConnections}
+
 // Timing names a latency histogram, in seconds.
 type Timing string
 
--- a/pkg/aqprocess/gateway.go
+++ b/pkg/aqprocess/gateway.go
@@ -31,8 +31,8 @@
 	gateway := aqgateway.New(b.gatewayOptions(api.Router))
 	mux := b.operatorMux(gateway.Ready)
 	api.Register(mux)
-	callerServer := newHTTPServer(s.Gateway.CallerAddress, gateway)
-	operatorServer := newHTTPServer(s.Gateway.OperatorAddress, mux)
+	callerServer := b.intake.Server(s.Gateway.CallerAddress, gateway, callerPort)
+	operatorServer := b.intake.Server(s.Gateway.OperatorAddress, mux, operatorPort)
 	if err := b.server.Start(s.Gateway.PeerAddress); err != nil {
 		return err
 	}
--- a/pkg/aqprocess/process.go
+++ b/pkg/aqprocess/process.go
@@ -9,11 +9,13 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/front/aqintake"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqconfig"
 	"acaciaquay/pkg/aqlog"
@@ -39,6 +41,7 @@
 	peers       *aqpeer.Pool
 	server      *aqpeer.Server
 	heartbeater *aqmember.Heartbeater
+	intake      *aqintake.Intake
 }
 
 // watchMargin is how much longer a watch call may take than the watch waits.
@@ -86,6 +89,7 @@
 		Config:    b.config,
 		Log:       log,
 	}
+	b.intake = newIntake(s.Intake, b.clock, log, b.metrics)
 	b.server = aqpeer.NewServer(log, b.metrics)
 	b.heartbeater = &aqmember.Heartbeater{
 		Directory: b.directory,
@@ -152,31 +156,26 @@
 	return mux
 }
 
-// Limits of an HTTP server.
-const (
-	readHeaderTimeout = 5 * time.Second
-	keepAliveTimeout  = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-)
-
-func newHTTPServer(address string, handler http.Handler) *http.Server {
-	return &http.Server{
-		Addr:              address,
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       keepAliveTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
-	}
+// newIntake returns the intake of a process and sets the garbage collector's limit.
+func newIntake(s aqsettings.Intake, clock aqclock.Clock, log *aqlog.Logger, metrics *aqmetric.Set) *aqintake.Intake {
+	debug.SetMemoryLimit(int64(aqintake.CollectorLimit(aqintake.Bytes(s.Memory) * aqintake.MiB)))
+	return aqintake.New(s.Limits, clock, log, metrics)
 }
 
+// The ports of a process.
+var (
+	clientPort   = aqintake.Port{}
+	callerPort   = aqintake.Port{Streams: true}
+	operatorPort = aqintake.Port{Auxiliary: true}
+)
+
 // serve listens on the address of each server and serves it in the background. An
 // address that is in use fails the start of the process.
-func serve(servers ...*http.Server) error {
+func serve(servers ...*aqintake.Server) error {
 	for _, s := range servers {
-		listener, err := listen(s.Addr)
+		listener, err := aqintake.Listen(s.Address())
 		if err != nil {
-			return errors.Wrapf(err, "listen on %s", s.Addr)
+			return errors.Wrapf(err, "listen on %s", s.Address())
 		}
 		go func() { _ = s.Serve(listener) }()
 	}
--- a/pkg/aqprocess/scheduler.go
+++ b/pkg/aqprocess/scheduler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"time"
 
 	"acaciaquay/pkg/aqmember"
@@ -14,8 +13,6 @@
 	"acaciaquay/pkg/aqsettings"
 )
 
-func listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
-
 // handoverTimeout is the timeout of the hand-over of all shards at a planned stop.
 const handoverTimeout = 15 * time.Second
 
@@ -31,7 +28,7 @@
 	if err := b.server.Start(s.Scheduler.PeerAddress); err != nil {
 		return err
 	}
-	operatorServer := newHTTPServer(s.Scheduler.OperatorAddress, b.operatorMux(func() bool { return true }))
+	operatorServer := b.intake.Server(s.Scheduler.OperatorAddress, b.operatorMux(func() bool { return true }), operatorPort)
 	if err := serve(operatorServer); err != nil {
 		return err
 	}
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -80,11 +80,12 @@
 		Metrics:     metrics,
 		Incarnation: clock.Now().UnixNano(),
 	})
-	frontServer := newHTTPServer(s.FrontAddress, platform.NewJobHandler(node, log, metrics))
-	readyServer := newHTTPServer(s.ReadyAddress, platform.NewReadyHandler(node.Ready))
+	intake := newIntake(s.Intake, clock, log, metrics)
+	frontServer := intake.Server(s.FrontAddress, platform.NewJobHandler(node, log, metrics), clientPort)
+	readyServer := intake.Server(s.ReadyAddress, platform.NewReadyHandler(node.Ready), operatorPort)
 	operatorMux := metricsMux(metrics)
 	addViews(operatorMux, node)
-	operatorServer := newHTTPServer(s.MetricsAddress, operatorMux)
+	operatorServer := intake.Server(s.MetricsAddress, operatorMux, operatorPort)
 	if err := serve(frontServer, readyServer, operatorServer); err != nil {
 		return err
 	}
--- a/pkg/aqsettings/parse.go
+++ b/pkg/aqsettings/parse.go
@@ -89,6 +89,9 @@
 			return s, f.fail(file, err.Error())
 		}
 	}
+	if err := s.Intake.derive(file); err != nil {
+		return s, err
+	}
 	if s.Site.Name != "" {
 		return s, s.Site.check(file)
 	}
--- a/pkg/aqsettings/settings.go
+++ b/pkg/aqsettings/settings.go
@@ -34,15 +34,6 @@
 	Zone aqtype.Zone
 }
 
-// Intake limits what clients may make a process hold. Zero means a default that is derived
-// from Memory and Descriptors.
-type Intake struct {
-	// Memory is the memory in MiB that the process may use.
-	Memory int
-	// Descriptors is the number of file descriptors that the process may use.
-	Descriptors int
-}
-
 // Platform holds the addresses of the platform and the timing of calls to it.
 type Platform struct {
 	Store    string
