--- a/internal/front/aqintake/conn.go
+++ b/internal/front/aqintake/conn.go
@@ -185,16 +185,13 @@
 		c.mu.Unlock()
 		return n, c.readFailed(current, slowHead, err)
 	}
-	switch current {
-	case partHead:
+	switch {
+	case current == partHead:
 		return c.receivedHead(p, n)
-	case partBody:
-		switch {
-		case c.bodyLeft == unknownLength:
-			c.countAhead(p, n)
-		case c.bodyLeft > 0:
-			c.bodyLeft -= int64(n)
-		}
+	case current == partBody && c.bodyLeft == unknownLength:
+		c.countAhead(p, n)
+	case current == partBody && c.bodyLeft > 0:
+		c.bodyLeft -= int64(n)
 	}
 	c.mu.Unlock()
 	return n, nil
--- a/internal/front/aqintake/intake.go
+++ b/internal/front/aqintake/intake.go
@@ -20,14 +20,17 @@
 	clock    aqclock.Clock
 	ledger   *ledger
 	reporter reporter
+	// working has room for one element for each request at work of ports with LimitWork.
+	working chan struct{}
 }
 
 // New returns an intake without ports.
 func New(limits Limits, clock aqclock.Clock, log *aqlog.Logger, metrics *aqmetric.Set) *Intake {
 	i := &Intake{
-		limits: limits,
-		clock:  clock,
-		ledger: newLedger(limits.Budget, clock),
+		limits:  limits,
+		clock:   clock,
+		ledger:  newLedger(limits.Budget, clock),
+		working: make(chan struct{}, limits.Working),
 		reporter: reporter{
 			log:     log,
 			metrics: metrics,
@@ -144,17 +147,14 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		number, ok := c.beginBody(r.ContentLength, port.Streams)
-		if !ok {
+		current := &request{conn: c, port: port, ctx: r.Context()}
+		defer current.end()
+		if !current.begin(r.ContentLength) {
 			WriteRefusal(w)
 			return
 		}
 		if r.ContentLength != 0 {
-			r.Body = &body{
-				ReadCloser: r.Body,
-				conn:       c,
-				number:     number,
-			}
+			r.Body = &body{ReadCloser: r.Body, request: current}
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/front/aqintake/limits.go
+++ b/internal/front/aqintake/limits.go
@@ -24,6 +24,8 @@
 	// ConnectionsPerAddress limits those of one remote address. It is at most
 	// Connections.
 	ConnectionsPerAddress int
+	// Working limits the requests at work of a port with LimitWork. Further ones wait.
+	Working int
 	// HeadBytes and HeadLines limit one head, empty lines before it included.
 	HeadBytes int
 	HeadLines int
@@ -54,6 +56,7 @@
 	// balancer from those of a port for clients.
 	auxiliaryShare = 16
 	minAuxiliary   = 4
+	minWorking     = 8
 )
 
 // DefaultBudget returns the default of Limits.Budget.
@@ -62,8 +65,17 @@
 // DefaultConnections returns the default of Limits.Connections. It leaves descriptors for
 // files and for connections that the process opens itself.
 func DefaultConnections(memory Bytes, descriptors int) int {
-	sockets := max(descriptors-reservedFiles, descriptors/minSocketShare)
-	return max(1, min(int(memory/memoryPerConn), sockets*3/4))
+	return max(1, min(int(memory/memoryPerConn), sockets(descriptors)*3/4))
+}
+
+// DefaultWorking returns the default of Limits.Working: half of the descriptors that the
+// connections of clients leave.
+func DefaultWorking(connections, descriptors int) int {
+	return max(minWorking, (sockets(descriptors)-connections)/2)
+}
+
+func sockets(descriptors int) int {
+	return max(descriptors-reservedFiles, descriptors/minSocketShare)
 }
 
 // DefaultConnectionsPerAddress returns the default of Limits.ConnectionsPerAddress. It is
@@ -78,6 +90,9 @@
 	// Auxiliary ports are for operators and probes. They have few connections of their
 	// own, which clients of other ports can't take.
 	Auxiliary bool
+	// LimitWork means that requests at work open connections of their own, and that their
+	// number is limited.
+	LimitWork bool
 	// Streams means that the handler passes bodies on and does not hold them.
 	Streams bool
 }
--- a/internal/front/aqintake/refusal.go
+++ b/internal/front/aqintake/refusal.go
@@ -27,6 +27,7 @@
 	refusalBudget
 	refusalAnswerUnread
 	refusalBodyStalled
+	refusalWorking
 	refusalCount
 )
 
@@ -47,6 +48,7 @@
 	refusalBudget:       {reason: aqmetric.RefusedIntakeFull, event: aqlog.IntakeFull},
 	refusalAnswerUnread: {counter: aqmetric.AnswersUnread, event: aqlog.IntakeAnswerUnread},
 	refusalBodyStalled:  {counter: aqmetric.BodiesStalled, event: aqlog.IntakeBodyStalled},
+	refusalWorking:      {reason: aqmetric.RefusedWorking, event: aqlog.IntakeWorkingFull},
 }
 
 // refusedError is the error of a read that the intake has ended. net/http closes the
--- a/pkg/aqgateway/gateway_test.go
+++ b/pkg/aqgateway/gateway_test.go
@@ -455,3 +455,29 @@
 		t.Fatalf("the endpoint ran %d POSTs, want 1", posts)
 	}
 }
+
+// A body that can't be decoded is not the endpoint's fault: the endpoint stays in use.
+func TestBrokenBodyDoesNotBlameTheEndpoint(t *testing.T) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	t.Cleanup(endpoint.Close)
+	h := newHarness(t, endpointAt("e1", endpoint.Listener.Addr().String()))
+	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(conn, "POST /folio/run HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nx\r\n")
+	_ = conn.(*net.TCPConn).CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+	_ = conn.Close()
+	if h.metrics.Value(aqmetric.RequestsUnknown) != 1 {
+		t.Fatal("the request has an outcome")
+	}
+	service := h.gateway.service("folio")
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	if service.table.Pick() == nil {
+		t.Fatal("the endpoint is avoided")
+	}
+}
--- a/pkg/aqlog/async.go
+++ b/pkg/aqlog/async.go
@@ -11,14 +11,19 @@
 // maxPendingLines limits the lines that are queued while out.Write blocks.
 const maxPendingLines = 4096
 
+// maxPendingBytes limits their size.
+const maxPendingBytes = 4 << 20
+
 // Async queues lines for a writer that may block. Lines that arrive while the queue is
 // full are dropped and counted; a later LinesDropped event reports how many.
 type Async struct {
 	out     io.Writer
 	metrics *aqmetric.Set
 
-	mu      sync.Mutex
-	lines   [][]byte
+	mu    sync.Mutex
+	lines [][]byte
+	// size is the sum of the lengths of lines.
+	size    int
 	dropped int
 	closed  bool
 	wake    chan struct{}
@@ -40,13 +45,14 @@
 // Write implements io.Writer. It never blocks.
 func (a *Async) Write(line []byte) (int, error) {
 	a.mu.Lock()
-	if len(a.lines) >= maxPendingLines || a.closed {
+	if len(a.lines) >= maxPendingLines || a.size+len(line) > maxPendingBytes || a.closed {
 		a.dropped++
 		a.mu.Unlock()
 		a.metrics.Inc(aqmetric.LogLinesDropped)
 		return len(line), nil
 	}
 	a.lines = append(a.lines, append([]byte(nil), line...))
+	a.size += len(line)
 	a.mu.Unlock()
 	a.signal()
 	return len(line), nil
@@ -101,7 +107,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	lines, dropped = a.lines, a.dropped
-	a.lines, a.dropped = nil, 0
+	a.lines, a.size, a.dropped = nil, 0, 0
 	return lines, dropped, a.closed
 }
 
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -119,12 +119,13 @@
 	IntakeFull            = Event{Number: 125, Layer: LayerProcess, Level: slog.LevelWarn, Message: "intake budget full", Meaning: "The heads and bodies that are being read need more than Intake.Budget. The slowest of their requests were refused, and have not run."}
 	IntakeAnswerUnread    = Event{Number: 126, Layer: LayerProcess, Level: slog.LevelWarn, Message: "answer not read", Meaning: "A client did not read its answer within Intake.WriteTime. Its connection was closed."}
 	IntakeBodyStalled     = Event{Number: 127, Layer: LayerProcess, Level: slog.LevelWarn, Message: "request body stalled", Meaning: "As event 124, at a gateway that had passed on the beginning of the body. The outcome of the request is unknown."}
+	IntakeWorkingFull     = Event{Number: 128, Layer: LayerProcess, Level: slog.LevelWarn, Message: "requests at work full", Meaning: "A request waited ten seconds, or until its client left, for one of Intake.Working places. It was refused and has not run."}
 )
 
 // Events lists every event.
 var Events = []Event{
 	ProcessStarted, ProcessStopping, ProcessStopped, TLSOff, LinesDropped, PanicContained,
-	IntakeConnectionsFull, IntakeAddressFull, IntakeHeadTooLarge, IntakeHeadSlow, IntakeBodySlow, IntakeFull, IntakeAnswerUnread, IntakeBodyStalled,
+	IntakeConnectionsFull, IntakeAddressFull, IntakeHeadTooLarge, IntakeHeadSlow, IntakeBodySlow, IntakeFull, IntakeAnswerUnread, IntakeBodyStalled, IntakeWorkingFull,
 	MemberJoined, MemberLeft, LeaseLost, StoreUnavailable, StoreBack,
 	SegmentInDoubt, OwnershipLost, ShardTaken, ShardReleased, SnapshotWritten, TakeoverFailed,
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -46,6 +46,7 @@
 	RefusedHeadSlow       RefusalReason = "HeadSlow"
 	RefusedBodySlow       RefusalReason = "BodySlow"
 	RefusedIntakeFull     RefusalReason = "IntakeFull"
+	RefusedWorking        RefusalReason = "WorkingFull"
 )
 
 // RefusalReasons lists every refusal reason.
@@ -54,7 +55,7 @@
 	RefusedStopping, RefusedTooLarge, RefusedNotOwner, RefusedNoOwner, RefusedKeyConflict, RefusedShardFull,
 	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedKeyUsed, RefusedFrameTooLarge,
 	RefusedFrameMalformed, RefusedNoQueue, RefusedNoConfig, RefusedNoJob, RefusedMethod, RefusedNoLeader, RefusedEntry,
-	RefusedConnections, RefusedAddress, RefusedHeadTooLarge, RefusedHeadSlow, RefusedBodySlow, RefusedIntakeFull,
+	RefusedConnections, RefusedAddress, RefusedHeadTooLarge, RefusedHeadSlow, RefusedBodySlow, RefusedIntakeFull, RefusedWorking,
 }
 
 // RetryReason says why something was tried again.
--- a/pkg/aqprocess/crowd_test.go
+++ b/pkg/aqprocess/crowd_test.go
@@ -117,7 +117,7 @@
 		case 0:
 			b.WriteString("x:\r\n")
 		case 1:
-			b.WriteString("x: y\r\n z\r\n\tz\r\n")
+			b.WriteString("x: y\r\n z\r\n\tw\r\n")
 		case 2:
 			fmt.Fprintf(&b, "very-long-name-without-a-value-%x:\r\n", n)
 		default:
--- a/pkg/aqprocess/process.go
+++ b/pkg/aqprocess/process.go
@@ -164,7 +164,7 @@
 
 // The ports of a process.
 var (
-	clientPort   = aqintake.Port{}
+	clientPort   = aqintake.Port{LimitWork: true}
 	callerPort   = aqintake.Port{Streams: true}
 	operatorPort = aqintake.Port{Auxiliary: true}
 )
--- a/pkg/aqsettings/intake.go
+++ b/pkg/aqsettings/intake.go
@@ -37,6 +37,9 @@
 	count("Intake", "ConnectionsPerAddress", "connections", "0", 0, 1<<20,
 		"Connections of clients from one address. 0 means seven eighths of Connections, because all clients may come through one load balancer.",
 		func(s *Settings) *int { return &s.Intake.Limits.ConnectionsPerAddress }),
+	count("Intake", "Working", "requests", "0", 0, 1<<20,
+		"Requests of submitters that a site's process works on at once; others wait. 0 means half of the descriptors for sockets that Connections leave, because a request may open a connection to the store.",
+		func(s *Settings) *int { return &s.Intake.Limits.Working }),
 	count("Intake", "HeadBytes", "bytes", "65536", 1024, 1<<20,
 		"Maximum size of a request's head, with the empty lines before it.",
 		func(s *Settings) *int { return &s.Intake.Limits.HeadBytes }),
@@ -76,6 +79,9 @@
 	if l.ConnectionsPerAddress == 0 {
 		l.ConnectionsPerAddress = aqintake.DefaultConnectionsPerAddress(l.Connections)
 	}
+	if l.Working == 0 {
+		l.Working = aqintake.DefaultWorking(l.Connections, i.Descriptors)
+	}
 	fail := func(key, format string, args ...any) error {
 		return &SettingError{
 			File:    file,
--- a/pkg/aqsettings/settings_test.go
+++ b/pkg/aqsettings/settings_test.go
@@ -60,6 +60,11 @@
 		{name: "key twice", from: "Count = 4", to: "Count = 4\nCount = 5"},
 		{name: "renewal slower than its session", from: "[Gateway]", to: "[Session]\nTTL = 10s\nWait = 8s\n[Gateway]"},
 		{name: "unknown log layer", from: "[Gateway]", to: "[Log]\nLayers = disk\n[Gateway]"},
+		{name: "budget over half of the memory", from: "[Gateway]", to: "[Intake]\nMemory = 100\nBudget = 60000000\n[Gateway]"},
+		{name: "budget below the largest head", from: "[Gateway]", to: "[Intake]\nBudget = 100000\n[Gateway]"},
+		{name: "more connections than descriptors", from: "[Gateway]", to: "[Intake]\nConnections = 5000\n[Gateway]"},
+		{name: "more connections of an address than in all", from: "[Gateway]", to: "[Intake]\nConnections = 10\nConnectionsPerAddress = 20\n[Gateway]"},
+		{name: "pace window longer than a body", from: "[Gateway]", to: "[Intake]\nBodyTime = 1s\n[Gateway]"},
 		{name: "space in a name", from: "Id = host1", to: "Id = host 1"},
 	} {
 		text := strings.Replace(valid, test.from, test.to, 1)
