--- a/internal/front/aqintake/conn.go
+++ b/internal/front/aqintake/conn.go
@@ -181,9 +181,12 @@
 	c.mu.Lock()
 	current := c.part
 	if err != nil {
-		slowHead := current == partHead && (c.number == 0 || !c.headStart.IsZero())
+		why := c.slownessOf(current)
 		c.mu.Unlock()
-		return n, c.readFailed(current, slowHead, err)
+		if current == partNone {
+			return n, err
+		}
+		return n, c.readFailed(why, err)
 	}
 	switch {
 	case current == partHead:
@@ -197,27 +200,33 @@
 	return n, nil
 }
 
-// readFailed reports a read that a deadline of the intake has ended.
-func (c *conn) readFailed(current part, slowHead bool, err error) error {
-	if current == partNone || !errors.Is(err, os.ErrDeadlineExceeded) {
-		return err
-	}
-	why := c.intake.ledger.whyEvicted(&c.entry)
+// slownessOf returns the refusal of a read that has waited too long, refusalNone between
+// two requests. The lock must be held.
+func (c *conn) slownessOf(current part) refusal {
 	switch {
-	case why != refusalNone:
-		c.refuse(why)
-		return &refusedError{refusal: why}
+	case current == partBody && c.streams:
+		return refusalBodyStalled
 	case current == partBody:
-		why = refusalBodySlow
-		if c.streams {
-			why = refusalBodyStalled
-		}
-		c.refuse(why)
-		return &refusedError{refusal: why}
-	case slowHead:
-		c.refuse(refusalHeadSlow)
+		return refusalBodySlow
+	case c.number == 0 || !c.headStart.IsZero():
+		return refusalHeadSlow
 	}
-	return err
+	return refusalNone
+}
+
+// readFailed refuses the request if a deadline has ended the read of it.
+func (c *conn) readFailed(why refusal, err error) error {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	if evicted := c.intake.ledger.whyEvicted(&c.entry); evicted != refusalNone {
+		why = evicted
+	}
+	if why == refusalNone {
+		return err
+	}
+	c.refuse(why)
+	return &refusedError{refusal: why}
 }
 
 // receivedHead counts the head, keeps back what follows it and reserves memory for it.
@@ -248,20 +257,6 @@
 	return used, nil
 }
 
-// countAhead notes how much of the data of a chunked body may lie behind its end. net/http
-// reads into its buffer of len(p) bytes if that is empty, or else into the rest of it.
-func (c *conn) countAhead(p []byte, n int) {
-	lines := bytes.Count(p[:n], []byte{'\n'})
-	if len(p) >= readBufferBytes {
-		c.aheadBytes, c.aheadLines = 0, 0
-	}
-	c.aheadBytes += n
-	c.aheadLines += lines
-}
-
-// readBufferBytes is the size of the buffer into which net/http reads.
-const readBufferBytes = 4096
-
 // refuse makes all later reads fail and reports why, once.
 func (c *conn) refuse(why refusal) {
 	c.mu.Lock()
@@ -281,91 +276,6 @@
 	_, _ = io.WriteString(c.Conn, text)
 }
 
-// beginBody marks the end of a head, whose request has a body of that length. It returns
-// the request's number, and false if the request must be refused.
-func (c *conn) beginBody(length int64, streams bool) (int, bool) {
-	c.mu.Lock()
-	c.number++
-	c.streams = streams
-	number := c.number
-	first := c.headStart.IsZero()
-	c.part = partBody
-	if length == 0 {
-		c.part = partNone
-	}
-	if c.bodyLeft = length; !c.head.ended {
-		c.bodyLeft = unknownLength
-	}
-	cost := c.head.cost()
-	if length != 0 {
-		now := c.intake.clock.Now()
-		c.bodyStart, c.windowStart, c.windowBytes = now, now, 0
-	}
-	c.setOwnDeadline(time.Time{})
-	c.mu.Unlock()
-	ledger := c.intake.ledger
-	if ledger.reserveHead(&c.entry, cost, first) && (length != 0 || ledger.work(&c.entry)) {
-		return number, true
-	}
-	c.refuse(refusalBudget)
-	return number, false
-}
-
-// bodyReceived accounts for bytes of the body that the handler gets.
-func (c *conn) bodyReceived(number, n int) error {
-	c.mu.Lock()
-	if c.number != number || c.part != partBody {
-		c.mu.Unlock()
-		return nil
-	}
-	c.windowBytes += n
-	advanced := c.windowBytes >= c.intake.limits.BodyPace
-	if advanced {
-		c.windowBytes = 0
-		c.windowStart = c.intake.clock.Now()
-	}
-	c.mu.Unlock()
-	if advanced {
-		c.intake.ledger.advance(&c.entry)
-	}
-	if c.streams || c.intake.ledger.reserveBody(&c.entry, Bytes(n*bodyByteCost)) {
-		return nil
-	}
-	c.refuse(refusalBudget)
-	return &refusedError{refusal: refusalBudget}
-}
-
-// bodyEnded marks that a request is complete.
-func (c *conn) bodyEnded(number int) error {
-	c.mu.Lock()
-	if c.number != number || c.part != partBody {
-		c.mu.Unlock()
-		return nil
-	}
-	c.part = partNone
-	c.setOwnDeadline(time.Time{})
-	c.mu.Unlock()
-	if c.intake.ledger.work(&c.entry) {
-		return nil
-	}
-	c.refuse(refusalBudget)
-	return &refusedError{refusal: refusalBudget}
-}
-
-// endRequest prepares for the next head. It is called when the answer has been written and
-// the rest of the body discarded.
-func (c *conn) endRequest() {
-	c.mu.Lock()
-	c.part = partHead
-	c.head = headScanner{}
-	c.head.skip(c.aheadBytes, c.aheadLines)
-	c.aheadBytes, c.aheadLines = 0, 0
-	c.headStart = time.Time{}
-	c.setOwnDeadline(time.Time{})
-	c.mu.Unlock()
-	c.intake.ledger.idle(&c.entry)
-}
-
 // writePace is the least number of bytes a second that a client must read of a large write.
 const writePace = 16 << 10
 
--- /dev/null
+++ b/internal/front/aqintake/connbody.go
@@ -0,0 +1,106 @@
+package aqintake
+
+import (
+	"bytes"
+	"time"
+)
+
+// beginBody marks the end of a head, whose request has a body of that length. It returns
+// the request's number, and false if the request must be refused.
+func (c *conn) beginBody(length int64, streams bool) (int, bool) {
+	c.mu.Lock()
+	c.number++
+	c.streams = streams
+	number := c.number
+	first := c.headStart.IsZero()
+	c.part = partBody
+	if length == 0 {
+		c.part = partNone
+	}
+	if c.bodyLeft = length; !c.head.ended {
+		c.bodyLeft = unknownLength
+	}
+	cost := c.head.cost()
+	if length != 0 {
+		now := c.intake.clock.Now()
+		c.bodyStart, c.windowStart, c.windowBytes = now, now, 0
+	}
+	c.setOwnDeadline(time.Time{})
+	c.mu.Unlock()
+	ledger := c.intake.ledger
+	if ledger.reserveHead(&c.entry, cost, first) && (length != 0 || ledger.work(&c.entry)) {
+		return number, true
+	}
+	c.refuse(refusalBudget)
+	return number, false
+}
+
+// bodyReceived accounts for bytes of the body that the handler gets.
+func (c *conn) bodyReceived(number, n int) error {
+	c.mu.Lock()
+	if c.number != number || c.part != partBody {
+		c.mu.Unlock()
+		return nil
+	}
+	streams := c.streams
+	c.windowBytes += n
+	advanced := c.windowBytes >= c.intake.limits.BodyPace
+	if advanced {
+		c.windowBytes = 0
+		c.windowStart = c.intake.clock.Now()
+	}
+	c.mu.Unlock()
+	if advanced {
+		c.intake.ledger.advance(&c.entry)
+	}
+	if streams || c.intake.ledger.reserveBody(&c.entry, Bytes(n*bodyByteCost)) {
+		return nil
+	}
+	c.refuse(refusalBudget)
+	return &refusedError{refusal: refusalBudget}
+}
+
+// bodyEnded marks that a request is complete.
+func (c *conn) bodyEnded(number int) error {
+	c.mu.Lock()
+	if c.number != number || c.part != partBody {
+		c.mu.Unlock()
+		return nil
+	}
+	c.part = partNone
+	c.setOwnDeadline(time.Time{})
+	c.mu.Unlock()
+	if c.intake.ledger.work(&c.entry) {
+		return nil
+	}
+	c.refuse(refusalBudget)
+	return &refusedError{refusal: refusalBudget}
+}
+
+// endRequest prepares for the next head. It is called when the answer has been written and
+// the rest of the body discarded.
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	c.part = partHead
+	c.head = headScanner{}
+	c.head.skip(c.aheadBytes, c.aheadLines)
+	c.aheadBytes, c.aheadLines = 0, 0
+	c.headStart = time.Time{}
+	c.setOwnDeadline(time.Time{})
+	c.mu.Unlock()
+	c.intake.ledger.idle(&c.entry)
+}
+
+// countAhead notes how much of the data of a chunked body may lie behind its end. net/http
+// reads into its buffer of len(p) bytes if that is empty, or else into the rest of it.
+func (c *conn) countAhead(p []byte, n int) {
+	lines := bytes.Count(p[:n], []byte{'\n'})
+	if len(p) >= readBufferBytes {
+		c.aheadBytes, c.aheadLines = 0, 0
+	}
+	c.aheadBytes += n
+	c.aheadLines += lines
+}
+
+// readBufferBytes is the size of the buffer into which net/http reads.
+const readBufferBytes = 4096
