--- a/internal/front/aqintake/conn.go
+++ b/internal/front/aqintake/conn.go
@@ -61,10 +61,10 @@
 	bodyStart   time.Time
 	windowStart time.Time
 	windowBytes int
-	// aheadBytes and aheadLines bound what net/http may have read past the end of a chunked
-	// body.
-	aheadBytes int
-	aheadLines int
+	// ahead bounds what net/http may have read past the end of the data of a chunked body:
+	// a trailer, and the beginning of the next head. aheadHeld is reserved for it.
+	ahead     headScanner
+	aheadHeld Bytes
 }
 
 func newConn(i *Intake, raw net.Conn, port *portEntry) *conn {
@@ -192,7 +192,7 @@
 	case current == partHead:
 		return c.receivedHead(p, n)
 	case current == partBody && c.bodyLeft == unknownLength:
-		c.countAhead(p, n)
+		return c.receivedChunks(p, n)
 	case current == partBody && c.bodyLeft > 0:
 		c.bodyLeft -= int64(n)
 	}
--- a/internal/front/aqintake/connbody.go
+++ b/internal/front/aqintake/connbody.go
@@ -82,24 +82,30 @@
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	c.part = partHead
-	c.head = headScanner{}
-	c.head.skip(c.aheadBytes, c.aheadLines)
-	c.aheadBytes, c.aheadLines = 0, 0
+	c.head = headScanner{bytes: c.ahead.bytes, lines: c.ahead.lines}
+	c.ahead, c.aheadHeld = headScanner{}, 0
 	c.headStart = time.Time{}
 	c.setOwnDeadline(time.Time{})
 	c.mu.Unlock()
 	c.intake.ledger.idle(&c.entry)
 }
 
-// countAhead notes how much of the data of a chunked body may lie behind its end. net/http
-// reads into its buffer of len(p) bytes if that is empty, or else into the rest of it.
-func (c *conn) countAhead(p []byte, n int) {
-	lines := bytes.Count(p[:n], []byte{'\n'})
+// receivedChunks reserves memory for the trailer that may be among n bytes of a chunked
+// body. net/http reads into its buffer of len(p) bytes if that is empty, or else into the
+// rest of it. The lock is held and released.
+func (c *conn) receivedChunks(p []byte, n int) (int, error) {
 	if len(p) >= readBufferBytes {
-		c.aheadBytes, c.aheadLines = 0, 0
+		c.ahead = headScanner{}
 	}
-	c.aheadBytes += n
-	c.aheadLines += lines
+	c.ahead.skip(n, bytes.Count(p[:n], []byte{'\n'}))
+	more := c.ahead.cost() - c.aheadHeld
+	c.aheadHeld += max(0, more)
+	c.mu.Unlock()
+	if more <= 0 || c.intake.ledger.reserveBody(&c.entry, more) {
+		return n, nil
+	}
+	c.refuse(refusalBudget)
+	return 0, &refusedError{refusal: refusalBudget}
 }
 
 // readBufferBytes is the size of the buffer into which net/http reads.
--- a/internal/front/aqintake/server_test.go
+++ b/internal/front/aqintake/server_test.go
@@ -185,6 +185,29 @@
 	}
 }
 
+// The lines of a trailer are reserved like those of a head.
+func TestTrailerIsReserved(t *testing.T) {
+	var r *running
+	r = serve(t, machine(), func(w http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		used, _ := r.intake.ledger.totals()
+		_, _ = fmt.Fprint(w, used)
+	})
+	const lines = 900
+	conn := r.dial(t)
+	_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"+
+		"0\r\n"+strings.Repeat("a:\n", lines)+"\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var used Bytes
+	if _, err := fmt.Fscan(response.Body, &used); err != nil || used < lines*headLineCost {
+		t.Fatalf("%d bytes are reserved, %v", used, err)
+	}
+	r.nothingHeld()
+}
+
 // A planned stop waits for the request at work and closes idle connections.
 func TestShutdownWaitsForWork(t *testing.T) {
 	started, finish := make(chan struct{}), make(chan struct{})
