Intake: a body's pace leaves out the time for which nobody reads it

A handler that reads late, as a gateway does that waits for a slot or a slow endpoint, found the pace window over and the request was broken off (TestHandlerMayReadABodyLate failed). A request whose body a gateway passes on counts as at work, so that it is never evicted.

--- a/internal/front/aqintake/conn.go
+++ b/internal/front/aqintake/conn.go
@@ -56,11 +56,14 @@
 	bodyLeft int64
 	// streams is whether the handler passes the body on instead of holding it.
 	streams bool
-	// bodyStart and windowStart are when the body and its present pace window began,
-	// windowBytes what has arrived in the window.
+	// bodyStart and windowStart are when the body and its present pace window began, later
+	// by the time for which nobody read the body. windowBytes is what has arrived in the
+	// window.
 	bodyStart   time.Time
 	windowStart time.Time
 	windowBytes int
+	// bodyRead is when the last read of the body ended, or the body began.
+	bodyRead time.Time
 	// ahead bounds what net/http may have read past the end of the data of a chunked body:
 	// a trailer, and the beginning of the next head. aheadHeld is reserved for it.
 	ahead     headScanner
@@ -150,9 +153,10 @@
 	if c.pending = c.pending[n:]; len(c.pending) == 0 {
 		c.pending = nil
 	}
+	c.skipPause()
 	waits := n == 0
-	if deadline := c.readDeadline(); waits && !deadline.IsZero() {
-		c.setOwnDeadline(deadline)
+	if waits {
+		c.setReadDeadline()
 	}
 	c.mu.Unlock()
 	var err error
@@ -162,17 +166,26 @@
 	return c.received(p, n, err)
 }
 
-// readDeadline returns the deadline of a read that waits for the client, zero if only
-// net/http's applies.
-func (c *conn) readDeadline() time.Time {
+// skipPause takes the time since the last read of a body out of the body's time: it is not
+// the client's. The lock must be held.
+func (c *conn) skipPause() {
+	if c.part != partBody {
+		return
+	}
+	pause := c.intake.clock.Now().Sub(c.bodyRead)
+	c.bodyStart, c.windowStart = c.bodyStart.Add(pause), c.windowStart.Add(pause)
+}
+
+// setReadDeadline sets the deadline of a read that waits for the client, none if only
+// net/http's applies. The lock must be held.
+func (c *conn) setReadDeadline() {
 	limits := &c.intake.limits
 	switch {
 	case c.part == partHead && !c.headStart.IsZero():
-		return c.headStart.Add(limits.HeadTime)
+		c.setOwnDeadline(c.headStart.Add(limits.HeadTime))
 	case c.part == partBody && c.bodyLeft != 0:
-		return earliest(c.bodyStart.Add(limits.BodyTime), c.windowStart.Add(limits.PaceWindow))
+		c.setOwnDeadline(earliest(c.bodyStart.Add(limits.BodyTime), c.windowStart.Add(limits.PaceWindow)))
 	}
-	return time.Time{}
 }
 
 // received accounts for n bytes that net/http is about to get, and for the error of the
@@ -180,6 +193,9 @@
 func (c *conn) received(p []byte, n int, err error) (int, error) {
 	c.mu.Lock()
 	current := c.part
+	if current == partBody {
+		c.bodyRead = c.intake.clock.Now()
+	}
 	if err != nil {
 		why := c.slownessOf(current)
 		c.mu.Unlock()
--- a/internal/front/aqintake/connbody.go
+++ b/internal/front/aqintake/connbody.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// beginBody marks the end of a head, whose request has a body of that length. It returns
-// the request's number, and false if the request must be refused.
+// beginBody marks the end of a head, whose request has a body of that length. A request
+// whose body is passed on is at work from then on. It returns the request's number, and
+// false if the request must be refused.
 func (c *conn) beginBody(length int64, streams bool) (int, bool) {
 	c.mu.Lock()
 	c.number++
@@ -23,12 +24,13 @@
 	cost := c.head.cost()
 	if length != 0 {
 		now := c.intake.clock.Now()
-		c.bodyStart, c.windowStart, c.windowBytes = now, now, 0
+		c.bodyStart, c.windowStart, c.bodyRead, c.windowBytes = now, now, now, 0
 	}
 	c.setOwnDeadline(time.Time{})
 	c.mu.Unlock()
 	ledger := c.intake.ledger
-	if ledger.reserveHead(&c.entry, cost, first) && (length != 0 || ledger.work(&c.entry)) {
+	atWork := length == 0 || streams
+	if ledger.reserveHead(&c.entry, cost, first) && (!atWork || ledger.work(&c.entry)) {
 		return number, true
 	}
 	c.refuse(refusalBudget)
--- a/internal/front/aqintake/server_test.go
+++ b/internal/front/aqintake/server_test.go
@@ -208,6 +208,56 @@
 	r.nothingHeld()
 }
 
+// The time for which the handler does not read counts neither against the pace nor against
+// the time of a body.
+func TestHandlerMayReadABodyLate(t *testing.T) {
+	limits := machine()
+	limits.PaceWindow, limits.BodyTime = 500*time.Millisecond, 500*time.Millisecond
+	r := serve(t, limits, func(w http.ResponseWriter, request *http.Request) {
+		time.Sleep(2 * limits.BodyTime)
+		_, _ = io.ReadFull(request.Body, make([]byte, 1))
+		time.Sleep(2 * limits.BodyTime)
+		echo(w, request)
+	})
+	conn := r.dial(t)
+	go func() { _, _ = io.WriteString(conn, post(strings.Repeat("x", 12000))) }()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", response, err)
+	}
+}
+
+// A request whose body a gateway passes on is at work before its body has ended.
+func TestStreamedRequestIsAtWork(t *testing.T) {
+	intake := New(machine(), aqclock.System{}, aqlog.Discard(), aqmetric.New())
+	inner, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := intake.Server("", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		intake.ledger.mu.Lock()
+		defer intake.ledger.mu.Unlock()
+		for e := range intake.ledger.entries {
+			_, _ = fmt.Fprint(w, e.phase == phaseWorking)
+		}
+	}), Port{Streams: true})
+	go func() { _ = server.Serve(inner) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, post("abc")[:48])
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(response.Body); err != nil || string(got) != "true" {
+		t.Fatalf("%q, %v", got, err)
+	}
+}
+
 // A planned stop waits for the request at work and closes idle connections.
 func TestShutdownWaitsForWork(t *testing.T) {
 	started, finish := make(chan struct{}), make(chan struct{})
