--- a/internal/front/aqintake/conn.go
+++ b/internal/front/aqintake/conn.go
@@ -261,12 +261,12 @@
 	cost := c.head.cost()
 	c.mu.Unlock()
 	if tooLarge {
-		c.answer(answerTooLarge)
+		c.answer(c.entry.port.tooLarge)
 		c.refuse(refusalHeadTooLarge)
 		return 0, &refusedError{refusal: refusalHeadTooLarge}
 	}
 	if !c.intake.ledger.reserveHead(&c.entry, cost, first) {
-		c.answer(answerFull)
+		c.answer(c.entry.port.full)
 		c.refuse(refusalBudget)
 		return 0, &refusedError{refusal: refusalBudget}
 	}
--- a/internal/front/aqintake/intake.go
+++ b/internal/front/aqintake/intake.go
@@ -97,6 +97,8 @@
 			limit:      s.intake.limits.connections(s.port),
 			perAddress: s.intake.limits.connectionsPerAddress(s.port),
 			from:       map[netip.Addr]int{},
+			full:       s.port.refusalAnswer(http.StatusServiceUnavailable, refusalBudget),
+			tooLarge:   s.port.refusalAnswer(http.StatusRequestHeaderFieldsTooLarge, refusalHeadTooLarge),
 		},
 	})
 }
@@ -150,6 +152,9 @@
 		current := &request{conn: c, port: port, ctx: r.Context()}
 		defer current.end()
 		if !current.begin(r.ContentLength) {
+			for name, value := range port.refusalHeaders(refusalBudget) {
+				w.Header().Set(name, value)
+			}
 			WriteRefusal(w)
 			return
 		}
--- a/internal/front/aqintake/ledger.go
+++ b/internal/front/aqintake/ledger.go
@@ -55,7 +55,7 @@
 	interrupt func()
 }
 
-// portEntry counts the connections of a port.
+// portEntry describes a port and counts its connections.
 type portEntry struct {
 	limit      int
 	perAddress int
@@ -63,6 +63,9 @@
 	// leaving counts the evicted ones among open.
 	leaving int
 	from    map[netip.Addr]int
+	// full and tooLarge are the answers to requests that net/http has not read.
+	full     string
+	tooLarge string
 }
 
 // ledger holds the reservations and connections of a process.
--- a/internal/front/aqintake/limits.go
+++ b/internal/front/aqintake/limits.go
@@ -93,6 +93,10 @@
 	// LimitWork means that requests at work open connections of their own, and that their
 	// number is limited.
 	LimitWork bool
+	// Refusal holds headers of every refusal, ReasonHeader names the one that gives its
+	// reason. Both may be empty.
+	Refusal      map[string]string
+	ReasonHeader string
 	// Streams means that the handler passes bodies on and does not hold them.
 	Streams bool
 }
--- a/internal/front/aqintake/refusal.go
+++ b/internal/front/aqintake/refusal.go
@@ -1,8 +1,11 @@
 package aqintake
 
 import (
+	"fmt"
 	"log/slog"
+	"maps"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -85,12 +88,26 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// Answers of connections whose request net/http has not read.
-const (
-	answerFull = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + RetryAfter +
-		"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	answerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
+// refusalHeaders returns the headers that a port adds to a refusal.
+func (p Port) refusalHeaders(why refusal) map[string]string {
+	headers := map[string]string{}
+	maps.Copy(headers, p.Refusal)
+	if p.ReasonHeader != "" {
+		headers[p.ReasonHeader] = string(kinds[why].reason)
+	}
+	return headers
+}
+
+// refusalAnswer returns the answer to a request that net/http has not read.
+func (p Port) refusalAnswer(status int, why refusal) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nRetry-After: %s\r\nConnection: close\r\nContent-Length: 0\r\n",
+		status, http.StatusText(status), RetryAfter)
+	for name, value := range p.refusalHeaders(why) {
+		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
+	}
+	return b.String() + "\r\n"
+}
 
 // answerTime limits the write of such an answer.
 const answerTime = 100 * time.Millisecond
--- a/internal/front/aqintake/server_test.go
+++ b/internal/front/aqintake/server_test.go
@@ -258,6 +258,35 @@
 	}
 }
 
+// A head over the limit is refused with the headers of its port.
+func TestHeadOverTheLimitIsRefused(t *testing.T) {
+	limits := machine()
+	limits.HeadLines = 20
+	metrics := aqmetric.New()
+	intake := New(limits, aqclock.System{}, aqlog.Discard(), metrics)
+	inner, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := intake.Server("", http.HandlerFunc(echo), Port{Refusal: map[string]string{"Aq-Test": "yes"}, ReasonHeader: "Aq-Why"})
+	go func() { _ = server.Serve(inner) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 20))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || response.StatusCode != http.StatusRequestHeaderFieldsTooLarge || response.Header.Get("Aq-Test") != "yes" ||
+		response.Header.Get("Aq-Why") != string(aqmetric.RefusedHeadTooLarge) {
+		t.Fatalf("%v, %v", response, err)
+	}
+	if metrics.RefusedCount(aqmetric.RefusedHeadTooLarge) != 1 {
+		t.Fatal("not counted")
+	}
+}
+
 // A planned stop waits for the request at work and closes idle connections.
 func TestShutdownWaitsForWork(t *testing.T) {
 	started, finish := make(chan struct{}), make(chan struct{})
--- a/pkg/aqprocess/process.go
+++ b/pkg/aqprocess/process.go
@@ -18,6 +18,7 @@
 	"acaciaquay/internal/front/aqintake"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqconfig"
+	"acaciaquay/pkg/aqgateway"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmember"
 	"acaciaquay/pkg/aqmetric"
@@ -164,8 +165,14 @@
 
 // The ports of a process.
 var (
-	clientPort   = aqintake.Port{LimitWork: true}
-	callerPort   = aqintake.Port{Streams: true}
+	clientPort = aqintake.Port{LimitWork: true}
+	callerPort = aqintake.Port{
+		Streams: true,
+		Refusal: map[string]string{
+			aqgateway.HeaderOutcome: aqgateway.OutcomeRefused,
+		},
+		ReasonHeader: aqgateway.HeaderReason,
+	}
 	operatorPort = aqintake.Port{Auxiliary: true}
 )
 
