--- a/internal/front/aqintake/server_test.go
+++ b/internal/front/aqintake/server_test.go
@@ -196,7 +196,7 @@
 	const lines = 900
 	conn := r.dial(t)
 	_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"+
-		"0\r\n"+strings.Repeat("a:\n", lines)+"\r\n")
+		"0\r\n"+strings.Repeat("a:\r\n", lines)+"\r\n")
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		t.Fatal(err)
@@ -229,7 +229,9 @@
 
 // A request whose body a gateway passes on is at work before its body has ended.
 func TestStreamedRequestIsAtWork(t *testing.T) {
-	intake := New(machine(), aqclock.System{}, aqlog.Discard(), aqmetric.New())
+	limits := machine()
+	limits.PaceWindow = 50 * time.Millisecond
+	intake := New(limits, aqclock.System{}, aqlog.Discard(), aqmetric.New())
 	inner, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
