--- a/internal/front/aqintake/ledger.go
+++ b/internal/front/aqintake/ledger.go
@@ -51,6 +51,8 @@
 	// evicted is why the connection has to close, refusalNone if it has not. It is never
 	// reset, and never set in phaseWorking.
 	evicted refusal
+	// closed is set when the connection has been removed. It then holds nothing for good.
+	closed bool
 	// interrupt ends a read that is in progress. It must not block.
 	interrupt func()
 }
@@ -79,8 +81,10 @@
 	// leaving is the part of used that evicted entries hold.
 	leaving Bytes
 	entries map[*entry]struct{}
-	// changed is closed and replaced when memory is released or a waiter is evicted.
+	// changed is closed and replaced when memory is released or a connection is evicted while
+	// somebody waits for memory.
 	changed chan struct{}
+	waiters int
 }
 
 func newLedger(budget Bytes, clock aqclock.Clock) *ledger {
@@ -123,8 +127,8 @@
 // nearLimit is the number of connections from which on slow ones are closed.
 func nearLimit(limit int) int { return limit - limit/16 }
 
-// evictSlowest evicts one connection that is slow or idle, the slowest first. Those that
-// have never had a request go before others.
+// evictSlowest evicts one connection that is slow or idle, the slowest first. Those between
+// two requests go last.
 func (l *ledger) evictSlowest(match func(*entry) bool, why refusal, now time.Time) []*entry {
 	var worst *entry
 	for e := range l.entries {
@@ -171,6 +175,7 @@
 		return
 	}
 	l.release(e)
+	e.closed = true
 	delete(l.entries, e)
 	e.port.open--
 	if e.evicted != refusalNone {
@@ -194,6 +199,9 @@
 }
 
 func (l *ledger) notify() {
+	if l.waiters == 0 {
+		return
+	}
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -253,7 +261,7 @@
 func (l *ledger) reserveLocked(e *entry, size Bytes) bool {
 	var expired <-chan time.Time
 	for {
-		if e.evicted != refusalNone {
+		if e.evicted != refusalNone || e.closed {
 			l.mu.Unlock()
 			return false
 		}
@@ -265,24 +273,40 @@
 			return true
 		}
 		victims, ok := l.makeRoom(e, l.used-l.leaving+size-limit, limit)
-		changed := l.changed
-		l.mu.Unlock()
-		interrupt(victims)
 		if !ok {
+			l.mu.Unlock()
 			return false
 		}
 		if expired == nil {
 			expired = l.clock.After(evictionWait)
 		}
-		select {
-		case <-changed:
-		case <-expired:
+		if !l.await(victims, expired) {
 			return false
 		}
-		l.mu.Lock()
 	}
 }
 
+// await interrupts connections and waits until memory is released. The lock is held, and
+// released while it waits and if it returns false.
+func (l *ledger) await(victims []*entry, expired <-chan time.Time) bool {
+	changed := l.changed
+	l.waiters++
+	l.mu.Unlock()
+	interrupt(victims)
+	released := false
+	select {
+	case <-changed:
+		released = true
+	case <-expired:
+	}
+	l.mu.Lock()
+	l.waiters--
+	if !released {
+		l.mu.Unlock()
+	}
+	return released
+}
+
 // whyEvicted returns why a connection has been evicted, refusalNone if it has not.
 func (l *ledger) whyEvicted(e *entry) refusal {
 	l.mu.Lock()
--- a/internal/front/aqintake/ledger_test.go
+++ b/internal/front/aqintake/ledger_test.go
@@ -146,6 +146,19 @@
 	}
 }
 
+// A connection that is closed while it is read leaves no reservation behind.
+func TestClosedConnectionHoldsNothing(t *testing.T) {
+	s := newScene(t, 100, 100)
+	e, _ := s.reader("closed", MiB)
+	s.ledger.remove(e)
+	if s.ledger.reserveBody(e, KiB) {
+		t.Fatal("memory is reserved for a closed connection")
+	}
+	if s.ledger.used != 0 {
+		t.Fatalf("%d bytes reserved", s.ledger.used)
+	}
+}
+
 // New connections replace those that do nothing; connections at work stay.
 func TestConnectionsThatDoNothingMakeRoom(t *testing.T) {
 	s := newScene(t, 32, 32)
