--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -41,6 +41,13 @@
 	RefusedNoLeader       RefusalReason = "NoLeader"
 	RefusedEntry          RefusalReason = "StoredEntryInvalid"
 	RefusedBacklog        RefusalReason = "Backlog"
+	RefusedConnections    RefusalReason = "ConnectionsFull"
+	RefusedAddress        RefusalReason = "AddressConnectionsFull"
+	RefusedHeadTooLarge   RefusalReason = "HeadTooLarge"
+	RefusedHeadSlow       RefusalReason = "HeadSlow"
+	RefusedBodySlow       RefusalReason = "BodySlow"
+	RefusedIntakeFull     RefusalReason = "IntakeFull"
+	RefusedWorking        RefusalReason = "WorkingFull"
 )
 
 // RefusalReasons lists every refusal reason.
@@ -49,6 +56,7 @@
 	RefusedStopping, RefusedTooLarge, RefusedNotOwner, RefusedNoOwner, RefusedKeyConflict, RefusedShardFull,
 	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedKeyUsed, RefusedFrameTooLarge,
 	RefusedFrameMalformed, RefusedNoQueue, RefusedNoConfig, RefusedNoJob, RefusedMethod, RefusedNoLeader, RefusedEntry, RefusedBacklog,
+	RefusedConnections, RefusedAddress, RefusedHeadTooLarge, RefusedHeadSlow, RefusedBodySlow, RefusedIntakeFull, RefusedWorking,
 }
 
 // RetryReason says why something was tried again.
@@ -120,6 +128,10 @@
 	LeadTerms       Counter = "aq_lead_terms_total"
 	LogLinesDropped Counter = "aq_log_lines_dropped_total"
 	PanicsContained Counter = "aq_panics_contained_total"
+	// BodiesStalled counts bodies that stopped arriving after their beginning had been
+	// passed on, AnswersUnread answers that clients did not read.
+	BodiesStalled Counter = "aq_bodies_stalled_total"
+	AnswersUnread Counter = "aq_answers_unread_total"
 )
 
 // Counters lists every counter without a reason.
@@ -127,8 +139,23 @@
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
 	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, ZoneMoves, WorkGivenUp, LeadTerms, LogLinesDropped, PanicsContained,
+	BodiesStalled, AnswersUnread,
 }
 
+// Gauge names a value that goes up and down.
+type Gauge string
+
+// The gauges.
+const (
+	// IntakeBytes is the memory that is reserved for requests that are being read.
+	IntakeBytes Gauge = "aq_intake_reserved_bytes"
+	// IntakeConnections is the number of connections of clients.
+	IntakeConnections Gauge = "aq_intake_connections"
+)
+
+// Gauges lists every gauge with a fixed name.
+var Gauges = []Gauge{IntakeBytes, IntakeConnections}
+
 // Timing names a latency histogram, in seconds.
 type Timing string
 
--- a/pkg/aqsettings/settings.go
+++ b/pkg/aqsettings/settings.go
@@ -21,6 +21,8 @@
 	Session   Session
 	Gateway   Gateway
 	Log       Log
+	// Intake is also set by LoadSite and ParseSite.
+	Intake Intake
 	// Site is set by LoadSite and ParseSite, which leave the other fields empty.
 	Site Site
 }
