--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -25,6 +25,9 @@
 	StopGrace time.Duration
 	// PaceDelay is how long a change of pace takes to have an effect.
 	PaceDelay time.Duration
+	// OffRackFactor is how many times as long a task takes on another rack than its data or its gang. Up to 1 no
+	// task waits for a rack.
+	OffRackFactor float64
 	// LeaseMax is the longest time for which a worker runs a task without a renewal of its lease, whatever
 	// the lease end in an order.
 	LeaseMax time.Duration
@@ -115,6 +118,10 @@
 	// waitsNotedAt is when the waits of groups were looked at last.
 	waitsNotedAt time.Time
 	shortUse     shortUse
+	// forecasts holds what the present round of decisions expects of racks, wantedRacks the racks
+	// for which tasks waited in the last one, and wantedNext those of this one.
+	forecasts               rackForecasts
+	wantedRacks, wantedNext map[aqtype.Rack]bool
 	// busy holds the services of which most processors are reserved, for the patience of fillers.
 	busy   map[aqjob.ServiceID]bool
 	advice map[GroupID]*advice
--- a/pkg/aqdecider/gang.go
+++ b/pkg/aqdecider/gang.go
@@ -15,7 +15,7 @@
 		return
 	}
 	chosen := d.gangWorkers(g, pending)
-	if chosen == nil {
+	if chosen == nil || (g.spec.SameRack && spread(chosen) && d.gangWaits(g, pending)) {
 		return
 	}
 	var attempt Attempt
@@ -45,6 +45,11 @@
 	return d.fitGang(g, pending, "")
 }
 
+// spread reports whether the workers are on more than one rack.
+func spread(workers []*worker) bool {
+	return slices.ContainsFunc(workers, func(w *worker) bool { return w.rack != workers[0].rack })
+}
+
 // fitGang chooses a worker for each member, on the given rack if it is not empty. It
 // returns nil if a member finds no room. To exclude the workers of other racks, it
 // counts their whole capacity as reserved.
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -20,6 +20,7 @@
 	}
 	unreported := d.hasUnreported()
 	noRoom := d.recentShortages()
+	d.beginRackWaits()
 	ranked := d.rankedGroups()
 	spare := d.spareFor(ranked)
 	d.noteBusy()
@@ -57,12 +58,16 @@
 		return
 	}
 	found := d.candidates(g, nil)
+	near := d.rackTask(g)
 	for _, t := range pending {
 		position := found.best(t)
 		if position < 0 {
 			noRoom.record(t)
 			return
 		}
+		if d.waits(&near, t, found[position].worker) {
+			continue
+		}
 		d.start(t, found[position].worker, t.attempt+1)
 		d.rescore(&found, position, g)
 	}
@@ -270,6 +275,9 @@
 	if g.spec.Affinity != "" && string(w.rack) != g.spec.Affinity {
 		score += weightOffRack
 	}
+	if g.spec.Affinity == "" && d.wantedRacks[w.rack] && !g.spec.Filler {
+		score += weightWanted
+	}
 	if w.health.suspected() {
 		score += weightSuspected
 	}
@@ -302,6 +310,7 @@
 		resumeFrom: t.checkpoint,
 	}
 	t.setRun(r)
+	d.endRackWait(t, w)
 	r.waitedSince = t.group.changedAt
 	t.group.changed(d.now)
 	d.options.Metrics.Observe(aqmetric.TimeWait, d.now.Sub(t.group.readyAt))
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -88,6 +88,21 @@
 	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated,
 }
 
+// RackWaitEnd says how a task's wait for a place on its rack ended.
+type RackWaitEnd string
+
+// The ends of a wait for a rack. All but Placed use another rack.
+const (
+	RackWaitPlaced  RackWaitEnd = "Placed"
+	RackWaitNoGain  RackWaitEnd = "NoGain"
+	RackWaitNoPlace RackWaitEnd = "NoPlace"
+	RackWaitBound   RackWaitEnd = "Bound"
+	RackWaitInTime  RackWaitEnd = "InTime"
+)
+
+// RackWaitEnds lists every end of a wait for a rack.
+var RackWaitEnds = []RackWaitEnd{RackWaitPlaced, RackWaitNoGain, RackWaitNoPlace, RackWaitBound, RackWaitInTime}
+
 // Counter names a counter without a reason.
 type Counter string
 
@@ -109,7 +124,9 @@
 	RunsLost          Counter = "aq_runs_lost_with_worker_total"
 	JobsCrashing      Counter = "aq_jobs_crashing_workers_total"
 	// GroupWaits counts the log lines about groups that wait for workers.
-	GroupWaits      Counter = "aq_group_waits_total"
+	GroupWaits Counter = "aq_group_waits_total"
+	// RackWaits counts the tasks that began to wait for a place on their rack.
+	RackWaits       Counter = "aq_rack_waits_total"
 	LeadTerms       Counter = "aq_lead_terms_total"
 	LogLinesDropped Counter = "aq_log_lines_dropped_total"
 	PanicsContained Counter = "aq_panics_contained_total"
@@ -119,7 +136,7 @@
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, LeadTerms, LogLinesDropped, PanicsContained,
+	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, RackWaits, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
@@ -159,6 +176,9 @@
 	for _, r := range RetryReasons {
 		s.set.GetOrCreateCounter(retryName(r))
 	}
+	for _, e := range RackWaitEnds {
+		s.set.GetOrCreateCounter(rackWaitName(e))
+	}
 	for _, c := range Counters {
 		s.set.GetOrCreateCounter(string(c))
 	}
@@ -179,6 +199,14 @@
 // Retried counts one retry.
 func (s *Set) Retried(r RetryReason) { s.set.GetOrCreateCounter(retryName(r)).Inc() }
 
+// RackWaitEnded counts the end of one task's wait for a rack.
+func (s *Set) RackWaitEnded(e RackWaitEnd) { s.set.GetOrCreateCounter(rackWaitName(e)).Inc() }
+
+// RackWaitEndCount reads the counter of an end of waits for a rack.
+func (s *Set) RackWaitEndCount(e RackWaitEnd) uint64 {
+	return s.set.GetOrCreateCounter(rackWaitName(e)).Get()
+}
+
 // Inc adds one to a counter.
 func (s *Set) Inc(c Counter) { s.Add(c, 1) }
 
@@ -208,4 +236,8 @@
 	return fmt.Sprintf("aq_refused_total{reason=%q}", string(r))
 }
 
+func rackWaitName(e RackWaitEnd) string {
+	return fmt.Sprintf("aq_rack_wait_ends_total{reason=%q}", string(e))
+}
+
 func retryName(r RetryReason) string { return fmt.Sprintf("aq_retries_total{reason=%q}", string(r)) }
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -140,6 +140,8 @@
 			Retention:   s.Retention + retentionMargin,
 			StopGrace:   s.StopGrace,
 			PaceDelay:   s.PaceDelay,
+
+			OffRackFactor: s.OffRackFactor,
 			LeaseMax:    aqagent.MaxLeaseSpan(s.LeaseMax),
 		},
 	}
--- a/pkg/aqsettings/site.go
+++ b/pkg/aqsettings/site.go
@@ -39,6 +39,9 @@
 	StopGrace time.Duration
 	// PaceDelay is how long a change of a run's pace takes to have an effect.
 	PaceDelay time.Duration
+	// OffRackFactor is how many times as long a task takes away from its data's rack or its gang, zero if that is
+	// not known.
+	OffRackFactor float64
 	// StopLimit is the time between a stop signal and the kill of this process.
 	StopLimit time.Duration
 	// Retention is how long the state of an ended job can be queried.
@@ -51,6 +54,9 @@
 // minStoreValueMax holds what the site stores of the largest job besides its checkpoints.
 const minStoreValueMax = 64 << 10
 
+// maxOffRackFactor limits OffRackFactor.
+const maxOffRackFactor = 100
+
 // SiteFields lists the settings of a site's process in the order of the docs.
 var SiteFields = []Field{
 	required("Site", "Name", "name", "Name of this process, unique among the processes of the site.",
@@ -113,6 +119,19 @@
 	duration("Bounds", "PaceDelay", "100ms", 0, time.Minute,
 		"How long a change of a run's pace takes to have an effect.",
 		func(s *Settings) *time.Duration { return &s.Site.PaceDelay }),
+	optional("Bounds", "OffRackFactor", "factor", "",
+		"How many times as long a task takes on another rack than its data, or a gang on several racks. Tasks wait for a place on the rack as long as that pays. Empty, or 1: they never wait.",
+		func(s *Settings, value string) error {
+			if value == "" {
+				return nil
+			}
+			factor, err := strconv.ParseFloat(value, 64)
+			if err != nil || !(factor >= 1 && factor <= maxOffRackFactor) {
+				return errors.Errorf("%q is not a factor from 1 to %d", value, maxOffRackFactor)
+			}
+			s.Site.OffRackFactor = factor
+			return nil
+		}),
 	duration("Bounds", "StopLimit", "6s", time.Second, 10*time.Minute,
 		"Time between a stop signal and the kill of this process.",
 		func(s *Settings) *time.Duration { return &s.Site.StopLimit }),
