Groups wait for places on their rack whole or not at all, with doubt about estimates

Cause: a task off its data's rack takes OffRackFactor times as long, and nothing weighed that against the time until a place there is free.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -118,10 +118,9 @@
 	// waitsNotedAt is when the waits of groups were looked at last.
 	waitsNotedAt time.Time
 	shortUse     shortUse
-	// forecasts holds what the present round of decisions expects of racks, wantedRacks the racks
-	// for which tasks waited in the last one, and wantedNext those of this one.
-	forecasts               rackForecasts
-	wantedRacks, wantedNext map[aqtype.Rack]bool
+	// forecasts holds what the present round of decisions expects of racks, rackShortages when a group last found too little room there.
+	forecasts     rackForecasts
+	rackShortages map[aqtype.Rack]time.Time
 	// busy holds the services of which most processors are reserved, for the patience of fillers.
 	busy   map[aqjob.ServiceID]bool
 	advice map[GroupID]*advice
@@ -165,6 +164,7 @@
 		fillerShortages: map[placementClass]fillerShortage{},
 		advice:          map[GroupID]*advice{},
 		busy:            map[aqjob.ServiceID]bool{},
+		rackShortages:   map[aqtype.Rack]time.Time{},
 	}
 }
 
--- a/pkg/aqdecider/gang.go
+++ b/pkg/aqdecider/gang.go
@@ -15,7 +15,7 @@
 		return
 	}
 	chosen := d.gangWorkers(g, pending)
-	if chosen == nil || (g.spec.SameRack && spread(chosen) && d.gangWaits(g, pending)) {
+	if chosen == nil || (g.spec.SameRack && spread(chosen) && d.gangWaits(g)) {
 		return
 	}
 	var attempt Attempt
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -46,6 +46,7 @@
 		}
 		if !g.hasUnplaced() {
 			delete(d.waiting, g)
+			d.endRackWait(g)
 		}
 	}
 	d.keepShortages(noRoom)
@@ -57,16 +58,16 @@
 		d.placeGang(g, pending)
 		return
 	}
+	waits := d.waitsForRack(g, pending)
 	found := d.candidates(g, nil)
-	near := d.rackTask(g)
 	for _, t := range pending {
 		position := found.best(t)
 		if position < 0 {
 			noRoom.record(t)
 			return
 		}
-		if d.waits(&near, t, found[position].worker) {
-			continue
+		if waits && string(found[position].worker.rack) != g.spec.Affinity {
+			return
 		}
 		d.start(t, found[position].worker, t.attempt+1)
 		d.rescore(&found, position, g)
@@ -275,8 +276,8 @@
 	if g.spec.Affinity != "" && string(w.rack) != g.spec.Affinity {
 		score += weightOffRack
 	}
-	if g.spec.Affinity == "" && d.wantedRacks[w.rack] && !g.spec.Filler {
-		score += weightWanted
+	if d.yields(g, w.rack) {
+		score += weightYield
 	}
 	if w.health.suspected() {
 		score += weightSuspected
@@ -310,7 +311,6 @@
 		resumeFrom: t.checkpoint,
 	}
 	t.setRun(r)
-	d.endRackWait(t, w)
 	r.waitedSince = t.group.changedAt
 	t.group.changed(d.now)
 	d.options.Metrics.Observe(aqmetric.TimeWait, d.now.Sub(t.group.readyAt))
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -81,8 +81,10 @@
 	// roomSince is since when workers have had room for the waiting tasks of a
 	// perpetual group, zero while they have none.
 	roomSince time.Time
-	// rackWaitLoggedAt is when a wait for the group's rack was logged last.
-	rackWaitLoggedAt time.Time
+	// rackWaitSince is since when tasks of the group have waited for a place on its rack though there was room
+	// elsewhere, zero if none has. rackGivenUp is set once none waits for it any more.
+	rackWaitSince time.Time
+	rackGivenUp   bool
 	// placeSince is when a worker first had a place for a waiting task of a perpetual group,
 	// zero if none has had one.
 	placeSince time.Time
@@ -128,9 +130,6 @@
 	// suspectSince is since when the task has waited for an isolated run, zero while it does
 	// not.
 	suspectSince time.Time
-	// rackWaitSince is since when the task has waited for a place on its rack though there was one
-	// elsewhere, zero while it has not. A gang keeps it in its first task.
-	rackWaitSince time.Time
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
 }
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -125,7 +125,7 @@
 	JobsCrashing      Counter = "aq_jobs_crashing_workers_total"
 	// GroupWaits counts the log lines about groups that wait for workers.
 	GroupWaits Counter = "aq_group_waits_total"
-	// RackWaits counts the tasks that began to wait for a place on their rack.
+	// RackWaits counts the groups of tasks that began to wait for a place on their rack.
 	RackWaits       Counter = "aq_rack_waits_total"
 	LeadTerms       Counter = "aq_lead_terms_total"
 	LogLinesDropped Counter = "aq_log_lines_dropped_total"
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -142,7 +142,7 @@
 			PaceDelay:   s.PaceDelay,
 
 			OffRackFactor: s.OffRackFactor,
-			LeaseMax:    aqagent.MaxLeaseSpan(s.LeaseMax),
+			LeaseMax:      aqagent.MaxLeaseSpan(s.LeaseMax),
 		},
 	}
 }
