A new leader starts with what its predecessor has learned of fillers

The interference model lived in the leader's memory only: after each takeover fillers were placed as if no pair had been observed.

--- a/pkg/aqsite/keys.go
+++ b/pkg/aqsite/keys.go
@@ -24,6 +24,8 @@
 	fleetKey = "acaciaquay/fleet"
 	// entriesKey holds the entries of these workers in service discovery.
 	entriesKey = "acaciaquay/entries"
+	// learnedKey holds what the leader has learned, which the next one can do without.
+	learnedKey = "acaciaquay/learned"
 	// progressPrefix holds the stored progress of jobs.
 	progressPrefix = "acaciaquay/run/"
 	// nodePrefix holds the registered processes.
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -91,6 +91,8 @@
 	// entriesLoop uses them.
 	storedEntries      []byte
 	storedEntryChanges uint64
+	// storedLearned is the value of learnedKey. Only learnedLoop uses it.
+	storedLearned []byte
 	// unacknowledged holds the agents of an earlier leader that have not yet answered
 	// a poll of this one: they may still accept orders of the earlier leader.
 	unacknowledged map[string]bool
@@ -204,6 +206,7 @@
 		{name: "decisions", run: l.tickLoop},
 		{name: "store writes", run: l.storeLoop},
 		{name: "worker entries", run: l.entriesLoop},
+		{name: "learned", run: l.learnedLoop},
 	} {
 		l.spawn(loop.name, func() { loop.run(ctx) })
 	}
