--- a/internal/site/aqwait/wait_test.go
+++ b/internal/site/aqwait/wait_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
+
 	"acaciaquay/pkg/aqtype"
 )
 
@@ -43,7 +44,7 @@
 	}
 }
 
-// TestDecide compares the choices for a grid of tasks with testdata/choices.golden.
+// TestDecide compares the choices for a grid of tasks with _fixtures/choices.golden.
 func TestDecide(t *testing.T) {
 	var b strings.Builder
 	for _, near := range []time.Duration{200 * time.Millisecond, time.Second, 20 * time.Second} {
@@ -64,19 +65,7 @@
 			}
 		}
 	}
-	const file = "testdata/choices.golden"
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(file, []byte(b.String()), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if b.String() != string(want) {
-		t.Errorf("choices:\n%s\nwant:\n%s", b.String(), want)
-	}
+	goldie.New(t, goldie.WithFixtureDir("_fixtures")).Assert(t, "choices", []byte(b.String()))
 }
 
 // TestNoWaitWithoutABound takes whatever a forecast may say.
--- a/pkg/aqdecider/rackwait_test.go
+++ b/pkg/aqdecider/rackwait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,8 +143,9 @@
 			for range 4 {
 				w.step()
 			}
-			if w.hasStarted(2) {
-				t.Fatal("the second job does not wait")
+			g := w.d.jobs[testJob(2).ID].occurrences[0].groups[0]
+			if reason := w.d.waitReason(g); w.hasStarted(2) || !strings.Contains(reason, "its rack") {
+				t.Fatalf("the second job does not wait for its rack: %s", reason)
 			}
 			if test.lose {
 				for n := range workersInRack {
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"acaciaquay/internal/site/aqwait"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqtype"
 )
@@ -182,6 +183,8 @@
 		return d.noWorkerReason(g)
 	case d.fillerShort(g):
 		return "no search yet since a task of the image that is no larger found no worker"
+	case !g.rackWaitSince.IsZero() && !g.rackGivenUp:
+		return "places on its rack, for up to " + aqwait.MaxWait.String()
 	case g.spec.Gang:
 		return "room for the whole gang"
 	case g.spec.Perpetual:
--- a/pkg/aqsettings/settings_test.go
+++ b/pkg/aqsettings/settings_test.go
@@ -85,3 +85,26 @@
 		}
 	})
 }
+
+func TestOffRackFactor(t *testing.T) {
+	const site = `[Site]
+Name = host1
+Zone = perth
+FrontAddress = 10.0.0.2:7102
+ReadyAddress = 10.0.0.2:7103
+PeerAddress = 10.0.0.2:7104
+MetricsAddress = 10.0.0.2:7105
+Store = 10.0.0.1:7000
+[Bounds]
+OffRackFactor = `
+	for value, want := range map[string]float64{"": 0, "1": 1, "1.5": 1.5, "100": 100, "0.9": -1, "101": -1, "NaN": -1, "twice": -1} {
+		s, err := ParseSite("host1.ini", []byte(site+value+"\n"))
+		var setting *SettingError
+		switch {
+		case want < 0 && (!errors.As(err, &setting) || setting.Key != "OffRackFactor"):
+			t.Errorf("%q: got %v", value, err)
+		case want >= 0 && (err != nil || s.OffRackFactor != want):
+			t.Errorf("%q: got %v, error %v", value, s, err)
+		}
+	}
+}
