--- a/internal/site/aqurgency/rank.go
+++ b/internal/site/aqurgency/rank.go
@@ -74,6 +74,9 @@
 // Standing returns the standing of a group that ends. Lasting groups are always on time.
 func (r Rank) Standing() Standing { return r.standing }
 
+// Due returns when the group's job is to have ended.
+func (r Rank) Due() time.Time { return r.due }
+
 // Less reports whether a group of rank r goes before one of rank o.
 func (r Rank) Less(o Rank) bool {
 	hopeless, otherHopeless := r.standing == Hopeless, o.standing == Hopeless
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -27,6 +27,9 @@
 	StopGrace time.Duration
 	// PaceDelay is how long a change of pace takes to have an effect.
 	PaceDelay time.Duration
+	// OffRackFactor is how many times as long a task takes on another rack than its data or its gang. Up to 1 no
+	// task waits for a rack.
+	OffRackFactor float64
 	// LeaseMax is the longest time for which a worker runs a task without a renewal of its lease, whatever
 	// the lease end in an order.
 	LeaseMax time.Duration
@@ -119,6 +122,9 @@
 	// waitsNotedAt is when the waits of groups were looked at last.
 	waitsNotedAt time.Time
 	shortUse     shortUse
+	// forecasts holds what the present round of decisions expects of racks, rackShortages when a group last found too little room there.
+	forecasts     rackForecasts
+	rackShortages map[aqtype.Rack]time.Time
 	// busy holds the services of which most processors are reserved, for the patience of fillers.
 	busy   map[aqjob.ServiceID]bool
 	advice map[GroupID]*advice
@@ -173,9 +179,10 @@
 		advice:          map[GroupID]*advice{},
 		busy:            map[aqjob.ServiceID]bool{},
 
-		evacuatedAt: map[aqtype.Zone]time.Time{},
-		emptied:     map[aqtype.Zone]bool{},
-		leaving:     map[*task]*worker{},
+		evacuatedAt:   map[aqtype.Zone]time.Time{},
+		emptied:       map[aqtype.Zone]bool{},
+		leaving:       map[*task]*worker{},
+		rackShortages: map[aqtype.Rack]time.Time{},
 	}
 }
 
--- a/pkg/aqdecider/makeroom.go
+++ b/pkg/aqdecider/makeroom.go
@@ -79,7 +79,7 @@
 
 // mayDisplace reports whether runs may be stopped for the group.
 func (d *Decider) mayDisplace(g *group) bool {
-	if g.spec.Perpetual || g.spec.Filler || g.spec.Gang || !g.hasUnplaced() || g.suspectWaits() ||
+	if g.spec.Perpetual || g.spec.Filler || g.spec.Gang || !g.hasUnplaced() || g.suspectWaits() || g.waitsOnRack() ||
 		g.occurrence.job.state.Final() {
 		return false
 	}
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -21,6 +21,7 @@
 	}
 	unreported := d.hasUnreported()
 	noRoom := d.recentShortages()
+	d.beginRackWaits()
 	ranked := d.rankedGroups()
 	spare := d.spareFor(ranked)
 	d.noteBusy()
@@ -47,6 +48,7 @@
 		}
 		if !g.hasUnplaced() {
 			delete(d.waiting, g)
+			d.endRackWait(g)
 		}
 	}
 	d.keepShortages(noRoom)
@@ -59,6 +61,7 @@
 		d.placeGang(g, pending)
 		return
 	}
+	waits := d.waitsForRack(g, pending)
 	found := d.candidates(g, nil)
 	for _, t := range pending {
 		position := found.best(t)
@@ -66,6 +69,9 @@
 			noRoom.record(t)
 			return
 		}
+		if waits && string(found[position].worker.rack) != g.spec.Affinity {
+			return
+		}
 		d.start(t, found[position].worker, t.attempt+1)
 		d.rescore(&found, position, g)
 	}
@@ -247,6 +253,9 @@
 	if d.now.Before(w.coldUntil) {
 		score += weightCold
 	}
+	if d.yields(g, w.rack) {
+		score += weightYield
+	}
 	if w.health.suspected() {
 		score += weightSuspected
 	}
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -85,6 +85,10 @@
 	// roomSince is since when workers have had room for the waiting tasks of a
 	// perpetual group, zero while they have none.
 	roomSince time.Time
+	// rackWaitSince is since when tasks of the group have waited for a place on its rack though there was room
+	// elsewhere, zero if none has. rackGivenUp is set once none waits for it any more.
+	rackWaitSince time.Time
+	rackGivenUp   bool
 	// placeSince is when a worker first had a place for a waiting task of a perpetual group,
 	// zero if none has had one.
 	placeSince time.Time
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -142,7 +142,9 @@
 			Retention:   s.Retention + retentionMargin,
 			StopGrace:   s.StopGrace,
 			PaceDelay:   s.PaceDelay,
-			LeaseMax:    aqagent.MaxLeaseSpan(s.LeaseMax),
+
+			OffRackFactor: s.OffRackFactor,
+			LeaseMax:      aqagent.MaxLeaseSpan(s.LeaseMax),
 		},
 	}
 }
