Judge submissions by what their queue's tasks take, not by their estimates alone

The longer of the estimate and what the queue's tasks take counts; the work ahead is expected as the order of groups expects it.

--- a/internal/site/aqbacklog/backlog_test.go
+++ b/internal/site/aqbacklog/backlog_test.go
@@ -72,6 +72,11 @@
 		{name: "patient", estimate: known, job: submission(1, 2, nil)},
 		{name: "between", estimate: known, job: submission(1, 1, nil)},
 		{name: "can still be of use", estimate: known, job: submission(1, 0, func(j *aqjob.Job) { j.Queue.Target = 2 * time.Second })},
+		{
+			name:     "takes longer than it says",
+			estimate: Estimate{Known: true, Waits: long, Typical: []QueueTime{{Time: 2 * time.Second}}},
+			job:      submission(1, 0, nil),
+		},
 		{name: "other processors", estimate: known, job: submission(1, 0, func(j *aqjob.Job) { j.Groups[0].Filler = true })},
 		{name: "another service", estimate: known, job: submission(1, 0, func(j *aqjob.Job) { j.Queue.Service = "other" })},
 		{name: "lasting", estimate: known, job: submission(1, 0, func(j *aqjob.Job) { j.Groups[0].Perpetual = true })},
--- a/internal/site/aqbacklog/decide.go
+++ b/internal/site/aqbacklog/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"acaciaquay/pkg/aqjob"
@@ -50,7 +51,7 @@
 			longest = max(longest, e.wait(j.Queue, g.Filler))
 		}
 	}
-	allowed := time.Duration(j.Queue.Stretch*float64(j.CriticalPath())) + j.Queue.Target
+	allowed := time.Duration(j.Queue.Stretch*float64(e.path(j))) + j.Queue.Target
 	if allowed <= 0 || longest <= usefulFactor*allowed {
 		return Accept{}
 	}
@@ -60,6 +61,20 @@
 	}
 }
 
+// path returns the longest path of a job. Of its submitter's estimate and what its queue's tasks take, the longer
+// counts for each group: both may be far off.
+func (e Estimate) path(j *aqjob.Job) time.Duration {
+	groups := slices.Clone(j.Groups)
+	for _, typical := range e.Typical {
+		for i := range groups {
+			if typical.Queue == j.Queue.ID {
+				groups[i].Estimate = max(groups[i].Estimate, typical.Time)
+			}
+		}
+	}
+	return (&aqjob.Job{Groups: groups}).CriticalPath()
+}
+
 func (e Estimate) wait(q aqjob.Queue, filler bool) time.Duration {
 	var longest time.Duration
 	for _, w := range e.Waits {
--- a/internal/site/aqbacklog/estimate.go
+++ b/internal/site/aqbacklog/estimate.go
@@ -48,6 +48,14 @@
 	// Age is the time since then.
 	Age   time.Duration
 	Waits []Wait
+	// Typical is how long a task takes as a rule, of the queues for which that is known.
+	Typical []QueueTime
+}
+
+// QueueTime is a time of a queue.
+type QueueTime struct {
+	Queue aqjob.QueueID
+	Time  time.Duration
 }
 
 // Waits returns the lanes that have to wait. A submission ranks behind all work of more urgent queues that is of
--- a/internal/site/aqurgency/durations.go
+++ b/internal/site/aqurgency/durations.go
@@ -58,3 +58,14 @@
 	}
 	return time.Duration(math.Exp(f.meanTook + slope*(math.Log(float64(estimate))-f.meanEstimate)))
 }
+
+// Typical returns how long a task of each queue takes as a rule, of the queues that are known well enough.
+func (d *Durations) Typical() map[aqjob.QueueID]time.Duration {
+	typical := map[aqjob.QueueID]time.Duration{}
+	for queue, f := range d.queues {
+		if f.number >= minObserved {
+			typical[queue] = time.Duration(math.Exp(f.meanTook))
+		}
+	}
+	return typical
+}
--- a/pkg/aqdecider/backlog.go
+++ b/pkg/aqdecider/backlog.go
@@ -9,11 +9,25 @@
 	"acaciaquay/pkg/aqjob"
 )
 
-// Backlog returns the least waits of submissions, by what waits for workers now.
-func (d *Decider) Backlog() []aqbacklog.Wait {
+// Backlog estimates how long submissions wait at least, by what waits for workers now.
+func (d *Decider) Backlog() aqbacklog.Estimate {
+	e := aqbacklog.Estimate{Known: true}
 	if len(d.waiting) == 0 {
-		return nil
+		return e
 	}
+	for queue, typical := range d.durations.Typical() {
+		e.Typical = append(e.Typical, aqbacklog.QueueTime{
+			Queue: queue,
+			Time:  typical,
+		})
+	}
+	slices.SortFunc(e.Typical, func(a, b aqbacklog.QueueTime) int { return cmp.Compare(a.Queue, b.Queue) })
+	e.Waits = aqbacklog.Waits(d.workAhead(), d.capacities())
+	return e
+}
+
+// workAhead returns what waits for workers and ends.
+func (d *Decider) workAhead() []aqbacklog.Ahead {
 	byLane := map[aqbacklog.Lane]aqbacklog.Ahead{}
 	for g := range d.waiting {
 		if g.spec.Perpetual {
@@ -25,7 +39,8 @@
 			Priority: g.occurrence.job.queue.Priority,
 		}
 		_, tasks := g.counts()
-		work := aqbacklog.CoreSeconds(float64(tasks) * float64(g.spec.Size.MilliCPU) / 1000 * g.spec.Estimate.Seconds())
+		expected := d.durations.Expect(g.occurrence.job.queue.ID, g.spec.Estimate)
+		work := aqbacklog.CoreSeconds(float64(tasks) * float64(g.spec.Size.MilliCPU) / 1000 * expected.Seconds())
 		ahead := byLane[lane]
 		ahead.Lane = lane
 		switch d.rank(g).Standing() {
@@ -41,7 +56,7 @@
 	for _, ahead := range byLane {
 		lanes = append(lanes, ahead)
 	}
-	return aqbacklog.Waits(lanes, d.capacities())
+	return lanes
 }
 
 // capacities returns the processors of the listed workers, whether they answer now or not: without what lasting
--- a/pkg/aqdecider/backlog_test.go
+++ b/pkg/aqdecider/backlog_test.go
@@ -33,7 +33,7 @@
 	for step := range 300 {
 		if l.now.Sub(madeAt) >= 250*time.Millisecond {
 			madeAt = l.now
-			estimate = aqbacklog.Estimate{Known: true, Waits: l.d.Backlog()}
+			estimate = l.d.Backlog()
 		}
 		for range perStep {
 			if step >= 100 {
@@ -99,12 +99,12 @@
 	l := newPlayedLoad(t, poolWorker("w1", "r1-1", 4000))
 	l.lasting(1, 1, 2000)
 	l.step()
-	if waits := l.d.Backlog(); len(waits) > 0 {
+	if waits := l.d.Backlog().Waits; len(waits) > 0 {
 		t.Errorf("an idle site has waits %v", waits)
 	}
 	l.submit(l.urgentJob(firstUrgent, 20, 1000))
 	l.step()
-	waits := l.d.Backlog()
+	waits := l.d.Backlog().Waits
 	if len(waits) != 1 || waits[0].Lane != (aqbacklog.Lane{Service: testService}) {
 		t.Fatalf("waits %v", waits)
 	}
--- a/pkg/aqsite/reject.go
+++ b/pkg/aqsite/reject.go
@@ -70,10 +70,7 @@
 	if e := l.backlog.at(now); e.Known && e.Age < backlogInterval {
 		return
 	}
-	l.backlog.set(aqbacklog.Estimate{
-		Known: true,
-		Waits: d.Backlog(),
-	}, now)
+	l.backlog.set(d.Backlog(), now)
 }
 
 // tellBacklog returns the estimate for the agents. A leader that may not answer has none.
