--- a/pkg/aqdecider/makeroom.go
+++ b/pkg/aqdecider/makeroom.go
@@ -92,7 +92,8 @@
 // offer is a worker with runs that may give way.
 type offer struct {
 	worker *worker
-	loss   aqurgency.CoreSeconds
+	// loss is what the stops would cost when the offer was made.
+	loss aqurgency.CoreSeconds
 }
 
 func (d *Decider) makeRoomFor(s *roomSearch, g *group, pending []*task) {
@@ -144,7 +145,10 @@
 			continue
 		}
 		if _, loss, ok := d.victims(s, g, w); ok {
-			found = append(found, offer{worker: w, loss: loss})
+			found = append(found, offer{
+				worker: w,
+				loss:   loss,
+			})
 		}
 	}
 	slices.SortStableFunc(found, func(a, b offer) int {
@@ -275,8 +279,8 @@
 	return others && r.task.group.spec.TailTarget > 0
 }
 
-// withoutYielded leaves out the lasting tasks that gave way of late.
-func (d *Decider) withoutYielded(pending []*task) []*task {
+// returnDue returns those of a lasting group's tasks that need not stay away any longer.
+func (d *Decider) returnDue(pending []*task) []*task {
 	return slices.DeleteFunc(pending, func(t *task) bool {
 		return t.gaveWay && d.now.Sub(t.gaveWayAt) < aqurgency.ReturnAfter
 	})
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -39,7 +39,7 @@
 			pending = d.placeSuspects(pending)
 		}
 		if g.spec.Perpetual {
-			pending = d.withoutYielded(pending)
+			pending = d.returnDue(pending)
 			pending = pending[:d.admitted(spare, g, len(pending))]
 		}
 		if len(pending) > 0 && (!noRoom.covers(g) || d.overdueGangDue(g)) {
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -178,7 +178,7 @@
 		return fmt.Sprintf("it may still run on %d workers that have not been heard of", len(d.unreported))
 	case len(g.pending(d.now, unreported)) == 0:
 		return "a pause after a refusal"
-	case g.spec.Perpetual && len(d.withoutYielded(g.pending(d.now, unreported))) == 0:
+	case g.spec.Perpetual && len(d.returnDue(g.pending(d.now, unreported))) == 0:
 		return "it gave way to more urgent tasks a moment ago"
 	case g.suspectWaits():
 		return "an isolated worker for a task that may crash workers"
