--- /dev/null
+++ b/internal/site/aqspeed/speed.go
@@ -0,0 +1,209 @@
+// Package aqspeed measures how fast workers are, by the kind of work. It answers a load on
+// workers of which some are slower than others for seconds, or with some kinds of work only.
+package aqspeed
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"acaciaquay/pkg/aqtype"
+)
+
+// Kind is a kind of work: an image, or the id of a queue.
+type Kind string
+
+// Pace is how long tasks take on a worker, relative to what they usually take: 1 is usual, 2 takes
+// twice as long.
+type Pace float64
+
+// Usual is the pace of a worker of which nothing is known.
+const Usual Pace = 1
+
+const (
+	// halfLife is the time after which an observation counts half. Slowness comes and goes
+	// within seconds.
+	halfLife = 4 * time.Second
+	// maxObserved limits one observation: a single task may take many times as long as others.
+	maxObserved = 3.0
+	// priorWeight is the evidence as which the usual pace counts.
+	priorWeight = 1.0
+	// maxWeight limits the evidence, so that a change shows after a few observations.
+	maxWeight = 6.0
+	// forgottenWeight is the evidence below which an entry is dropped.
+	forgottenWeight = 0.05
+	// maxEntries limits the entries that are kept.
+	maxEntries = 4096
+)
+
+type key struct {
+	Worker aqtype.WorkerID
+	Kind   Kind
+}
+
+// entry is the estimate for a worker and a kind of work.
+type entry struct {
+	// logPace is the mean of the logarithms of the observed paces.
+	logPace float64
+	// weight is the evidence for it at the time at, from 0 to maxWeight.
+	weight float64
+	at     time.Time
+}
+
+// Table holds the paces of the workers. It is not safe for concurrent use.
+type Table struct {
+	entries map[key]entry
+	// prunedAt is when forgotten entries were dropped last.
+	prunedAt time.Time
+}
+
+// New returns a table without observations.
+func New() *Table { return &Table{entries: map[key]entry{}} }
+
+// Len returns the number of entries.
+func (t *Table) Len() int { return len(t.entries) }
+
+func (e entry) aged(now time.Time) entry {
+	if age := now.Sub(e.at); age > 0 {
+		e.weight *= math.Exp2(-float64(age) / float64(halfLife))
+		e.at = now
+	}
+	return e
+}
+
+// Observe adds the duration of a task, or of a part of one, and what it usually takes.
+func (t *Table) Observe(w aqtype.WorkerID, kind Kind, took, usual time.Duration, now time.Time) {
+	if took <= 0 || usual <= 0 {
+		return
+	}
+	k := key{
+		Worker: w,
+		Kind:   kind,
+	}
+	e, known := t.entries[k]
+	if !known && len(t.entries) >= maxEntries {
+		t.prune(now)
+		if len(t.entries) >= maxEntries {
+			return
+		}
+	}
+	e = e.aged(now)
+	observed := math.Log(float64(took) / float64(usual))
+	observed = max(-math.Log(maxObserved), min(math.Log(maxObserved), observed))
+	e.logPace = (e.logPace*e.weight + observed) / (e.weight + 1)
+	e.weight = min(maxWeight, e.weight+1)
+	e.at = now
+	t.entries[k] = e
+}
+
+// pruneInterval is the least time between two looks for forgotten entries.
+const pruneInterval = time.Second
+
+func (t *Table) prune(now time.Time) {
+	if now.Sub(t.prunedAt) < pruneInterval {
+		return
+	}
+	t.prunedAt = now
+	for k, e := range t.entries {
+		if e.aged(now).weight < forgottenWeight {
+			delete(t.entries, k)
+		}
+	}
+}
+
+// Of returns the pace of a worker with a kind of work. The less is known, the nearer it is to Usual.
+func (t *Table) Of(w aqtype.WorkerID, kind Kind, now time.Time) Pace {
+	e, known := t.entries[key{Worker: w, Kind: kind}]
+	if !known {
+		return Usual
+	}
+	e = e.aged(now)
+	return Pace(math.Exp(e.logPace * e.weight / (e.weight + priorWeight)))
+}
+
+// Kinds lists the kinds of work of which the pace of a worker is known, in order.
+func (t *Table) Kinds(w aqtype.WorkerID) []Kind {
+	var kinds []Kind
+	for k := range t.entries {
+		if k.Worker == w {
+			kinds = append(kinds, k.Kind)
+		}
+	}
+	slices.Sort(kinds)
+	return kinds
+}
+
+// Forget drops what is known of a worker that has restarted or left.
+func (t *Table) Forget(w aqtype.WorkerID) {
+	for k := range t.entries {
+		if k.Worker == w {
+			delete(t.entries, k)
+		}
+	}
+}
+
+// record is an entry as it is stored.
+type record struct {
+	Worker  aqtype.WorkerID
+	Kind    Kind
+	LogPace float64
+	Weight  float64
+}
+
+// maxRecords limits the stored entries.
+const maxRecords = 512
+
+// Encode returns the entries with the most evidence for the next leader.
+func (t *Table) Encode(now time.Time) ([]byte, error) {
+	records := make([]record, 0, len(t.entries))
+	for k, e := range t.entries {
+		if e = e.aged(now); e.weight >= forgottenWeight {
+			records = append(records, record{
+				Worker:  k.Worker,
+				Kind:    k.Kind,
+				LogPace: e.logPace,
+				Weight:  e.weight,
+			})
+		}
+	}
+	slices.SortFunc(records, func(a, b record) int {
+		switch {
+		case a.Weight != b.Weight && a.Weight > b.Weight:
+			return -1
+		case a.Weight != b.Weight:
+			return 1
+		}
+		if order := strings.Compare(string(a.Worker), string(b.Worker)); order != 0 {
+			return order
+		}
+		return strings.Compare(string(a.Kind), string(b.Kind))
+	})
+	stored, err := msgpack.Marshal(records[:min(len(records), maxRecords)])
+	return stored, errors.WithMessage(err, "encode the paces of workers")
+}
+
+// Decode returns the table that Encode has stored, aged by the time since. Entries out of bounds are
+// left out.
+func Decode(stored []byte, age time.Duration, now time.Time) (*Table, error) {
+	var records []record
+	if err := msgpack.Unmarshal(stored, &records); err != nil {
+		return nil, errors.WithMessage(err, "decode the paces of workers")
+	}
+	t := New()
+	for _, r := range records[:min(len(records), maxRecords)] {
+		if !(math.Abs(r.LogPace) <= math.Log(maxObserved)) || !(r.Weight > 0 && r.Weight <= maxWeight) {
+			continue
+		}
+		e := entry{
+			logPace: r.LogPace,
+			weight:  r.Weight,
+			at:      now.Add(-max(0, age)),
+		}
+		t.entries[key{Worker: r.Worker, Kind: r.Kind}] = e.aged(now)
+	}
+	return t, nil
+}
