Start copies of speculative tasks that lag behind their siblings

Cause: `Speculative` was decoded and stored, and no decision read it. A group waits for its slowest task, also where that runs on a slow or hung worker.

A task has at most two runs, task.run and task.copy, on different workers; the first success counts. A copy needs an attempt in reserve and room that waiting work does not need, and is started where the measured durations say that it pays. A new leader adopts both runs.

A successful task could still fail its job: the failure of a run that was being stopped after the success of another counted. It counts against its worker only now.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -7,6 +7,7 @@
 
 	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/internal/site/aqinterference"
+	"acaciaquay/internal/site/aqspeed"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
@@ -118,8 +119,15 @@
 	// busy holds the services of which most processors are reserved, for the patience of fillers.
 	busy   map[aqjob.ServiceID]bool
 	advice map[GroupID]*advice
-	now    time.Time
-	wall   time.Time
+	// speculative holds the groups that are ready and whose tasks may have copies, copiesReviewedAt is when
+	// they were looked at last.
+	speculative      map[*group]bool
+	copiesReviewedAt time.Time
+	// times holds what has been measured of the tasks of each queue, paces of the workers.
+	times map[aqjob.QueueID]*queueTimes
+	paces *aqspeed.Table
+	now   time.Time
+	wall  time.Time
 }
 
 // endedJob is a job in a final state. Decider.ended lists them in order of ending.
@@ -158,6 +166,9 @@
 		fillerShortages: map[placementClass]fillerShortage{},
 		advice:          map[GroupID]*advice{},
 		busy:            map[aqjob.ServiceID]bool{},
+		speculative:     map[*group]bool{},
+		times:           map[aqjob.QueueID]*queueTimes{},
+		paces:           aqspeed.New(),
 	}
 }
 
@@ -234,6 +245,7 @@
 	d.reviewWorkers()
 	d.plan()
 	d.tryResting()
+	d.startCopies()
 	d.noteWaits()
 	d.expireJobs()
 	orders := d.orders
--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -18,9 +18,9 @@
 	w.used = w.used.Sub(r.size)
 	w.health.ended(r)
 	w.invalidateLoad()
-	t.run = nil
+	other := t.remove(r)
 	t.reconciled = reason != EndFailed || !t.mayHaveFailedUnseen(r.id.Attempt)
-	t.moved = r.moved && reason != EndDone && reason != EndFailed
+	t.moved = r.moved && other == nil && reason != EndDone && reason != EndFailed
 	d.endTrial(t)
 	j := t.group.occurrence.job
 	d.options.Log.Write(aqlog.RunEnded, taskAttr(r.id.Task), workerAttr(w.info.ID),
@@ -30,13 +30,17 @@
 	switch reason {
 	case EndDone:
 		w.health.succeeded()
+		d.noteDone(r)
+		if other != nil {
+			d.firstDone(r, other)
+		}
 		if !t.group.spec.Perpetual && !j.state.Final() {
 			d.taskDone(t)
 			d.releaseIfIdle(j)
 			return
 		}
 	case EndFailed:
-		if !t.group.spec.Perpetual && !j.state.Final() {
+		if !t.group.spec.Perpetual && !j.state.Final() && !t.done {
 			d.keepCheckpoint(t, checkpoint)
 			d.taskFailed(t, w, r.id.Attempt)
 		}
@@ -52,7 +56,7 @@
 }
 
 func (d *Decider) keepCheckpoint(t *task, checkpoint string) {
-	if checkpoint != "" && checkpoint != t.checkpoint {
+	if checkpoint != "" && checkpoint != t.checkpoint && !t.done {
 		t.checkpoint = checkpoint
 		d.markDirty(t.group.occurrence.job)
 	}
@@ -88,9 +92,13 @@
 // mayHaveFailedUnseen reports whether the task may have no attempts left after the failure of
 // an attempt, though the known failures are fewer: an earlier leader may have known of ends
 // that it did not store and whose workers have not reported to this one. It started the attempt
-// only if there was one left, so an attempt that ends otherwise leaves one as well.
+// only if there was one left, so an attempt that ends otherwise leaves one as well. A copy may have been
+// started after the attempt.
 func (t *task) mayHaveFailedUnseen(attempt Attempt) bool {
 	j := t.group.occurrence.job
+	if t.group.mayCopy() {
+		attempt++
+	}
 	return j.inherited && !t.group.spec.Perpetual && int(attempt) >= max(1, j.queue.MaxAttempts)
 }
 
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -197,6 +197,9 @@
 		g.changed(d.now)
 		if g.remaining > 0 {
 			d.waiting[g] = true
+			if g.mayCopy() {
+				d.speculative[g] = true
+			}
 		}
 	}
 }
@@ -225,9 +228,7 @@
 			delete(d.waiting, g)
 			for _, t := range g.tasks {
 				t.releaseTrialWorker()
-				if t.run != nil && t.run.state != runStopping {
-					d.stop(t.run, string(state))
-				}
+				d.stopRuns(t, string(state))
 			}
 		}
 	}
--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -42,6 +42,8 @@
 	w.orphans = map[RunID]time.Time{}
 	w.reachable = false
 	w.health = health{}
+	d.paces.Forget(w.info.ID)
+	w.slow = nil
 	d.expectStrayLease(w)
 }
 
--- /dev/null
+++ b/pkg/aqdecider/paces.go
@@ -0,0 +1,251 @@
+package aqdecider
+
+import (
+	"slices"
+	"time"
+
+	"acaciaquay/internal/site/aqspeculation"
+	"acaciaquay/internal/site/aqspeed"
+	"acaciaquay/pkg/aqjob"
+)
+
+// queueTimes is what has been measured of a queue's tasks.
+type queueTimes struct {
+	// byEstimate holds durations relative to the estimates, byUsual relative to what the siblings took.
+	byEstimate aqspeculation.Distribution
+	byUsual    aqspeculation.Distribution
+	outcomes   aqspeculation.Outcomes
+}
+
+func (d *Decider) queueTimes(id aqjob.QueueID) *queueTimes {
+	q := d.times[id]
+	if q == nil {
+		q = &queueTimes{}
+		d.times[id] = q
+	}
+	return q
+}
+
+// timed reports whether the durations of the group's tasks are measured: they end, and nothing but
+// their worker and their work decides how long they take.
+func (g *group) timed() bool { return !g.spec.Perpetual && !g.spec.Filler && !g.spec.Gang }
+
+// onOwnRack reports whether the run's worker is near the data of its task, if that has any.
+func (r *run) onOwnRack() bool {
+	affinity := r.task.group.spec.Affinity
+	return affinity == "" || string(r.worker.rack) == affinity
+}
+
+// clockNow returns an estimate of the worker's present clock, zero if it is not known.
+func (w *worker) clockNow(now time.Time) time.Duration {
+	if w.clock <= 0 {
+		return 0
+	}
+	return w.clock + now.Sub(w.reportedAt)
+}
+
+// setBase notes when, by its worker's clock, the run had made which progress.
+func (r *run) setBase(clock time.Duration, percent int) {
+	r.baseClock = clock
+	r.basePercent = percent
+}
+
+// leastGained is the progress in percent from which the duration of a run follows from it.
+const leastGained = 10
+
+// wholeUntil returns what the whole task takes at the pace of the run up to a time on its worker's clock, zero if that
+// is not known.
+func (r *run) wholeUntil(clock time.Duration) time.Duration {
+	gained := r.percent - r.basePercent
+	if !r.measured || r.baseClock <= 0 || gained < leastGained {
+		return 0
+	}
+	return max(0, clock-r.baseClock) * 100 / time.Duration(gained)
+}
+
+// measuredFor returns for how long the run has advanced by its progress since its base, zero if that is not known.
+func (r *run) measuredFor() time.Duration {
+	if !r.measured || r.baseClock <= 0 {
+		return 0
+	}
+	return max(0, r.measuredAt-r.baseClock)
+}
+
+// ranFor returns how long the run has been running since its base, as far as its worker's clock is known.
+func (r *run) ranFor(now time.Time) time.Duration {
+	if r.baseClock > 0 {
+		return max(0, r.worker.clockNow(now)-r.baseClock)
+	}
+	return max(0, now.Sub(r.orderedAt))
+}
+
+// usualMaxAge is for how long the usual time of a group's tasks is used without a new look.
+const usualMaxAge = 200 * time.Millisecond
+
+// usualTime returns what a task of the group usually takes, and whether its siblings say so.
+func (d *Decider) usualTime(g *group) (usual time.Duration, bySiblings bool) {
+	if !g.usualAt.IsZero() && d.now.Sub(g.usualAt) < usualMaxAge {
+		return g.usual, g.usualBySiblings
+	}
+	var running []time.Duration
+	for _, t := range g.tasks {
+		if t.run == nil {
+			continue
+		}
+		if expected := t.run.wholeUntil(t.run.measuredAt); expected > 0 {
+			running = append(running, expected)
+		}
+	}
+	g.usualAt = d.now
+	g.usual, g.usualBySiblings = g.siblings.Median(running)
+	if !g.usualBySiblings {
+		g.usual = d.queueTimes(g.occurrence.job.queue.ID).byEstimate.Typical(g.spec.Estimate)
+	}
+	return g.usual, g.usualBySiblings
+}
+
+// progressOf returns what is known of a run's progress.
+func (d *Decider) progressOf(r *run) aqspeculation.Progress {
+	p := aqspeculation.Progress{
+		Elapsed:    r.ranFor(d.now),
+		WorkerPace: float64(d.paceOf(r.task.group, r.worker)),
+		Hung:       !r.worker.reachable || r.state == runStopping,
+	}
+	if r.measured {
+		p.Percent = r.percent
+		p.Gained = r.percent - r.basePercent
+		p.MeasuredFor = r.measuredFor()
+		p.Hung = p.Hung || r.still() > d.stillLimit(r)/2
+	}
+	return p
+}
+
+// stillLimit returns for how long the progress of a run may not rise. A stop costs what the run has done since
+// its last checkpoint.
+func (d *Decider) stillLimit(r *run) time.Duration {
+	g := r.task.group
+	longest := max(minStuckTime, time.Duration(stuckShare*float64(g.spec.Estimate)))
+	if !g.timed() {
+		return longest
+	}
+	still := aqspeculation.Still{
+		Estimate: g.spec.Estimate,
+		Whole:    r.wholeUntil(r.progressAt),
+		Longest:  longest,
+	}
+	if !g.spec.Checkpointing {
+		usual, _ := d.usualTime(g)
+		still.Lost = usual * time.Duration(r.percent) / 100
+	}
+	return still.Limit(&d.queueTimes(g.occurrence.job.queue.ID).byEstimate)
+}
+
+// noteDone records how long a successful run has taken.
+func (d *Decider) noteDone(r *run) {
+	g := r.task.group
+	if !g.timed() || r.adopted || r.resumeFrom != "" || !r.onOwnRack() || r.task.done {
+		return
+	}
+	took := r.ranFor(d.now)
+	queue := d.queueTimes(g.occurrence.job.queue.ID)
+	if usual, bySiblings := d.usualTime(g); bySiblings {
+		d.observePace(r, took, usual)
+		queue.byUsual.Add(took, usual)
+	}
+	g.siblings.Add(took)
+	queue.byEstimate.Add(took, g.spec.Estimate)
+}
+
+// kind returns the kind of the group's work.
+func (g *group) kind() aqspeed.Kind {
+	if g.spec.Image != "" {
+		return aqspeed.Kind(g.spec.Image)
+	}
+	return aqspeed.Kind(g.occurrence.job.queue.ID)
+}
+
+// EncodePaces returns the measured paces of workers for the next leader.
+func (d *Decider) EncodePaces() ([]byte, error) { return d.paces.Encode(d.now) }
+
+// RestorePaces takes over the paces that an earlier leader stored some time ago, unless this one has measured some
+// already.
+func (d *Decider) RestorePaces(stored []byte, age time.Duration) error {
+	paces, err := aqspeed.Decode(stored, age, d.now)
+	if err != nil {
+		return err
+	}
+	if d.paces.Len() > 0 {
+		return nil
+	}
+	d.paces = paces
+	for _, w := range d.fleet {
+		w.slow = paces.Kinds(w.info.ID)
+	}
+	return nil
+}
+
+func (d *Decider) paceOf(g *group, w *worker) aqspeed.Pace {
+	return d.paces.Of(w.info.ID, g.kind(), d.now)
+}
+
+// Parts of a run whose duration tells the pace of its worker. paceSpan is the least time, and paceGained the
+// progress in percent for which less than longPaceSpan is enough.
+const (
+	paceSpan     = 300 * time.Millisecond
+	longPaceSpan = time.Second
+	paceGained   = 5
+)
+
+// notePace records the pace of a run since it was noted last.
+func (d *Decider) notePace(r *run) {
+	g := r.task.group
+	if !g.timed() || r.state != runRunning || !r.measured || !r.onOwnRack() || r.baseClock <= 0 {
+		return
+	}
+	if r.pacedAt == 0 {
+		r.pacedAt, r.pacedPercent = r.baseClock, r.basePercent
+	}
+	span, gained := r.measuredAt-r.pacedAt, r.percent-r.pacedPercent
+	if span < paceSpan || (span < longPaceSpan && gained < paceGained) {
+		return
+	}
+	usual, bySiblings := d.usualTime(g)
+	r.pacedAt, r.pacedPercent = r.measuredAt, r.percent
+	if bySiblings {
+		d.observePace(r, span*100/time.Duration(max(1, gained)), usual)
+	}
+}
+
+// observePace adds the duration of a run, or of a part of one, to the paces, and keeps worker.slow.
+func (d *Decider) observePace(r *run, took, usual time.Duration) {
+	w, kind := r.worker, r.task.group.kind()
+	d.paces.Observe(w.info.ID, kind, took, usual, d.now)
+	listed := slices.Contains(w.slow, kind)
+	switch slow := d.paces.Of(w.info.ID, kind, d.now) > unnoticedPace; {
+	case slow && !listed:
+		w.slow = append(w.slow, kind)
+	case !slow && listed:
+		w.slow = slices.DeleteFunc(w.slow, func(k aqspeed.Kind) bool { return k == kind })
+	}
+}
+
+const (
+	// weightSlowWorker is the score of the slowest workers. It is less than weightOffRack.
+	weightSlowWorker = 1.5
+	// slowestPace is the pace that gets all of it, unnoticedPace the one up to which nothing is added: tasks of
+	// one group differ by as much.
+	slowestPace   = 3.0
+	unnoticedPace = 1.4
+)
+
+// slowness returns the part of a worker's score that is due to its pace.
+func (d *Decider) slowness(g *group, w *worker) float64 {
+	if len(w.slow) == 0 || !g.timed() || !slices.Contains(w.slow, g.kind()) {
+		return 0
+	}
+	pace := float64(d.paceOf(g, w))
+	if pace <= unnoticedPace {
+		return 0
+	}
+	return weightSlowWorker * min(1, (pace-1)/(slowestPace-1))
+}
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -285,9 +285,18 @@
 
 // start assigns a task to a worker and orders its start.
 func (d *Decider) start(t *task, w *worker, attempt Attempt) {
-	j := t.group.occurrence.job
+	r := d.newRun(t, w, attempt)
+	t.setRun(r)
+	r.waitedSince = t.group.changedAt
+	t.group.changed(d.now)
+	d.options.Metrics.Observe(aqmetric.TimeWait, d.now.Sub(t.group.readyAt))
+	d.order(r)
+}
+
+// newRun returns the next run of a task, which is to be ordered.
+func (d *Decider) newRun(t *task, w *worker, attempt Attempt) *run {
 	t.attempt = attempt
-	r := &run{
+	return &run{
 		id:           RunID{Task: t.id(), Attempt: attempt},
 		task:         t,
 		worker:       w,
@@ -298,20 +307,22 @@
 		pace:         fullPace,
 		tried:        w.trial == t,
 		orderedClock: w.clock,
+		baseClock:    w.clockNow(d.now),
 		// A resent start order must carry the same checkpoint.
 		resumeFrom: t.checkpoint,
 	}
-	t.setRun(r)
-	r.waitedSince = t.group.changedAt
-	t.group.changed(d.now)
-	d.options.Metrics.Observe(aqmetric.TimeWait, d.now.Sub(t.group.readyAt))
+}
+
+// order orders the start of a run on its worker.
+func (d *Decider) order(r *run) {
+	w, g := r.worker, r.task.group
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 	w.health.started(r)
 	w.invalidateLoad()
 	d.options.Log.Write(aqlog.RunPlaced, taskAttr(r.id.Task), workerAttr(w.info.ID),
-		slog.Int("Attempt", int(attempt)), slog.Duration("Waited", d.now.Sub(t.group.readyAt)),
-		slog.Int("Priority", j.queue.Priority), slog.Int64("UsedCPU", int64(w.used.MilliCPU)))
+		slog.Int("Attempt", int(r.id.Attempt)), slog.Duration("Waited", d.now.Sub(g.readyAt)),
+		slog.Int("Priority", g.occurrence.job.queue.Priority), slog.Int64("UsedCPU", int64(w.used.MilliCPU)))
 	d.addOrder(d.startOrder(r))
 }
 
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -71,6 +71,7 @@
 		d.repeatStop(r)
 	}
 	r.measure(report.Percent, of)
+	d.notePace(r)
 	r.report = report
 	r.reportAt = d.now
 	w.health.reported(r)
@@ -90,6 +91,9 @@
 	if r.measured && (of.Clock < r.measuredAt || (of.ProgressOmitted && percent <= r.percent)) {
 		return
 	}
+	if !r.measured && r.resumeFrom != "" {
+		r.setBase(of.Clock, percent)
+	}
 	switch gap := of.Clock - r.measuredAt; {
 	case !r.measured, percent > r.percent:
 		r.progressAt = of.Clock
@@ -133,7 +137,7 @@
 	if t != nil {
 		t.attempt = max(t.attempt, report.Run.Attempt)
 	}
-	if t == nil || t.done || t.run != nil || t.group.occurrence.job.state.Final() {
+	if t == nil || t.done || (t.run != nil && !t.adoptsCopy(w)) || t.group.occurrence.job.state.Final() {
 		if stopSent, ok := w.orphans[report.Run]; !ok || d.now.Sub(stopSent) > orphanStopInterval {
 			w.orphans[report.Run] = d.now
 			d.options.Log.Write(aqlog.RunOrphaned, taskAttr(report.Run.Task), workerAttr(w.info.ID),
@@ -157,8 +161,16 @@
 		pace:          fullPace,
 		reportedIn:    of.Sent,
 		orderedClock:  of.Clock,
+		adopted:       true,
+	}
+	r.setBase(of.Clock, report.Percent)
+	if t.run == nil {
+		t.setRun(r)
+	} else {
+		t.copy = r
+		d.options.Log.Write(aqlog.CopyAdopted, taskAttr(report.Run.Task), workerAttr(w.info.ID),
+			slog.Int("Attempt", int(report.Run.Attempt)), slog.String("Beside", string(t.run.worker.info.ID)))
 	}
-	t.setRun(r)
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.size)
 	w.invalidateLoad()
@@ -246,9 +258,7 @@
 		if t.group.spec.Perpetual {
 			return
 		}
-		if t.run != nil {
-			d.stop(t.run, "an earlier attempt succeeded")
-		}
+		d.stopRuns(t, "an earlier attempt succeeded")
 		d.taskDone(t)
 	case EndFailed:
 		d.taskFailed(t, w, e.Run.Attempt)
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -5,6 +5,7 @@
 
 	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/internal/site/aqinterference"
+	"acaciaquay/internal/site/aqspeculation"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
@@ -84,6 +85,13 @@
 	// placeSince is when a worker first had a place for a waiting task of a perpetual group,
 	// zero if none has had one.
 	placeSince time.Time
+	// siblings holds the durations of the tasks that are done.
+	siblings aqspeculation.Siblings
+	// usual is what a task of the group usually takes, as found at usualAt; usualBySiblings is set if the
+	// group's own tasks say so.
+	usual           time.Duration
+	usualAt         time.Time
+	usualBySiblings bool
 }
 
 // task is one task of a group.
@@ -91,8 +99,10 @@
 	group *group
 	index int
 	done  bool
-	// run is the current run; a task has at most one.
-	run     *run
+	// run is the current run. A task has at most one, or two if copy is set.
+	run *run
+	// copy is a second run on another worker, of which the first to end counts. It is nil while run is.
+	copy    *run
 	attempt Attempt
 	// failed holds the attempts that ended with a failure. It lists each attempt
 	// once, because two deciders may both learn of the same end.
@@ -209,6 +219,21 @@
 	waitedSince time.Time
 	// moved is set when the run was ordered to stop so that its task can run elsewhere.
 	moved bool
+	// adopted is set when an earlier decider has started the run.
+	adopted bool
+	// baseClock is the worker's clock when the progress was basePercent, zero if it is not known.
+	baseClock   time.Duration
+	basePercent int
+	// pacedAt is the worker's clock, and pacedPercent the progress, up to which the worker's pace has been
+	// noted.
+	pacedAt      time.Duration
+	pacedPercent int
+	// copyCause is why the run was started as a copy, nil if it was not.
+	copyCause aqspeculation.Cause
+	// watched is set once the run has taken longer than its siblings usually do and may get a copy.
+	watched bool
+	// copyVerdict is why a copy of the run was left out last.
+	copyVerdict aqspeculation.Verdict
 }
 
 func (t *task) id() aqjob.TaskID {
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"acaciaquay/internal/site/aqspeed"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqtype"
 )
@@ -64,6 +65,9 @@
 	overSince time.Time
 	// reviewAt is when the runs of the worker are reviewed next.
 	reviewAt time.Time
+	// slow lists the kinds of work with which the worker has been measured as slow. Only of these has its
+	// pace to be looked up.
+	slow []aqspeed.Kind
 	// load is a cache, nil after a change.
 	load *load
 }
@@ -134,6 +138,7 @@
 		emptySince: d.now,
 		runs:       map[RunID]*run{},
 		orphans:    map[RunID]time.Time{},
+		slow:       d.paces.Kinds(info.ID),
 	}
 	d.addWorker(w)
 	return w
@@ -194,6 +199,7 @@
 func (d *Decider) removeWorker(w *worker) {
 	d.fleetChanges++
 	delete(d.workers, w.info.ID)
+	d.paces.Forget(w.info.ID)
 	position := d.fleetIndex(w.info.ID)
 	d.fleet = slices.Delete(d.fleet, position, position+1)
 }
@@ -309,18 +315,19 @@
 }
 
 // NeedsFrequentHeartbeats reports whether the worker runs both serving tasks and
-// fillers, so that the tail latency has to be followed closely.
+// fillers, so that the tail latency has to be followed closely, or a task that may get a copy.
 func (d *Decider) NeedsFrequentHeartbeats(id aqtype.WorkerID) bool {
 	w := d.workers[id]
 	if w == nil {
 		return false
 	}
-	serving, filling := false, false
+	serving, filling, watched := false, false, false
 	for _, r := range w.runs {
 		serving = serving || r.task.group.spec.TailTarget > 0
 		filling = filling || r.task.group.spec.Filler
+		watched = watched || (r.watched && r.state == runRunning)
 	}
-	return serving && filling
+	return (serving && filling) || watched
 }
 
 // WorkerUnresponsive handles a worker that does not answer heartbeats. Its tasks may
--- a/pkg/aqdocs/pages.go
+++ b/pkg/aqdocs/pages.go
@@ -55,6 +55,11 @@
 	for _, r := range aqmetric.RetryReasons {
 		fmt.Fprintf(&b, "- `%s`\n", r)
 	}
+	b.WriteString("\n## Copies left out: `aq_copies_declined_total{reason=...}`\n\n")
+	b.WriteString("Second runs of late tasks that were not started. Each run counts once, until its reason changes.\n\n")
+	for _, r := range aqmetric.CopyDeclineReasons {
+		fmt.Fprintf(&b, "- `%s`\n", r)
+	}
 	b.WriteString("\n## Counters\n\n")
 	for _, c := range aqmetric.Counters {
 		fmt.Fprintf(&b, "- `%s`\n", c)
--- a/pkg/aqjob/job.go
+++ b/pkg/aqjob/job.go
@@ -86,7 +86,7 @@
 	// AntiAffinity limits the group's tasks on one worker; zero means no limit.
 	AntiAffinity int `msgpack:",omitempty"`
 	// Speculative tasks may run as several copies, of which the first to end
-	// counts. Nothing starts a second copy at present.
+	// counts.
 	Speculative bool `msgpack:",omitempty"`
 	// Perpetual tasks run until the job is cancelled.
 	Perpetual bool `msgpack:",omitempty"`
@@ -185,6 +185,23 @@
 	return longest
 }
 
+// PathAfter returns the longest path by estimated run time through the groups that depend on one.
+func (j *Job) PathAfter(group int) time.Duration {
+	ends := make([]time.Duration, len(j.Groups))
+	depends := make([]bool, len(j.Groups))
+	var longest time.Duration
+	for i, g := range j.Groups {
+		for _, before := range g.After {
+			if before == group || depends[before] {
+				depends[i] = true
+				ends[i] = max(ends[i], ends[before]+g.Estimate)
+			}
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // Limits of one job.
 const (
 	maxPayloadBytes = 4000
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -88,6 +88,21 @@
 	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated,
 }
 
+// CopyDeclineReason says why a second run of a late task was not started.
+type CopyDeclineReason string
+
+// The reasons for which no copy is started. Each counts a run once, until its reason changes.
+const (
+	CopyInTime   CopyDeclineReason = "InTime"
+	CopyNoGain   CopyDeclineReason = "NoGain"
+	CopyNoRoom   CopyDeclineReason = "NoRoom"
+	CopyAtLimit  CopyDeclineReason = "AtLimit"
+	CopyNoWorker CopyDeclineReason = "NoWorker"
+)
+
+// CopyDeclineReasons lists every reason for which no copy is started.
+var CopyDeclineReasons = []CopyDeclineReason{CopyInTime, CopyNoGain, CopyNoRoom, CopyAtLimit, CopyNoWorker}
+
 // Counter names a counter without a reason.
 type Counter string
 
@@ -109,7 +124,12 @@
 	RunsLost          Counter = "aq_runs_lost_with_worker_total"
 	JobsCrashing      Counter = "aq_jobs_crashing_workers_total"
 	// GroupWaits counts the log lines about groups that wait for workers.
-	GroupWaits      Counter = "aq_group_waits_total"
+	GroupWaits Counter = "aq_group_waits_total"
+	// CopiesStarted counts the second runs of tasks, CopiesWon those that succeeded first, CopiesLost those
+	// whose task succeeded in its first run.
+	CopiesStarted   Counter = "aq_copies_started_total"
+	CopiesWon       Counter = "aq_copies_won_total"
+	CopiesLost      Counter = "aq_copies_lost_total"
 	LeadTerms       Counter = "aq_lead_terms_total"
 	LogLinesDropped Counter = "aq_log_lines_dropped_total"
 	PanicsContained Counter = "aq_panics_contained_total"
@@ -119,7 +139,7 @@
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, LeadTerms, LogLinesDropped, PanicsContained,
+	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, CopiesStarted, CopiesWon, CopiesLost, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
@@ -159,6 +179,9 @@
 	for _, r := range RetryReasons {
 		s.set.GetOrCreateCounter(retryName(r))
 	}
+	for _, r := range CopyDeclineReasons {
+		s.set.GetOrCreateCounter(copyDeclineName(r))
+	}
 	for _, c := range Counters {
 		s.set.GetOrCreateCounter(string(c))
 	}
@@ -179,6 +202,9 @@
 // Retried counts one retry.
 func (s *Set) Retried(r RetryReason) { s.set.GetOrCreateCounter(retryName(r)).Inc() }
 
+// CopyDeclined counts one copy that was not started.
+func (s *Set) CopyDeclined(r CopyDeclineReason) { s.set.GetOrCreateCounter(copyDeclineName(r)).Inc() }
+
 // Inc adds one to a counter.
 func (s *Set) Inc(c Counter) { s.Add(c, 1) }
 
@@ -209,3 +235,7 @@
 }
 
 func retryName(r RetryReason) string { return fmt.Sprintf("aq_retries_total{reason=%q}", string(r)) }
+
+func copyDeclineName(r CopyDeclineReason) string {
+	return fmt.Sprintf("aq_copies_declined_total{reason=%q}", string(r))
+}
