Tell tasks that stand still from slow ones by measured durations

Cause: a run without progress was stopped after max(2 s, half the estimate), and estimates are off by a factor of two and more: five seconds for a task with an estimate of ten that takes one.

The limit follows from what one percent takes at the run's own pace before, or on a slow worker for the slowest of the queue's tasks, and from the work that a stop costs. The earlier limit is the most. Tests: a task that stands still is stopped after 1.6 s instead of 5.2 s, a slow one is not.

aqspeed: two observations count as the usual pace, so that one long task does not make a worker slow.

--- a/internal/site/aqspeed/speed.go
+++ b/internal/site/aqspeed/speed.go
@@ -31,7 +31,7 @@
 	// maxObserved limits one observation: a single task may take many times as long as others.
 	maxObserved = 3.0
 	// priorWeight is the evidence as which the usual pace counts.
-	priorWeight = 1.0
+	priorWeight = 2.0
 	// maxWeight limits the evidence, so that a change shows after a few observations.
 	maxWeight = 6.0
 	// forgottenWeight is the evidence below which an entry is dropped.
--- a/pkg/aqdecider/pace.go
+++ b/pkg/aqdecider/pace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"acaciaquay/internal/site/aqinterference"
+	"acaciaquay/internal/site/aqspeculation"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqtype"
 )
@@ -288,7 +289,7 @@
 	if spec.Perpetual {
 		return r.report.Percent < readyPercent && r.still() > readyTimeout
 	}
-	return r.still() > max(minStuckTime, time.Duration(stuckShare*float64(spec.Estimate)))
+	return r.still() > aqspeculation.LeastStill && r.still() > d.stillLimit(r)
 }
 
 // Weights of the scores of serving tasks and fillers.
--- /dev/null
+++ b/pkg/aqdecider/paces_test.go
@@ -0,0 +1,84 @@
+package aqdecider
+
+import (
+	"testing"
+	"time"
+
+	"acaciaquay/pkg/aqjob"
+)
+
+// newMeasuredHarness returns a harness in which many tasks with an estimate of ten seconds have taken a second, and one
+// has made a fifth of its progress in that time.
+func newMeasuredHarness(t *testing.T) (h *harness, last Start) {
+	t.Helper()
+	h = newHarness(t, poolWorker("w1", "r1-1", 80000))
+	h.report("w1")
+	group := tasks(60, 1000)
+	group.Estimate = 10 * time.Second
+	job := testJob(1, group)
+	h.d.AddJob(job, nil, 0, false)
+	h.tick()
+	h.advance(time.Second)
+	last = h.started[59]
+	h.running["w1"][last.Run] = RunReport{Run: last.Run, Percent: 20}
+	for i, s := range h.started[:59] {
+		h.end(i+1, s, EndDone)
+	}
+	return h, last
+}
+
+// advanceRun lets a run advance by some percent a step, and returns after how many steps it is ordered to stop, zero
+// if it is not.
+func (h *harness) advanceRun(s Start, percent, steps int) int {
+	for step := 1; step <= steps; step++ {
+		h.advance(400 * time.Millisecond)
+		report := h.running[s.Worker][s.Run]
+		report.Percent += percent
+		h.running[s.Worker][s.Run] = report
+		h.report(s.Worker)
+		h.tick()
+		if len(h.stopped) > 0 {
+			return step
+		}
+	}
+	return 0
+}
+
+// The measured durations tell a task that stands still from a slow one sooner than the estimate does.
+func TestStillTaskIsStoppedByMeasuredDurations(t *testing.T) {
+	h, last := newMeasuredHarness(t)
+	if steps := h.advanceRun(last, 1, 20); steps != 0 {
+		t.Fatalf("a slow task was stopped after %d steps", steps)
+	}
+	if steps := h.advanceRun(last, 0, 20); steps != 4 {
+		t.Fatalf("stopped after %d steps of 400 ms without progress, want 4", steps)
+	}
+	h, last = newMeasuredHarness(t)
+	h.d.times = map[aqjob.QueueID]*queueTimes{}
+	if steps := h.advanceRun(last, 0, 20); steps != 13 {
+		t.Fatalf("stopped after %d steps of 400 ms where nothing is measured, want 13", steps)
+	}
+}
+
+// A new leader starts with the paces that the earlier one has measured.
+func TestPacesOfAnEarlierLeader(t *testing.T) {
+	h, last := newMeasuredHarness(t)
+	h.advanceRun(last, 1, 10)
+	slow := h.d.paceOf(h.d.task(last.Run.Task).group, h.d.workers["w1"])
+	stored, err := h.d.EncodePaces()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := newHarness(t, poolWorker("w1", "r1-1", 80000))
+	n.advance(h.now.Sub(n.now))
+	if err := n.d.RestorePaces(stored, 0); err != nil {
+		t.Fatal(err)
+	}
+	n.d.AddJob(testJob(1, tasks(60, 1000)), nil, 0, false)
+	if got := n.d.paceOf(n.d.task(last.Run.Task).group, n.d.workers["w1"]); got != slow || slow < unnoticedPace {
+		t.Fatalf("pace %v, want %v", got, slow)
+	}
+	if err := n.d.RestorePaces([]byte("?"), 0); err == nil {
+		t.Fatal("malformed paces were restored")
+	}
+}
