Use workers last for the kinds of work with which they are slow

The pace of each worker is measured by kind of work, from runs compared with their siblings. It is a term of the score of tasks that end, smaller than that of another rack, and zero up to a pace of 1.4. Only workers that are listed as slow have their pace looked up: the look-up for each candidate cost time on the leader.

--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -273,7 +273,7 @@
 	if w.health.suspected() {
 		score += weightSuspected
 	}
-	return score
+	return score + d.slowness(g, w)
 }
 
 func share(part, whole int64) float64 {
