Soak: jobs whose tasks may have copies

The checker allows two runs for these tasks only, on different workers, and a start after the acknowledged success only while an order may be on its way (13 s). `make soak` plays one such seed more.

--- a/Makefile
+++ b/Makefile
@@ -22,10 +22,11 @@
 fuzz:
 	_scripts/fuzz
 
-# Replays the soak runs that have failed before, and two others (about two minutes).
+# Replays the soak runs that have failed before, two others, and one with copies of tasks (about two minutes).
 soak: build
 	$(BIN)/aqsoak --program $(BIN)/acaciaquay --regressions
 	$(BIN)/aqsoak --program $(BIN)/acaciaquay --seed 1 --count 2
+	$(BIN)/aqsoak --program $(BIN)/acaciaquay --seed 3 --count 1 --speculative
 
 tools:
 	_scripts/install-tools
--- a/cmd/aqsoak/main.go
+++ b/cmd/aqsoak/main.go
@@ -23,6 +23,7 @@
 	dir := app.Flag("dir", "Directory for settings and logs.").Default(".run/soak").String()
 	regressionsOnly := app.Flag("regressions", "Run the seeds that have failed before instead of the others.").Bool()
 	delayAcrossRestarts := app.Flag("delay-across-restarts", "Also delay orders to workers on their way while these restart.").Bool()
+	speculative := app.Flag("speculative", "Permit copies of the tasks of every other job.").Bool()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -47,6 +48,7 @@
 			Processes:           *processes,
 			Workers:             *workers,
 			DelayAcrossRestarts: run.DelayAcrossRestarts,
+			Speculative:         *speculative,
 			Out:                 out,
 		})
 		if err != nil {
--- a/pkg/aqsoak/checker.go
+++ b/pkg/aqsoak/checker.go
@@ -17,6 +17,8 @@
 	MilliCPU int64
 	Work     aqfake.Work
 	After    []int
+	// Speculative groups may have two runs of a task.
+	Speculative bool
 }
 
 // job is a job of a soak with the outcomes that its submitter has seen.
@@ -48,10 +50,12 @@
 type taskHistory struct {
 	// runsOn maps the workers that run the task now to the attempt.
 	runsOn map[string]int
-	// successAcked is set once the scheduler has acknowledged a successful end.
-	successAcked bool
-	done         bool
-	failed       int
+	// successAcked is set once the scheduler has acknowledged a successful end, at successAckedAt for the first
+	// time.
+	successAcked   bool
+	successAckedAt time.Time
+	done           bool
+	failed         int
 	// crashes counts the workers that have crashed under the task, startsAfterCrashes its
 	// starts after maxCrashes of them.
 	crashes            int
@@ -75,8 +79,10 @@
 	// capacities maps the workers whose capacity has changed to the changes.
 	capacities map[string]*capacity
 	// endCounts counts the ended runs by the reason of the end.
-	endCounts  map[string]int
-	starts     int
+	endCounts map[string]int
+	starts    int
+	// copies counts the starts beside another run of the same task.
+	copies     int
 	transit    transitCounts
 	violations []string
 	startedAt  time.Time
@@ -108,6 +114,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	summary := fmt.Sprintf("%d jobs, %d runs, ends %v", len(c.jobs), c.starts, c.endCounts)
+	if c.copies > 0 {
+		summary += fmt.Sprintf(", %d copies", c.copies)
+	}
 	if c.transit == (transitCounts{}) {
 		return summary
 	}
@@ -162,19 +171,20 @@
 	return t
 }
 
-// taskOf returns the job and the group of a task, and false for a task of a job that
+// taskOf returns the job, the group and the index of a task, and false for a task of a job that
 // was never submitted.
-func (c *Checker) taskOf(name string) (*job, *group, bool) {
+func (c *Checker) taskOf(name string) (j *job, g *group, index int, known bool) {
 	parts := strings.Split(name, ".")
-	j := c.jobs[parts[0]]
+	j = c.jobs[parts[0]]
 	if j == nil || len(parts) != 4 {
-		return nil, nil, false
+		return nil, nil, 0, false
 	}
 	number, err := strconv.Atoi(parts[2])
 	if err != nil || number >= len(j.Groups) {
-		return nil, nil, false
+		return nil, nil, 0, false
 	}
-	return j, &j.Groups[number], true
+	index, err = strconv.Atoi(parts[3])
+	return j, &j.Groups[number], index, err == nil
 }
 
 // Started implements aqfake.Observer.
@@ -182,7 +192,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
-	j, g, known := c.taskOf(run.Task)
+	j, g, index, known := c.taskOf(run.Task)
 	if !known {
 		c.addViolation("UNASKED: %s starts on %s", run.Task, worker)
 		return aqfake.Work{}
@@ -191,9 +201,9 @@
 	switch {
 	case payload != j.payload():
 		c.addViolation("UNASKED: %s starts with payload %q", run.Task, payload)
-	case len(t.runsOn) > 0:
+	case !t.mayRunBeside(worker, g.Speculative):
 		c.addViolation("TWICE: %s attempt %d starts on %s and runs on %v", run.Task, run.Attempt, worker, t.runsOn)
-	case t.successAcked:
+	case t.successAcked && (!g.Speculative || time.Since(t.successAckedAt) > maxOrderDelay):
 		c.addViolation("TWICE: %s attempt %d starts on %s after its success was acknowledged", run.Task, run.Attempt, worker)
 	case t.failed >= c.maxAttempts && !g.Work.Perpetual:
 		c.addViolation("BUDGET: %s starts after %d failures", run.Task, t.failed)
@@ -211,13 +221,31 @@
 			}
 		}
 	}
+	first := !t.started
 	t.started = true
+	if len(t.runsOn) > 0 {
+		c.copies++
+	}
 	t.runsOn[worker] = run.Attempt
 	c.reservedMilliCPU[worker] += g.MilliCPU
 	if allowed := c.allowedMilliCPU(worker); c.reservedMilliCPU[worker] > allowed {
 		c.addViolation("LIMIT: %s raises the reservations to %d of %d on %s", run.Task, c.reservedMilliCPU[worker], allowed, worker)
 	}
-	return g.Work
+	return g.work(index, first)
+}
+
+// maxOrderDelay is how long an order may be on its way that a process has sent. The start of a copy may arrive after
+// the success of the other run.
+const maxOrderDelay = 13 * time.Second
+
+// mayRunBeside reports whether a task may be started on a worker beside its present runs: one run of a speculative task
+// on another worker.
+func (t *taskHistory) mayRunBeside(worker string, speculative bool) bool {
+	if len(t.runsOn) == 0 {
+		return true
+	}
+	_, same := t.runsOn[worker]
+	return speculative && len(t.runsOn) == 1 && !same
 }
 
 // Ended implements aqfake.Observer.
@@ -225,7 +253,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endCounts[endReason]++
-	_, g, known := c.taskOf(run.Task)
+	_, g, _, known := c.taskOf(run.Task)
 	if !known {
 		return
 	}
@@ -245,6 +273,9 @@
 	t := c.task(run.Task)
 	switch endReason {
 	case "done":
+		if !t.successAcked {
+			t.successAckedAt = time.Now()
+		}
 		t.successAcked = true
 	case "failed":
 		t.failed++
--- a/pkg/aqsoak/load.go
+++ b/pkg/aqsoak/load.go
@@ -66,6 +66,33 @@
 	return j
 }
 
+// siblings is the least number of tasks in a speculative group, so that one that lags can be told.
+const siblings = 4
+
+// speculate permits copies of the tasks of a job that ends.
+func (j *job) speculate() {
+	for n := range j.Groups {
+		g := &j.Groups[n]
+		if !g.Work.Perpetual {
+			g.Speculative = true
+			g.Count = max(g.Count, siblings)
+			g.MilliCPU = 1000
+		}
+	}
+}
+
+// lagFactor is how many times as long the first task of a speculative group takes in its first run.
+const lagFactor = 8
+
+// work returns the work of a run. first is set for the first run of a task.
+func (g *group) work(index int, first bool) aqfake.Work {
+	work := g.Work
+	if g.Speculative && first && index == 0 {
+		work.Duration *= lagFactor
+	}
+	return work
+}
+
 func (j *job) steps() []aqfake.Step {
 	steps := make([]aqfake.Step, 0, len(j.Groups))
 	for _, g := range j.Groups {
@@ -76,6 +103,7 @@
 			After:         g.After,
 			Checkpointing: g.Work.Checkpointing,
 			Perpetual:     g.Work.Perpetual,
+			Speculative:   g.Speculative,
 		})
 	}
 	return steps
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -47,7 +47,9 @@
 	Workers   int
 	// DelayAcrossRestarts adds the fault "orders delayed on their way across a restart".
 	DelayAcrossRestarts bool
-	Out                 io.Writer
+	// Speculative permits copies of the tasks of every other job.
+	Speculative bool
+	Out         io.Writer
 }
 
 // Result is the outcome of one soak.
@@ -223,6 +225,9 @@
 	for number := 0; faultCtx.Err() == nil; number++ {
 		j := drawJob(random, number)
 		cancelAfter := randomDuration(random, maxCancelDelay)
+		if s.options.Speculative && number%2 == 0 {
+			j.speculate()
+		}
 		s.checker.add(j)
 		s.running.Add(1)
 		go func() {
