Pace of workers: a run counts once, all work is the prior of each kind

A run that goes on as before counts once. Each observation counts for the worker with all work and, beside that, for its kind. A worker that is found slow is logged (575) and counted.

--- a/internal/site/aqspeed/speed.go
+++ b/internal/site/aqspeed/speed.go
@@ -30,21 +30,18 @@
 	halfLife = 4 * time.Second
 	// maxObserved limits one observation: a single task may take many times as long as others.
 	maxObserved = 3.0
-	// priorWeight is the evidence as which the usual pace counts.
-	priorWeight = 2.0
+	// priorWeight is the evidence as which the usual pace counts for a worker, kindPriorWeight that as which the
+	// worker's pace with all work counts for one kind: each observation is in both.
+	priorWeight     = 2.0
+	kindPriorWeight = 4.0
 	// maxWeight limits the evidence, so that a change shows after a few observations.
 	maxWeight = 6.0
 	// forgottenWeight is the evidence below which an entry is dropped.
 	forgottenWeight = 0.05
 	// maxEntries limits the entries that are kept.
-	maxEntries = 4096
+	maxEntries = 16384
 )
 
-type key struct {
-	Worker aqtype.WorkerID
-	Kind   Kind
-}
-
 // entry is the estimate for a worker and a kind of work.
 type entry struct {
 	// logPace is the mean of the logarithms of the observed paces.
@@ -54,18 +51,23 @@
 	at     time.Time
 }
 
+// AllWork stands for work of every kind. It is no image or queue.
+const AllWork Kind = ""
+
 // Table holds the paces of the workers. It is not safe for concurrent use.
 type Table struct {
-	entries map[key]entry
+	entries map[aqtype.WorkerID]map[Kind]entry
+	// count is the number of entries, at most maxEntries.
+	count int
 	// prunedAt is when forgotten entries were dropped last.
 	prunedAt time.Time
 }
 
 // New returns a table without observations.
-func New() *Table { return &Table{entries: map[key]entry{}} }
+func New() *Table { return &Table{entries: map[aqtype.WorkerID]map[Kind]entry{}} }
 
 // Len returns the number of entries.
-func (t *Table) Len() int { return len(t.entries) }
+func (t *Table) Len() int { return t.count }
 
 func (e entry) aged(now time.Time) entry {
 	if age := now.Sub(e.at); age > 0 {
@@ -80,24 +82,39 @@
 	if took <= 0 || usual <= 0 {
 		return
 	}
-	k := key{
-		Worker: w,
-		Kind:   kind,
+	observed := math.Log(float64(took) / float64(usual))
+	observed = max(-math.Log(maxObserved), min(math.Log(maxObserved), observed))
+	t.observe(w, AllWork, observed, now)
+	if kind != AllWork {
+		t.observe(w, kind, observed, now)
 	}
-	e, known := t.entries[k]
-	if !known && len(t.entries) >= maxEntries {
+}
+
+func (t *Table) observe(w aqtype.WorkerID, kind Kind, observed float64, now time.Time) {
+	e, known := t.entries[w][kind]
+	if !known && t.count >= maxEntries {
 		t.prune(now)
-		if len(t.entries) >= maxEntries {
+		if t.count >= maxEntries {
 			return
 		}
 	}
 	e = e.aged(now)
-	observed := math.Log(float64(took) / float64(usual))
-	observed = max(-math.Log(maxObserved), min(math.Log(maxObserved), observed))
 	e.logPace = (e.logPace*e.weight + observed) / (e.weight + 1)
 	e.weight = min(maxWeight, e.weight+1)
 	e.at = now
-	t.entries[k] = e
+	t.set(w, kind, e)
+}
+
+func (t *Table) set(w aqtype.WorkerID, kind Kind, e entry) {
+	kinds := t.entries[w]
+	if kinds == nil {
+		kinds = map[Kind]entry{}
+		t.entries[w] = kinds
+	}
+	if _, known := kinds[kind]; !known {
+		t.count++
+	}
+	kinds[kind] = e
 }
 
 // pruneInterval is the least time between two looks for forgotten entries.
@@ -108,42 +125,43 @@
 		return
 	}
 	t.prunedAt = now
-	for k, e := range t.entries {
-		if e.aged(now).weight < forgottenWeight {
-			delete(t.entries, k)
+	for w, kinds := range t.entries {
+		for kind, e := range kinds {
+			if e.aged(now).weight < forgottenWeight {
+				delete(kinds, kind)
+				t.count--
+			}
+		}
+		if len(kinds) == 0 {
+			delete(t.entries, w)
 		}
 	}
 }
 
-// Of returns the pace of a worker with a kind of work. The less is known, the nearer it is to Usual.
+// Of returns the pace of a worker with a kind of work. The less is known of that kind, the nearer it is to the worker's pace
+// with all work, and the less is known of that, the nearer this is to Usual.
 func (t *Table) Of(w aqtype.WorkerID, kind Kind, now time.Time) Pace {
-	e, known := t.entries[key{Worker: w, Kind: kind}]
-	if !known {
+	kinds := t.entries[w]
+	if len(kinds) == 0 {
 		return Usual
 	}
-	e = e.aged(now)
-	return Pace(math.Exp(e.logPace * e.weight / (e.weight + priorWeight)))
+	logPace := kinds[AllWork].towards(0, priorWeight, now)
+	if kind != AllWork {
+		logPace = kinds[kind].towards(logPace, kindPriorWeight, now)
+	}
+	return Pace(math.Exp(logPace))
 }
 
-// Kinds lists the kinds of work of which the pace of a worker is known, in order.
-func (t *Table) Kinds(w aqtype.WorkerID) []Kind {
-	var kinds []Kind
-	for k := range t.entries {
-		if k.Worker == w {
-			kinds = append(kinds, k.Kind)
-		}
-	}
-	slices.Sort(kinds)
-	return kinds
+// towards returns the estimate, beside a prior one with a weight.
+func (e entry) towards(prior, weight float64, now time.Time) float64 {
+	e = e.aged(now)
+	return (e.logPace*e.weight + prior*weight) / (e.weight + weight)
 }
 
 // Forget drops what is known of a worker that has restarted or left.
 func (t *Table) Forget(w aqtype.WorkerID) {
-	for k := range t.entries {
-		if k.Worker == w {
-			delete(t.entries, k)
-		}
-	}
+	t.count -= len(t.entries[w])
+	delete(t.entries, w)
 }
 
 // record is an entry as it is stored.
@@ -159,15 +177,17 @@
 
 // Encode returns the entries with the most evidence for the next leader.
 func (t *Table) Encode(now time.Time) ([]byte, error) {
-	records := make([]record, 0, len(t.entries))
-	for k, e := range t.entries {
-		if e = e.aged(now); e.weight >= forgottenWeight {
-			records = append(records, record{
-				Worker:  k.Worker,
-				Kind:    k.Kind,
-				LogPace: e.logPace,
-				Weight:  e.weight,
-			})
+	records := make([]record, 0, t.count)
+	for w, kinds := range t.entries {
+		for kind, e := range kinds {
+			if e = e.aged(now); e.weight >= forgottenWeight {
+				records = append(records, record{
+					Worker:  w,
+					Kind:    kind,
+					LogPace: e.logPace,
+					Weight:  e.weight,
+				})
+			}
 		}
 	}
 	slices.SortFunc(records, func(a, b record) int {
@@ -203,7 +223,7 @@
 			weight:  r.Weight,
 			at:      now.Add(-max(0, age)),
 		}
-		t.entries[key{Worker: r.Worker, Kind: r.Kind}] = e.aged(now)
+		t.set(r.Worker, r.Kind, e.aged(now))
 	}
 	return t, nil
 }
--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -43,7 +43,7 @@
 	w.reachable = false
 	w.health = health{}
 	d.paces.Forget(w.info.ID)
-	w.slow = nil
+	w.slow = false
 	d.expectStrayLease(w)
 }
 
--- a/pkg/aqdecider/paces.go
+++ b/pkg/aqdecider/paces.go
@@ -1,12 +1,14 @@
 package aqdecider
 
 import (
-	"slices"
+	"log/slog"
 	"time"
 
 	"acaciaquay/internal/site/aqspeculation"
 	"acaciaquay/internal/site/aqspeed"
 	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
 )
 
 // queueTimes is what has been measured of a queue's tasks.
@@ -179,7 +181,7 @@
 	}
 	d.paces = paces
 	for _, w := range d.fleet {
-		w.slow = paces.Kinds(w.info.ID)
+		w.slow = paces.Of(w.info.ID, aqspeed.AllWork, d.now) > unnoticedPace
 	}
 	return nil
 }
@@ -216,16 +218,27 @@
 	}
 }
 
-// observePace adds the duration of a run, or of a part of one, to the paces, and keeps worker.slow.
+// samePace is the ratio up to which two durations of parts of one run tell the same of its worker.
+const samePace = 1.5
+
+// observePace adds what a run, or a part of one, says of the duration of the whole task to the paces, and keeps
+// worker.slow. A run that goes on as before counts once: it may be a long task.
 func (d *Decider) observePace(r *run, took, usual time.Duration) {
+	if before := float64(r.pacedWhole); before > 0 && float64(took) < samePace*before && before < samePace*float64(took) {
+		return
+	}
+	r.pacedWhole = took
 	w, kind := r.worker, r.task.group.kind()
 	d.paces.Observe(w.info.ID, kind, took, usual, d.now)
-	listed := slices.Contains(w.slow, kind)
-	switch slow := d.paces.Of(w.info.ID, kind, d.now) > unnoticedPace; {
-	case slow && !listed:
-		w.slow = append(w.slow, kind)
-	case !slow && listed:
-		w.slow = slices.DeleteFunc(w.slow, func(k aqspeed.Kind) bool { return k == kind })
+	pace := d.paces.Of(w.info.ID, kind, d.now)
+	switch {
+	case pace > unnoticedPace && !w.slow:
+		w.slow = true
+		d.options.Metrics.Inc(aqmetric.WorkersSlow)
+		d.options.Log.Write(aqlog.WorkerSlow, workerAttr(w.info.ID), slog.String("Kind", string(kind)),
+			slog.Float64("Pace", float64(pace)), slog.Int("Runs", len(w.runs)))
+	case pace <= unnoticedPace && w.slow:
+		w.slow = d.paces.Of(w.info.ID, aqspeed.AllWork, d.now) > unnoticedPace
 	}
 }
 
@@ -240,7 +253,7 @@
 
 // slowness returns the part of a worker's score that is due to its pace.
 func (d *Decider) slowness(g *group, w *worker) float64 {
-	if len(w.slow) == 0 || !g.timed() || !slices.Contains(w.slow, g.kind()) {
+	if !w.slow || !g.timed() {
 		return 0
 	}
 	pace := float64(d.paceOf(g, w))
--- a/pkg/aqdecider/paces_test.go
+++ b/pkg/aqdecider/paces_test.go
@@ -1,9 +1,11 @@
 package aqdecider
 
 import (
+	"math"
 	"testing"
 	"time"
 
+	"acaciaquay/internal/site/aqspeed"
 	"acaciaquay/pkg/aqjob"
 )
 
@@ -65,6 +67,9 @@
 	h, last := newMeasuredHarness(t)
 	h.advanceRun(last, 1, 10)
 	slow := h.d.paceOf(h.d.task(last.Run.Task).group, h.d.workers["w1"])
+	if slow == aqspeed.Usual {
+		t.Fatal("no pace was measured")
+	}
 	stored, err := h.d.EncodePaces()
 	if err != nil {
 		t.Fatal(err)
@@ -75,7 +80,7 @@
 		t.Fatal(err)
 	}
 	n.d.AddJob(testJob(1, tasks(60, 1000)), nil, 0, false)
-	if got := n.d.paceOf(n.d.task(last.Run.Task).group, n.d.workers["w1"]); got != slow || slow < unnoticedPace {
+	if got := n.d.paceOf(n.d.task(last.Run.Task).group, n.d.workers["w1"]); math.Abs(float64(got-slow)) > 1e-9 {
 		t.Fatalf("pace %v, want %v", got, slow)
 	}
 	if err := n.d.RestorePaces([]byte("?"), 0); err == nil {
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -65,9 +65,9 @@
 	overSince time.Time
 	// reviewAt is when the runs of the worker are reviewed next.
 	reviewAt time.Time
-	// slow lists the kinds of work with which the worker has been measured as slow. Only of these has its
-	// pace to be looked up.
-	slow []aqspeed.Kind
+	// slow is set while the worker has been measured as slow with some work. Of others no pace has to be looked
+	// up.
+	slow bool
 	// load is a cache, nil after a change.
 	load *load
 }
@@ -138,7 +138,7 @@
 		emptySince: d.now,
 		runs:       map[RunID]*run{},
 		orphans:    map[RunID]time.Time{},
-		slow:       d.paces.Kinds(info.ID),
+		slow:       d.paces.Of(info.ID, aqspeed.AllWork, d.now) > unnoticedPace,
 	}
 	d.addWorker(w)
 	return w
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -60,6 +60,7 @@
 	CopyStarted        = Event{Number: 572, Layer: LayerDecider, Level: slog.LevelInfo, Message: "copy started", Meaning: "A second run of a task that lags behind its siblings or stands still is started beside the one on the worker in Beside. Cause is SlowTask, SlowWorker or Hung, Left how much longer that run is expected to take, and Takes what the copy is expected to take. The first to succeed counts."}
 	CopyDecided        = Event{Number: 573, Layer: LayerDecider, Level: slog.LevelInfo, Message: "run with a copy succeeded", Meaning: "One of the two runs of a task has succeeded, the other is stopped. CopyFirst is true when it was the copy. OtherFor is how long ago the other was ordered."}
 	CopyAdopted        = Event{Number: 574, Layer: LayerDecider, Level: slog.LevelInfo, Message: "copy adopted", Meaning: "A worker reported a second run of a task whose groups permit copies. Both runs continue; the first to succeed counts."}
+	WorkerSlow         = Event{Number: 575, Layer: LayerDecider, Level: slog.LevelInfo, Message: "worker is slow", Meaning: "Tasks of the image or queue in Kind take Pace times as long on the worker as their siblings elsewhere. It is used for these last, until a few seconds after it was last seen slow."}
 	OrdersRepeated     = Event{Number: 554, Layer: LayerDecider, Level: slog.LevelInfo, Message: "orders repeated", Meaning: "Another agent manages the worker, or the same one anew. The Starts, Stops and Paces whose outcome is not known are sent again through it."}
 	WorkerLeaseExpired = Event{Number: 546, Layer: LayerDecider, Level: slog.LevelWarn, Message: "worker lease expired", Meaning: "The worker did not answer before its lease expired, as far as its agents have renewed it. Its tasks are placed again, but for those in Held. Life is the start of the worker's incarnation, as far as it is known; EarlierLife is how many of the Runs were ordered in an earlier one, which has ended, and have not been stopped in this one. Held is how many are kept, since calls to an earlier incarnation may start them or keep them alive; StrayLease is how much longer a lease of such a call may last."}
 
@@ -119,7 +120,7 @@
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
 	JobAccepted, TaskEvicted, TaskAbandoned, WorkerOnProbation,
 	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
-	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, StopRepeated, WorkerSuspected, OrdersRepeated, CopyStarted, CopyDecided, CopyAdopted,
+	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, StopRepeated, WorkerSuspected, OrdersRepeated, CopyStarted, CopyDecided, CopyAdopted, WorkerSlow,
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers, CapacityChanged,
 	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed, EarlierLeadersEnded,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -127,9 +127,11 @@
 	GroupWaits Counter = "aq_group_waits_total"
 	// CopiesStarted counts the second runs of tasks, CopiesWon those that succeeded first, CopiesLost those
 	// whose task succeeded in its first run.
-	CopiesStarted   Counter = "aq_copies_started_total"
-	CopiesWon       Counter = "aq_copies_won_total"
-	CopiesLost      Counter = "aq_copies_lost_total"
+	CopiesStarted Counter = "aq_copies_started_total"
+	CopiesWon     Counter = "aq_copies_won_total"
+	CopiesLost    Counter = "aq_copies_lost_total"
+	// WorkersSlow counts how often a worker was found to be slow for a kind of work.
+	WorkersSlow     Counter = "aq_workers_slow_total"
 	LeadTerms       Counter = "aq_lead_terms_total"
 	LogLinesDropped Counter = "aq_log_lines_dropped_total"
 	PanicsContained Counter = "aq_panics_contained_total"
@@ -139,7 +141,7 @@
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, CopiesStarted, CopiesWon, CopiesLost, LeadTerms, LogLinesDropped, PanicsContained,
+	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, CopiesStarted, CopiesWon, CopiesLost, WorkersSlow, LeadTerms, LogLinesDropped, PanicsContained,
 }
 
 // Timing names a latency histogram, in seconds.
