Copies: count a run once that gets none, leave out ends of silent workers

Cause (read-through): a late run was counted again every 100 ms as one of the twenty of which one gets a copy where copies do not help, so that each got one after two seconds. When a run ended is not known if its worker was silent for two seconds before: a worker that was cut off would count as slow. `Unhelpful` is a reason of its own.

--- a/internal/site/aqspeculation/copies.go
+++ b/internal/site/aqspeculation/copies.go
@@ -110,8 +110,8 @@
 	priorOutcomes = 2.0
 	// outcomeDecay discounts older outcomes with each new one.
 	outcomeDecay = 0.95
-	// probeInterval is how many copies that did not pay are left out until one is started
-	// to find out whether copies help by now.
+	// probeInterval is the number of runs of which one gets a copy though copies have not
+	// helped, to find out whether they do by now.
 	probeInterval = 20
 )
 
@@ -123,8 +123,7 @@
 
 type outcome struct {
 	won, lost float64
-	// declined counts the copies that were left out since the last one because copies do not
-	// help.
+	// declined counts the runs without a copy since the last one, because copies do not help.
 	declined int
 }
 
@@ -167,6 +166,8 @@
 	Room bool
 	// Copies and Running count the copies and the running tasks of the queue.
 	Copies, Running int
+	// Declined is set if a copy of the same run has been left out as Unhelpful before.
+	Declined bool
 }
 
 // Verdict is the answer to whether a copy pays. Reasons are names that logs and counters use.
@@ -180,6 +181,8 @@
 	InTime Verdict = "InTime"
 	// NoGain means that the copy is expected to end too late to be worth its work.
 	NoGain Verdict = "NoGain"
+	// Unhelpful means that copies for this cause have not ended first lately.
+	Unhelpful Verdict = "Unhelpful"
 	// NoRoom means that other work needs the processors.
 	NoRoom Verdict = "NoRoom"
 	// AtLimit means that the queue has as many copies as are permitted.
@@ -189,7 +192,7 @@
 )
 
 // Verdicts lists every reason for which a copy is left out.
-var Verdicts = []Verdict{InTime, NoGain, NoRoom, AtLimit, NoWorker}
+var Verdicts = []Verdict{InTime, NoGain, Unhelpful, NoRoom, AtLimit, NoWorker}
 
 const (
 	// maxCopyShare is the share of a queue's running tasks that may have a copy. One always
@@ -218,7 +221,7 @@
 	case n.Copies >= max(1, int(maxCopyShare*float64(n.Running))):
 		return AtLimit
 	case o.Share(c)*float64(saving) < float64(n.Takes):
-		return o.decline(c)
+		return o.decline(c, n.Declined)
 	}
 	return Pays
 }
@@ -228,12 +231,15 @@
 	return (left > n.Until && n.Takes <= n.Until) || (left > n.Lost && n.Takes <= n.Lost)
 }
 
-// decline leaves a copy out, but for one in probeInterval.
-func (o *Outcomes) decline(c Cause) Verdict {
+// decline leaves a copy out, but for those of one run in probeInterval. known is set if the run has been counted.
+func (o *Outcomes) decline(c Cause, known bool) Verdict {
+	if known {
+		return Unhelpful
+	}
 	each := o.of(c)
 	each.declined++
 	if each.declined < probeInterval {
-		return NoGain
+		return Unhelpful
 	}
 	each.declined = 0
 	return Pays
--- a/internal/site/aqspeculation/speculation_test.go
+++ b/internal/site/aqspeculation/speculation_test.go
@@ -104,6 +104,12 @@
 	if started != 10 {
 		t.Fatalf("%d of %d copies were started", started, 10*probeInterval)
 	}
+	need.Declined = true
+	for range probeInterval {
+		if verdict := Decide(3*time.Second, SlowTask{}, need, o); verdict != Unhelpful {
+			t.Fatalf("%s for a run that has been declined before", verdict)
+		}
+	}
 }
 
 // For how long the progress of tasks may not rise.
--- a/pkg/aqdecider/copies.go
+++ b/pkg/aqdecider/copies.go
@@ -178,6 +178,7 @@
 	need.Room = room.free[service] >= g.spec.Size.MilliCPU
 	need.Copies = room.copies[g.occurrence.job.queue.ID]
 	need.Running = room.running[g.occurrence.job.queue.ID]
+	need.Declined = r.copyVerdict == aqspeculation.Unhelpful
 	verdict := aqspeculation.Decide(left, cause, need, &queue.outcomes)
 	var to *worker
 	if verdict == aqspeculation.Pays {
--- a/pkg/aqdecider/paces.go
+++ b/pkg/aqdecider/paces.go
@@ -142,9 +142,12 @@
 	return still.Limit(&d.queueTimes(g.occurrence.job.queue.ID).byEstimate)
 }
 
-// noteDone records how long a successful run has taken.
+// noteDone records how long a successful run has taken. When it ended is not known if its worker was silent before.
 func (d *Decider) noteDone(r *run) {
 	g := r.task.group
+	if d.now.Sub(r.orderedAt) > staleReport && d.now.Sub(r.reportAt) > staleReport {
+		return
+	}
 	if !g.timed() || r.adopted || r.resumeFrom != "" || !r.onOwnRack() || r.task.done {
 		return
 	}
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -93,15 +93,16 @@
 
 // The reasons for which no copy is started. Each counts a run once, until its reason changes.
 const (
-	CopyInTime   CopyDeclineReason = "InTime"
-	CopyNoGain   CopyDeclineReason = "NoGain"
-	CopyNoRoom   CopyDeclineReason = "NoRoom"
-	CopyAtLimit  CopyDeclineReason = "AtLimit"
-	CopyNoWorker CopyDeclineReason = "NoWorker"
+	CopyInTime    CopyDeclineReason = "InTime"
+	CopyNoGain    CopyDeclineReason = "NoGain"
+	CopyUnhelpful CopyDeclineReason = "Unhelpful"
+	CopyNoRoom    CopyDeclineReason = "NoRoom"
+	CopyAtLimit   CopyDeclineReason = "AtLimit"
+	CopyNoWorker  CopyDeclineReason = "NoWorker"
 )
 
 // CopyDeclineReasons lists every reason for which no copy is started.
-var CopyDeclineReasons = []CopyDeclineReason{CopyInTime, CopyNoGain, CopyNoRoom, CopyAtLimit, CopyNoWorker}
+var CopyDeclineReasons = []CopyDeclineReason{CopyInTime, CopyNoGain, CopyUnhelpful, CopyNoRoom, CopyAtLimit, CopyNoWorker}
 
 // Counter names a counter without a reason.
 type Counter string
