--- a/internal/site/aqspeculation/copies.go
+++ b/internal/site/aqspeculation/copies.go
@@ -43,13 +43,13 @@
 	MeasuredFor time.Duration
 	// Hung is set once the progress has not risen for longer than about Still.Limit.
 	Hung bool
-	// WorkerPace is the pace of the run's worker: 1 is usual, 2 takes twice as long.
-	WorkerPace float64
+	// WorkerSlowdown is that of the run's worker: 1 is usual, 2 takes twice as long.
+	WorkerSlowdown float64
 }
 
 const (
-	// slowWorkerPace is the pace from which a worker is the likely cause of a late run.
-	slowWorkerPace = 1.8
+	// slowWorkerSlowdown is the slowdown from which a worker is the likely cause of a late run.
+	slowWorkerSlowdown = 1.8
 	// startDelay is how long after its order a run may have begun.
 	startDelay = 100 * time.Millisecond
 	// leastGained is the progress from which the time that is left follows from it.
@@ -61,7 +61,7 @@
 	switch {
 	case p.Hung:
 		return Hung{}
-	case p.WorkerPace >= slowWorkerPace:
+	case p.WorkerSlowdown >= slowWorkerSlowdown:
 		return SlowWorker{}
 	}
 	return SlowTask{}
--- a/internal/site/aqspeculation/speculation_test.go
+++ b/internal/site/aqspeculation/speculation_test.go
@@ -35,18 +35,18 @@
 		Running: 100,
 	}
 	slow := Progress{
-		Elapsed:     time.Second,
-		Percent:     20,
-		Gained:      20,
-		MeasuredFor: time.Second,
-		WorkerPace:  1,
+		Elapsed:        time.Second,
+		Percent:        20,
+		Gained:         20,
+		MeasuredFor:    time.Second,
+		WorkerSlowdown: 1,
 	}
 	for _, test := range []struct {
 		name   string
 		change func(*Progress, *Need, *Outcomes)
 	}{
 		{name: "slow task", change: func(*Progress, *Need, *Outcomes) {}},
-		{name: "slow worker", change: func(p *Progress, _ *Need, _ *Outcomes) { p.WorkerPace = 3 }},
+		{name: "slow worker", change: func(p *Progress, _ *Need, _ *Outcomes) { p.WorkerSlowdown = 3 }},
 		{name: "stands still", change: func(p *Progress, _ *Need, _ *Outcomes) { p.Hung = true }},
 		{name: "nearly done", change: func(p *Progress, _ *Need, _ *Outcomes) { p.Percent, p.Gained = 90, 90 }},
 		{name: "resumed", change: func(p *Progress, _ *Need, _ *Outcomes) { p.Percent, p.Gained = 90, 10 }},
--- a/internal/site/aqspeculation/still.go
+++ b/internal/site/aqspeculation/still.go
@@ -18,7 +18,7 @@
 type Still struct {
 	// Estimate is that of the task.
 	Estimate time.Duration
-	// Whole is what the whole task takes at its pace before it stood still, zero if that is not known.
+	// Whole is what the whole task takes at the rate of its progress before it stood still, zero if that is not known.
 	Whole time.Duration
 	// Lost is the work that a stop costs. What has stood still for a time is expected to do so for as long
 	// again.
--- a/internal/site/aqspeed/speed.go
+++ b/internal/site/aqspeed/speed.go
@@ -17,12 +17,12 @@
 // Kind is a kind of work: an image, or the id of a queue.
 type Kind string
 
-// Pace is how long tasks take on a worker, relative to what they usually take: 1 is usual, 2 takes
+// Slowdown is how long tasks take on a worker, relative to what they usually take: 1 is usual, 2 takes
 // twice as long.
-type Pace float64
+type Slowdown float64
 
-// Usual is the pace of a worker of which nothing is known.
-const Usual Pace = 1
+// Usual is the slowdown of a worker of which nothing is known.
+const Usual Slowdown = 1
 
 const (
 	// halfLife is the time after which an observation counts half. Slowness comes and goes
@@ -30,8 +30,8 @@
 	halfLife = 4 * time.Second
 	// maxObserved limits one observation: a single task may take many times as long as others.
 	maxObserved = 3.0
-	// priorWeight is the evidence as which the usual pace counts for a worker, kindPriorWeight that as which the
-	// worker's pace with all work counts for one kind: each observation is in both.
+	// priorWeight is the evidence as which the usual slowdown counts for a worker, kindPriorWeight that as which the
+	// worker's slowdown with all work counts for one kind: each observation is in both.
 	priorWeight     = 2.0
 	kindPriorWeight = 4.0
 	// maxWeight limits the evidence, so that a change shows after a few observations.
@@ -44,8 +44,8 @@
 
 // entry is the estimate for a worker and a kind of work.
 type entry struct {
-	// logPace is the mean of the logarithms of the observed paces.
-	logPace float64
+	// logSlowdown is the mean of the logarithms of the observed ones.
+	logSlowdown float64
 	// weight is the evidence for it at the time at, from 0 to maxWeight.
 	weight float64
 	at     time.Time
@@ -54,7 +54,7 @@
 // AllWork stands for work of every kind. It is no image or queue.
 const AllWork Kind = ""
 
-// Table holds the paces of the workers. It is not safe for concurrent use.
+// Table holds the slowdowns of the workers. It is not safe for concurrent use.
 type Table struct {
 	entries map[aqtype.WorkerID]map[Kind]entry
 	// count is the number of entries, at most maxEntries.
@@ -99,7 +99,7 @@
 		}
 	}
 	e = e.aged(now)
-	e.logPace = (e.logPace*e.weight + observed) / (e.weight + 1)
+	e.logSlowdown = (e.logSlowdown*e.weight + observed) / (e.weight + 1)
 	e.weight = min(maxWeight, e.weight+1)
 	e.at = now
 	t.set(w, kind, e)
@@ -138,24 +138,24 @@
 	}
 }
 
-// Of returns the pace of a worker with a kind of work. The less is known of that kind, the nearer it is to the worker's pace
+// Of returns the slowdown of a worker with a kind of work. The less is known of that kind, the nearer it is to the worker's slowdown
 // with all work, and the less is known of that, the nearer this is to Usual.
-func (t *Table) Of(w aqtype.WorkerID, kind Kind, now time.Time) Pace {
+func (t *Table) Of(w aqtype.WorkerID, kind Kind, now time.Time) Slowdown {
 	kinds := t.entries[w]
 	if len(kinds) == 0 {
 		return Usual
 	}
-	logPace := kinds[AllWork].towards(0, priorWeight, now)
+	logSlowdown := kinds[AllWork].towards(0, priorWeight, now)
 	if kind != AllWork {
-		logPace = kinds[kind].towards(logPace, kindPriorWeight, now)
+		logSlowdown = kinds[kind].towards(logSlowdown, kindPriorWeight, now)
 	}
-	return Pace(math.Exp(logPace))
+	return Slowdown(math.Exp(logSlowdown))
 }
 
 // towards returns the estimate, beside a prior one with a weight.
 func (e entry) towards(prior, weight float64, now time.Time) float64 {
 	e = e.aged(now)
-	return (e.logPace*e.weight + prior*weight) / (e.weight + weight)
+	return (e.logSlowdown*e.weight + prior*weight) / (e.weight + weight)
 }
 
 // Forget drops what is known of a worker that has restarted or left.
@@ -166,10 +166,10 @@
 
 // record is an entry as it is stored.
 type record struct {
-	Worker  aqtype.WorkerID
-	Kind    Kind
-	LogPace float64
-	Weight  float64
+	Worker      aqtype.WorkerID
+	Kind        Kind
+	LogSlowdown float64
+	Weight      float64
 }
 
 // maxRecords limits the stored entries.
@@ -182,10 +182,10 @@
 		for kind, e := range kinds {
 			if e = e.aged(now); e.weight >= forgottenWeight {
 				records = append(records, record{
-					Worker:  w,
-					Kind:    kind,
-					LogPace: e.logPace,
-					Weight:  e.weight,
+					Worker:      w,
+					Kind:        kind,
+					LogSlowdown: e.logSlowdown,
+					Weight:      e.weight,
 				})
 			}
 		}
@@ -203,7 +203,7 @@
 		return strings.Compare(string(a.Kind), string(b.Kind))
 	})
 	stored, err := msgpack.Marshal(records[:min(len(records), maxRecords)])
-	return stored, errors.WithMessage(err, "encode the paces of workers")
+	return stored, errors.WithMessage(err, "encode the slowdowns of workers")
 }
 
 // Decode returns the table that Encode has stored, aged by the time since. Entries out of bounds are
@@ -211,17 +211,17 @@
 func Decode(stored []byte, age time.Duration, now time.Time) (*Table, error) {
 	var records []record
 	if err := msgpack.Unmarshal(stored, &records); err != nil {
-		return nil, errors.WithMessage(err, "decode the paces of workers")
+		return nil, errors.WithMessage(err, "decode the slowdowns of workers")
 	}
 	t := New()
 	for _, r := range records[:min(len(records), maxRecords)] {
-		if !(math.Abs(r.LogPace) <= math.Log(maxObserved)) || !(r.Weight > 0 && r.Weight <= maxWeight) {
+		if !(math.Abs(r.LogSlowdown) <= math.Log(maxObserved)) || !(r.Weight > 0 && r.Weight <= maxWeight) {
 			continue
 		}
 		e := entry{
-			logPace: r.LogPace,
-			weight:  r.Weight,
-			at:      now.Add(-max(0, age)),
+			logSlowdown: r.LogSlowdown,
+			weight:      r.Weight,
+			at:          now.Add(-max(0, age)),
 		}
 		t.set(r.Worker, r.Kind, e.aged(now))
 	}
--- a/internal/site/aqspeed/speed_test.go
+++ b/internal/site/aqspeed/speed_test.go
@@ -13,8 +13,8 @@
 
 var start = time.Unix(1_800_000_000, 0)
 
-// How the pace of a worker follows what its tasks take.
-func TestPaces(t *testing.T) {
+// How the slowdown of a worker follows what its tasks take.
+func TestSlowdowns(t *testing.T) {
 	var out strings.Builder
 	for _, test := range []struct {
 		name  string
@@ -39,11 +39,11 @@
 		now = now.Add(test.later)
 		fmt.Fprintf(&out, "%s: %.2f, other work %.2f\n", test.name, table.Of("w1", "queue", now), table.Of("w1", "other", now))
 	}
-	goldie.New(t, goldie.WithFixtureDir("_fixtures")).Assert(t, "paces", []byte(out.String()))
+	goldie.New(t, goldie.WithFixtureDir("_fixtures")).Assert(t, "slowdowns", []byte(out.String()))
 }
 
-// The next leader starts with the paces that were stored, aged; the number of both is limited.
-func TestStoredPaces(t *testing.T) {
+// The next leader starts with the slowdowns that were stored, aged; the number of both is limited.
+func TestStoredSlowdowns(t *testing.T) {
 	table := New()
 	for i := range maxEntries + 100 {
 		table.Observe(aqtype.WorkerID(fmt.Sprintf("w%d", i)), "queue", 3*time.Second, time.Second, start)
@@ -64,14 +64,14 @@
 		t.Fatalf("%d entries are stored, want %d", next.Len(), maxRecords)
 	}
 	if now, then := next.Of("w7", "queue", start.Add(time.Hour)), table.Of("w7", "queue", start.Add(2*halfLife)); now != then {
-		t.Fatalf("pace %v, want %v", now, then)
+		t.Fatalf("slowdown %v, want %v", now, then)
 	}
 	if _, err := Decode([]byte("?"), 0, start); err == nil {
-		t.Fatal("malformed paces were decoded")
+		t.Fatal("malformed slowdowns were decoded")
 	}
 	table.Forget("w7")
 	if table.Of("w7", "queue", start) != Usual {
-		t.Fatal("the pace of a worker that has left is known")
+		t.Fatal("the slowdown of a worker that has left is known")
 	}
 }
 
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -123,11 +123,11 @@
 	// they were looked at last.
 	speculative      map[*group]bool
 	copiesReviewedAt time.Time
-	// times holds what has been measured of the tasks of each queue, paces of the workers.
-	times map[aqjob.QueueID]*queueTimes
-	paces *aqspeed.Table
-	now   time.Time
-	wall  time.Time
+	// times holds what has been measured of the tasks of each queue, speeds of the workers.
+	times  map[aqjob.QueueID]*queueTimes
+	speeds *aqspeed.Table
+	now    time.Time
+	wall   time.Time
 }
 
 // endedJob is a job in a final state. Decider.ended lists them in order of ending.
@@ -168,7 +168,7 @@
 		busy:            map[aqjob.ServiceID]bool{},
 		speculative:     map[*group]bool{},
 		times:           map[aqjob.QueueID]*queueTimes{},
-		paces:           aqspeed.New(),
+		speeds:          aqspeed.New(),
 	}
 }
 
--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -42,7 +42,7 @@
 	w.orphans = map[RunID]time.Time{}
 	w.reachable = false
 	w.health = health{}
-	d.paces.Forget(w.info.ID)
+	d.speeds.Forget(w.info.ID)
 	w.slow = false
 	d.expectStrayLease(w)
 }
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -71,7 +71,7 @@
 		d.repeatStop(r)
 	}
 	r.measure(report.Percent, of)
-	d.notePace(r)
+	d.noteSpeed(r)
 	r.report = report
 	r.reportAt = d.now
 	w.health.reported(r)
--- a/pkg/aqdecider/paces.go
+++ b/pkg/aqdecider/speeds.go
@@ -55,7 +55,7 @@
 // leastGained is the progress in percent from which the duration of a run follows from it.
 const leastGained = 10
 
-// wholeUntil returns what the whole task takes at the pace of the run up to a time on its worker's clock, zero if that
+// wholeUntil returns what the whole task takes at the rate of the run's progress up to a time on its worker's clock, zero if that
 // is not known.
 func (r *run) wholeUntil(clock time.Duration) time.Duration {
 	gained := r.percent - r.basePercent
@@ -109,9 +109,9 @@
 // progressOf returns what is known of a run's progress.
 func (d *Decider) progressOf(r *run) aqspeculation.Progress {
 	p := aqspeculation.Progress{
-		Elapsed:    r.ranFor(d.now),
-		WorkerPace: float64(d.paceOf(r.task.group, r.worker)),
-		Hung:       !r.worker.reachable || r.state == runStopping,
+		Elapsed:        r.ranFor(d.now),
+		WorkerSlowdown: float64(d.slowdownOf(r.task.group, r.worker)),
+		Hung:           !r.worker.reachable || r.state == runStopping,
 	}
 	if r.measured {
 		p.Percent = r.percent
@@ -154,7 +154,7 @@
 	took := r.ranFor(d.now)
 	queue := d.queueTimes(g.occurrence.job.queue.ID)
 	if usual, bySiblings := d.usualTime(g); bySiblings {
-		d.observePace(r, took, usual)
+		d.observeSpeed(r, took, usual)
 		queue.byUsual.Add(took, usual)
 	}
 	g.siblings.Add(took)
@@ -169,99 +169,99 @@
 	return aqspeed.Kind(g.occurrence.job.queue.ID)
 }
 
-// EncodePaces returns the measured paces of workers for the next leader.
-func (d *Decider) EncodePaces() ([]byte, error) { return d.paces.Encode(d.now) }
+// EncodeSpeeds returns the measured speeds of workers for the next leader.
+func (d *Decider) EncodeSpeeds() ([]byte, error) { return d.speeds.Encode(d.now) }
 
-// RestorePaces takes over the paces that an earlier leader stored some time ago, unless this one has measured some
+// RestoreSpeeds takes over the speeds that an earlier leader stored some time ago, unless this one has measured some
 // already.
-func (d *Decider) RestorePaces(stored []byte, age time.Duration) error {
-	paces, err := aqspeed.Decode(stored, age, d.now)
+func (d *Decider) RestoreSpeeds(stored []byte, age time.Duration) error {
+	speeds, err := aqspeed.Decode(stored, age, d.now)
 	if err != nil {
 		return err
 	}
-	if d.paces.Len() > 0 {
+	if d.speeds.Len() > 0 {
 		return nil
 	}
-	d.paces = paces
+	d.speeds = speeds
 	for _, w := range d.fleet {
-		w.slow = paces.Of(w.info.ID, aqspeed.AllWork, d.now) > unnoticedPace
+		w.slow = speeds.Of(w.info.ID, aqspeed.AllWork, d.now) > unnoticedSlowdown
 	}
 	return nil
 }
 
-func (d *Decider) paceOf(g *group, w *worker) aqspeed.Pace {
-	return d.paces.Of(w.info.ID, g.kind(), d.now)
+func (d *Decider) slowdownOf(g *group, w *worker) aqspeed.Slowdown {
+	return d.speeds.Of(w.info.ID, g.kind(), d.now)
 }
 
-// Parts of a run whose duration tells the pace of its worker. paceSpan is the least time, and paceGained the
-// progress in percent for which less than longPaceSpan is enough.
+// Parts of a run whose duration tells the speed of its worker. speedSpan is the least time, and speedGained the
+// progress in percent for which less than longSpeedSpan is enough.
 const (
-	paceSpan     = 300 * time.Millisecond
-	longPaceSpan = time.Second
-	paceGained   = 5
+	speedSpan     = 300 * time.Millisecond
+	longSpeedSpan = time.Second
+	speedGained   = 5
 )
 
-// notePace records the pace of a run since it was noted last.
-func (d *Decider) notePace(r *run) {
+// noteSpeed records the speed of a run since it was noted last.
+func (d *Decider) noteSpeed(r *run) {
 	g := r.task.group
 	if !g.timed() || r.state != runRunning || !r.measured || !r.onOwnRack() || r.baseClock <= 0 {
 		return
 	}
-	if r.pacedAt == 0 {
-		r.pacedAt, r.pacedPercent = r.baseClock, r.basePercent
+	if r.speedNotedAt == 0 {
+		r.speedNotedAt, r.speedPercent = r.baseClock, r.basePercent
 	}
-	span, gained := r.measuredAt-r.pacedAt, r.percent-r.pacedPercent
-	if span < paceSpan || (span < longPaceSpan && gained < paceGained) {
+	span, gained := r.measuredAt-r.speedNotedAt, r.percent-r.speedPercent
+	if span < speedSpan || (span < longSpeedSpan && gained < speedGained) {
 		return
 	}
 	usual, bySiblings := d.usualTime(g)
-	r.pacedAt, r.pacedPercent = r.measuredAt, r.percent
+	r.speedNotedAt, r.speedPercent = r.measuredAt, r.percent
 	if bySiblings {
-		d.observePace(r, span*100/time.Duration(max(1, gained)), usual)
+		d.observeSpeed(r, span*100/time.Duration(max(1, gained)), usual)
 	}
 }
 
-// samePace is the ratio up to which two durations of parts of one run tell the same of its worker.
-const samePace = 1.5
+// sameSpeed is the ratio up to which two durations of parts of one run tell the same of its worker.
+const sameSpeed = 1.5
 
-// observePace adds what a run, or a part of one, says of the duration of the whole task to the paces, and keeps
+// observeSpeed adds what a run, or a part of one, says of the duration of the whole task to the speeds, and keeps
 // worker.slow. A run that goes on as before counts once: it may be a long task.
-func (d *Decider) observePace(r *run, took, usual time.Duration) {
-	if before := float64(r.pacedWhole); before > 0 && float64(took) < samePace*before && before < samePace*float64(took) {
+func (d *Decider) observeSpeed(r *run, took, usual time.Duration) {
+	if before := float64(r.speedWhole); before > 0 && float64(took) < sameSpeed*before && before < sameSpeed*float64(took) {
 		return
 	}
-	r.pacedWhole = took
+	r.speedWhole = took
 	w, kind := r.worker, r.task.group.kind()
-	d.paces.Observe(w.info.ID, kind, took, usual, d.now)
-	pace := d.paces.Of(w.info.ID, kind, d.now)
+	d.speeds.Observe(w.info.ID, kind, took, usual, d.now)
+	slowdown := d.speeds.Of(w.info.ID, kind, d.now)
 	switch {
-	case pace > unnoticedPace && !w.slow:
+	case slowdown > unnoticedSlowdown && !w.slow:
 		w.slow = true
 		d.options.Metrics.Inc(aqmetric.WorkersSlow)
 		d.options.Log.Write(aqlog.WorkerSlow, workerAttr(w.info.ID), slog.String("Kind", string(kind)),
-			slog.Float64("Pace", float64(pace)), slog.Int("Runs", len(w.runs)))
-	case pace <= unnoticedPace && w.slow:
-		w.slow = d.paces.Of(w.info.ID, aqspeed.AllWork, d.now) > unnoticedPace
+			slog.Float64("Slowdown", float64(slowdown)), slog.Int("Runs", len(w.runs)))
+	case slowdown <= unnoticedSlowdown && w.slow:
+		w.slow = d.speeds.Of(w.info.ID, aqspeed.AllWork, d.now) > unnoticedSlowdown
 	}
 }
 
 const (
 	// weightSlowWorker is the score of the slowest workers. It is less than weightOffRack.
 	weightSlowWorker = 1.5
-	// slowestPace is the pace that gets all of it, unnoticedPace the one up to which nothing is added: tasks of
+	// worstSlowdown is the slowdown that gets all of it, unnoticedSlowdown the one up to which nothing is added: tasks of
 	// one group differ by as much.
-	slowestPace   = 3.0
-	unnoticedPace = 1.4
+	worstSlowdown     = 3.0
+	unnoticedSlowdown = 1.4
 )
 
-// slowness returns the part of a worker's score that is due to its pace.
+// slowness returns the part of a worker's score that is due to its slowdown.
 func (d *Decider) slowness(g *group, w *worker) float64 {
 	if !w.slow || !g.timed() {
 		return 0
 	}
-	pace := float64(d.paceOf(g, w))
-	if pace <= unnoticedPace {
+	slowdown := float64(d.slowdownOf(g, w))
+	if slowdown <= unnoticedSlowdown {
 		return 0
 	}
-	return weightSlowWorker * min(1, (pace-1)/(slowestPace-1))
+	return weightSlowWorker * min(1, (slowdown-1)/(worstSlowdown-1))
 }
--- a/pkg/aqdecider/paces_test.go
+++ b/pkg/aqdecider/speeds_test.go
@@ -62,28 +62,28 @@
 	}
 }
 
-// A new leader starts with the paces that the earlier one has measured.
-func TestPacesOfAnEarlierLeader(t *testing.T) {
+// A new leader starts with the speeds that the earlier one has measured.
+func TestSpeedsOfAnEarlierLeader(t *testing.T) {
 	h, last := newMeasuredHarness(t)
 	h.advanceRun(last, 1, 10)
-	slow := h.d.paceOf(h.d.task(last.Run.Task).group, h.d.workers["w1"])
+	slow := h.d.slowdownOf(h.d.task(last.Run.Task).group, h.d.workers["w1"])
 	if slow == aqspeed.Usual {
-		t.Fatal("no pace was measured")
+		t.Fatal("nothing was measured")
 	}
-	stored, err := h.d.EncodePaces()
+	stored, err := h.d.EncodeSpeeds()
 	if err != nil {
 		t.Fatal(err)
 	}
 	n := newHarness(t, poolWorker("w1", "r1-1", 80000))
 	n.advance(h.now.Sub(n.now))
-	if err := n.d.RestorePaces(stored, 0); err != nil {
+	if err := n.d.RestoreSpeeds(stored, 0); err != nil {
 		t.Fatal(err)
 	}
 	n.d.AddJob(testJob(1, tasks(60, 1000)), nil, 0, false)
-	if got := n.d.paceOf(n.d.task(last.Run.Task).group, n.d.workers["w1"]); math.Abs(float64(got-slow)) > 1e-9 {
-		t.Fatalf("pace %v, want %v", got, slow)
+	if got := n.d.slowdownOf(n.d.task(last.Run.Task).group, n.d.workers["w1"]); math.Abs(float64(got-slow)) > 1e-9 {
+		t.Fatalf("slowdown %v, want %v", got, slow)
 	}
-	if err := n.d.RestorePaces([]byte("?"), 0); err == nil {
-		t.Fatal("malformed paces were restored")
+	if err := n.d.RestoreSpeeds([]byte("?"), 0); err == nil {
+		t.Fatal("malformed speeds were restored")
 	}
 }
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -224,11 +224,11 @@
 	// baseClock is the worker's clock when the progress was basePercent, zero if it is not known.
 	baseClock   time.Duration
 	basePercent int
-	// pacedAt is the worker's clock, and pacedPercent the progress, up to which the worker's pace has been
-	// noted; pacedWhole is the duration of the whole task that followed from it last, zero if none did.
-	pacedAt      time.Duration
-	pacedPercent int
-	pacedWhole   time.Duration
+	// speedNotedAt is the worker's clock, and speedPercent the progress, up to which the worker's speed has been
+	// noted; speedWhole is the duration of the whole task that followed from it last, zero if none did.
+	speedNotedAt time.Duration
+	speedPercent int
+	speedWhole   time.Duration
 	// copyCause is why the run was started as a copy, nil if it was not.
 	copyCause aqspeculation.Cause
 	// watched is set once the run has taken longer than its siblings usually do and may get a copy.
--- a/pkg/aqdecider/uneven_sim_test.go
+++ b/pkg/aqdecider/uneven_sim_test.go
@@ -21,8 +21,8 @@
 type unevenLoad struct {
 	*harness
 	random *rand.Rand
-	// speculative and paced switch copies, and the measuring of paces, on.
-	speculative, paced bool
+	// speculative and measured switch copies, and the measuring of speeds, on.
+	speculative, measured bool
 	// trouble is set while an eighth of the workers are slow and one lets its tasks stand still.
 	trouble bool
 	// left is the work that the runs have before them, size what all of it was.
@@ -105,8 +105,8 @@
 	if len(ends) > 0 || (number+worker)%int(interval/unevenStep) == 0 {
 		u.reportInOrder(id, ends)
 	}
-	if !u.paced {
-		u.d.paces = aqspeed.New()
+	if !u.measured {
+		u.d.speeds = aqspeed.New()
 	}
 }
 
@@ -169,24 +169,24 @@
 	return inTime, took
 }
 
-// What callers get while some workers are slow and tasks stand still on others: without measured paces and copies, with
-// paces, and with both.
+// What callers get while some workers are slow and tasks stand still on others: without measured speeds and copies, with
+// speeds, and with both.
 func TestCallersOfUnevenWorkers(t *testing.T) {
 	var out strings.Builder
 	before := 0
 	for _, variant := range []struct {
-		name               string
-		speculative, paced bool
+		name                  string
+		speculative, measured bool
 	}{
 		{name: "neither"},
-		{name: "paces", paced: true},
+		{name: "speeds", measured: true},
 		{name: "copies", speculative: true},
-		{name: "paces and copies", paced: true, speculative: true},
+		{name: "speeds and copies", measured: true, speculative: true},
 	} {
 		u := &unevenLoad{
 			random:      rand.New(rand.NewSource(1)),
 			speculative: variant.speculative,
-			paced:       variant.paced,
+			measured:    variant.measured,
 			left:        map[RunID]time.Duration{},
 			size:        map[RunID]time.Duration{},
 			work:        map[aqjob.TaskID]time.Duration{},
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -65,7 +65,7 @@
 	overSince time.Time
 	// reviewAt is when the runs of the worker are reviewed next.
 	reviewAt time.Time
-	// slow is set while the worker has been measured as slow with some work. Of others no pace has to be looked
+	// slow is set while the worker has been measured as slow with some work. Of others no slowdown has to be looked
 	// up.
 	slow bool
 	// load is a cache, nil after a change.
@@ -138,7 +138,7 @@
 		emptySince: d.now,
 		runs:       map[RunID]*run{},
 		orphans:    map[RunID]time.Time{},
-		slow:       d.paces.Of(info.ID, aqspeed.AllWork, d.now) > unnoticedPace,
+		slow:       d.speeds.Of(info.ID, aqspeed.AllWork, d.now) > unnoticedSlowdown,
 	}
 	d.addWorker(w)
 	return w
@@ -199,7 +199,7 @@
 func (d *Decider) removeWorker(w *worker) {
 	d.fleetChanges++
 	delete(d.workers, w.info.ID)
-	d.paces.Forget(w.info.ID)
+	d.speeds.Forget(w.info.ID)
 	position := d.fleetIndex(w.info.ID)
 	d.fleet = slices.Delete(d.fleet, position, position+1)
 }
