Copies: wait for all reports after a failure of an adopted run

Cause (review): mayHaveFailedUnseen allowed for one attempt after the one that failed, but copies can follow one another beside the same run.

Test: TestTaskWaitsForFailuresOfAnEarlierTerm/copies_of_the_first_attempt_failed, 1 start before, none now. earlierAttempt in the tests became laterAttempt, so that it names both directions.

--- a/pkg/aqdecider/earlier_failures_test.go
+++ b/pkg/aqdecider/earlier_failures_test.go
@@ -46,11 +46,20 @@
 		attempt Attempt
 		change  func(*aqjob.Group)
 		reason  EndReason
-		want    int
+		// unseen are the attempts that w2 reports as failed, relative to the adopted one, -2 and -1 if nil.
+		unseen []Attempt
+		want   int
 	}{
 		{name: "last attempt failed", attempt: 3, change: same, reason: EndFailed},
 		{name: "later attempt failed", attempt: 4098, change: same, reason: EndFailed},
 		{name: "gang", attempt: 3, change: func(g *aqjob.Group) { g.Gang = true }, reason: EndFailed},
+		{
+			name:    "copies of the first attempt failed",
+			attempt: 1,
+			change:  func(g *aqjob.Group) { g.Speculative = true },
+			reason:  EndFailed,
+			unseen:  []Attempt{1, 2},
+		},
 		{name: "too few attempts", attempt: 2, change: same, reason: EndFailed, want: 1},
 		{name: "stopped", attempt: 3, change: same, reason: EndStopped, want: 1},
 		{name: "perpetual", attempt: 3, change: func(g *aqjob.Group) { g.Perpetual = true }, reason: EndFailed, want: 1},
@@ -65,8 +74,12 @@
 			if test.want > 0 {
 				return
 			}
-			h.report("w2", EndReport{Number: 1, Run: earlierAttempt(adopted.Run, 2), Reason: EndFailed},
-				EndReport{Number: 2, Run: earlierAttempt(adopted.Run, 1), Reason: EndFailed})
+			unseen := test.unseen
+			if unseen == nil {
+				unseen = []Attempt{-2, -1}
+			}
+			h.report("w2", EndReport{Number: 1, Run: laterAttempt(adopted.Run, unseen[0]), Reason: EndFailed},
+				EndReport{Number: 2, Run: laterAttempt(adopted.Run, unseen[1]), Reason: EndFailed})
 			h.tick()
 			if j := h.d.jobs[adopted.Run.Task.Job]; j.state != aqjob.StateFailed || len(h.started) != 0 {
 				t.Fatalf("after three failures the job is %s, with %d starts", j.state, len(h.started))
@@ -101,9 +114,9 @@
 	}
 }
 
-// earlierAttempt returns the attempt that many before a run.
-func earlierAttempt(run RunID, before Attempt) RunID {
-	run.Attempt -= before
+// laterAttempt returns the attempt that many after a run.
+func laterAttempt(run RunID, after Attempt) RunID {
+	run.Attempt += after
 	return run
 }
 
--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -92,14 +92,12 @@
 // mayHaveFailedUnseen reports whether the task may have no attempts left after the failure of
 // an attempt, though the known failures are fewer: an earlier leader may have known of ends
 // that it did not store and whose workers have not reported to this one. It started the attempt
-// only if there was one left, so an attempt that ends otherwise leaves one as well. A copy may have been
-// started after the attempt.
+// only if there was one left, so an attempt that ends otherwise leaves one as well. Any number of copies
+// may have been started and have failed after the attempt.
 func (t *task) mayHaveFailedUnseen(attempt Attempt) bool {
 	j := t.group.occurrence.job
-	if t.group.mayCopy() {
-		attempt++
-	}
-	return j.inherited && !t.group.spec.Perpetual && int(attempt) >= max(1, j.queue.MaxAttempts)
+	return j.inherited && !t.group.spec.Perpetual &&
+		(t.group.mayCopy() || int(attempt) >= max(1, j.queue.MaxAttempts))
 }
 
 // avoidWorker keeps the task off a worker as long as others suit it.
--- a/pkg/aqdecider/perpetual_test.go
+++ b/pkg/aqdecider/perpetual_test.go
@@ -61,7 +61,7 @@
 	later := RunID{Task: aqjob.TaskID{Job: job.ID}, Attempt: 2}
 	h.running["w1"][later] = RunReport{Run: later}
 	h.report("w1")
-	h.report("w2", EndReport{Number: 1, Run: earlierAttempt(later, 1), Reason: EndDone})
+	h.report("w2", EndReport{Number: 1, Run: laterAttempt(later, -1), Reason: EndDone})
 	h.advance(time.Second)
 	h.report("w1")
 	h.tick()
