Copies: a change of agent is no cause for copies

Cause (review): a run counted as hung as soon as its worker was not reachable. A new assignment and a single unanswered heartbeat clear that mark, so that healthy runs got copies whenever an agent changed. A worker counts now once it has not reported for staleReport.

--- a/pkg/aqdecider/speeds.go
+++ b/pkg/aqdecider/speeds.go
@@ -46,6 +46,15 @@
 	return w.clock + now.Sub(w.reportedAt)
 }
 
+// silentFor returns for how long a worker that is not reachable has not reported. A change of its agent, or one
+// unanswered heartbeat, is no silence yet.
+func (w *worker) silentFor(now time.Time) time.Duration {
+	if w.reachable {
+		return 0
+	}
+	return now.Sub(w.reportedAt)
+}
+
 // setBase notes when, by its worker's clock, the run had made which progress.
 func (r *run) setBase(clock time.Duration, percent int) {
 	r.baseClock = clock
@@ -111,7 +120,7 @@
 	p := aqspeculation.Progress{
 		Elapsed:        r.ranFor(d.now),
 		WorkerSlowdown: float64(d.slowdownOf(r.task.group, r.worker)),
-		Hung:           !r.worker.reachable || r.state == runStopping,
+		Hung:           r.worker.silentFor(d.now) > staleReport || r.state == runStopping,
 	}
 	if r.measured {
 		p.Percent = r.percent
