Copies: limit the searches for workers

Cause (review): a look at late tasks that no worker suits, though others have room, searched the whole fleet for each of them, every 100 ms. A group is searched for once a look, a look begins no search beyond maxWorkersSearched workers, and groups for which there was no worker come last in the next one, so that they take no searches from others. A run whose own worker is the only one pauses as runs that are moved do.

The comment of waitCounted says what it is for.

--- a/pkg/aqdecider/copies.go
+++ b/pkg/aqdecider/copies.go
@@ -91,6 +91,9 @@
 		groups = append(groups, g)
 	}
 	slices.SortFunc(groups, func(a, b *group) int {
+		if order := a.noCopyWorkerAt.Compare(b.noCopyWorkerAt); order != 0 {
+			return order
+		}
 		if a.before(b) {
 			return -1
 		}
@@ -115,10 +118,12 @@
 	// copies and running count the copies and the running tasks by queue.
 	copies  map[aqjob.QueueID]int
 	running map[aqjob.QueueID]int
+	// searched counts the workers that have been looked at. No search begins from maxWorkersSearched on.
+	searched int
 }
 
-// waitCounted is how long a group counts that waits for room. One that waits for longer may suit no worker; where
-// others do, none has room for a copy either.
+// waitCounted is for how long the tasks of a waiting group are taken to need room. A group that waits for longer may be
+// one that no worker suits, and must not prevent copies for good.
 const waitCounted = 5 * time.Second
 
 func (d *Decider) countCopyRoom(room *copyRoom) {
@@ -169,7 +174,7 @@
 	queue := d.queueTimes(g.occurrence.job.queue.ID)
 	r.watched = r.watched || (bySiblings && progress.Elapsed >= usual)
 	left := progress.Left(&queue.byUsual, usual)
-	if left < usual || !progress.Lags(cause, usual, bySiblings) {
+	if left < usual || !progress.Lags(cause, usual, bySiblings) || room.searched >= maxWorkersSearched {
 		return
 	}
 	d.countCopyRoom(room)
@@ -182,7 +187,7 @@
 	verdict := aqspeculation.Decide(left, cause, need, &queue.outcomes)
 	var to *worker
 	if verdict == aqspeculation.Pays {
-		if to = d.copyWorker(t); to == nil {
+		if to = d.copyWorker(t, room); to == nil {
 			verdict = aqspeculation.NoWorker
 		}
 	}
@@ -232,18 +237,31 @@
 	}
 }
 
-// copyWorker returns the best worker for a copy of a task, nil if none suits it.
-func (d *Decider) copyWorker(t *task) *worker {
+// copyWorker returns the best worker for a copy of a task, nil if none suits it or none did a short while ago. Groups
+// for which there was none come last in the next round, so that they take no searches from the others.
+func (d *Decider) copyWorker(t *task, room *copyRoom) *worker {
+	g, r := t.group, t.run
+	if g.noCopyWorkerAt.Equal(d.now) || d.now.Sub(r.moveTriedAt) < time.Duration(len(d.fleet))*moveRetryPerWorker {
+		return nil
+	}
+	room.searched += len(d.fleet)
+	g.noCopyWorkerAt = d.now
 	var best candidate
-	for _, c := range d.candidates(t.group, nil) {
-		id := c.worker.info.ID
-		if c.worker == t.run.worker || c.worker.health.suspected() || slices.Contains(t.avoid, id) {
+	for _, c := range d.candidates(g, nil) {
+		if c.worker.health.suspected() {
+			continue
+		}
+		g.noCopyWorkerAt = time.Time{}
+		if c.worker == r.worker || slices.Contains(t.avoid, c.worker.info.ID) {
 			continue
 		}
 		if best.worker == nil || c.better(best) {
 			best = c
 		}
 	}
+	if best.worker == nil {
+		r.moveTriedAt = d.now
+	}
 	return best.worker
 }
 
--- /dev/null
+++ b/pkg/aqdecider/copycauses_test.go
@@ -0,0 +1,73 @@
+package aqdecider
+
+import (
+	"testing"
+	"time"
+
+	"acaciaquay/pkg/aqtype"
+)
+
+// A worker that gets another agent, or leaves one heartbeat unanswered, runs its tasks on. One that stays silent may not.
+func TestSilentWorkerIsACauseForCopies(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*Decider, aqtype.WorkerID)
+	}{
+		{name: "reassigned", change: (*Decider).WorkerReassigned},
+		{name: "heartbeat unanswered", change: (*Decider).WorkerUnresponsive},
+	} {
+		h, silent := newHealthyHarness(t)
+		test.change(h.d, silent.Worker)
+		others := func(id aqtype.WorkerID) bool { return id != silent.Worker }
+		if starts := h.advanceOthers(5, others); starts != 4 {
+			t.Errorf("%s: %d copies of a healthy run", test.name, starts-4)
+		}
+		if starts := h.advanceOthers(25, others); starts != 5 {
+			t.Errorf("%s: %d copies of a run of a silent worker, want 1", test.name, starts-4)
+		}
+	}
+}
+
+// newHealthyHarness returns a harness in which one task of four has ended after a second, and the others have
+// advanced as usual. The job would not meet its objective if one of them stood still.
+func newHealthyHarness(t *testing.T) (h *harness, first Start) {
+	t.Helper()
+	h = newHarness(t)
+	for _, id := range copyWorkers {
+		h.running[id] = map[RunID]RunReport{}
+		h.d.UpdateWorker(poolWorker(string(id), "r1-1", 8000))
+	}
+	h.d.MarkPersisted(copyWorkers)
+	h.reportAll()
+	group := tasks(4, 1000)
+	group.Estimate = 10 * time.Second
+	group.Speculative = true
+	job := testJob(1, group)
+	job.AcceptedAt = h.now.UnixMilli()
+	job.Queue.Target = 10 * time.Second
+	h.d.AddJob(job, nil, 0, false)
+	h.tick()
+	h.advanceOthers(10, func(aqtype.WorkerID) bool { return true })
+	h.end(1, h.started[3], EndDone)
+	return h, h.started[0]
+}
+
+// advanceOthers lets the runs of the chosen workers advance by a percent in each of some steps of 100 ms. It returns
+// the number of starts so far.
+func (h *harness) advanceOthers(steps int, chosen func(aqtype.WorkerID) bool) int {
+	for range steps {
+		h.advance(100 * time.Millisecond)
+		for _, id := range copyWorkers {
+			if !chosen(id) {
+				continue
+			}
+			for run, report := range h.running[id] {
+				report.Percent++
+				h.running[id][run] = report
+			}
+			h.report(id)
+		}
+		h.tick()
+	}
+	return len(h.started)
+}
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -92,6 +92,8 @@
 	usual           time.Duration
 	usualAt         time.Time
 	usualBySiblings bool
+	// noCopyWorkerAt is when no worker suited a copy of the group's tasks, zero if one did in the last search.
+	noCopyWorkerAt time.Time
 }
 
 // task is one task of a group.
