Copies: a probe counts once it is started

Cause (review): the twentieth late run that gets a copy though copies do not help began a new count also when no worker suited it. The count begins anew with the start of a copy.

Test: TestCopiesThatLoseAreProbed.

--- a/internal/site/aqspeculation/copies.go
+++ b/internal/site/aqspeculation/copies.go
@@ -237,10 +237,13 @@
 		return Unhelpful
 	}
 	each := o.of(c)
-	each.declined++
-	if each.declined < probeInterval {
-		return Unhelpful
+	if each.declined >= probeInterval-1 {
+		return Pays
 	}
-	each.declined = 0
-	return Pays
+	each.declined++
+	return Unhelpful
 }
+
+// Started counts the start of a copy. Until then, every further run is answered as the one in probeInterval is: there may
+// be no worker for the first.
+func (o *Outcomes) Started(c Cause) { o.of(c).declined = 0 }
--- a/internal/site/aqspeculation/speculation_test.go
+++ b/internal/site/aqspeculation/speculation_test.go
@@ -99,11 +99,20 @@
 	for range 10 * probeInterval {
 		if Decide(3*time.Second, SlowTask{}, need, o) == Pays {
 			started++
+			o.Started(SlowTask{})
 		}
 	}
 	if started != 10 {
 		t.Fatalf("%d of %d copies were started", started, 10*probeInterval)
 	}
+	for range probeInterval - 1 {
+		Decide(3*time.Second, SlowTask{}, need, o)
+	}
+	for range 2 {
+		if verdict := Decide(3*time.Second, SlowTask{}, need, o); verdict != Pays {
+			t.Fatalf("%s while the copy that is due has not been started", verdict)
+		}
+	}
 	need.Declined = true
 	for range probeInterval {
 		if verdict := Decide(3*time.Second, SlowTask{}, need, o); verdict != Unhelpful {
--- a/pkg/aqdecider/copies.go
+++ b/pkg/aqdecider/copies.go
@@ -199,6 +199,7 @@
 		return
 	}
 	d.startCopy(t, to, cause)
+	queue.outcomes.Started(cause)
 	room.free[service] -= g.spec.Size.MilliCPU
 	room.copies[g.occurrence.job.queue.ID]++
 	d.options.Metrics.Inc(aqmetric.CopiesStarted)
