Copies: keep the greater checkpoint of two runs

Cause (review): the run that ended last overwrote the checkpoint of its task, also with an earlier one, and a copy started from the checkpoint of the present run though an ended one had got further. For tasks that may have copies the greater is kept, compared as those of gangs are.

--- a/pkg/aqdecider/copies.go
+++ b/pkg/aqdecider/copies.go
@@ -270,9 +270,7 @@
 func (d *Decider) startCopy(t *task, w *worker, cause aqspeculation.Cause) {
 	r := d.newRun(t, w, t.attempt+1)
 	r.copyCause = cause
-	if t.run.checkpoint != "" {
-		r.resumeFrom = t.run.checkpoint
-	}
+	r.resumeFrom = max(t.checkpoint, t.run.checkpoint)
 	r.waitedSince = t.group.changedAt
 	t.copy = r
 	d.order(r)
--- a/pkg/aqdecider/copies_test.go
+++ b/pkg/aqdecider/copies_test.go
@@ -196,6 +196,47 @@
 	}
 }
 
+// The later end of a run that has done less does not take the task back, and a copy starts at the latest progress.
+func TestCheckpointOfTwoRunsIsTheGreater(t *testing.T) {
+	const early, late = "00000010bbbb", "00000bb8aaaa"
+	for _, test := range []struct {
+		name                string
+		ofRun, ofCopy, want string
+	}{
+		{name: "the run is ahead", ofRun: late, ofCopy: early, want: late},
+		{name: "the copy is ahead", ofRun: early, ofCopy: late, want: late},
+		{name: "the copy has none", ofRun: early, want: early},
+	} {
+		for _, runFirst := range []bool{true, false} {
+			h, first, second := newCopyHarness(t)
+			r := h.d.workers[first.Worker].runs[first.Run]
+			h.running[first.Worker][first.Run] = RunReport{Run: first.Run, Percent: 60, Checkpoint: test.ofRun}
+			h.running[second.Worker][second.Run] = RunReport{Run: second.Run, Percent: 5, Checkpoint: test.ofCopy}
+			h.reportAll()
+			ends := []aqtype.WorkerID{second.Worker, first.Worker}
+			if runFirst {
+				ends = []aqtype.WorkerID{first.Worker, second.Worker}
+			}
+			for _, id := range ends {
+				h.d.WorkerUnresponsive(id)
+				h.d.LeaseExpired(id)
+			}
+			if r.task.checkpoint != test.want {
+				t.Errorf("%s, run first %v: checkpoint %q, want %q", test.name, runFirst, r.task.checkpoint, test.want)
+			}
+		}
+	}
+	h, first, second := newCopyHarness(t)
+	h.running[first.Worker][first.Run] = RunReport{Run: first.Run, Percent: 20, Checkpoint: early}
+	h.reportAll()
+	task := h.d.workers[first.Worker].runs[first.Run].task
+	h.d.endRun(task.copy, EndStopped, late)
+	delete(h.running[second.Worker], second.Run)
+	if h.startsAfter(time.Second); len(h.started) != 6 || h.started[5].Checkpoint != late {
+		t.Errorf("started %+v, want a copy from %s", h.started[5:], late)
+	}
+}
+
 // Failures of both runs count, and a task without an attempt in reserve gets no copy.
 func TestFailuresOfCopiesCount(t *testing.T) {
 	h, late, second := newCopyHarness(t)
--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -55,7 +55,11 @@
 	d.releaseIfIdle(j)
 }
 
+// keepCheckpoint keeps the checkpoint of an ended run. Of two runs of a task, the one that ends last may have done less.
 func (d *Decider) keepCheckpoint(t *task, checkpoint string) {
+	if t.group.mayCopy() {
+		checkpoint = max(checkpoint, t.checkpoint)
+	}
 	if checkpoint != "" && checkpoint != t.checkpoint && !t.done {
 		t.checkpoint = checkpoint
 		d.markDirty(t.group.occurrence.job)
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -263,9 +263,8 @@
 	case EndFailed:
 		d.taskFailed(t, w, e.Run.Attempt)
 	case EndStopped, EndLeaseExpired, EndGangBroken, EndGangIncomplete, EndLost:
-		if e.Checkpoint != "" && t.run == nil {
-			t.checkpoint = e.Checkpoint
-			d.markDirty(t.group.occurrence.job)
+		if t.run == nil {
+			d.keepCheckpoint(t, e.Checkpoint)
 		}
 	}
 }
