Copies: one that outlives the run is no copy any more

Cause (review): copyCause stayed on a copy that had become the run of its task. If that got a copy itself and ended first, it counted as a copy that had won.

Test: TestCopyThatOutlivedTheRunIsNoCopy, counted as won before, as lost now.

--- a/pkg/aqdecider/copycauses_test.go
+++ b/pkg/aqdecider/copycauses_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqtype"
 )
 
@@ -71,3 +72,28 @@
 	}
 	return len(h.started)
 }
+
+// A copy that outlives the run and gets a copy itself does not win against that.
+func TestCopyThatOutlivedTheRunIsNoCopy(t *testing.T) {
+	h, late, second := newCopyHarness(t)
+	h.end(2, late, EndStopped)
+	h.advance(100 * time.Millisecond)
+	h.tick()
+	h.running[second.Worker][second.Run] = RunReport{Run: second.Run, Percent: 10}
+	for range 30 {
+		if len(h.started) > 5 {
+			break
+		}
+		h.advance(200 * time.Millisecond)
+		h.reportAll()
+		h.tick()
+	}
+	if len(h.started) != 6 {
+		t.Fatal("the copy that goes on got no copy")
+	}
+	h.end(5, second, EndDone)
+	won, lost := h.d.options.Metrics.Value(aqmetric.CopiesWon), h.d.options.Metrics.Value(aqmetric.CopiesLost)
+	if won != 0 || lost != 1 {
+		t.Fatalf("%d copies have won and %d lost, want one that lost", won, lost)
+	}
+}
--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -19,6 +19,9 @@
 	w.health.ended(r)
 	w.invalidateLoad()
 	other := t.remove(r)
+	if other != nil && reason != EndDone {
+		other.copyCause = nil
+	}
 	t.reconciled = reason != EndFailed || !t.mayHaveFailedUnseen(r.id.Attempt)
 	t.moved = r.moved && other == nil && reason != EndDone && reason != EndFailed
 	d.endTrial(t)
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -231,7 +231,7 @@
 	speedNotedAt time.Duration
 	speedPercent int
 	speedWhole   time.Duration
-	// copyCause is why the run was started as a copy, nil if it was not.
+	// copyCause is why the run was started as a copy, nil if it was not or has outlived the other run.
 	copyCause aqspeculation.Cause
 	// watched is set once the run has taken longer than its siblings usually do and may get a copy.
 	watched bool
