Copies: a leftover run does not store a deleted job

Cause (review): a task that is done may have another run on a silent worker. Its job is complete without it and is deleted after the retention; a report of the run then cleared the crashes of the task and stored the job again.

Test: TestLeftoverRunDoesNotStoreADeletedJob, one record after the deletion before, none now.

--- a/pkg/aqdecider/copies_test.go
+++ b/pkg/aqdecider/copies_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/internal/site/aqspeculation"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqmetric"
@@ -253,6 +254,40 @@
 	}
 }
 
+// A run that goes on after the other has completed the job does not bring back its records once they are deleted.
+func TestLeftoverRunDoesNotStoreADeletedJob(t *testing.T) {
+	h, late, second := newCopyHarness(t)
+	task := h.d.workers[late.Worker].runs[late.Run].task
+	task.history.Add(aqcrash.Crash{Instance: aqcrash.Instance{Worker: "w9", Incarnation: 1}, Seen: time.Second})
+	store := func() []Record {
+		b := h.d.TakeBatch()
+		for _, r := range b.Records {
+			h.d.RecordStored(r, 7)
+		}
+		h.d.BatchStored(b)
+		return b.Records
+	}
+	h.end(2, second, EndDone)
+	h.tick()
+	store()
+	h.advance(h.d.options.Limits.Retention + time.Second)
+	h.tick()
+	if deleted := store(); len(deleted) != 1 || !deleted[0].Delete {
+		t.Fatalf("stored %+v, want that the job is deleted", deleted)
+	}
+	h.running[late.Worker][late.Run] = RunReport{Run: late.Run, Percent: 20}
+	h.report(late.Worker)
+	h.tick()
+	if stored := store(); len(stored) != 0 {
+		t.Fatalf("stored %+v of a deleted job", stored)
+	}
+	h.end(2, late, EndFailed)
+	h.startsAfter(time.Second)
+	if stored := store(); len(stored) != 0 || len(h.started) != 5 {
+		t.Fatalf("after the end: stored %+v, %d starts", stored, len(h.started)-5)
+	}
+}
+
 // The next leader keeps both runs of a task that may have copies, and one of any other.
 func TestNextLeaderKeepsBothRuns(t *testing.T) {
 	for _, speculative := range []bool{true, false} {
--- a/pkg/aqdecider/crashes.go
+++ b/pkg/aqdecider/crashes.go
@@ -140,10 +140,10 @@
 }
 
 // runSeen ends the trial of a run that has been seen for long enough, and clears its task
-// of earlier crashes after a longer time.
+// of earlier crashes after a longer time. A task that is done may have another run, whose job may be deleted.
 func (d *Decider) runSeen(r *run) {
 	t := r.task
-	if t.history.Empty() {
+	if t.history.Empty() || t.done || t.group.occurrence.job.state.Final() {
 		return
 	}
 	seen := r.seen()
