--- a/pkg/aqdecider/earlier.go
+++ b/pkg/aqdecider/earlier.go
@@ -35,6 +35,7 @@
 		d.earlierIdle[instance] = true
 	}
 	for _, r := range earlier.Runs {
+		// Of two runs of a task one counts.
 		d.earlier[r.Run.Task] = aqcrash.Crash{
 			Instance: instance,
 			Seen:     r.Seen,
