Copies: leave done tasks out of what tasks usually take

Cause (review): the run of a task that is done, which is about to be stopped, counted as a running sibling.

Test: TestUsualTimeLeavesOutTasksThatAreDone.

--- a/pkg/aqdecider/copycauses_test.go
+++ b/pkg/aqdecider/copycauses_test.go
@@ -97,3 +97,20 @@
 		t.Fatalf("%d copies have won and %d lost, want one that lost", won, lost)
 	}
 }
+
+// The run of a task that is done, as another run of it has succeeded, says nothing of its siblings.
+func TestUsualTimeLeavesOutTasksThatAreDone(t *testing.T) {
+	h, first := newHealthyHarness(t)
+	g := h.d.task(first.Run.Task).group
+	h.advance(usualMaxAge)
+	if _, bySiblings := h.d.usualTime(g); !bySiblings {
+		t.Fatal("the usual time does not follow from an ended task and three runs")
+	}
+	for _, s := range h.started[:2] {
+		h.d.task(s.Run.Task).done = true
+	}
+	h.advance(usualMaxAge)
+	if usual, bySiblings := h.d.usualTime(g); bySiblings {
+		t.Fatalf("%s by an ended task and one run", usual)
+	}
+}
--- a/pkg/aqdecider/speeds.go
+++ b/pkg/aqdecider/speeds.go
@@ -100,7 +100,7 @@
 	}
 	var running []time.Duration
 	for _, t := range g.tasks {
-		if t.run == nil {
+		if t.run == nil || t.done {
 			continue
 		}
 		if expected := t.run.wholeUntil(t.run.measuredAt); expected > 0 {
