Copies: watch runs from 1.25 times the usual time on

Cause (review): a run was watched from the usual time on, so about half of all tasks of such groups were, each with faster heartbeats that have a price, and the mark stuck. It is found anew at each look, from a factor near that of lagging.

Test: TestWorkerIsWatchedWhileARunMayGetACopy.

--- a/internal/site/aqspeculation/copies.go
+++ b/internal/site/aqspeculation/copies.go
@@ -85,6 +85,16 @@
 	return float64(p.Elapsed) >= lagging*float64(usual)
 }
 
+// watching is the multiple of the usual time from which a run is watched closely: it may count as lagging by the
+// next report.
+const watching = 1.25
+
+// Watched reports whether a run is to be reported more often, since it may soon be weighed. A report has its
+// price, so runs that take as long as their siblings are not.
+func (p Progress) Watched(usual time.Duration, bySiblings bool) bool {
+	return bySiblings && float64(p.Elapsed) >= watching*float64(usual)
+}
+
 // hungLeft stands for the time that a hung run still takes. It is longer than every lease.
 const hungLeft = time.Minute
 
--- a/pkg/aqdecider/copies.go
+++ b/pkg/aqdecider/copies.go
@@ -102,6 +102,9 @@
 	var room copyRoom
 	for _, g := range groups {
 		for _, t := range g.tasks {
+			if t.run != nil {
+				t.run.watched = false
+			}
 			if t.mayCopy() && !d.now.Before(t.notBefore) {
 				d.considerCopy(t, &room)
 			}
@@ -172,7 +175,7 @@
 	cause := progress.Cause()
 	usual, bySiblings := d.usualTime(g)
 	queue := d.queueTimes(g.occurrence.job.queue.ID)
-	r.watched = r.watched || (bySiblings && progress.Elapsed >= usual)
+	r.watched = progress.Watched(usual, bySiblings)
 	left := progress.Left(&queue.byUsual, usual)
 	if left < usual || !progress.Lags(cause, usual, bySiblings) || room.searched >= maxWorkersSearched {
 		return
--- a/pkg/aqdecider/copycauses_test.go
+++ b/pkg/aqdecider/copycauses_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"acaciaquay/internal/site/aqspeculation"
+	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqtype"
 )
@@ -114,3 +116,37 @@
 		t.Fatalf("%s by an ended task and one run", usual)
 	}
 }
+
+// A worker reports more often while a run there has taken longer than its siblings and may get a copy, not when it has
+// taken as long as they.
+func TestWorkerIsWatchedWhileARunMayGetACopy(t *testing.T) {
+	h, late := newLateHarness(t, func(j *aqjob.Job) { j.Queue.Target = 20 * time.Second })
+	if !h.d.NeedsFrequentHeartbeats(late.Worker) {
+		t.Fatal("not watched after twice the usual time")
+	}
+	g := h.d.task(late.Run.Task).group
+	for _, test := range []struct {
+		usual time.Duration
+		want  bool
+	}{
+		{usual: 1200 * time.Millisecond},
+		{usual: 900 * time.Millisecond, want: true},
+	} {
+		h.advance(copyReviewInterval)
+		g.siblings = aqspeculation.Siblings{}
+		for range 3 {
+			g.siblings.Add(test.usual)
+		}
+		g.usualAt = time.Time{}
+		h.tick()
+		if watched := h.d.NeedsFrequentHeartbeats(late.Worker); watched != test.want {
+			t.Errorf("watched %v where the siblings take %s", watched, test.usual)
+		}
+	}
+	g.tasks[late.Run.Task.Index].failed = []Attempt{1}
+	h.advance(copyReviewInterval)
+	h.tick()
+	if h.d.NeedsFrequentHeartbeats(late.Worker) {
+		t.Error("watched though it may get no copy")
+	}
+}
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -233,7 +233,8 @@
 	speedWhole   time.Duration
 	// copyCause is why the run was started as a copy, nil if it was not or has outlived the other run.
 	copyCause aqspeculation.Cause
-	// watched is set once the run has taken longer than its siblings usually do and may get a copy.
+	// watched is set while the run takes longer than its siblings usually do and may get a copy, as found in the
+	// last round of startCopies.
 	watched bool
 	// copyVerdict is why a copy of the run was left out last.
 	copyVerdict aqspeculation.Verdict
