Copies: test that a copy needs another worker

Cause (review): the case "no other worker" of TestLateTaskGetsOneCopy played an empty harness, since its job could not start at all, and so checked nothing. TestCopyNeedsAnotherWorker replaces it: the job starts, then the other workers drain, are full or lack the label; the reason for which the copy is left out is checked, and that one is started afterwards. newLateHarnessIfStarted goes away.

--- a/pkg/aqdecider/copies_test.go
+++ b/pkg/aqdecider/copies_test.go
@@ -75,9 +75,8 @@
 		{name: "perpetual", change: func(j *aqjob.Job) { j.Groups[0].Perpetual = true }},
 		{name: "last attempt", change: func(j *aqjob.Job) { j.Queue.MaxAttempts = 1 }},
 		{name: "in time", change: func(j *aqjob.Job) { j.Queue.Target = time.Minute }},
-		{name: "no other worker", change: func(j *aqjob.Job) { j.Groups[0].Constraint = "r1-2" }},
 	} {
-		h, late := newLateHarnessIfStarted(t, test.change)
+		h, late := newLateHarness(t, test.change)
 		h.startsAfter(300 * time.Millisecond)
 		copies := 0
 		for _, s := range h.started {
@@ -95,17 +94,6 @@
 	}
 }
 
-// newLateHarnessIfStarted is newLateHarness for jobs that may find no worker.
-func newLateHarnessIfStarted(t *testing.T, change func(*aqjob.Job)) (*harness, Start) {
-	t.Helper()
-	probe := testJob(1, tasks(4, 1000))
-	change(probe)
-	if probe.Groups[0].Constraint != "" {
-		return newHarness(t), Start{}
-	}
-	return newLateHarness(t, change)
-}
-
 // Work that waits for room comes first, unless it has waited for so long that no worker may suit it.
 func TestCopyLeavesRoomToWaitingWork(t *testing.T) {
 	h, late := newLateHarness(t, func(j *aqjob.Job) { j.Queue.Target = 20 * time.Second })
--- a/pkg/aqdecider/copysearch_test.go
+++ b/pkg/aqdecider/copysearch_test.go
@@ -5,9 +5,53 @@
 	"testing"
 	"time"
 
+	"acaciaquay/internal/site/aqspeculation"
+	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqtype"
 )
 
+// A late task gets no copy while no other worker may take it, for whatever reason, and gets one once one may.
+func TestCopyNeedsAnotherWorker(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		hinder  func(*Worker)
+		verdict aqspeculation.Verdict
+	}{
+		{name: "others drain", hinder: func(w *Worker) { w.Draining = true }, verdict: aqspeculation.NoRoom},
+		{name: "others are full", hinder: func(w *Worker) { w.Capacity.MilliCPU = 500 }, verdict: aqspeculation.NoRoom},
+		{name: "others lack the label", hinder: func(w *Worker) { w.Labels = nil }, verdict: aqspeculation.NoWorker},
+	} {
+		h, late := newLateHarness(t, func(j *aqjob.Job) {
+			j.Queue.Target = 20 * time.Second
+			j.Groups[0].Constraint = "r1-1"
+		})
+		change := func(hinder func(*Worker)) {
+			for _, id := range copyWorkers {
+				if id == late.Worker {
+					continue
+				}
+				w := poolWorker(string(id), "r1-1", 1000)
+				hinder(&w)
+				h.d.UpdateWorker(w)
+			}
+		}
+		change(test.hinder)
+		h.advance(5 * time.Second)
+		h.running[late.Worker][late.Run] = RunReport{Run: late.Run, Percent: 20}
+		h.reportAll()
+		if starts := h.startsAfter(2 * time.Second); starts != 4 {
+			t.Errorf("%s: %d copies", test.name, starts-4)
+		}
+		if verdict := h.d.workers[late.Worker].runs[late.Run].copyVerdict; verdict != test.verdict {
+			t.Errorf("%s: no copy for %q, want %s", test.name, verdict, test.verdict)
+		}
+		change(func(*Worker) {})
+		if starts := h.startsAfter(time.Second); starts != 5 {
+			t.Errorf("%s: %d copies once others may take the task, want 1", test.name, starts-4)
+		}
+	}
+}
+
 // A look at late tasks that no worker suits, though others have room, searches once a group and for a limited number
 // of workers. Groups behind them get their copies.
 func TestSearchesForCopiesAreLimited(t *testing.T) {
