--- a/pkg/aqdecider/copies_test.go
+++ b/pkg/aqdecider/copies_test.go
@@ -185,45 +185,30 @@
 	}
 }
 
-// The later end of a run that has done less does not take the task back, and a copy starts at the latest progress.
-func TestCheckpointOfTwoRunsIsTheGreater(t *testing.T) {
-	const early, late = "00000010bbbb", "00000bb8aaaa"
+// A task that is suspected of crashing its workers, or runs alone for that, gets no copy.
+func TestSuspectedTaskGetsNoCopy(t *testing.T) {
+	crashes := []aqcrash.Crash{
+		{Instance: aqcrash.Instance{Worker: "w8", Incarnation: 1}, Seen: time.Second},
+		{Instance: aqcrash.Instance{Worker: "w9", Incarnation: 1}, Seen: time.Second},
+	}
 	for _, test := range []struct {
-		name                string
-		ofRun, ofCopy, want string
+		name    string
+		history aqcrash.History
+		want    int
 	}{
-		{name: "the run is ahead", ofRun: late, ofCopy: early, want: late},
-		{name: "the copy is ahead", ofRun: early, ofCopy: late, want: late},
-		{name: "the copy has none", ofRun: early, want: early},
+		{name: "none", want: 1},
+		{name: "suspected", history: aqcrash.History{Crashes: crashes}},
+		{name: "on trial", history: aqcrash.History{Trial: &aqcrash.Instance{Worker: "w9", Incarnation: 1}}},
 	} {
-		for _, runFirst := range []bool{true, false} {
-			h, first, second := newCopyHarness(t)
-			r := h.d.workers[first.Worker].runs[first.Run]
-			h.running[first.Worker][first.Run] = RunReport{Run: first.Run, Percent: 60, Checkpoint: test.ofRun}
-			h.running[second.Worker][second.Run] = RunReport{Run: second.Run, Percent: 5, Checkpoint: test.ofCopy}
-			h.reportAll()
-			ends := []aqtype.WorkerID{second.Worker, first.Worker}
-			if runFirst {
-				ends = []aqtype.WorkerID{first.Worker, second.Worker}
-			}
-			for _, id := range ends {
-				h.d.WorkerUnresponsive(id)
-				h.d.LeaseExpired(id)
-			}
-			if r.task.checkpoint != test.want {
-				t.Errorf("%s, run first %v: checkpoint %q, want %q", test.name, runFirst, r.task.checkpoint, test.want)
-			}
+		h, late := newLateHarness(t, func(j *aqjob.Job) { j.Queue.Target = 20 * time.Second })
+		h.d.task(late.Run.Task).history = test.history
+		h.advance(5 * time.Second)
+		h.running[late.Worker][late.Run] = RunReport{Run: late.Run, Percent: 20}
+		h.reportAll()
+		if starts := h.startsAfter(time.Second); starts != 4+test.want {
+			t.Errorf("%s: %d copies, want %d", test.name, starts-4, test.want)
 		}
 	}
-	h, first, second := newCopyHarness(t)
-	h.running[first.Worker][first.Run] = RunReport{Run: first.Run, Percent: 20, Checkpoint: early}
-	h.reportAll()
-	task := h.d.workers[first.Worker].runs[first.Run].task
-	h.d.endRun(task.copy, EndStopped, late)
-	delete(h.running[second.Worker], second.Run)
-	if h.startsAfter(time.Second); len(h.started) != 6 || h.started[5].Checkpoint != late {
-		t.Errorf("started %+v, want a copy from %s", h.started[5:], late)
-	}
 }
 
 // Failures of both runs count, and a task without an attempt in reserve gets no copy.
@@ -242,40 +227,6 @@
 	}
 }
 
-// A run that goes on after the other has completed the job does not bring back its records once they are deleted.
-func TestLeftoverRunDoesNotStoreADeletedJob(t *testing.T) {
-	h, late, second := newCopyHarness(t)
-	task := h.d.workers[late.Worker].runs[late.Run].task
-	task.history.Add(aqcrash.Crash{Instance: aqcrash.Instance{Worker: "w9", Incarnation: 1}, Seen: time.Second})
-	store := func() []Record {
-		b := h.d.TakeBatch()
-		for _, r := range b.Records {
-			h.d.RecordStored(r, 7)
-		}
-		h.d.BatchStored(b)
-		return b.Records
-	}
-	h.end(2, second, EndDone)
-	h.tick()
-	store()
-	h.advance(h.d.options.Limits.Retention + time.Second)
-	h.tick()
-	if deleted := store(); len(deleted) != 1 || !deleted[0].Delete {
-		t.Fatalf("stored %+v, want that the job is deleted", deleted)
-	}
-	h.running[late.Worker][late.Run] = RunReport{Run: late.Run, Percent: 20}
-	h.report(late.Worker)
-	h.tick()
-	if stored := store(); len(stored) != 0 {
-		t.Fatalf("stored %+v of a deleted job", stored)
-	}
-	h.end(2, late, EndFailed)
-	h.startsAfter(time.Second)
-	if stored := store(); len(stored) != 0 || len(h.started) != 5 {
-		t.Fatalf("after the end: stored %+v, %d starts", stored, len(h.started)-5)
-	}
-}
-
 // The next leader keeps both runs of a task that may have copies, and one of any other.
 func TestNextLeaderKeepsBothRuns(t *testing.T) {
 	for _, speculative := range []bool{true, false} {
@@ -312,6 +263,25 @@
 	}
 }
 
+// Two runs of a task on one worker are not a run and its copy: one of them is stopped.
+func TestNextLeaderKeepsOneRunOnAWorker(t *testing.T) {
+	h, late, second := newCopyHarness(t)
+	n := h.next([]aqtype.WorkerID{late.Worker}, poolWorker("w9", "r1-1", 4000))
+	group := tasks(4, 1000)
+	group.Speculative = true
+	n.d.AddJob(testJob(1, group), h.d.jobs[testJob(1).ID].progress(), 1, true)
+	n.running[late.Worker] = map[RunID]RunReport{
+		late.Run:   {Run: late.Run},
+		second.Run: {Run: second.Run},
+	}
+	n.d.UpdateWorker(poolWorker(string(late.Worker), "r1-1", 4000))
+	n.report(late.Worker)
+	n.tick()
+	if len(n.stopped) != 1 || len(n.started) != 0 || n.d.task(late.Run.Task).copy != nil {
+		t.Fatalf("stopped %v, started %v, want one stop", n.stopped, n.started)
+	}
+}
+
 // While a worker of an earlier term has not reported, it may run the task.
 func TestNoCopyBeforeAllWorkersHaveReported(t *testing.T) {
 	h, _ := newLateHarness(t, func(j *aqjob.Job) { j.Queue.Target = 20 * time.Second })
