--- a/pkg/aqdecider/speeds.go
+++ b/pkg/aqdecider/speeds.go
@@ -61,14 +61,14 @@
 	r.basePercent = percent
 }
 
-// leastGained is the progress in percent from which the duration of a run follows from it.
-const leastGained = 10
+// wholeGained is the progress in percent from which the duration of the whole task follows from it.
+const wholeGained = 10
 
 // wholeUntil returns what the whole task takes at the rate of the run's progress up to a time on its worker's clock, zero if that
 // is not known.
 func (r *run) wholeUntil(clock time.Duration) time.Duration {
 	gained := r.percent - r.basePercent
-	if !r.measured || r.baseClock <= 0 || gained < leastGained {
+	if !r.measured || r.baseClock <= 0 || gained < wholeGained {
 		return 0
 	}
 	return max(0, clock-r.baseClock) * 100 / time.Duration(gained)
