--- a/pkg/aqdecider/copies.go
+++ b/pkg/aqdecider/copies.go
@@ -117,7 +117,7 @@
 	counted bool
 	// free holds, by service, the processors that neither waiting work nor the usual bursts of
 	// short tasks need.
-	free map[aqjob.ServiceID]aqtype.MilliCPU
+	free spareCPU
 	// copies and running count the copies and the running tasks by queue.
 	copies  map[aqjob.QueueID]int
 	running map[aqjob.QueueID]int
@@ -135,14 +135,11 @@
 	}
 	*room = copyRoom{
 		counted: true,
-		free:    map[aqjob.ServiceID]aqtype.MilliCPU{},
+		free:    d.freeCPU(),
 		copies:  map[aqjob.QueueID]int{},
 		running: map[aqjob.QueueID]int{},
 	}
 	for _, w := range d.fleet {
-		if w.present && w.reachable && !w.info.Draining {
-			room.free[w.info.Service] += max(0, w.info.Capacity.MilliCPU-w.used.MilliCPU)
-		}
 		for _, r := range w.runs {
 			queue := r.task.group.occurrence.job.queue.ID
 			if r.task.copy == r {
@@ -159,9 +156,7 @@
 		_, waiting := g.counts()
 		room.free[g.occurrence.job.queue.Service] -= aqtype.MilliCPU(waiting) * g.spec.Size.MilliCPU
 	}
-	for service, average := range d.shortUse.average {
-		room.free[service] -= aqtype.MilliCPU(shortUseMargin * average)
-	}
+	d.shortUse.leaveMargin(room.free)
 }
 
 // considerCopy starts a copy of a task with one run if it pays.
--- a/pkg/aqdecider/headroom.go
+++ b/pkg/aqdecider/headroom.go
@@ -32,16 +32,13 @@
 // short tasks need and a margin for those that are expected. Tasks that are larger than every
 // worker do not count.
 func (d *Decider) spareFor(waiting []*group) spareCPU {
-	free := spareCPU{}
+	free := d.freeCPU()
 	use := map[aqjob.ServiceID]float64{}
 	largest := map[aqjob.ServiceID]aqtype.Resources{}
 	for _, w := range d.fleet {
 		service := w.info.Service
 		use[service] += float64(w.currentLoad().shortReserved)
 		largest[service] = largest[service].Max(w.info.Capacity)
-		if w.present && w.reachable && !w.info.Draining {
-			free[service] += max(0, w.info.Capacity.MilliCPU-w.used.MilliCPU)
-		}
 	}
 	for _, g := range waiting {
 		service := g.occurrence.job.queue.Service
@@ -53,12 +50,28 @@
 		use[service] += float64(needed)
 	}
 	d.shortUse.update(use, d.now)
-	for service, average := range d.shortUse.average {
-		free[service] -= aqtype.MilliCPU(shortUseMargin * average)
+	d.shortUse.leaveMargin(free)
+	return free
+}
+
+// freeCPU returns the processors that the workers have free.
+func (d *Decider) freeCPU() spareCPU {
+	free := spareCPU{}
+	for _, w := range d.fleet {
+		if w.present && w.reachable && !w.info.Draining {
+			free[w.info.Service] += max(0, w.info.Capacity.MilliCPU-w.used.MilliCPU)
+		}
 	}
 	return free
 }
 
+// leaveMargin deducts a margin for the short tasks that are expected.
+func (s *shortUse) leaveMargin(free spareCPU) {
+	for service, average := range s.average {
+		free[service] -= aqtype.MilliCPU(shortUseMargin * average)
+	}
+}
+
 func (s *shortUse) update(use map[aqjob.ServiceID]float64, now time.Time) {
 	if s.average == nil {
 		s.average = map[aqjob.ServiceID]float64{}
