--- a/Makefile
+++ b/Makefile
@@ -27,11 +27,13 @@
 fuzz:
 	_scripts/fuzz
 
-# Replays the soak runs that have failed before, and three others, one of them with evacuations (about three minutes).
+# Replays the soak runs that have failed before, and four others, one of them with evacuations and one with copies of
+# tasks (about four minutes).
 soak: build
 	$(BIN)/aqsoak --program $(BIN)/acaciaquay --regressions
 	$(BIN)/aqsoak --program $(BIN)/acaciaquay --seed 1 --count 2
 	$(BIN)/aqsoak --program $(BIN)/acaciaquay --seed 3 --evacuations --harm 40s
+	$(BIN)/aqsoak --program $(BIN)/acaciaquay --seed 3 --speculative
 
 tools:
 	_scripts/install-tools
--- a/cmd/aqsoak/main.go
+++ b/cmd/aqsoak/main.go
@@ -24,6 +24,7 @@
 	regressionsOnly := app.Flag("regressions", "Run the seeds that have failed before instead of the others.").Bool()
 	delayAcrossRestarts := app.Flag("delay-across-restarts", "Also delay orders to workers on their way while these restart.").Bool()
 	evacuations := app.Flag("evacuations", "Also evacuate zones.").Bool()
+	speculative := app.Flag("speculative", "Permit copies of the tasks of every other job.").Bool()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -53,6 +54,7 @@
 			Workers:             *workers,
 			DelayAcrossRestarts: run.DelayAcrossRestarts,
 			Evacuations:         run.Evacuations,
+			Speculative:         *speculative,
 			Out:                 out,
 		})
 		if err != nil {
--- a/internal/site/aqbacklog/decide.go
+++ b/internal/site/aqbacklog/decide.go
@@ -5,12 +5,11 @@
 	"slices"
 	"time"
 
+	"acaciaquay/internal/site/aqurgency"
 	"acaciaquay/pkg/aqjob"
 )
 
 const (
-	// usefulFactor is how many times its objective a job may take until it has no value to its submitter.
-	usefulFactor = 3
 	// maxAge is the age from which an estimate is not used. It exceeds the time between two polls of any process.
 	maxAge = 2500 * time.Millisecond
 	// minReturn and maxReturn limit the time after which a rejected submitter may return.
@@ -52,7 +51,7 @@
 		}
 	}
 	allowed := time.Duration(j.Queue.Stretch*float64(e.path(j))) + j.Queue.Target
-	if allowed <= 0 || longest <= usefulFactor*allowed {
+	if allowed <= 0 || longest <= aqurgency.UsefulFactor*allowed {
 		return Accept{}
 	}
 	return Reject{
--- a/internal/site/aqurgency/rank.go
+++ b/internal/site/aqurgency/rank.go
@@ -17,8 +17,8 @@
 	Hopeless
 )
 
-// usefulFactor is how many times its objective a job may take until it has no value to its submitter.
-const usefulFactor = 3
+// UsefulFactor is how many times its objective a job may take until it has no value to its submitter.
+const UsefulFactor = 3
 
 // Work describes a waiting group.
 type Work struct {
@@ -63,7 +63,7 @@
 		return r
 	}
 	switch end := now.Add(w.Left); {
-	case end.After(w.DueAt.Add(usefulFactor * w.Allowed)):
+	case end.After(w.DueAt.Add(UsefulFactor * w.Allowed)):
 		r.standing = Hopeless
 	case end.After(r.due):
 		r.standing = Late
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -8,6 +8,7 @@
 	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/internal/site/aqevacuation"
 	"acaciaquay/internal/site/aqinterference"
+	"acaciaquay/internal/site/aqspeed"
 	"acaciaquay/internal/site/aqurgency"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqlog"
@@ -138,8 +139,15 @@
 	// leaveAt is when the evacuated zones are looked at next, leaveFrom the position in the fleet where that begins.
 	leaveAt   time.Time
 	leaveFrom int
-	now       time.Time
-	wall      time.Time
+	// speculative holds the groups that are ready and whose tasks may have copies, copiesReviewedAt is when
+	// they were looked at last.
+	speculative      map[*group]bool
+	copiesReviewedAt time.Time
+	// times holds what has been measured of the tasks of each queue, speeds of the workers.
+	times  map[aqjob.QueueID]*queueTimes
+	speeds *aqspeed.Table
+	now    time.Time
+	wall   time.Time
 }
 
 // endedJob is a job in a final state. Decider.ended lists them in order of ending.
@@ -183,6 +191,9 @@
 		emptied:       map[aqtype.Zone]bool{},
 		leaving:       map[*task]*worker{},
 		rackShortages: map[aqtype.Rack]time.Time{},
+		speculative:   map[*group]bool{},
+		times:         map[aqjob.QueueID]*queueTimes{},
+		speeds:        aqspeed.New(),
 	}
 }
 
@@ -260,6 +271,7 @@
 	d.leaveZones()
 	d.plan()
 	d.tryResting()
+	d.startCopies()
 	d.noteWaits()
 	d.expireJobs()
 	orders := d.orders
--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -42,6 +42,8 @@
 	w.orphans = map[RunID]time.Time{}
 	w.reachable = false
 	w.health = health{}
+	d.speeds.Forget(w.info.ID)
+	w.slow = false
 	d.expectStrayLease(w)
 }
 
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -114,6 +114,22 @@
 // RackWaitEnds lists every end of a wait for a rack.
 var RackWaitEnds = []RackWaitEnd{RackWaitPlaced, RackWaitNoGain, RackWaitNoPlace, RackWaitBound, RackWaitInTime}
 
+// CopyDeclineReason says why a second run of a late task was not started.
+type CopyDeclineReason string
+
+// The reasons for which no copy is started. Each counts a run once, until its reason changes.
+const (
+	CopyInTime    CopyDeclineReason = "InTime"
+	CopyNoGain    CopyDeclineReason = "NoGain"
+	CopyUnhelpful CopyDeclineReason = "Unhelpful"
+	CopyNoRoom    CopyDeclineReason = "NoRoom"
+	CopyAtLimit   CopyDeclineReason = "AtLimit"
+	CopyNoWorker  CopyDeclineReason = "NoWorker"
+)
+
+// CopyDeclineReasons lists every reason for which no copy is started.
+var CopyDeclineReasons = []CopyDeclineReason{CopyInTime, CopyNoGain, CopyUnhelpful, CopyNoRoom, CopyAtLimit, CopyNoWorker}
+
 // Counter names a counter without a reason.
 type Counter string
 
@@ -141,7 +157,14 @@
 	// ZoneMoves counts the runs that were stopped to leave an evacuated zone.
 	ZoneMoves Counter = "aq_zone_moves_total"
 	// RackWaits counts the groups of tasks that began to wait for a place on their rack.
-	RackWaits       Counter = "aq_rack_waits_total"
+	RackWaits Counter = "aq_rack_waits_total"
+	// CopiesStarted counts the second runs of tasks, CopiesWon those that succeeded first, CopiesLost those
+	// whose task succeeded in its first run.
+	CopiesStarted Counter = "aq_copies_started_total"
+	CopiesWon     Counter = "aq_copies_won_total"
+	CopiesLost    Counter = "aq_copies_lost_total"
+	// WorkersSlow counts how often a worker was found to be slow for a kind of work.
+	WorkersSlow     Counter = "aq_workers_slow_total"
 	LeadTerms       Counter = "aq_lead_terms_total"
 	LogLinesDropped Counter = "aq_log_lines_dropped_total"
 	PanicsContained Counter = "aq_panics_contained_total"
@@ -155,7 +178,7 @@
 var Counters = []Counter{
 	RequestsAnswered, RequestsUnknown, SegmentsCommitted, RecordsCommitted, TasksStarted, TasksFinished,
 	TasksEvicted, ShardsTaken, ShardsLost, SessionRenewals, PeerCalls,
-	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, RackWaits, ZoneMoves, WorkGivenUp, LeadTerms, LogLinesDropped, PanicsContained, BodiesStalled, AnswersUnread,
+	JobsAccepted, TasksEnded, RunsLost, JobsCrashing, GroupWaits, CopiesStarted, CopiesWon, CopiesLost, WorkersSlow, RackWaits, ZoneMoves, WorkGivenUp, LeadTerms, LogLinesDropped, PanicsContained, BodiesStalled, AnswersUnread,
 }
 
 // Gauge names a value that goes up and down.
@@ -212,6 +235,9 @@
 	for _, e := range RackWaitEnds {
 		s.set.GetOrCreateCounter(rackWaitName(e))
 	}
+	for _, r := range CopyDeclineReasons {
+		s.set.GetOrCreateCounter(copyDeclineName(r))
+	}
 	for _, c := range Counters {
 		s.set.GetOrCreateCounter(string(c))
 	}
@@ -240,6 +266,9 @@
 	return s.set.GetOrCreateCounter(rackWaitName(e)).Get()
 }
 
+// CopyDeclined counts one copy that was not started.
+func (s *Set) CopyDeclined(r CopyDeclineReason) { s.set.GetOrCreateCounter(copyDeclineName(r)).Inc() }
+
 // Inc adds one to a counter.
 func (s *Set) Inc(c Counter) { s.Add(c, 1) }
 
@@ -274,3 +303,7 @@
 }
 
 func retryName(r RetryReason) string { return fmt.Sprintf("aq_retries_total{reason=%q}", string(r)) }
+
+func copyDeclineName(r CopyDeclineReason) string {
+	return fmt.Sprintf("aq_copies_declined_total{reason=%q}", string(r))
+}
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -49,6 +49,8 @@
 	DelayAcrossRestarts bool
 	// Evacuations adds evacuations of zones.
 	Evacuations bool
+	// Speculative permits copies of the tasks of every other job.
+	Speculative bool
 	Out         io.Writer
 }
 
@@ -242,6 +244,9 @@
 	for number := 0; faultCtx.Err() == nil; number++ {
 		j := drawJob(random, number)
 		cancelAfter := randomDuration(random, maxCancelDelay)
+		if s.options.Speculative && number%2 == 0 {
+			j.speculate()
+		}
 		s.checker.add(j)
 		s.running.Add(1)
 		go func() {
