Copies: a worker that is unreachable for a moment is not hung

Cause: WorkerReassigned sets every worker of a lost agent unreachable, and a run there counted as hung at once. A worker counts as lost after silenceTimeout without a report, longer than it takes to replace an agent. Test: TestReplacedAgentCausesNoCopy fails before.

--- a/pkg/aqdecider/copies_test.go
+++ b/pkg/aqdecider/copies_test.go
@@ -264,6 +264,18 @@
 	}
 }
 
+// A worker whose agent is replaced is unreachable for a moment. Its tasks get copies only if it stays so.
+func TestReplacedAgentCausesNoCopy(t *testing.T) {
+	h, late := newLateHarness(t, func(j *aqjob.Job) { j.Queue.Target = 20 * time.Second })
+	h.d.WorkerReassigned(late.Worker)
+	if starts := h.startsAfter(silenceTimeout); starts != 4 {
+		t.Fatalf("%d copies were started while an agent is replaced", starts-4)
+	}
+	if starts := h.startsAfter(500 * time.Millisecond); starts != 5 {
+		t.Fatalf("%d copies were started, want 1", starts-4)
+	}
+}
+
 // Every reason for which no copy is started has its counter.
 func TestEveryVerdictIsCounted(t *testing.T) {
 	for _, verdict := range aqspeculation.Verdicts {
--- a/pkg/aqdecider/speeds.go
+++ b/pkg/aqdecider/speeds.go
@@ -111,7 +111,7 @@
 	p := aqspeculation.Progress{
 		Elapsed:        r.ranFor(d.now),
 		WorkerSlowdown: float64(d.slowdownOf(r.task.group, r.worker)),
-		Hung:           !r.worker.reachable || r.state == runStopping,
+		Hung:           r.state == runStopping || r.worker.lost(d.now),
 	}
 	if r.measured {
 		p.Percent = r.percent
@@ -122,6 +122,11 @@
 	return p
 }
 
+// lost reports whether the worker has been unreachable for longer than it takes to replace a lost agent.
+func (w *worker) lost(now time.Time) bool {
+	return !w.reachable && now.Sub(w.reportedAt) > silenceTimeout
+}
+
 // stillLimit returns for how long the progress of a run may not rise. A stop costs what the run has done since
 // its last checkpoint.
 func (d *Decider) stillLimit(r *run) time.Duration {
