Measure a run from the answer to its start

Cause: durations counted from the order. A run that reports show before its start is answered counts from its first report, by its progress only. The allowance for the delay of a start goes. Workers count as slow from 1.6 times the usual duration on, 1.4 before.

Test: TestLateStartDoesNotCountAsSlow.

--- a/internal/site/aqspeculation/copies.go
+++ b/internal/site/aqspeculation/copies.go
@@ -50,8 +50,6 @@
 const (
 	// slowWorkerSlowdown is the slowdown from which a worker is the likely cause of a late run.
 	slowWorkerSlowdown = 1.8
-	// startDelay is how long after its order a run may have begun.
-	startDelay = 100 * time.Millisecond
 	// leastGained is the progress from which the time that is left follows from it.
 	leastGained = 2
 )
@@ -94,8 +92,8 @@
 	switch {
 	case p.Hung:
 		return hungLeft
-	case p.MeasuredFor > startDelay && p.Gained >= leastGained:
-		left := time.Duration(float64(p.MeasuredFor-startDelay) * float64(100-p.Percent) / float64(p.Gained))
+	case p.MeasuredFor > 0 && p.Gained >= leastGained:
+		left := time.Duration(float64(p.MeasuredFor) * float64(100-p.Percent) / float64(p.Gained))
 		return max(0, left-(p.Elapsed-p.MeasuredFor))
 	case byUsual.Known():
 		return byUsual.Left(p.Elapsed, usual)
--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -78,6 +78,7 @@
 	switch outcome {
 	case OutcomeAccepted:
 		d.confirm(r, at)
+		r.setBase(w.clockNow(d.now), 0)
 		d.options.Metrics.Inc(aqmetric.TasksStarted)
 		return
 	case OutcomeUnknown:
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -65,6 +65,8 @@
 	r.missedReports = 0
 	if r.state == runStarting {
 		d.confirm(r, sent)
+		r.setBase(of.Clock, report.Percent)
+		r.beginUnknown = true
 	}
 	if r.state == runStopping && r.stopAcked > 0 && sent > r.stopAcked &&
 		d.now.Sub(r.stopUpdatedAt) > d.options.Limits.StopGrace+stopMargin {
@@ -161,7 +163,7 @@
 		pace:          fullPace,
 		reportedIn:    of.Sent,
 		orderedClock:  of.Clock,
-		adopted:       true,
+		beginUnknown:  true,
 	}
 	r.setBase(of.Clock, report.Percent)
 	if t.run == nil {
--- a/pkg/aqdecider/speeds.go
+++ b/pkg/aqdecider/speeds.go
@@ -153,7 +153,7 @@
 	if d.now.Sub(r.orderedAt) > staleReport && d.now.Sub(r.reportAt) > staleReport {
 		return
 	}
-	if !g.timed() || r.adopted || r.resumeFrom != "" || !r.onOwnRack() || r.task.done {
+	if !g.timed() || r.beginUnknown || r.resumeFrom != "" || !r.onOwnRack() || r.task.done {
 		return
 	}
 	took := r.ranFor(d.now)
@@ -256,7 +256,7 @@
 	// worstSlowdown is the slowdown that gets all of it, unnoticedSlowdown the one up to which nothing is added: tasks of
 	// one group differ by as much.
 	worstSlowdown     = 3.0
-	unnoticedSlowdown = 1.4
+	unnoticedSlowdown = 1.6
 )
 
 // slowness returns the part of a worker's score that is due to its slowdown.
--- a/pkg/aqdecider/speeds_test.go
+++ b/pkg/aqdecider/speeds_test.go
@@ -87,3 +87,29 @@
 		t.Fatal("malformed speeds were restored")
 	}
 }
+
+// A start that is carried out late does not make its worker slow.
+func TestLateStartDoesNotCountAsSlow(t *testing.T) {
+	h, _ := newMeasuredHarness(t)
+	h.d.AddJob(testJob(2, tasks(1, 1000)), nil, 0, false)
+	var late RunID
+	for _, o := range h.d.Tick() {
+		if start, ok := o.(Start); ok {
+			late = start.Run
+		}
+	}
+	h.advance(5 * time.Second)
+	h.running["w1"][late] = RunReport{Run: late, Percent: 10}
+	h.report("w1")
+	r := h.d.task(late.Task).run
+	h.advance(500 * time.Millisecond)
+	h.running["w1"][late] = RunReport{Run: late, Percent: 60}
+	h.report("w1")
+	if whole := r.wholeUntil(r.measuredAt); whole != time.Second {
+		t.Fatalf("the task is expected to take %s, want 1s", whole)
+	}
+	h.end(60, Start{Worker: "w1", Run: late}, EndDone)
+	if took := h.d.queueTimes(testQueue).byEstimate.Quantile(1, time.Second); took > time.Second {
+		t.Fatalf("a task has taken %s", took)
+	}
+}
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -219,8 +219,9 @@
 	waitedSince time.Time
 	// moved is set when the run was ordered to stop so that its task can run elsewhere.
 	moved bool
-	// adopted is set when an earlier decider has started the run.
-	adopted bool
+	// beginUnknown is set when it is not known how long the run had been running when it was first reported: an
+	// earlier decider has started it, or its start may have been carried out late.
+	beginUnknown bool
 	// baseClock is the worker's clock when the progress was basePercent, zero if it is not known.
 	baseClock   time.Duration
 	basePercent int
