--- a/pkg/aqdecider/speeds.go
+++ b/pkg/aqdecider/speeds.go
@@ -120,7 +120,7 @@
 	p := aqspeculation.Progress{
 		Elapsed:        r.ranFor(d.now),
 		WorkerSlowdown: float64(d.slowdownOf(r.task.group, r.worker)),
-		Hung:           r.worker.silentFor(d.now) > staleReport || r.state == runStopping,
+		Hung:           r.worker.silentFor(d.now) > silenceTimeout || r.state == runStopping,
 	}
 	if r.measured {
 		p.Percent = r.percent
@@ -157,7 +157,7 @@
 	if d.now.Sub(r.orderedAt) > staleReport && d.now.Sub(r.reportAt) > staleReport {
 		return
 	}
-	if !g.timed() || r.adopted || r.resumeFrom != "" || !r.onOwnRack() || r.task.done {
+	if !g.timed() || r.beginUnknown || r.resumeFrom != "" || !r.onOwnRack() || r.task.done {
 		return
 	}
 	took := r.ranFor(d.now)
@@ -260,7 +260,7 @@
 	// worstSlowdown is the slowdown that gets all of it, unnoticedSlowdown the one up to which nothing is added: tasks of
 	// one group differ by as much.
 	worstSlowdown     = 3.0
-	unnoticedSlowdown = 1.4
+	unnoticedSlowdown = 1.6
 )
 
 // slowness returns the part of a worker's score that is due to its slowdown.
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -93,8 +93,8 @@
 	// entriesLoop uses them.
 	storedEntries      []byte
 	storedEntryChanges uint64
-	// storedLearned is the value of learnedKey. Only learnedLoop uses it.
-	storedLearned []byte
+	// storedLearned is what learnedKey holds. Only learnedLoop uses it.
+	storedLearned learnedRecord
 	// unacknowledged holds the agents of an earlier leader that have not yet answered
 	// a poll of this one: they may still accept orders of the earlier leader.
 	unacknowledged map[string]bool
--- a/pkg/aqsite/learned_test.go
+++ b/pkg/aqsite/learned_test.go
@@ -1,12 +1,15 @@
 package aqsite
 
 import (
+	"bytes"
 	"context"
 	"testing"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"acaciaquay/internal/site/aqinterference"
+	"acaciaquay/internal/site/aqspeed"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqstore"
 )
@@ -27,6 +30,18 @@
 	return value
 }
 
+func learnedSpeeds(t *testing.T) []byte {
+	t.Helper()
+	now := time.Now()
+	table := aqspeed.New()
+	table.Observe("slow-worker", "queue", 3*time.Second, time.Second, now)
+	value, err := table.Encode(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
 // TestNextLeaderStartsWithWhatWasLearned hands a record over two terms.
 func TestNextLeaderStartsWithWhatWasLearned(t *testing.T) {
 	store := newFakeStore()
@@ -37,6 +52,9 @@
 		if err := d.RestoreInterference(learnedInterference(t)); err != nil {
 			t.Error(err)
 		}
+		if err := d.RestoreSpeeds(learnedSpeeds(t), 0); err != nil {
+			t.Error(err)
+		}
 	})
 	for range 2 {
 		if err := first.storeLearned(ctx); err != nil {
@@ -55,6 +73,9 @@
 		if got, err := d.LearnedInterference(); err != nil || string(got) != string(learnedInterference(t)) {
 			t.Errorf("restored %q, error %v", got, err)
 		}
+		if got, err := d.EncodeSpeeds(); err != nil || !bytes.Contains(got, []byte("slow-worker")) {
+			t.Errorf("restored speeds %q, error %v", got, err)
+		}
 	})
 	if err := second.storeLearned(ctx); err != nil || store.items[learnedKey].ModRevision != written.ModRevision {
 		t.Errorf("stored again though nothing was learned, error %v", err)
