Copies: a run with a copy stays watched

Cause: since the mark is found anew at each look, it went as soon as there was a copy. The end of the run, which ends the copy too, was then reported late.

--- a/pkg/aqdecider/copies.go
+++ b/pkg/aqdecider/copies.go
@@ -102,7 +102,7 @@
 	var room copyRoom
 	for _, g := range groups {
 		for _, t := range g.tasks {
-			if t.run != nil {
+			if t.run != nil && t.copy == nil {
 				t.run.watched = false
 			}
 			if t.mayCopy() && !d.now.Before(t.notBefore) {
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -235,7 +235,7 @@
 	// copyCause is why the run was started as a copy, nil if it was not or has outlived the other run.
 	copyCause aqspeculation.Cause
 	// watched is set while the run takes longer than its siblings usually do and may get a copy, as found in the
-	// last round of startCopies.
+	// last round of startCopies. It stays as it is while there is a copy.
 	watched bool
 	// copyVerdict is why a copy of the run was left out last.
 	copyVerdict aqspeculation.Verdict
