--- a/pkg/aqdecider/copycauses_test.go
+++ b/pkg/aqdecider/copycauses_test.go
@@ -12,6 +12,7 @@
 
 // A worker that gets another agent, or leaves one heartbeat unanswered, runs its tasks on. One that stays silent may not.
 func TestSilentWorkerIsACauseForCopies(t *testing.T) {
+	const silenceSteps = int(silenceTimeout / (100 * time.Millisecond))
 	for _, test := range []struct {
 		name   string
 		change func(*Decider, aqtype.WorkerID)
@@ -22,10 +23,10 @@
 		h, silent := newHealthyHarness(t)
 		test.change(h.d, silent.Worker)
 		others := func(id aqtype.WorkerID) bool { return id != silent.Worker }
-		if starts := h.advanceOthers(25, others); starts != 4 {
+		if starts := h.advanceOthers(silenceSteps, others); starts != 4 {
 			t.Errorf("%s: %d copies of a healthy run", test.name, starts-4)
 		}
-		if starts := h.advanceOthers(10, others); starts != 5 {
+		if starts := h.advanceOthers(5, others); starts != 5 {
 			t.Errorf("%s: %d copies of a run of a silent worker, want 1", test.name, starts-4)
 		}
 	}
--- a/pkg/aqdecider/speeds.go
+++ b/pkg/aqdecider/speeds.go
@@ -46,15 +46,6 @@
 	return w.clock + now.Sub(w.reportedAt)
 }
 
-// silentFor returns for how long a worker that is not reachable has not reported. A change of its agent, or one
-// unanswered heartbeat, is no silence yet.
-func (w *worker) silentFor(now time.Time) time.Duration {
-	if w.reachable {
-		return 0
-	}
-	return now.Sub(w.reportedAt)
-}
-
 // setBase notes when, by its worker's clock, the run had made which progress.
 func (r *run) setBase(clock time.Duration, percent int) {
 	r.baseClock = clock
@@ -120,7 +111,7 @@
 	p := aqspeculation.Progress{
 		Elapsed:        r.ranFor(d.now),
 		WorkerSlowdown: float64(d.slowdownOf(r.task.group, r.worker)),
-		Hung:           r.worker.silentFor(d.now) > silenceTimeout || r.state == runStopping,
+		Hung:           r.state == runStopping || r.worker.lost(d.now),
 	}
 	if r.measured {
 		p.Percent = r.percent
@@ -131,6 +122,11 @@
 	return p
 }
 
+// lost reports whether the worker has been unreachable for longer than it takes to replace a lost agent.
+func (w *worker) lost(now time.Time) bool {
+	return !w.reachable && now.Sub(w.reportedAt) > silenceTimeout
+}
+
 // stillLimit returns for how long the progress of a run may not rise. A stop costs what the run has done since
 // its last checkpoint.
 func (d *Decider) stillLimit(r *run) time.Duration {
