--- a/pkg/aqsite/evacuations_test.go
+++ b/pkg/aqsite/evacuations_test.go
@@ -34,13 +34,27 @@
 	if err := n.Submit(context.Background(), testJob()); err != nil {
 		t.Fatal(err)
 	}
-	// The sessions must not advance the clock.
+	// Neither the sessions nor the loops that recovery starts may advance the clock.
 	options := n.agentOptions()
 	options.Clock = aqclock.NewFake()
 	n.agent = aqagent.New(options)
+	n.clock = clock.Fake
 	return n, clock.Fake
 }
 
+// retryClock is a fake clock on which the pauses after failed calls end at once and advance it. The waits of the loops
+// that recovery starts do not.
+type retryClock struct{ *aqclock.Fake }
+
+// After implements aqclock.Clock.
+func (c retryClock) After(d time.Duration) <-chan time.Time {
+	if d == retryPause {
+		c.Advance(d)
+		d = 0
+	}
+	return c.Fake.After(d)
+}
+
 // newTerm makes a node the leader, which recovers.
 func newTerm(t *testing.T, n *Node, store *fakeStore) *leader {
 	t.Helper()
@@ -91,7 +105,8 @@
 func TestNextLeaderReadsTheEvacuationsFirst(t *testing.T) {
 	for _, evacuated := range []bool{true, false} {
 		store := newFakeStore()
-		n, _ := evacuatingNode(t, store)
+		n, clock := evacuatingNode(t, store)
+		n.clock = retryClock{Fake: clock}
 		if evacuated {
 			write(t, store, aqstore.Txn{Puts: []aqstore.Put{{Key: "evacuate/a", Value: []byte("{}")}}})
 		}
