Tell processes of the backlog only while something waits for long

It is made once a second now, and told only with a wait of a second or more. The effect of this change has not been measured.

--- a/pkg/aqsite/reject.go
+++ b/pkg/aqsite/reject.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,9 @@
 
 const (
 	// backlogInterval is the time between two estimates of the leader.
-	backlogInterval = 250 * time.Millisecond
+	backlogInterval = time.Second
+	// minToldWait is the wait from which the leader's polls carry the estimate.
+	minToldWait = time.Second
 	// rejectionTTL is how long the mark of a rejected job stays at least. A delayed write of an earlier attempt
 	// takes effect within seconds.
 	rejectionTTL = time.Minute
@@ -73,12 +76,17 @@
 	l.backlog.set(d.Backlog(), now)
 }
 
-// tellBacklog returns the estimate for the agents. A leader that may not answer has none.
+// tellBacklog returns the estimate for the agents. A leader that may not answer has none, and without a long wait
+// none is told.
 func (l *leader) tellBacklog() aqbacklog.Estimate {
 	if !l.mayAnswer() {
 		return aqbacklog.Estimate{}
 	}
-	return l.backlog.at(l.node.clock.Elapsed())
+	e := l.backlog.at(l.node.clock.Elapsed())
+	if !slices.ContainsFunc(e.Waits, func(w aqbacklog.Wait) bool { return w.Time >= minToldWait }) {
+		return aqbacklog.Estimate{}
+	}
+	return e
 }
 
 // rejectHopeless rejects a job that would wait until it is of no use, and returns true with the answer. It returns
