--- a/internal/front/aqintake/conn.go
+++ b/internal/front/aqintake/conn.go
@@ -71,7 +71,10 @@
 }
 
 func newConn(i *Intake, raw net.Conn, port *portEntry) *conn {
-	c := &conn{Conn: raw, intake: i}
+	c := &conn{
+		Conn:   raw,
+		intake: i,
+	}
 	c.entry = entry{
 		port:      port,
 		address:   addressOf(raw),
--- a/internal/front/aqintake/connbody.go
+++ b/internal/front/aqintake/connbody.go
@@ -84,7 +84,10 @@
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	c.part = partHead
-	c.head = headScanner{bytes: c.ahead.bytes, lines: c.ahead.lines}
+	c.head = headScanner{
+		bytes: c.ahead.bytes,
+		lines: c.ahead.lines,
+	}
 	c.ahead, c.aheadHeld = headScanner{}, 0
 	c.headStart = time.Time{}
 	c.setOwnDeadline(time.Time{})
--- a/internal/front/aqintake/intake.go
+++ b/internal/front/aqintake/intake.go
@@ -149,7 +149,11 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		current := &request{conn: c, port: port, ctx: r.Context()}
+		current := &request{
+			conn: c,
+			port: port,
+			ctx:  r.Context(),
+		}
 		defer current.end()
 		if !current.begin(r.ContentLength) {
 			for name, value := range port.refusalHeaders(refusalBudget) {
@@ -159,7 +163,10 @@
 			return
 		}
 		if r.ContentLength != 0 {
-			r.Body = &body{ReadCloser: r.Body, request: current}
+			r.Body = &body{
+				ReadCloser: r.Body,
+				request:    current,
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/front/aqintake/limits.go
+++ b/internal/front/aqintake/limits.go
@@ -103,7 +103,10 @@
 
 // LargestHead returns the memory that is reserved for the largest head.
 func (l Limits) LargestHead() Bytes {
-	head := headScanner{bytes: l.HeadBytes, lines: min(l.HeadLines, l.HeadBytes/minLineBytes)}
+	head := headScanner{
+		bytes: l.HeadBytes,
+		lines: min(l.HeadLines, l.HeadBytes/minLineBytes),
+	}
 	return head.cost()
 }
 
--- a/internal/site/aqconfigcheck/difference.go
+++ b/internal/site/aqconfigcheck/difference.go
@@ -38,7 +38,10 @@
 	for _, r := range next.Routes {
 		old, known := before[r.Name]
 		if !known {
-			changes = append(changes, Change{Where: fmt.Sprintf("Route %s", r.Name), Effect: "added"})
+			changes = append(changes, Change{
+				Where:  fmt.Sprintf("Route %s", r.Name),
+				Effect: "added",
+			})
 			continue
 		}
 		changes = append(changes, changedFields(fmt.Sprintf("Route %s", r.Name), old, r)...)
@@ -67,11 +70,17 @@
 			changes = append(changes, changedFields(fmt.Sprintf("Service %s", s.ID), old, s)...)
 			continue
 		}
-		changes = append(changes, Change{Where: fmt.Sprintf("Service %s", s.ID), Effect: "added"})
+		changes = append(changes, Change{
+			Where:  fmt.Sprintf("Service %s", s.ID),
+			Effect: "added",
+		})
 	}
 	for _, s := range inForce.Services {
 		if !after[s.ID] {
-			changes = append(changes, Change{Where: fmt.Sprintf("Service %s", s.ID), Effect: "removed"})
+			changes = append(changes, Change{
+				Where:  fmt.Sprintf("Service %s", s.ID),
+				Effect: "removed",
+			})
 		}
 	}
 	return changes
--- a/pkg/aqsite/leaderpending.go
+++ b/pkg/aqsite/leaderpending.go
@@ -23,7 +23,10 @@
 		}
 		counts.Known = true
 		for queue, count := range all {
-			counts.Queues = append(counts.Queues, aqagent.QueueCount{Queue: queue, Count: count})
+			counts.Queues = append(counts.Queues, aqagent.QueueCount{
+				Queue: queue,
+				Count: count,
+			})
 		}
 	})
 	return counts
