A few small jobs no longer take the leader out of its memory

What callers saw: one request of a hundred bytes, a recurring job of 1,000 tasks whose 100,000 occurrences are all due, ended the process that leads the site; the next leader read the job from the store and ended as well. 600 jobs of 10,000 tasks each made a leader hold 770 MiB.

Cause: the decider created the tasks of every due occurrence as soon as it learned of the job. A task takes 360 bytes, its declaration none.

Change: due occurrences wait in internal/site/aqexpansion, and their tasks are created while there is room: by priority, then in the order of arrival, recurring jobs in turn with the others. Small occurrences have a quarter of the room of their own, one job has at most a quarter. A run that a worker reports for an occurrence that waits (the leader before had room for it) creates its tasks, so that it is adopted and not started again. Site.Tasks is the limit; by default 512 for each MiB of Intake.Memory, so 94,208 on the smallest machine.

Ruled out: refusing such jobs when they are submitted.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -7,6 +7,7 @@
 
 	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/internal/site/aqevacuation"
+	"acaciaquay/internal/site/aqexpansion"
 	"acaciaquay/internal/site/aqinterference"
 	"acaciaquay/internal/site/aqspeed"
 	"acaciaquay/internal/site/aqurgency"
@@ -34,6 +35,9 @@
 	// LeaseMax is the longest time for which a worker runs a task without a renewal of its lease, whatever
 	// the lease end in an order.
 	LeaseMax time.Duration
+	// Tasks limits the tasks of unfinished occurrences that are held at the same time. Further occurrences wait.
+	// Zero means no limit.
+	Tasks int
 }
 
 // Options configure a decider.
@@ -59,6 +63,8 @@
 	fleetChanges uint64
 	// recurring holds the recurring jobs with occurrences that have not started.
 	recurring map[aqjob.ID]*job
+	// expansion holds the due occurrences whose tasks are not created.
+	expansion *aqexpansion.Queue
 	// unstartedJobs counts each queue's jobs of which no task has started.
 	unstartedJobs map[aqjob.QueueID]int
 	// candidateBuffer is reused for the candidates of each group.
@@ -164,6 +170,7 @@
 		jobs:          map[aqjob.ID]*job{},
 		workers:       map[aqtype.WorkerID]*worker{},
 		recurring:     map[aqjob.ID]*job{},
+		expansion:     aqexpansion.New(aqexpansion.Tasks(o.Limits.Tasks)),
 		unstartedJobs: map[aqjob.QueueID]int{},
 		waiting:       map[*group]bool{},
 		unreported:    map[aqtype.WorkerID]time.Time{},
@@ -266,7 +273,8 @@
 	clear(d.harmedShares)
 	d.workersSearched = 0
 	d.overdueLooks = 0
-	d.startDueOccurrences()
+	d.queueDueOccurrences()
+	d.createDue()
 	d.reviewWorkers()
 	d.leaveZones()
 	d.plan()
--- a/pkg/aqdecider/ends.go
+++ b/pkg/aqdecider/ends.go
@@ -143,6 +143,9 @@
 		return nil
 	}
 	o := j.occurrences[id.Occurrence]
+	if o == nil {
+		o = d.createReported(j, id.Occurrence)
+	}
 	if o == nil || id.Group >= len(o.groups) {
 		return nil
 	}
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -45,7 +45,7 @@
 	}
 	if j.state.Final() {
 		d.ended = append(d.ended, endedJob{id: spec.ID, at: d.now})
-		j.dropDetails()
+		d.dropDetails(j)
 		return
 	}
 	d.options.Log.Write(aqlog.JobLoaded, jobAttr(spec.ID), slog.String("Queue", string(j.queue.ID)),
@@ -60,7 +60,8 @@
 	if spec.Repeats > 0 {
 		d.recurring[spec.ID] = j
 	}
-	d.startDue(j)
+	d.queueDue(j)
+	d.createDue()
 }
 
 // maxJobAge limits an age that is computed from wall clocks, which differ between
@@ -73,7 +74,9 @@
 }
 
 // dropDetails frees the groups, the payload and the task state of an ended job.
-func (j *job) dropDetails() {
+func (d *Decider) dropDetails(j *job) {
+	d.expansion.Removed(j.created)
+	j.created = 0
 	j.spec = j.spec.Remainder()
 	j.occurrences = nil
 	j.doneAbove = nil
@@ -122,30 +125,6 @@
 	return position/8 < len(bits) && bits[position/8]&(1<<(position%8)) != 0
 }
 
-// startDueOccurrences starts the occurrences that are due.
-func (d *Decider) startDueOccurrences() {
-	for id, j := range d.recurring {
-		if j.state.Final() || int(j.next) >= j.spec.Occurrences() {
-			delete(d.recurring, id)
-			continue
-		}
-		d.startDue(j)
-	}
-}
-
-func (d *Decider) startDue(j *job) {
-	for int(j.next) < j.spec.Occurrences() {
-		if j.spec.Repeats > 0 && d.wall.Before(j.dueAtWallClock(j.next)) {
-			return
-		}
-		if j.occurrences[j.next] == nil && !j.doneAbove[j.next] && j.next >= j.doneBelow {
-			o := d.newOccurrence(j, j.next)
-			d.markReadyGroups(o)
-		}
-		j.next++
-	}
-}
-
 func (j *job) dueAtWallClock(k aqjob.Occurrence) time.Time {
 	return time.UnixMilli(j.spec.FirstAt).Add(time.Duration(k) * j.spec.Period)
 }
@@ -182,6 +161,8 @@
 		o.groups = append(o.groups, g)
 	}
 	j.occurrences[k] = o
+	j.created += j.tasksOfOccurrence()
+	d.expansion.Created(j.tasksOfOccurrence())
 	return o
 }
 
@@ -241,7 +222,7 @@
 // releaseIfIdle frees the description of an ended job once it has no runs.
 func (d *Decider) releaseIfIdle(j *job) {
 	if j.state.Final() && !j.hasRuns() {
-		j.dropDetails()
+		d.dropDetails(j)
 	}
 }
 
@@ -269,6 +250,8 @@
 		return
 	}
 	delete(j.occurrences, o.number)
+	j.created -= j.tasksOfOccurrence()
+	d.expansion.Removed(j.tasksOfOccurrence())
 	j.markDone(o.number)
 	if int(j.doneBelow) >= j.spec.Occurrences() && !j.state.Final() {
 		d.finish(j, aqjob.StateCompleted, "all tasks done")
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"acaciaquay/internal/site/aqcrash"
+	"acaciaquay/internal/site/aqexpansion"
 	"acaciaquay/internal/site/aqinterference"
 	"acaciaquay/internal/site/aqspeculation"
 	"acaciaquay/pkg/aqjob"
@@ -27,8 +28,12 @@
 	// started is set once a worker has accepted or reported a run of the job.
 	started     bool
 	occurrences map[aqjob.Occurrence]*occurrence
-	// next is the first occurrence that has not started.
-	next      aqjob.Occurrence
+	// next is the first occurrence whose tasks may not have been created.
+	next aqjob.Occurrence
+	// queued is whether next waits in the decider's expansion.
+	queued bool
+	// created is the number of tasks in occurrences.
+	created   aqexpansion.Tasks
 	doneBelow aqjob.Occurrence
 	doneAbove map[aqjob.Occurrence]bool
 	// toDelete is set when the job's records are to be deleted.
--- a/pkg/aqsettings/parse.go
+++ b/pkg/aqsettings/parse.go
@@ -45,7 +45,7 @@
 		return Site{}, errors.Wrapf(err, "read settings %s", file)
 	}
 	s, err := load(file, parsed, SiteFields)
-	s.Site.Intake = s.Intake
+	s.Site.setIntake(s.Intake)
 	return s.Site, err
 }
 
@@ -56,7 +56,7 @@
 		return Site{}, errors.Wrapf(err, "read settings %s", file)
 	}
 	s, err := load(file, parsed, SiteFields)
-	s.Site.Intake = s.Intake
+	s.Site.setIntake(s.Intake)
 	return s.Site, err
 }
 
--- a/pkg/aqsettings/site.go
+++ b/pkg/aqsettings/site.go
@@ -54,8 +54,14 @@
 	LogLayers string
 	// Intake limits what clients may make this process hold.
 	Intake Intake
+	// Tasks limits the tasks that the leader holds at the same time.
+	Tasks int
 }
 
+// tasksPerMiB is the default of Tasks for each MiB that the process may use: tasks that wait
+// take a quarter of it.
+const tasksPerMiB = 512
+
 // minStoreValueMax holds what the site stores of the largest job besides its checkpoints.
 const minStoreValueMax = 64 << 10
 
@@ -97,6 +103,9 @@
 			s.Site.Processors = cores
 			return nil
 		}),
+	count("Site", "Tasks", "tasks", "0", 0, 1<<30,
+		"Tasks of unfinished jobs that this process holds as the leader. The tasks of further jobs, and of further occurrences of a recurring job, are created as these end, small jobs first. 0 means 512 for each MiB of Intake.Memory.",
+		func(s *Settings) *int { return &s.Site.Tasks }),
 	optional("Site", "LogLayers", "names, comma-separated", "all",
 		"Layers whose events below warning level are written: all, or some of decider, site, intake, peer, process.",
 		func(s *Settings, value string) error {
@@ -161,3 +170,11 @@
 	}
 	return nil
 }
+
+// setIntake sets the intake and the limits that are derived from its memory.
+func (s *Site) setIntake(i Intake) {
+	s.Intake = i
+	if s.Tasks == 0 {
+		s.Tasks = i.Memory * tasksPerMiB
+	}
+}
