Peer ports: a bound on connections, frames, calls and unread answers

What callers saw: clients at the address at which a process serves others ended it. 200 connections with a frame of 4 MiB that stops short of its end made a site's process hold 2.7 GiB; peers that read no answers 2 GiB; silent connections took 1,825 descriptors. By reading: without a descriptor, gnet's acceptor ends for good, so that a process that lives is cut off from the others.

Cause: gnet reads whatever arrives into its buffers, and buffers what is not read. Nothing counted either, nor the bodies of calls in progress, nor connections.

Change: internal/peer/aqinbound decides, without I/O, what the connections of a port may hold together (docs/design/client-limits.md). The server reads and writes with net instead of gnet: it can stop reading, gives writes a deadline, and goes on after a failure to accept. Frames are read into a buffer that grows with what has arrived, and decoded without a copy of their body. The garbage collector's soft limit leaves 24 MiB at least: on a machine of 64 MiB it counted on the pages of the program itself. The wire format is the same.

Tried on the way: with the same bounds on the old decoding and collector's limit, the crowds held 62 to 76 MiB; a rule by which newcomers displace the largest holder had a crowd read and drop each other's frames.

TestStuckPeersLeaveRoom, TestSilentConnections..., TestFailureToAcceptIsNotFinal (60 runs with the race detector), decisions as a golden file.

--- a/internal/front/aqintake/limits.go
+++ b/internal/front/aqintake/limits.go
@@ -45,13 +45,16 @@
 
 // Derivation of defaults from the machine.
 const (
-	budgetShare        = 8
-	minBudget          = 8 * MiB
-	memoryPerConn      = 64 * KiB
-	reservedFiles      = 200
-	minSocketShare     = 4
-	collectorShareUp   = 4
-	collectorShareDown = 5
+	budgetShare    = 8
+	minBudget      = 8 * MiB
+	memoryPerConn  = 64 * KiB
+	reservedFiles  = 200
+	minSocketShare = 4
+	// reservedShare divides the memory to what the collector's limit leaves for the program
+	// itself and for garbage beyond the limit, which is soft. It leaves at least
+	// minReserved: the program's own pages take half of that.
+	reservedShare = 5
+	minReserved   = 24 * MiB
 	// auxiliaryShare divides the connections of a port for operators or the load
 	// balancer from those of a port for clients.
 	auxiliaryShare = 16
@@ -65,16 +68,17 @@
 // DefaultConnections returns the default of Limits.Connections. It leaves descriptors for
 // files and for connections that the process opens itself.
 func DefaultConnections(memory Bytes, descriptors int) int {
-	return max(1, min(int(memory/memoryPerConn), sockets(descriptors)*3/4))
+	return max(1, min(int(memory/memoryPerConn), Sockets(descriptors)*3/4))
 }
 
 // DefaultWorking returns the default of Limits.Working: half of the descriptors that the
 // connections of clients leave.
 func DefaultWorking(connections, descriptors int) int {
-	return max(minWorking, (sockets(descriptors)-connections)/2)
+	return max(minWorking, (Sockets(descriptors)-connections)/2)
 }
 
-func sockets(descriptors int) int {
+// Sockets returns how many of the descriptors are for sockets.
+func Sockets(descriptors int) int {
 	return max(descriptors-reservedFiles, descriptors/minSocketShare)
 }
 
@@ -83,7 +87,7 @@
 func DefaultConnectionsPerAddress(connections int) int { return max(1, connections*7/8) }
 
 // CollectorLimit returns the soft memory limit of the garbage collector.
-func CollectorLimit(memory Bytes) Bytes { return memory / collectorShareDown * collectorShareUp }
+func CollectorLimit(memory Bytes) Bytes { return memory - max(memory/reservedShare, minReserved) }
 
 // Port describes a listening address.
 type Port struct {
--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -4,34 +4,37 @@
 
 // The events. docs/EVENTS.md is generated from this list.
 var (
-	ProcessStarted    = Event{Number: 100, Layer: LayerProcess, Level: slog.LevelInfo, Message: "process started", Meaning: "The process has read its settings and listens for connections."}
-	ProcessStopping   = Event{Number: 101, Layer: LayerProcess, Level: slog.LevelInfo, Message: "graceful shutdown started", Meaning: "The process received a stop signal. It refuses new work and finishes what is in progress."}
-	ProcessStopped    = Event{Number: 102, Layer: LayerProcess, Level: slog.LevelInfo, Message: "graceful shutdown done", Meaning: "The attribute Took is the duration of the shutdown."}
-	TLSOff            = Event{Number: 103, Layer: LayerProcess, Level: slog.LevelWarn, Message: "TLS is off by setting", Meaning: "The operator port and the peer port are unprotected. Allowed on a trusted network only."}
-	MemberJoined      = Event{Number: 200, Layer: LayerMember, Level: slog.LevelInfo, Message: "member joined", Meaning: "Another process registered with a lease in the platform's store."}
-	MemberLeft        = Event{Number: 201, Layer: LayerMember, Level: slog.LevelInfo, Message: "member left", Meaning: "A process's lease expired. The other processes take over its shards."}
-	LeaseLost         = Event{Number: 202, Layer: LayerMember, Level: slog.LevelWarn, Message: "own lease lost", Meaning: "The store ended this process's lease; the process registers again. Frequent occurrences indicate pauses of the process or a slow store."}
-	StoreUnavailable  = Event{Number: 203, Layer: LayerMember, Level: slog.LevelWarn, Message: "platform store does not answer", Meaning: "Running work continues; new starts wait. Check the platform's store."}
-	StoreBack         = Event{Number: 204, Layer: LayerMember, Level: slog.LevelInfo, Message: "platform store answers again", Meaning: "Shard owners confirm their ownership before they do anything else."}
-	SegmentInDoubt    = Event{Number: 300, Layer: LayerJournal, Level: slog.LevelWarn, Message: "segment outcome unknown", Meaning: "The answer to a journal write was lost. The process repeats the write of the same segment until its outcome is known."}
-	OwnershipLost     = Event{Number: 301, Layer: LayerJournal, Level: slog.LevelWarn, Message: "shard ownership lost", Meaning: "Another process committed a higher epoch. This process drops the shard."}
-	ShardTaken        = Event{Number: 302, Layer: LayerJournal, Level: slog.LevelInfo, Message: "shard taken over", Meaning: "This process recovered the shard's journal and committed its epoch."}
-	ShardReleased     = Event{Number: 303, Layer: LayerJournal, Level: slog.LevelInfo, Message: "shard released", Meaning: "This process handed the shard over in a planned stop or a rebalance."}
-	SnapshotWritten   = Event{Number: 304, Layer: LayerJournal, Level: slog.LevelDebug, Message: "snapshot written", Meaning: "Recovery no longer needs the journal before the snapshot."}
-	TakeoverFailed    = Event{Number: 305, Layer: LayerJournal, Level: slog.LevelWarn, Message: "takeover failed", Meaning: "The process could not read the shard or could not commit its epoch. It retries."}
-	SessionOpened     = Event{Number: 400, Layer: LayerSession, Level: slog.LevelInfo, Message: "worker session opened", Meaning: "The worker accepted this owner's epoch and reported what runs on it."}
-	SessionFailed     = Event{Number: 401, Layer: LayerSession, Level: slog.LevelWarn, Message: "worker session failed", Meaning: "The worker does not answer or refused the session. Nothing is started there until a session opens."}
-	WorkerGone        = Event{Number: 402, Layer: LayerSession, Level: slog.LevelWarn, Message: "worker declared stopped", Meaning: "The platform dropped the host, or its session must have expired. Its tasks are queued again."}
-	StartRefused      = Event{Number: 403, Layer: LayerSession, Level: slog.LevelWarn, Message: "worker refused a start", Meaning: "The worker has less free capacity than the reservations say, for example because the older scheduler placed work there."}
-	JobAccepted       = Event{Number: 500, Layer: LayerScheduler, Level: slog.LevelInfo, Message: "workload accepted", Meaning: "The workload is committed in the journal."}
-	TaskEvicted       = Event{Number: 501, Layer: LayerScheduler, Level: slog.LevelInfo, Message: "task evicted", Meaning: "The task is stopped to free capacity. It resumes from its checkpoint."}
-	TaskAbandoned     = Event{Number: 502, Layer: LayerScheduler, Level: slog.LevelWarn, Message: "task abandoned", Meaning: "The task failed as often as its job allows and is not tried again."}
-	WorkerOnProbation = Event{Number: 503, Layer: LayerScheduler, Level: slog.LevelWarn, Message: "worker on probation", Meaning: "Tasks failed repeatedly on this worker: those of several kinds, or of a kind that succeeds on other workers. One task at a time is tried on it until one succeeds or, if it lasts, runs on for a while."}
-	RequestUnknown    = Event{Number: 600, Layer: LayerGateway, Level: slog.LevelWarn, Message: "request outcome unknown", Meaning: "The request was sent to an endpoint and no complete answer arrived. It may have run and is not sent again."}
-	EndpointSuspect   = Event{Number: 601, Layer: LayerGateway, Level: slog.LevelWarn, Message: "endpoint avoided", Meaning: "The endpoint failed or does not answer. It is used again once a probe on a new connection succeeds."}
-	PeerFrameBad      = Event{Number: 700, Layer: LayerPeer, Level: slog.LevelWarn, Message: "peer frame not decodable", Meaning: "The process closed the connection. Check for a version mismatch."}
-	ConfigInForce     = Event{Number: 800, Layer: LayerConfig, Level: slog.LevelInfo, Message: "configuration in force", Meaning: "This process uses the revision in the attribute Revision."}
-	ConfigRefused     = Event{Number: 801, Layer: LayerConfig, Level: slog.LevelWarn, Message: "configuration refused", Meaning: "A configuration in the store failed validation and was not applied."}
+	ProcessStarted      = Event{Number: 100, Layer: LayerProcess, Level: slog.LevelInfo, Message: "process started", Meaning: "The process has read its settings and listens for connections."}
+	ProcessStopping     = Event{Number: 101, Layer: LayerProcess, Level: slog.LevelInfo, Message: "graceful shutdown started", Meaning: "The process received a stop signal. It refuses new work and finishes what is in progress."}
+	ProcessStopped      = Event{Number: 102, Layer: LayerProcess, Level: slog.LevelInfo, Message: "graceful shutdown done", Meaning: "The attribute Took is the duration of the shutdown."}
+	TLSOff              = Event{Number: 103, Layer: LayerProcess, Level: slog.LevelWarn, Message: "TLS is off by setting", Meaning: "The operator port and the peer port are unprotected. Allowed on a trusted network only."}
+	MemberJoined        = Event{Number: 200, Layer: LayerMember, Level: slog.LevelInfo, Message: "member joined", Meaning: "Another process registered with a lease in the platform's store."}
+	MemberLeft          = Event{Number: 201, Layer: LayerMember, Level: slog.LevelInfo, Message: "member left", Meaning: "A process's lease expired. The other processes take over its shards."}
+	LeaseLost           = Event{Number: 202, Layer: LayerMember, Level: slog.LevelWarn, Message: "own lease lost", Meaning: "The store ended this process's lease; the process registers again. Frequent occurrences indicate pauses of the process or a slow store."}
+	StoreUnavailable    = Event{Number: 203, Layer: LayerMember, Level: slog.LevelWarn, Message: "platform store does not answer", Meaning: "Running work continues; new starts wait. Check the platform's store."}
+	StoreBack           = Event{Number: 204, Layer: LayerMember, Level: slog.LevelInfo, Message: "platform store answers again", Meaning: "Shard owners confirm their ownership before they do anything else."}
+	SegmentInDoubt      = Event{Number: 300, Layer: LayerJournal, Level: slog.LevelWarn, Message: "segment outcome unknown", Meaning: "The answer to a journal write was lost. The process repeats the write of the same segment until its outcome is known."}
+	OwnershipLost       = Event{Number: 301, Layer: LayerJournal, Level: slog.LevelWarn, Message: "shard ownership lost", Meaning: "Another process committed a higher epoch. This process drops the shard."}
+	ShardTaken          = Event{Number: 302, Layer: LayerJournal, Level: slog.LevelInfo, Message: "shard taken over", Meaning: "This process recovered the shard's journal and committed its epoch."}
+	ShardReleased       = Event{Number: 303, Layer: LayerJournal, Level: slog.LevelInfo, Message: "shard released", Meaning: "This process handed the shard over in a planned stop or a rebalance."}
+	SnapshotWritten     = Event{Number: 304, Layer: LayerJournal, Level: slog.LevelDebug, Message: "snapshot written", Meaning: "Recovery no longer needs the journal before the snapshot."}
+	TakeoverFailed      = Event{Number: 305, Layer: LayerJournal, Level: slog.LevelWarn, Message: "takeover failed", Meaning: "The process could not read the shard or could not commit its epoch. It retries."}
+	SessionOpened       = Event{Number: 400, Layer: LayerSession, Level: slog.LevelInfo, Message: "worker session opened", Meaning: "The worker accepted this owner's epoch and reported what runs on it."}
+	SessionFailed       = Event{Number: 401, Layer: LayerSession, Level: slog.LevelWarn, Message: "worker session failed", Meaning: "The worker does not answer or refused the session. Nothing is started there until a session opens."}
+	WorkerGone          = Event{Number: 402, Layer: LayerSession, Level: slog.LevelWarn, Message: "worker declared stopped", Meaning: "The platform dropped the host, or its session must have expired. Its tasks are queued again."}
+	StartRefused        = Event{Number: 403, Layer: LayerSession, Level: slog.LevelWarn, Message: "worker refused a start", Meaning: "The worker has less free capacity than the reservations say, for example because the older scheduler placed work there."}
+	JobAccepted         = Event{Number: 500, Layer: LayerScheduler, Level: slog.LevelInfo, Message: "workload accepted", Meaning: "The workload is committed in the journal."}
+	TaskEvicted         = Event{Number: 501, Layer: LayerScheduler, Level: slog.LevelInfo, Message: "task evicted", Meaning: "The task is stopped to free capacity. It resumes from its checkpoint."}
+	TaskAbandoned       = Event{Number: 502, Layer: LayerScheduler, Level: slog.LevelWarn, Message: "task abandoned", Meaning: "The task failed as often as its job allows and is not tried again."}
+	WorkerOnProbation   = Event{Number: 503, Layer: LayerScheduler, Level: slog.LevelWarn, Message: "worker on probation", Meaning: "Tasks failed repeatedly on this worker: those of several kinds, or of a kind that succeeds on other workers. One task at a time is tried on it until one succeeds or, if it lasts, runs on for a while."}
+	RequestUnknown      = Event{Number: 600, Layer: LayerGateway, Level: slog.LevelWarn, Message: "request outcome unknown", Meaning: "The request was sent to an endpoint and no complete answer arrived. It may have run and is not sent again."}
+	EndpointSuspect     = Event{Number: 601, Layer: LayerGateway, Level: slog.LevelWarn, Message: "endpoint avoided", Meaning: "The endpoint failed or does not answer. It is used again once a probe on a new connection succeeds."}
+	PeerFrameBad        = Event{Number: 700, Layer: LayerPeer, Level: slog.LevelWarn, Message: "peer frame not decodable", Meaning: "The process closed the connection. Check for a version mismatch."}
+	PeerConnectionsFull = Event{Number: 701, Layer: LayerPeer, Level: slog.LevelWarn, Message: "peer connections full", Meaning: "There are Intake.PeerConnections already. One without a call in progress was closed in favour of a new one, first one that never made a call; or the new one if all have calls. Check who connects to the peer port, or raise the setting."}
+	PeerAcceptFailed    = Event{Number: 703, Layer: LayerPeer, Level: slog.LevelWarn, Message: "peer connection not accepted", Meaning: "The process has no descriptor for a new connection, most often. It tries again. Compare its open descriptors with Intake.Descriptors."}
+	PeerBudgetFull      = Event{Number: 702, Layer: LayerPeer, Level: slog.LevelWarn, Message: "peer budget full", Meaning: "Unfinished frames, calls in progress and unread answers need more than Intake.PeerBudget. A connection was closed; what it had not sent whole did not run."}
+	ConfigInForce       = Event{Number: 800, Layer: LayerConfig, Level: slog.LevelInfo, Message: "configuration in force", Meaning: "This process uses the revision in the attribute Revision."}
+	ConfigRefused       = Event{Number: 801, Layer: LayerConfig, Level: slog.LevelWarn, Message: "configuration refused", Meaning: "A configuration in the store failed validation and was not applied."}
 
 	JobLoaded          = Event{Number: 520, Layer: LayerDecider, Level: slog.LevelInfo, Message: "job loaded", Meaning: "The leader schedules this stored job from now on. Inherited is true when it was accepted before this leader's term."}
 	JobEnded           = Event{Number: 521, Layer: LayerDecider, Level: slog.LevelInfo, Message: "job ended", Meaning: "The leader decided on the final state in State, for the reason in Why. Status calls show it once it is stored."}
@@ -147,7 +150,7 @@
 	SegmentInDoubt, OwnershipLost, ShardTaken, ShardReleased, SnapshotWritten, TakeoverFailed,
 	SessionOpened, SessionFailed, WorkerGone, StartRefused,
 	JobAccepted, TaskEvicted, TaskAbandoned, WorkerOnProbation,
-	RequestUnknown, EndpointSuspect, PeerFrameBad, ConfigInForce, ConfigRefused,
+	RequestUnknown, EndpointSuspect, PeerFrameBad, PeerConnectionsFull, PeerBudgetFull, PeerAcceptFailed, ConfigInForce, ConfigRefused,
 	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, RackWaitBegins, RackWaitEnds, RoomMade, StopRepeated, WorkerSuspected, OrdersRepeated, CopyStarted, CopyDecided, CopyAdopted, WorkerSlow,
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers, CapacityChanged,
 	ZoneEvacuated, ZoneReopened, ZoneUnverified, ZoneEmpty,
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -48,6 +48,8 @@
 	RefusedBodySlow       RefusalReason = "BodySlow"
 	RefusedIntakeFull     RefusalReason = "IntakeFull"
 	RefusedWorking        RefusalReason = "WorkingFull"
+	RefusedPeers          RefusalReason = "PeerConnectionsFull"
+	RefusedPeerBudget     RefusalReason = "PeerBudgetFull"
 )
 
 // RefusalReasons lists every refusal reason.
@@ -57,6 +59,7 @@
 	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedKeyUsed, RefusedFrameTooLarge,
 	RefusedFrameMalformed, RefusedNoQueue, RefusedNoConfig, RefusedNoJob, RefusedMethod, RefusedNoLeader, RefusedEntry, RefusedBacklog,
 	RefusedConnections, RefusedAddress, RefusedHeadTooLarge, RefusedHeadSlow, RefusedBodySlow, RefusedIntakeFull, RefusedWorking,
+	RefusedPeers, RefusedPeerBudget,
 }
 
 // RetryReason says why something was tried again.
@@ -190,10 +193,12 @@
 	IntakeBytes Gauge = "aq_intake_reserved_bytes"
 	// IntakeConnections is the number of connections of clients.
 	IntakeConnections Gauge = "aq_intake_connections"
+	// PeerBytes is the memory of unfinished frames, calls in progress and unread answers of peers.
+	PeerBytes Gauge = "aq_peer_reserved_bytes"
 )
 
 // Gauges lists every gauge with a fixed name.
-var Gauges = []Gauge{IntakeBytes, IntakeConnections}
+var Gauges = []Gauge{IntakeBytes, IntakeConnections, PeerBytes}
 
 // Timing names a latency histogram, in seconds.
 type Timing string
--- a/pkg/aqpeer/frame.go
+++ b/pkg/aqpeer/frame.go
@@ -1,11 +1,14 @@
 // Package aqpeer implements calls between the system's own processes. A call is a
-// frame with a length prefix and a msgpack body over TCP; gnet serves the connections.
+// frame with a length prefix and a msgpack body over TCP.
 package aqpeer
 
 import (
+	"bytes"
 	"encoding/binary"
+	"io"
 
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Sizes of a frame.
@@ -66,13 +69,76 @@
 	return int(length), nil
 }
 
-func decodeFrame(body []byte) (frame, error) {
+// frameFields is the number of fields of a frame, maxNameBytes the longest name in one.
+const (
+	frameFields  = 6
+	maxNameBytes = 64
+)
+
+// decodeFrame decodes a frame. Its Body is a part of data, not a copy.
+func decodeFrame(data []byte) (frame, error) {
 	var f frame
-	if err := Unpack(body, &f); err != nil {
-		return f, errors.WithMessage(ErrFrameMalformed, err.Error())
+	if err := f.decode(data); err != nil {
+		return frame{}, errors.WithMessage(ErrFrameMalformed, err.Error())
 	}
 	if f.Version != WireVersion {
-		return f, ErrFrameVersion
+		return frame{}, ErrFrameVersion
 	}
 	return f, nil
 }
+
+func (f *frame) decode(data []byte) error {
+	// The decoder reads no further than what it decodes, since a bytes.Reader can unread.
+	reader := bytes.NewReader(data)
+	decoder := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(decoder)
+	decoder.Reset(reader)
+	count, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if count != frameFields {
+		return errors.Errorf("%d fields, want %d", count, frameFields)
+	}
+	if f.Version, err = decoder.DecodeInt(); err != nil {
+		return err
+	}
+	if f.CallID, err = decoder.DecodeUint64(); err != nil {
+		return err
+	}
+	var names [2]string
+	for i := range names {
+		if names[i], err = decodeName(decoder, reader); err != nil {
+			return err
+		}
+	}
+	f.Method, f.Code = Method(names[0]), Code(names[1])
+	if f.Detail, err = decoder.DecodeString(); err != nil {
+		return err
+	}
+	length, err := decoder.DecodeBytesLen()
+	if err != nil || length < 0 {
+		return err
+	}
+	if length != reader.Len() {
+		return errors.Errorf("the body has %d bytes, not %d", reader.Len(), length)
+	}
+	f.Body = data[len(data)-length:]
+	return nil
+}
+
+// decodeName decodes a method or code, which are short.
+func decodeName(decoder *msgpack.Decoder, reader *bytes.Reader) (string, error) {
+	length, err := decoder.DecodeBytesLen()
+	if err != nil {
+		return "", err
+	}
+	if length > maxNameBytes {
+		return "", errors.Errorf("a name of %d bytes", length)
+	}
+	name := make([]byte, max(0, length))
+	if _, err := io.ReadFull(reader, name); err != nil {
+		return "", err
+	}
+	return string(name), nil
+}
--- a/pkg/aqpeer/peer_test.go
+++ b/pkg/aqpeer/peer_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/peer/aqinbound"
+	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqstandin"
@@ -24,10 +26,15 @@
 	Call: 30 * time.Second,
 }
 
+var testLimits = aqinbound.Limits{
+	Connections: 100,
+	Budget:      aqinbound.DefaultBudget(0, MaxFrameBytes),
+}
+
 func startServer(t *testing.T, address string) (*Server, *aqmetric.Set) {
 	t.Helper()
 	metrics := aqmetric.New()
-	s := NewServer(aqlog.Discard(), metrics)
+	s := NewServer(testLimits, aqclock.System{}, aqlog.Discard(), metrics)
 	Handle(s, "Echo", func(_ context.Context, in echo) (echo, error) {
 		if in.Text == "refuse" {
 			return echo{}, Errorf(CodeConflict, "refused")
@@ -130,7 +137,7 @@
 // A call that is cancelled leaves the shared connection open for the others.
 func TestImpatientCallerHarmsNobodyElse(t *testing.T) {
 	address := freeAddress(t)
-	s := NewServer(aqlog.Discard(), aqmetric.New())
+	s := NewServer(testLimits, aqclock.System{}, aqlog.Discard(), aqmetric.New())
 	release := make(chan struct{})
 	entered := make(chan struct{}, 2)
 	Handle(s, "Wait", func(context.Context, echo) (echo, error) {
--- a/pkg/aqpeer/server.go
+++ b/pkg/aqpeer/server.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"log/slog"
+	"net"
+	"sync"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
 	"github.com/pkg/errors"
 
 	"acaciaquay/internal/base/aqguard"
+	"acaciaquay/internal/base/aqthrottle"
+	"acaciaquay/internal/peer/aqinbound"
+	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
 )
@@ -26,32 +30,52 @@
 
 // Server serves peers' calls.
 type Server struct {
-	gnet.BuiltinEventEngine
 	log      *aqlog.Logger
 	metrics  *aqmetric.Set
+	clock    aqclock.Clock
 	guard    aqguard.Guard
 	handlers map[Method]handler
-	engine   gnet.Engine
-	booted   chan struct{}
 	calls    inFlightCalls
 	slots    chan struct{}
+	inbound  *aqinbound.Ledger
+	throttle aqthrottle.Throttle
 	ctx      context.Context
 	cancel   context.CancelFunc
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*serverConn]struct{}
+	stopped  bool
 }
 
+const (
+	// refusalLogInterval is the minimum time between two lines about refusals of one kind.
+	refusalLogInterval = 10 * time.Second
+	// refusalKinds is the number of these kinds.
+	refusalKinds = 2
+)
+
 // NewServer returns a server without handlers.
-func NewServer(log *aqlog.Logger, metrics *aqmetric.Set) *Server {
+func NewServer(limits aqinbound.Limits, clock aqclock.Clock, log *aqlog.Logger, metrics *aqmetric.Set) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{
+	s := &Server{
 		log:      log,
 		metrics:  metrics,
+		clock:    clock,
 		guard:    aqguard.New(log, metrics),
 		handlers: map[Method]handler{},
-		booted:   make(chan struct{}),
 		slots:    make(chan struct{}, maxCallsInFlight),
-		ctx:      ctx,
-		cancel:   cancel,
+		inbound:  aqinbound.NewLedger(limits, clock),
+		throttle: aqthrottle.Throttle{
+			Interval: refusalLogInterval,
+			MaxKeys:  refusalKinds,
+		},
+		ctx:    ctx,
+		cancel: cancel,
+		conns:  map[*serverConn]struct{}{},
 	}
+	metrics.Gauge(string(aqmetric.PeerBytes), func() float64 { return float64(s.inbound.Held()) })
+	return s
 }
 
 // Handle registers the function that serves a method. It must be called before Start.
@@ -73,27 +97,72 @@
 // Start listens on address, for example 127.0.0.1:7001. It returns when the server
 // accepts connections or has failed.
 func (s *Server) Start(address string) error {
-	failed := make(chan error, 1)
-	go func() {
-		failed <- gnet.Run(s, "tcp://"+address,
-			gnet.WithNumEventLoop(eventLoops),
-			gnet.WithReuseAddr(true),
-			gnet.WithLogger(discardLogger{}),
-		)
-	}()
-	select {
-	case <-s.booted:
-		return nil
-	case err := <-failed:
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
 		return errors.Wrapf(err, "peer: listen on %s", address)
 	}
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
+	go s.accept(listener)
+	return nil
 }
 
-// eventLoops is the number of gnet event loops. Two are enough because handlers run in
-// goroutines of their own.
-const eventLoops = 2
+// acceptPause is the pause after a failure to accept, which a lack of descriptors causes.
+const acceptPause = 50 * time.Millisecond
 
-// stopTimeout is how long Stop waits for calls in flight, and then for gnet.
+func (s *Server) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+			s.open(conn)
+		case errors.Is(err, net.ErrClosed):
+			return
+		default:
+			s.log.Write(aqlog.PeerAcceptFailed, aqlog.Err(err))
+			aqclock.Sleep(s.ctx, s.clock, acceptPause)
+		}
+	}
+}
+
+func (s *Server) open(raw net.Conn) {
+	remote := raw.RemoteAddr().String()
+	held, ok := s.inbound.Open(func(why aqinbound.Cause) {
+		s.refuseConn(why, remote)
+		_ = raw.Close()
+	})
+	if !ok {
+		s.refuseConn(aqinbound.CauseConnections, remote)
+		_ = raw.Close()
+		return
+	}
+	c := &serverConn{
+		server: s,
+		conn:   raw,
+		held:   held,
+	}
+	s.mu.Lock()
+	stopped := s.stopped
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	if stopped {
+		c.close()
+		return
+	}
+	go func() {
+		defer c.close()
+		_ = s.guard.Run("Peer.Connection", c.read)
+	}()
+}
+
+func (s *Server) forget(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// stopTimeout is how long Stop waits for calls in flight.
 const stopTimeout = 10 * time.Second
 
 // Stop waits for the calls in flight, at most stopTimeout, and closes all connections.
@@ -103,87 +172,70 @@
 	case <-time.After(stopTimeout):
 	}
 	s.cancel()
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	_ = s.engine.Stop(ctx)
-}
-
-// OnBoot implements gnet.EventHandler.
-func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
-	s.engine = engine
-	close(s.booted)
-	return gnet.None
-}
-
-// OnTraffic implements gnet.EventHandler: it dispatches every complete frame.
-func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
-	for {
-		body, err := nextBody(c)
-		if err != nil {
-			return s.refuseFrame(err)
-		}
-		if body == nil {
-			return gnet.None
-		}
-		f, err := decodeFrame(body)
-		if err != nil {
-			return s.refuseFrame(err)
-		}
-		s.dispatch(c, f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for c := range s.conns {
+		_ = c.conn.Close()
 	}
 }
 
-// nextBody returns a copy of the next complete frame without its length prefix, nil
-// when there is none yet.
-func nextBody(c gnet.Conn) ([]byte, error) {
-	if c.InboundBuffered() < lengthBytes {
-		return nil, nil
-	}
-	prefix, err := c.Peek(lengthBytes)
-	if err != nil {
-		return nil, nil
-	}
-	length, err := frameLength(prefix)
-	if err != nil {
-		return nil, err
-	}
-	if c.InboundBuffered() < lengthBytes+length {
-		return nil, nil
+// refuseConn reports a connection that has to be closed.
+func (s *Server) refuseConn(why aqinbound.Cause, remote string) {
+	reason, event := aqmetric.RefusedPeerBudget, aqlog.PeerBudgetFull
+	if why == aqinbound.CauseConnections {
+		reason, event = aqmetric.RefusedPeers, aqlog.PeerConnectionsFull
 	}
-	whole, err := c.Next(lengthBytes + length)
-	if err != nil {
-		return nil, ErrFrameMalformed
+	s.metrics.Refused(reason)
+	if s.throttle.Allow(string(reason), s.clock.Now()) {
+		s.log.Write(event, slog.String("Remote", remote))
 	}
-	return append(make([]byte, 0, length), whole[lengthBytes:]...), nil
 }
 
-func (s *Server) refuseFrame(err error) gnet.Action {
+func (s *Server) refuseFrame(err error) {
 	reason := aqmetric.RefusedFrameMalformed
 	if errors.Is(err, ErrFrameTooLarge) {
 		reason = aqmetric.RefusedFrameTooLarge
 	}
 	s.metrics.Refused(reason)
 	s.log.Write(aqlog.PeerFrameBad, aqlog.Err(err))
-	return gnet.Close
 }
 
-func (s *Server) dispatch(c gnet.Conn, f frame) {
+// dispatch carries out a call. The frame refers to data, which is not used after it.
+func (s *Server) dispatch(c *serverConn, f frame, data []byte) {
+	size := len(data)
 	s.metrics.Inc(aqmetric.PeerCalls)
+	if !c.held.Begin(size) {
+		s.metrics.Refused(aqmetric.RefusedPeerBudget)
+		dropBuffer(data)
+		c.refuse(f, "calls in progress hold too much memory")
+		return
+	}
 	select {
 	case s.slots <- struct{}{}:
 	default:
-		s.answer(c, frame{
-			CallID: f.CallID,
-			Code:   CodeExhausted,
-			Detail: "too many calls in progress",
-		})
+		c.held.Abandon(size)
+		dropBuffer(data)
+		c.refuse(f, "too many calls in progress")
 		return
 	}
 	s.calls.begin()
 	go func() {
 		defer s.calls.end()
-		defer func() { <-s.slots }()
-		s.answer(c, s.serve(f))
+		answer := s.serve(f)
+		<-s.slots
+		dropBuffer(data)
+		encoded := s.encodeAnswer(answer)
+		if c.held.Answered(size, len(encoded)) {
+			c.write(encoded)
+		} else {
+			s.refuseConn(aqinbound.CauseBudget, c.conn.RemoteAddr().String())
+			_ = c.conn.Close()
+		}
+		c.held.End(len(encoded))
 	}()
 }
 
@@ -213,7 +265,8 @@
 	return frame{CallID: f.CallID, Body: body}
 }
 
-func (s *Server) answer(c gnet.Conn, f frame) {
+// encodeAnswer returns the frame of an answer, nil if there is none to send.
+func (s *Server) encodeAnswer(f frame) []byte {
 	data, err := encodeFrame(f)
 	if err != nil {
 		data, err = encodeFrame(frame{
@@ -224,16 +277,7 @@
 	}
 	if err != nil {
 		s.log.Write(aqlog.PeerFrameBad, aqlog.Err(err), slog.String("Direction", "Out"))
-		return
+		return nil
 	}
-	_ = c.AsyncWrite(data, nil)
+	return data
 }
-
-// discardLogger drops gnet's own log lines, because this package logs its own events.
-type discardLogger struct{}
-
-func (discardLogger) Debugf(string, ...any) {}
-func (discardLogger) Infof(string, ...any)  {}
-func (discardLogger) Warnf(string, ...any)  {}
-func (discardLogger) Errorf(string, ...any) {}
-func (discardLogger) Fatalf(string, ...any) {}
--- a/pkg/aqprocess/process.go
+++ b/pkg/aqprocess/process.go
@@ -91,7 +91,7 @@
 		Log:       log,
 	}
 	b.intake = newIntake(s.Intake, b.clock, log, b.metrics)
-	b.server = aqpeer.NewServer(log, b.metrics)
+	b.server = aqpeer.NewServer(s.Intake.Peers, b.clock, log, b.metrics)
 	b.heartbeater = &aqmember.Heartbeater{
 		Directory: b.directory,
 		Config:    b.config,
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -78,6 +78,7 @@
 		Clock:       clock,
 		Log:         log,
 		Metrics:     metrics,
+		PeerLimits:  s.Intake.Peers,
 		Incarnation: clock.Now().UnixNano(),
 	})
 	intake := newIntake(s.Intake, clock, log, metrics)
--- a/pkg/aqsettings/intake.go
+++ b/pkg/aqsettings/intake.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"acaciaquay/internal/front/aqintake"
+	"acaciaquay/internal/peer/aqinbound"
+	"acaciaquay/pkg/aqpeer"
 )
 
 // Intake limits what clients may make a process hold.
@@ -15,6 +17,8 @@
 	Descriptors int
 	// Limits holds no zero after the settings are read.
 	Limits aqintake.Limits
+	// Peers limits the port for other processes. It holds no zero after the settings are read.
+	Peers aqinbound.Limits
 }
 
 // minHeadLines is how many header lines the shortest limit on a head must allow.
@@ -64,6 +68,12 @@
 	duration("Intake", "WriteTime", "10s", 10*time.Millisecond, time.Hour,
 		"How long a client may not read its answer.",
 		func(s *Settings) *time.Duration { return &s.Intake.Limits.WriteTime }),
+	count("Intake", "PeerConnections", "connections", "0", 0, 1<<20,
+		"Connections of other processes at the peer port. A new one beyond it replaces one without a call in progress. 0 means a quarter of the Descriptors less 200, at least 32.",
+		func(s *Settings) *int { return &s.Intake.Peers.Connections }),
+	count("Intake", "PeerBudget", "bytes", "0", 0, 1<<40,
+		"Memory for what other processes make this one hold at the peer port: unfinished frames, calls in progress and unread answers. Connections that hold most are closed first, calls beyond it are refused. 0 means an eighth of Memory, at least 20 MiB.",
+		func(s *Settings) *int { return (*int)(&s.Intake.Peers.Budget) }),
 }
 
 // derive sets the limits that are zero and checks those that depend on each other.
@@ -82,6 +92,12 @@
 	if l.Working == 0 {
 		l.Working = aqintake.DefaultWorking(l.Connections, i.Descriptors)
 	}
+	if i.Peers.Connections == 0 {
+		i.Peers.Connections = aqinbound.DefaultConnections(i.Descriptors)
+	}
+	if i.Peers.Budget == 0 {
+		i.Peers.Budget = aqinbound.DefaultBudget(memory, aqpeer.MaxFrameBytes)
+	}
 	fail := func(key, format string, args ...any) error {
 		return &SettingError{
 			File:    file,
@@ -93,10 +109,16 @@
 	switch {
 	case l.Budget > memory/2:
 		return fail("Budget", "must be at most half of Intake.Memory (%d bytes)", memory/2)
+	case l.Budget+i.Peers.Budget > memory*3/4:
+		return fail("PeerBudget", "must be at most three quarters of Intake.Memory less Intake.Budget (%d bytes)", memory*3/4-l.Budget)
+	case i.Peers.Budget < aqinbound.MinBudget(aqpeer.MaxFrameBytes):
+		return fail("PeerBudget", "must be at least %d bytes for the largest frame", aqinbound.MinBudget(aqpeer.MaxFrameBytes))
 	case l.Budget < l.LargestHead():
 		return fail("Budget", "must be at least %d bytes for the largest head", l.LargestHead())
 	case l.Connections >= i.Descriptors:
 		return fail("Connections", "must be below Intake.Descriptors (%d)", i.Descriptors)
+	case l.Connections+i.Peers.Connections >= i.Descriptors:
+		return fail("PeerConnections", "must be below Intake.Descriptors less Intake.Connections (%d)", i.Descriptors-l.Connections)
 	case l.ConnectionsPerAddress > l.Connections:
 		return fail("ConnectionsPerAddress", "must be at most Intake.Connections (%d)", l.Connections)
 	case l.PaceWindow > l.BodyTime:
--- a/pkg/aqsite/fake_test.go
+++ b/pkg/aqsite/fake_test.go
@@ -8,10 +8,12 @@
 	"testing"
 	"time"
 
+	"acaciaquay/internal/peer/aqinbound"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqpeer"
 	"acaciaquay/pkg/aqstore"
 )
 
@@ -141,10 +143,14 @@
 
 			Decider: aqdecider.Limits{Retention: time.Hour},
 		},
-		Store:       store,
-		Clock:       clock,
-		Log:         aqlog.Discard(),
-		Metrics:     aqmetric.New(),
+		Store:   store,
+		Clock:   clock,
+		Log:     aqlog.Discard(),
+		Metrics: aqmetric.New(),
+		PeerLimits: aqinbound.Limits{
+			Connections: 100,
+			Budget:      aqinbound.DefaultBudget(0, aqpeer.MaxFrameBytes),
+		},
 		Incarnation: 7,
 	})
 	t.Cleanup(n.peers.Close)
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -13,6 +13,7 @@
 
 	"acaciaquay/internal/base/aqguard"
 	"acaciaquay/internal/base/aqthrottle"
+	"acaciaquay/internal/peer/aqinbound"
 	"acaciaquay/internal/site/aqagent"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
@@ -54,6 +55,8 @@
 	Clock   aqclock.Clock
 	Log     *aqlog.Logger
 	Metrics *aqmetric.Set
+	// PeerLimits are the limits of the port for the other processes.
+	PeerLimits aqinbound.Limits
 	// Incarnation is different at every start of the process.
 	Incarnation int64
 }
@@ -143,7 +146,7 @@
 		},
 		leadKeyChanged: make(chan struct{}, 1),
 		checkNow:       make(chan struct{}, 1),
-		server:         aqpeer.NewServer(o.Log, o.Metrics),
+		server:         aqpeer.NewServer(o.PeerLimits, o.Clock, o.Log, o.Metrics),
 		peers:          aqpeer.NewPool(aqpeer.ClientTimeouts{Dial: peerDialTimeout, Call: peerCallTimeout}),
 	}
 	n.agent = aqagent.New(n.agentOptions())
--- a/pkg/aqsite/odd_entries_test.go
+++ b/pkg/aqsite/odd_entries_test.go
@@ -14,10 +14,12 @@
 	"testing"
 	"time"
 
+	"acaciaquay/internal/peer/aqinbound"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqmetric"
+	"acaciaquay/pkg/aqpeer"
 	"acaciaquay/pkg/aqsite"
 	"acaciaquay/platform"
 	"acaciaquay/platform/aqfake"
@@ -152,12 +154,16 @@
 				StopGrace:   200 * time.Millisecond,
 			},
 		},
-		Store:       platform.NewStore(store, func(string, time.Duration, error) {}),
-		Workers:     platform.NewWorkers(),
-		Catalog:     platform.Catalog(),
-		Clock:       aqclock.System{},
-		Log:         log,
-		Metrics:     metrics,
+		Store:   platform.NewStore(store, func(string, time.Duration, error) {}),
+		Workers: platform.NewWorkers(),
+		Catalog: platform.Catalog(),
+		Clock:   aqclock.System{},
+		Log:     log,
+		Metrics: metrics,
+		PeerLimits: aqinbound.Limits{
+			Connections: 100,
+			Budget:      aqinbound.DefaultBudget(0, aqpeer.MaxFrameBytes),
+		},
 		Incarnation: time.Now().UnixNano(),
 	})
 	server := httptest.NewServer(platform.NewJobHandler(node, log, metrics))
