Empty lines before a request are ignored

What callers saw: two empty lines before a request were answered with 400. RFC 9112, 2.2, has servers ignore at least one; some clients send one after a body.

Cause: net/http tolerates line ends only before the request after a POST.

Change: the connection drops empty lines before a head. It still counts them, so that lines without end reach Intake.HeadBytes as before (431).

Evidence: TestEmptyLinesBeforeARequest, with each of three forms divided at each position: 400 before, 200 now.

--- a/internal/front/aqintake/conn.go
+++ b/internal/front/aqintake/conn.go
@@ -142,8 +142,18 @@
 }
 
 // Read implements net.Conn. In a head it returns nothing past the end of the head, and in
-// a body of known length nothing past the end of the body.
+// a body of known length nothing past the end of the body. It drops empty lines before a
+// head, which net/http would refuse.
 func (c *conn) Read(p []byte) (int, error) {
+	for {
+		if n, err := c.readPart(p); n > 0 || err != nil || len(p) == 0 {
+			return n, err
+		}
+	}
+}
+
+// readPart reads once. It returns nothing if it has only read empty lines before a head.
+func (c *conn) readPart(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.refused {
 		c.mu.Unlock()
@@ -253,6 +263,7 @@
 func (c *conn) receivedHead(p []byte, n int) (int, error) {
 	first := c.headStart.IsZero()
 	ended := c.head.ended
+	leading := c.head.leading(p[:n])
 	used := c.head.scan(p[:n])
 	if !ended && used < n {
 		c.pending = append(bytes.Clone(p[used:n]), c.pending...)
@@ -273,7 +284,7 @@
 		c.refuse(refusalBudget)
 		return 0, &refusedError{refusal: refusalBudget}
 	}
-	return used, nil
+	return copy(p, p[leading:used]), nil
 }
 
 // refuse makes all later reads fail and reports why, once.
--- a/internal/front/aqintake/head.go
+++ b/internal/front/aqintake/head.go
@@ -19,6 +19,8 @@
 	// line is the length of the current line so far, first its first byte.
 	line  int
 	first byte
+	// begun is set by the first byte that is not of an empty line.
+	begun bool
 	// started is set by the first line that is not empty.
 	started bool
 	// ended is set by the first empty line after that.
@@ -62,6 +64,17 @@
 	return used
 }
 
+// leading returns how many of the next bytes belong to empty lines before the head. It is
+// called before scan.
+func (h *headScanner) leading(data []byte) int {
+	if h.begun {
+		return 0
+	}
+	count := len(data) - len(bytes.TrimLeft(data, "\r\n"))
+	h.begun = count < len(data)
+	return count
+}
+
 // skip counts bytes that net/http has read past the end of the last request.
 func (h *headScanner) skip(bytes, lines int) {
 	h.bytes += bytes
--- a/internal/front/aqintake/server_test.go
+++ b/internal/front/aqintake/server_test.go
@@ -127,6 +127,27 @@
 	r.nothingHeld()
 }
 
+// Empty lines before a request are ignored, wherever the network divides them.
+func TestEmptyLinesBeforeARequest(t *testing.T) {
+	r := serve(t, machine(), echo)
+	for _, text := range []string{"\r\n", "\n\n", "\r\n\r\n\r\n"} {
+		for cut := range len(text) + 1 {
+			conn := r.dial(t)
+			reader := bufio.NewReader(conn)
+			for _, request := range []string{post("abc"), "GET / HTTP/1.1\r\nHost: a\r\n\r\n"} {
+				_, _ = io.WriteString(conn, text[:cut])
+				_, _ = io.WriteString(conn, text[cut:]+request)
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil || response.StatusCode != http.StatusOK {
+					t.Fatalf("%q before %q: %v, %v", text, request, response, err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+			}
+		}
+	}
+	r.nothingHeld()
+}
+
 func TestContinueIsSentBeforeABody(t *testing.T) {
 	r := serve(t, machine(), echo)
 	conn := r.dial(t)
