The time of an answer begins when the request is complete

What callers saw: a body inside the limits that took 16 s was answered with 504, "store: outcome unknown", though the store was idle and nothing was sent to it.

Cause, two faults in one answer: the submitter's time ran from the head, so that it was over when the body was; and a call to the store whose time is over was taken as sent, because only failed dials counted as not sent.

Change: the intake tells when a request was complete, before it waits for a place among those at work, and the time of an answer runs from then.

--- a/internal/front/aqintake/conn.go
+++ b/internal/front/aqintake/conn.go
@@ -64,6 +64,8 @@
 	windowBytes int
 	// bodyRead is when the last read of the body ended, or the body began.
 	bodyRead time.Time
+	// receivedAt is when the current request was complete, zero before.
+	receivedAt time.Time
 	// ahead bounds what net/http may have read past the end of the data of a chunked body:
 	// a trailer, and the beginning of the next head. aheadHeld is reserved for it.
 	ahead     headScanner
--- a/internal/front/aqintake/connbody.go
+++ b/internal/front/aqintake/connbody.go
@@ -15,8 +15,10 @@
 	number := c.number
 	first := c.headStart.IsZero()
 	c.part = partBody
+	c.receivedAt = time.Time{}
 	if length == 0 {
 		c.part = partNone
+		c.receivedAt = c.intake.clock.Now()
 	}
 	if c.bodyLeft = length; !c.head.ended {
 		c.bodyLeft = unknownLength
@@ -70,6 +72,7 @@
 		return nil
 	}
 	c.part = partNone
+	c.receivedAt = c.bodyRead
 	c.setOwnDeadline(time.Time{})
 	c.mu.Unlock()
 	if c.intake.ledger.work(&c.entry) {
--- a/internal/front/aqintake/request.go
+++ b/internal/front/aqintake/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,21 @@
 	return false
 }
 
+// ReceivedAt returns when a request was complete: before it waited for a place among those at
+// work. It is now for a request that is not complete or comes through no intake.
+func ReceivedAt(r *http.Request) time.Time {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		return time.Now()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receivedAt.IsZero() {
+		return c.intake.clock.Now()
+	}
+	return c.receivedAt
+}
+
 // end gives the place back.
 func (r *request) end() {
 	if r.slot.Swap(false) {
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -87,6 +87,11 @@
 // Submit stores a job. Submitting the same id again succeeds without storing it twice.
 // ErrNotAccepted means that the job never runs.
 func (n *Node) Submit(ctx context.Context, job *aqjob.Job) error {
+	if err := ctx.Err(); err != nil {
+		n.metrics.Refused(aqmetric.RefusedDeadline)
+		n.log.Write(aqlog.JobRefused, slog.String("Job", string(job.ID)), slog.String("Reason", "Deadline"), aqlog.Err(err))
+		return errors.WithMessage(ErrNotAccepted, err.Error())
+	}
 	started := n.clock.Now()
 	job.AcceptedAt = n.wallTime().UnixMilli()
 	job.AcceptedBy = n.settings.PeerAddress
