Gateway: unfinished bodies hold no slots that others need

What callers saw: after a crowd whose bodies stop short of their end, an ordinary request at a gateway was answered after 16 s, after pipelined ones 27 s: as soon as the pace of bodies had closed the crowd's. With a pace of an hour it was not answered at all.

Cause: a request took a slot of an endpoint when its head had been read, and kept it while its body arrived, or did not. Two endpoints have 16 slots.

Change: the gateway reads up to 64 KiB of a body before the request waits for a slot; the intake reserves them. Longer bodies are uploads, which hold at most half of a service's slots, and give way to one that waits when nothing comes from them for a second. A body that breaks within the first 64 KiB is refused as not run, since nothing was sent. The time of a request begins when that much is read. The intake may close a connection whose body is awaited in favour of a new one, which it never did while a gateway passed the body on. Trailers are dropped: they are known before a request is sent now, and http.Transport fails on a field named Trailer in a way that looked like the endpoint's failure.

TestUnfinishedBodiesLeaveSlots, TestStalledUploadGivesWay, TestTrailersAreDropped (ten runs with the race detector). TestBrokenBodyDoesNotBlameTheEndpoint has two cases now: a short broken body was passed on before and its outcome unknown; it is refused, and must reach no endpoint; a long one is checked as before.

--- a/internal/front/aqintake/conn.go
+++ b/internal/front/aqintake/conn.go
@@ -56,6 +56,8 @@
 	bodyLeft int64
 	// streams is whether the handler passes the body on instead of holding it.
 	streams bool
+	// streamed is how much of the body the handler has got.
+	streamed Bytes
 	// bodyStart and windowStart are when the body and its present pace window began, later
 	// by the time for which nobody read the body. windowBytes is what has arrived in the
 	// window.
@@ -168,27 +170,35 @@
 	if c.pending = c.pending[n:]; len(c.pending) == 0 {
 		c.pending = nil
 	}
-	c.skipPause()
+	pause := c.skipPause()
 	waits := n == 0
 	if waits {
 		c.setReadDeadline()
 	}
+	streams := c.part == partBody && c.streams
 	c.mu.Unlock()
 	var err error
 	if waits {
+		if streams {
+			c.intake.ledger.awaitClient(&c.entry, pause)
+		}
 		n, err = c.Conn.Read(p)
+		if streams && !c.intake.ledger.work(&c.entry) && err == nil {
+			n, err = 0, os.ErrDeadlineExceeded
+		}
 	}
 	return c.received(p, n, err)
 }
 
-// skipPause takes the time since the last read of a body out of the body's time: it is not
-// the client's. The lock must be held.
-func (c *conn) skipPause() {
+// skipPause takes the time since the last read of a body out of the body's time, and returns
+// it: it is not the client's. The lock must be held.
+func (c *conn) skipPause() time.Duration {
 	if c.part != partBody {
-		return
+		return 0
 	}
 	pause := c.intake.clock.Now().Sub(c.bodyRead)
 	c.bodyStart, c.windowStart = c.bodyStart.Add(pause), c.windowStart.Add(pause)
+	return pause
 }
 
 // setReadDeadline sets the deadline of a read that waits for the client, none if only
@@ -235,7 +245,7 @@
 // two requests. The lock must be held.
 func (c *conn) slownessOf(current part) refusal {
 	switch {
-	case current == partBody && c.streams:
+	case current == partBody && c.passedOn():
 		return refusalBodyStalled
 	case current == partBody:
 		return refusalBodySlow
@@ -245,12 +255,15 @@
 	return refusalNone
 }
 
+// passedOn reports whether a part of the request may have been passed on. The lock must be held.
+func (c *conn) passedOn() bool { return c.streams && c.streamed > StreamAhead }
+
 // readFailed refuses the request if a deadline has ended the read of it.
 func (c *conn) readFailed(why refusal, err error) error {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
 	}
-	if evicted := c.intake.ledger.whyEvicted(&c.entry); evicted != refusalNone {
+	if evicted := c.intake.ledger.whyEvicted(&c.entry); evicted != refusalNone && why != refusalBodyStalled {
 		why = evicted
 	}
 	if why == refusalNone {
--- a/internal/front/aqintake/connbody.go
+++ b/internal/front/aqintake/connbody.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// beginBody marks the end of a head, whose request has a body of that length. A request
-// whose body is passed on is at work from then on. It returns the request's number, and
+// beginBody marks the end of a head, whose request has a body of that length. A request whose
+// body is passed on is at work from then on, but while it waits for its client. It returns the request's number, and
 // false if the request must be refused.
 func (c *conn) beginBody(length int64, streams bool) (int, bool) {
 	c.mu.Lock()
 	c.number++
-	c.streams = streams
+	c.streams, c.streamed = streams, 0
 	number := c.number
 	first := c.headStart.IsZero()
 	c.part = partBody
@@ -46,7 +46,11 @@
 		c.mu.Unlock()
 		return nil
 	}
-	streams := c.streams
+	cost := Bytes(n * bodyByteCost)
+	if c.streams {
+		cost = streamByteCost * max(0, min(Bytes(n), StreamAhead-c.streamed))
+		c.streamed += Bytes(n)
+	}
 	c.windowBytes += n
 	advanced := c.windowBytes >= c.intake.limits.BodyPace
 	if advanced {
@@ -57,7 +61,7 @@
 	if advanced {
 		c.intake.ledger.advance(&c.entry)
 	}
-	if streams || c.intake.ledger.reserveBody(&c.entry, Bytes(n*bodyByteCost)) {
+	if cost == 0 || c.intake.ledger.reserveBody(&c.entry, cost) {
 		return nil
 	}
 	c.refuse(refusalBudget)
--- a/internal/front/aqintake/head.go
+++ b/internal/front/aqintake/head.go
@@ -9,6 +9,8 @@
 	headByteCost = 4
 	headLineCost = 256
 	bodyByteCost = 8
+	// streamByteCost is that of the bytes that a handler holds of a body that it passes on.
+	streamByteCost = 2
 )
 
 // headScanner counts the bytes and lines of a head, including empty lines before it, and
--- a/internal/front/aqintake/ledger.go
+++ b/internal/front/aqintake/ledger.go
@@ -19,7 +19,8 @@
 	// phaseReading is from then until the request is complete.
 	phaseReading
 	// phaseWorking is from then until the answer is written. Connections at work are
-	// never closed to make room.
+	// never closed to make room. A request that is passed on while it arrives is at work
+	// whenever nobody waits for its client.
 	phaseWorking
 )
 
@@ -227,6 +228,15 @@
 	return true
 }
 
+// awaitClient marks that a request is incomplete and waits for its client, who is not to blame for
+// the pause before.
+func (l *ledger) awaitClient(e *entry, pause time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.phase = phaseReading
+	e.advanced = e.advanced.Add(pause)
+}
+
 // idle marks the end of a request and releases its memory.
 func (l *ledger) idle(e *entry) {
 	now := l.clock.Now()
--- a/internal/front/aqintake/request.go
+++ b/internal/front/aqintake/request.go
@@ -21,6 +21,9 @@
 	slot atomic.Bool
 }
 
+// StreamAhead is how much of a body a handler of a port with Streams may hold. It is reserved.
+const StreamAhead = 64 * KiB
+
 // workWait limits the wait for a place among the requests at work.
 const workWait = 10 * time.Second
 
--- a/pkg/aqgateway/admit.go
+++ b/pkg/aqgateway/admit.go
@@ -36,6 +36,9 @@
 	mu    sync.Mutex
 	table *aqroute.Table
 	queue *aqadmit.Queue
+	// uploads holds the uploads in progress, uploadQueue those that wait.
+	uploads     map[*upload]bool
+	uploadQueue *aqadmit.Queue
 	// serviceTime is a moving average of how long a request holds a slot.
 	serviceTime time.Duration
 }
@@ -55,6 +58,9 @@
 		done:     g.done,
 		table:    aqroute.NewTable(random),
 		queue:    aqadmit.NewQueue(g.options.Config.Current()),
+		uploads:  map[*upload]bool{},
+
+		uploadQueue: aqadmit.NewQueue(g.options.Config.Current()),
 	}
 }
 
@@ -64,12 +70,14 @@
 	defer s.mu.Unlock()
 	s.table.Update(hosts)
 	s.grantSlots()
+	s.grantUploads()
 }
 
 func (s *serviceState) setShares(config aqconfig.Configuration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.SetShares(config)
+	s.uploadQueue.SetShares(config)
 }
 
 // acquire returns an endpoint with a slot taken for the request. If no slot is free or
--- a/pkg/aqgateway/answer.go
+++ b/pkg/aqgateway/answer.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// noTime is no time.
+var noTime time.Time
+
 // pastDeadline is a write deadline that unblocks a write immediately.
 var pastDeadline = time.Unix(1, 0)
 
--- a/pkg/aqgateway/forward.go
+++ b/pkg/aqgateway/forward.go
@@ -103,7 +103,7 @@
 
 // try sends a request once. The error is errNotSent, errConnectionLost or errCallerBody.
 func (f *forwarder) try(
-	ctx context.Context, r *http.Request, identified request, e *aqroute.Endpoint,
+	ctx context.Context, r *http.Request, body io.Reader, identified request, e *aqroute.Endpoint,
 ) (*reply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var connected atomic.Bool
@@ -112,7 +112,7 @@
 	})
 	guard := newWatchdog(f.clock, f.progressTimeout, cancel)
 	var bodyFailed atomic.Bool
-	response, err := f.transport.RoundTrip(outgoing(ctx, r, identified, e, &bodyFailed))
+	response, err := f.transport.RoundTrip(outgoing(ctx, r, body, identified, e, &bodyFailed))
 	if err == nil {
 		guard.feed()
 		return &reply{response: response, guard: guard}, nil
@@ -148,7 +148,7 @@
 }
 
 func outgoing(
-	ctx context.Context, r *http.Request, identified request, e *aqroute.Endpoint, bodyFailed *atomic.Bool,
+	ctx context.Context, r *http.Request, body io.Reader, identified request, e *aqroute.Endpoint, bodyFailed *atomic.Bool,
 ) *http.Request {
 	out := r.Clone(ctx)
 	out.URL = &url.URL{
@@ -165,10 +165,13 @@
 	out.Close = false
 	out.GetBody = nil
 	out.Body = singleReadBody{
-		Reader: r.Body,
+		Reader: body,
 		failed: bodyFailed,
 	}
 	dropHopHeaders(out.Header)
+	// A caller's trailer is not passed on. http.Transport fails on some names, as if the
+	// endpoint had.
+	out.Trailer = nil
 	return out
 }
 
--- a/pkg/aqgateway/gateway.go
+++ b/pkg/aqgateway/gateway.go
@@ -135,7 +135,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	identified, err := identify(r, g.options.Clock.Now(), g.options.Timeout)
+	identified, err := identify(r, g.options.Timeout)
 	if err != nil {
 		g.refuse(w, http.StatusBadRequest, aqmetric.RefusedBadRequest, 0, err)
 		return
@@ -149,12 +149,17 @@
 		g.refuse(w, http.StatusNotFound, aqmetric.RefusedNoService, 0, errNoService)
 		return
 	}
+	body, err := readAhead(g.options.Clock, http.MaxBytesReader(w, r.Body, g.options.MaxBodyBytes))
+	if err != nil {
+		g.refuseBody(w, err)
+		return
+	}
+	identified.deadline = g.options.Clock.Now().Add(identified.timeout)
 	reservation, ok := g.reserve(w, r, identified)
 	if !ok {
 		return
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, g.options.MaxBodyBytes)
-	g.forward(w, r, identified, service, reservation)
+	g.forward(w, r, identified, body, service, reservation)
 }
 
 var (
@@ -169,10 +174,22 @@
 // forward sends the request to one endpoint after another until one answers, the
 // request is refused, or its outcome is unknown.
 func (g *Gateway) forward(
-	w http.ResponseWriter, r *http.Request, identified request, service *serviceState, reservation *keyReservation,
+	w http.ResponseWriter, r *http.Request, identified request, body *callerBody, service *serviceState,
+	reservation *keyReservation,
 ) {
 	ctx, cancel := context.WithTimeout(r.Context(), identified.deadline.Sub(g.options.Clock.Now()))
 	defer cancel()
+	if !body.whole {
+		controller := http.NewResponseController(w)
+		started, err := service.beginUpload(ctx, identified, func() { _ = controller.SetReadDeadline(pastDeadline) })
+		if err != nil {
+			reservation.release()
+			g.refuseAdmission(w, err)
+			return
+		}
+		body.upload = started
+		defer started.end()
+	}
 	broken := 0
 	// lost is the error of the last attempt that an endpoint may have received, nil if there
 	// is none. The request then never counts as not run.
@@ -189,7 +206,7 @@
 			return
 		}
 		start := g.options.Clock.Now()
-		got, err := g.forwarder.try(ctx, r, identified, endpoint)
+		got, err := g.forwarder.try(ctx, r, body, identified, endpoint)
 		if err == nil {
 			g.finish(ctx, w, got, service, endpoint, start)
 			return
--- a/pkg/aqgateway/request.go
+++ b/pkg/aqgateway/request.go
@@ -36,10 +36,12 @@
 
 // request is what identify reads from a caller's request.
 type request struct {
-	service    string
-	path       string
-	caller     string
-	urgency    aqtype.Urgency
+	service string
+	path    string
+	caller  string
+	urgency aqtype.Urgency
+	timeout time.Duration
+	// deadline is set when the body, or the beginning of a long one, has been read.
 	deadline   time.Time
 	idempotent bool
 }
@@ -49,7 +51,7 @@
 
 // identify reads the service from the first segment of the path, and urgency, caller
 // and timeout from the headers.
-func identify(r *http.Request, now time.Time, timeout time.Duration) (request, error) {
+func identify(r *http.Request, timeout time.Duration) (request, error) {
 	service, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
 	if service == "" {
 		return request{}, errors.Wrap(errBadRequest, "the path names no service")
@@ -75,7 +77,7 @@
 		}
 		timeout = min(timeout, time.Duration(millis)*time.Millisecond)
 	}
-	identified.deadline = now.Add(timeout)
+	identified.timeout = timeout
 	return identified, nil
 }
 
