Operators' API: no compressed messages

What callers saw: clients at the operators' address of a gateway that send a compressed message of a few KB (300,000 empty entries) made it hold 132 MiB of 64.

Cause: connect decompresses a message up to its limit of 1 MiB, and 1 MiB of empty entries becomes some 40 MiB when it is decoded. The intake reserves eight times what arrives.

Change: the handlers know no compression, and answer such a message with "unimplemented". Our own clients send none.

Evidence: TestCrowdAtAnOperatorPort/CompressedBodies: 132 MiB on, 22 now.

--- a/pkg/aqapi/services.go
+++ b/pkg/aqapi/services.go
@@ -33,10 +33,15 @@
 
 // Register adds the services to a mux.
 func (s *Server) Register(mux *http.ServeMux) {
-	limit := connect.WithReadMaxBytes(maxMessageBytes)
-	mux.Handle(acaciaquayv1connect.NewWorkloadServiceHandler(s, limit))
-	mux.Handle(acaciaquayv1connect.NewConfigurationServiceHandler(s, limit))
-	mux.Handle(acaciaquayv1connect.NewFleetServiceHandler(s, limit))
+	limits := connect.WithHandlerOptions(
+		connect.WithReadMaxBytes(maxMessageBytes),
+		// The intake reserves memory by the bytes that arrive, which says nothing of the size
+		// of a compressed message.
+		connect.WithCompression("gzip", nil, nil),
+	)
+	mux.Handle(acaciaquayv1connect.NewWorkloadServiceHandler(s, limits))
+	mux.Handle(acaciaquayv1connect.NewConfigurationServiceHandler(s, limits))
+	mux.Handle(acaciaquayv1connect.NewFleetServiceHandler(s, limits))
 }
 
 func (s *Server) submit(ctx context.Context, spec aqtype.Spec) (*pb.WorkloadStatus, error) {
