dev: limits for the clients of its stand-ins

Cause: the stand-ins' servers were plain ones; a head may have 1 MB there.

Change: in dev they take connections through an intake with the defaults of the settings. The program aqstandin, which only tests start, stays as it was.

--- a/cmd/acaciaquay/cmds/dev.go
+++ b/cmd/acaciaquay/cmds/dev.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/front/aqintake"
 	"acaciaquay/pkg/aqclock"
+	"acaciaquay/pkg/aqlog"
+	"acaciaquay/pkg/aqmetric"
 	"acaciaquay/pkg/aqprocess"
 	"acaciaquay/pkg/aqsettings"
 	"acaciaquay/pkg/aqstandin"
@@ -39,12 +40,9 @@
 Layers = process
 `
 
-const (
-	// devDropAfter is the time without a heartbeat after which the stand-in host registry
-	// drops a worker.
-	devDropAfter     = 10 * time.Second
-	devHeaderTimeout = 5 * time.Second
-)
+// devDropAfter is the time without a heartbeat after which the stand-in host registry drops a
+// worker.
+const devDropAfter = 10 * time.Second
 
 // runDev runs a scheduler, a gateway and stand-ins for the platform in this process
 // until ctx ends or, if runFor is above zero, until that time has passed.
@@ -64,16 +62,18 @@
 		Registry: aqstandin.NewHostRegistry(clock, 0, devDropAfter),
 		Truth:    aqstandin.NewTruth(),
 	}
-	listener, err := net.Listen("tcp", devPlatformAddress)
+	intake := aqintake.New(s.Intake.Limits, clock, aqlog.Discard(), aqmetric.New())
+	listener, err := aqintake.Listen(devPlatformAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for the stand-in platform")
 	}
-	server := &http.Server{Handler: platform.Handler(), ReadHeaderTimeout: devHeaderTimeout}
+	server := intake.Server(devPlatformAddress, platform.Handler(), aqintake.Port{})
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
 	pool := aqstandin.WorkerPool{
 		Platform: aqstandin.NewControlClient(devPlatformAddress),
 		Address:  "127.0.0.1:7301",
+		Intake:   intake,
 		Prefix:   "w",
 		Count:    workers,
 		Zones:    []string{"perth"},
--- a/pkg/aqstandin/pool.go
+++ b/pkg/aqstandin/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/front/aqintake"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqplatform"
 	"acaciaquay/pkg/aqtype"
@@ -23,6 +24,8 @@
 	Count  int
 	// Zones are assigned to the workers round-robin.
 	Zones []string
+	// Intake limits the clients of the workers, nil for no limit.
+	Intake *aqintake.Intake
 }
 
 // Intervals and timeouts of a worker pool, and the size of its workers.
@@ -50,7 +53,7 @@
 		workers = append(workers, NewWorker(aqclock.System{}, h, p.Platform, opener))
 	}
 	fleet := NewFleet(workers...)
-	server := &http.Server{Handler: fleet.WorkerHandler(), ReadHeaderTimeout: poolHeaderTimeout}
+	server := p.server(fleet.WorkerHandler())
 	go func() { _ = server.Serve(listener) }()
 	p.tickAndHeartbeat(ctx, fleet, hosts)
 	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), poolShutdownTimeout)
@@ -59,6 +62,17 @@
 	return nil
 }
 
+// server returns an HTTP server, with the limits of the intake if there is one.
+func (p WorkerPool) server(handler http.Handler) interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+} {
+	if p.Intake != nil {
+		return p.Intake.Server(p.Address, handler, aqintake.Port{})
+	}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: poolHeaderTimeout}
+}
+
 func (p WorkerPool) hosts() []aqplatform.WorkerHost {
 	hosts := make([]aqplatform.WorkerHost, 0, p.Count)
 	for i := range p.Count {
