Requests that wait for a place among those at work are limited

What callers saw: on the machine with the least memory of all deployments (184 MiB, 4,100 descriptors), 4,000 clients that send requests and go on sending made the process hold 201 MiB, and 203 together with other kinds.

Cause: requests beyond Intake.Working waited for ten seconds, as many as there were connections: 2,900, each with goroutines, buffers and 24 KiB that the process has not read.

Change: as many requests wait as are at work, or 64. Further ones are refused at once (503 with Retry-After, they have not run) and their connections closed.

TestRequestsBeyondThoseThatWaitAreRefused. 2,000 well-behaved connections still meet no limit (TestWellBehavedClientsMeetNoLimit, unchanged).

--- a/internal/front/aqintake/intake.go
+++ b/internal/front/aqintake/intake.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"acaciaquay/internal/base/aqthrottle"
@@ -22,6 +23,8 @@
 	reporter reporter
 	// working has room for one element for each request at work of ports with LimitWork.
 	working chan struct{}
+	// waiting counts the requests that wait for room in working.
+	waiting atomic.Int64
 }
 
 // New returns an intake without ports.
--- a/internal/front/aqintake/limits.go
+++ b/internal/front/aqintake/limits.go
@@ -24,7 +24,8 @@
 	// ConnectionsPerAddress limits those of one remote address. It is at most
 	// Connections.
 	ConnectionsPerAddress int
-	// Working limits the requests at work of a port with LimitWork. Further ones wait.
+	// Working limits the requests at work of a port with LimitWork. As many wait, or 64;
+	// further ones are refused, since each holds a connection with unread bytes.
 	Working int
 	// HeadBytes and HeadLines limit one head, empty lines before it included.
 	HeadBytes int
@@ -114,6 +115,9 @@
 	return head.cost()
 }
 
+// waiting returns how many requests may wait to be at work.
+func (l Limits) waiting() int { return max(minWaiting, l.Working) }
+
 // minLineBytes is the size of the shortest header line.
 const minLineBytes = 3
 
--- a/internal/front/aqintake/request.go
+++ b/internal/front/aqintake/request.go
@@ -27,6 +27,9 @@
 // workWait limits the wait for a place among the requests at work.
 const workWait = 10 * time.Second
 
+// minWaiting is how many requests may wait for such a place on any machine.
+const minWaiting = 64
+
 // begin marks the end of the head. It returns false if the request must be refused.
 func (r *request) begin(length int64) bool {
 	var ok bool
@@ -48,6 +51,11 @@
 		return true
 	default:
 	}
+	defer intake.waiting.Add(-1)
+	if intake.waiting.Add(1) > int64(intake.limits.waiting()) {
+		r.conn.refuse(refusalWorking)
+		return false
+	}
 	select {
 	case intake.working <- struct{}{}:
 		r.slot.Store(true)
--- a/internal/front/aqintake/server_test.go
+++ b/internal/front/aqintake/server_test.go
@@ -281,6 +281,47 @@
 	}
 }
 
+// Of requests for which there is no place among those at work a limited number waits. Further
+// ones are refused at once, and those that wait are served.
+func TestRequestsBeyondThoseThatWaitAreRefused(t *testing.T) {
+	limits := machine()
+	limits.Working = 1
+	finish := make(chan struct{})
+	r := serve(t, limits, func(w http.ResponseWriter, _ *http.Request) {
+		<-finish
+		w.WriteHeader(http.StatusOK)
+	})
+	answers := make(chan int)
+	send := func() {
+		conn := r.dial(t)
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		go func() {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				answers <- 0
+				return
+			}
+			answers <- response.StatusCode
+		}()
+	}
+	for range 1 + minWaiting {
+		send()
+	}
+	for r.intake.waiting.Load() < minWaiting {
+		time.Sleep(time.Millisecond)
+	}
+	send()
+	if status := <-answers; status != http.StatusServiceUnavailable {
+		t.Fatalf("the request beyond: status %d", status)
+	}
+	close(finish)
+	for range 1 + minWaiting {
+		if status := <-answers; status != http.StatusOK {
+			t.Fatalf("a request that waited: status %d", status)
+		}
+	}
+}
+
 // A head over the limit is refused with the headers of its port.
 func TestHeadOverTheLimitIsRefused(t *testing.T) {
 	limits := machine()
--- a/pkg/aqprocess/crowdjobs_test.go
+++ b/pkg/aqprocess/crowdjobs_test.go
@@ -224,9 +224,10 @@
 // machine.
 func (s *siteProcess) checkLeast() {
 	s.t.Helper()
-	held := memory(s.t, s.cmd.Process.Pid, s.front, s.ready, s.metrics, s.peer) >> 20
+	addresses := []string{s.front, s.ready, s.metrics, s.peer}
+	held := memory(s.t, s.cmd.Process.Pid, addresses...) >> 20
 	open := descriptors(s.t, s.cmd.Process.Pid)
-	s.t.Logf("memory %d MiB, descriptors %d", held, open)
+	s.t.Logf("memory %d MiB, of it unread %d, descriptors %d", held, unreadBytes(s.t, addresses)>>20, open)
 	if held > leastMemoryMiB || open > leastDescriptors {
 		s.t.Errorf("the machine has %d MiB and %d descriptors", leastMemoryMiB, leastDescriptors)
 	}
--- a/pkg/aqsettings/intake.go
+++ b/pkg/aqsettings/intake.go
@@ -42,7 +42,7 @@
 		"Connections of clients from one address. 0 means seven eighths of Connections, because all clients may come through one load balancer.",
 		func(s *Settings) *int { return &s.Intake.Limits.ConnectionsPerAddress }),
 	count("Intake", "Working", "requests", "0", 0, 1<<20,
-		"Requests of submitters that a site's process works on at once; others wait. 0 means half of the descriptors for sockets that Connections leave, because a request may open a connection to the store.",
+		"Requests of submitters that a site's process works on at once; as many others, or 64, wait for at most ten seconds, and further ones are refused. 0 means half of the descriptors for sockets that Connections leave, because a request may open a connection to the store.",
 		func(s *Settings) *int { return &s.Intake.Limits.Working }),
 	count("Intake", "HeadBytes", "bytes", "65536", 1024, 1<<20,
 		"Maximum size of a request's head, with the empty lines before it.",
