Large legal jobs no longer take the leader out of its memory

What callers saw: 600 jobs of 256 KiB, each legal and accepted, made the process that leads hold 165 MiB of 64; with the most steps 230 MiB. It kept them as long as they did not end.

Nothing told the processes that accept jobs how much that was.

The leader estimates the memory of its unfinished jobs; while they take Site.JobBytes (a quarter of the memory) submissions are rejected like hopeless ones, marked in the store, 503 with a time to return spread over two seconds. The last quarter is for jobs of at most 8 KiB. The leader's estimate tells for which jobs there is room, and reaches a process also with the answer to its notice of an accepted job: without workers there are no polls. A group of tasks counts as a task of Site.Tasks.

The crowd waits until a process leads: "AtTheLeader" was at the other one at times.

--- a/internal/site/aqbacklog/backlog_test.go
+++ b/internal/site/aqbacklog/backlog_test.go
@@ -80,6 +80,14 @@
 		{name: "other processors", estimate: known, job: submission(1, 0, func(j *aqjob.Job) { j.Groups[0].Filler = true })},
 		{name: "another service", estimate: known, job: submission(1, 0, func(j *aqjob.Job) { j.Queue.Service = "other" })},
 		{name: "lasting", estimate: known, job: submission(1, 0, func(j *aqjob.Job) { j.Groups[0].Perpetual = true })},
+		{name: "no memory", estimate: Estimate{Known: true, Room: RoomForNone}, job: submission(1, 0, func(j *aqjob.Job) { j.Repeats = 1 })},
+		{name: "memory for small jobs", estimate: Estimate{Known: true, Room: RoomForSmall}, job: submission(1, 0, nil)},
+		{
+			name:     "memory for small jobs, not this one",
+			estimate: Estimate{Known: true, Room: RoomForSmall},
+			job:      submission(1, 0, func(j *aqjob.Job) { j.Payload = strings.Repeat("x", smallJob) }),
+		},
+		{name: "no memory, told long ago", estimate: Estimate{Known: true, Room: RoomForNone, Age: maxAge + 1}, job: submission(1, 0, nil)},
 		{name: "timed", estimate: known, job: submission(1, 0, func(j *aqjob.Job) { j.Repeats = 1 })},
 	} {
 		fmt.Fprintf(&out, "%s: %T %+v\n", test.name, Decide(test.job, test.estimate), Decide(test.job, test.estimate))
--- a/internal/site/aqbacklog/decide.go
+++ b/internal/site/aqbacklog/decide.go
@@ -15,6 +15,8 @@
 	// minReturn and maxReturn limit the time after which a rejected submitter may return.
 	minReturn = time.Second
 	maxReturn = time.Minute
+	// fullWait is the time in which some of the jobs that the leader holds end as a rule.
+	fullWait = 2 * time.Second
 )
 
 // Verdict is what becomes of a submission. It is sealed: Accept and Reject.
@@ -29,6 +31,8 @@
 	Wait time.Duration
 	// ReturnAfter is when the submitter may try again.
 	ReturnAfter time.Duration
+	// Full is set if the leader has no memory for the job, whatever it waits for.
+	Full bool
 }
 
 func (Accept) isVerdict() {}
@@ -38,7 +42,16 @@
 // It rejects a job whose first group could not begin before that even if all workers did nothing but what is
 // ahead. Jobs that last or repeat are accepted, and all while the estimate is missing or old.
 func Decide(j *aqjob.Job, e Estimate) Verdict {
-	if !e.Known || e.Age > maxAge || j.Repeats > 0 {
+	if !e.Known || e.Age > maxAge {
+		return Accept{}
+	}
+	if !e.Room.holds(j) {
+		return Reject{
+			ReturnAfter: returnAfter(j.ID, fullWait, fullWait),
+			Full:        true,
+		}
+	}
+	if j.Repeats > 0 {
 		return Accept{}
 	}
 	var longest time.Duration
--- a/internal/site/aqbacklog/estimate.go
+++ b/internal/site/aqbacklog/estimate.go
@@ -41,6 +41,42 @@
 	Time time.Duration
 }
 
+// Room tells for which jobs there is memory.
+type Room int
+
+// The amounts of room.
+const (
+	RoomForAny Room = iota
+	// RoomForSmall is for jobs of at most smallJob bytes.
+	RoomForSmall
+	RoomForNone
+)
+
+// smallJob is the memory of the largest job that has room of its own: one with the longest payload and a few steps.
+const smallJob = 8 << 10
+
+// Shares of the memory for jobs that large ones may take.
+const (
+	largeShare = 3
+	largeOf    = 4
+)
+
+// RoomIn returns the room while jobs take that much of a memory, which is zero if there is no limit.
+func RoomIn(taken, memory int) Room {
+	switch {
+	case memory == 0 || taken < memory/largeOf*largeShare:
+		return RoomForAny
+	case taken < memory:
+		return RoomForSmall
+	}
+	return RoomForNone
+}
+
+// holds reports whether there is room for a job.
+func (r Room) holds(j *aqjob.Job) bool {
+	return r == RoomForAny || (r == RoomForSmall && j.Bytes() <= smallJob)
+}
+
 // Estimate holds the waits of one moment.
 type Estimate struct {
 	// Known is unset when the leader has not estimated.
@@ -48,6 +84,8 @@
 	// Age is the time since then.
 	Age   time.Duration
 	Waits []Wait
+	// Room is for which jobs the leader has memory.
+	Room Room
 	// Typical is how long a task takes as a rule, of the queues for which that is known.
 	Typical []QueueTime
 }
--- a/internal/site/aqexpansion/queue.go
+++ b/internal/site/aqexpansion/queue.go
@@ -9,7 +9,7 @@
 	"acaciaquay/pkg/aqjob"
 )
 
-// Tasks is a number of tasks.
+// Tasks is a number of tasks, and of what takes as much memory.
 type Tasks int
 
 // Shares of the limit.
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"acaciaquay/internal/site/aqbacklog"
 	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/internal/site/aqevacuation"
 	"acaciaquay/internal/site/aqexpansion"
@@ -38,6 +39,9 @@
 	// Tasks limits the tasks of unfinished occurrences that are held at the same time. Further occurrences wait.
 	// Zero means no limit.
 	Tasks int
+	// JobBytes is the memory for unfinished jobs without their tasks. Room tells what is left. Zero
+	// means no limit.
+	JobBytes int
 }
 
 // Options configure a decider.
@@ -65,6 +69,8 @@
 	recurring map[aqjob.ID]*job
 	// expansion holds the due occurrences whose tasks are not created.
 	expansion *aqexpansion.Queue
+	// jobBytes is the memory of the unfinished jobs without their tasks.
+	jobBytes int
 	// unstartedJobs counts each queue's jobs of which no task has started.
 	unstartedJobs map[aqjob.QueueID]int
 	// candidateBuffer is reused for the candidates of each group.
@@ -342,6 +348,11 @@
 	}
 }
 
+// Room tells for which jobs there is memory besides those that take more bytes elsewhere.
+func (d *Decider) Room(more int) aqbacklog.Room {
+	return aqbacklog.RoomIn(d.jobBytes+more, d.options.Limits.JobBytes)
+}
+
 // State returns the state that submitters see. A final state is visible only once
 // it is stored.
 func (d *Decider) State(id aqjob.ID) (aqjob.State, bool) {
--- a/pkg/aqdecider/expand.go
+++ b/pkg/aqdecider/expand.go
@@ -74,9 +74,9 @@
 	return o
 }
 
-// tasksOfOccurrence returns the number of tasks of each occurrence.
+// tasksOfOccurrence returns the number of tasks of each occurrence. A group counts as one more.
 func (j *job) tasksOfOccurrence() aqexpansion.Tasks {
-	total := 0
+	total := len(j.spec.Groups)
 	for i := range j.spec.Groups {
 		total += j.spec.Groups[i].Count
 	}
--- a/pkg/aqdecider/jobs.go
+++ b/pkg/aqdecider/jobs.go
@@ -40,6 +40,8 @@
 		j.queue = q
 	}
 	d.jobs[spec.ID] = j
+	j.bytes = spec.Bytes()
+	d.jobBytes += j.bytes
 	if progress != nil {
 		d.restore(j, progress)
 	}
@@ -77,6 +79,8 @@
 func (d *Decider) dropDetails(j *job) {
 	d.expansion.Removed(j.created)
 	j.created = 0
+	d.jobBytes -= j.bytes
+	j.bytes = 0
 	j.spec = j.spec.Remainder()
 	j.occurrences = nil
 	j.doneAbove = nil
--- a/pkg/aqdecider/state.go
+++ b/pkg/aqdecider/state.go
@@ -32,6 +32,8 @@
 	next aqjob.Occurrence
 	// queued is whether next waits in the decider's expansion.
 	queued bool
+	// bytes is the memory of spec while the job is not finished.
+	bytes int
 	// created is the number of tasks in occurrences.
 	created   aqexpansion.Tasks
 	doneBelow aqjob.Occurrence
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -48,6 +48,7 @@
 	RefusedBodySlow       RefusalReason = "BodySlow"
 	RefusedIntakeFull     RefusalReason = "IntakeFull"
 	RefusedWorking        RefusalReason = "WorkingFull"
+	RefusedJobsFull       RefusalReason = "JobsFull"
 	RefusedPeers          RefusalReason = "PeerConnectionsFull"
 	RefusedPeerBudget     RefusalReason = "PeerBudgetFull"
 )
@@ -59,7 +60,7 @@
 	RefusedQuota, RefusedStoreDown, RefusedConfigRace, RefusedConfigInvalid, RefusedKeyUsed, RefusedFrameTooLarge,
 	RefusedFrameMalformed, RefusedNoQueue, RefusedNoConfig, RefusedNoJob, RefusedMethod, RefusedNoLeader, RefusedEntry, RefusedBacklog,
 	RefusedConnections, RefusedAddress, RefusedHeadTooLarge, RefusedHeadSlow, RefusedBodySlow, RefusedIntakeFull, RefusedWorking,
-	RefusedPeers, RefusedPeerBudget,
+	RefusedJobsFull, RefusedPeers, RefusedPeerBudget,
 }
 
 // RetryReason says why something was tried again.
--- a/pkg/aqprocess/crowdjobs_test.go
+++ b/pkg/aqprocess/crowdjobs_test.go
@@ -128,6 +128,9 @@
 				for _, s := range processes {
 					limitData(t, s.cmd.Process.Pid)
 				}
+				for !processes[0].leads() && !processes[1].leads() {
+					time.Sleep(50 * time.Millisecond)
+				}
 				target := processes[0]
 				if target.leads() != (at == "Leader") {
 					target = processes[1]
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -147,6 +147,7 @@
 			OffRackFactor: s.OffRackFactor,
 			LeaseMax:      aqagent.MaxLeaseSpan(s.LeaseMax),
 			Tasks:         s.Tasks,
+			JobBytes:      s.JobBytes,
 		},
 	}
 }
--- a/pkg/aqsettings/site.go
+++ b/pkg/aqsettings/site.go
@@ -56,8 +56,13 @@
 	Intake Intake
 	// Tasks limits the tasks that the leader holds at the same time.
 	Tasks int
+	// JobBytes limits the memory of unfinished jobs that the leader holds, without their tasks.
+	JobBytes int
 }
 
+// jobShare divides Intake.Memory to the default of JobBytes.
+const jobShare = 4
+
 // tasksPerMiB is the default of Tasks for each MiB that the process may use: tasks that wait
 // take a quarter of it.
 const tasksPerMiB = 512
@@ -106,6 +111,9 @@
 	count("Site", "Tasks", "tasks", "0", 0, 1<<30,
 		"Tasks of unfinished jobs that this process holds as the leader. The tasks of further jobs, and of further occurrences of a recurring job, are created as these end, small jobs first. 0 means 512 for each MiB of Intake.Memory.",
 		func(s *Settings) *int { return &s.Site.Tasks }),
+	count("Site", "JobBytes", "bytes", "0", 0, 1<<40,
+		"Memory for the unfinished jobs that this process holds as the leader, without their tasks. While they take it, submissions are refused and may come back within seconds; the last quarter is for jobs of at most 8 KiB. 0 means a quarter of Intake.Memory.",
+		func(s *Settings) *int { return &s.Site.JobBytes }),
 	optional("Site", "LogLayers", "names, comma-separated", "all",
 		"Layers whose events below warning level are written: all, or some of decider, site, intake, peer, process.",
 		func(s *Settings, value string) error {
@@ -177,4 +185,7 @@
 	if s.Tasks == 0 {
 		s.Tasks = i.Memory * tasksPerMiB
 	}
+	if s.JobBytes == 0 {
+		s.JobBytes = i.Memory << 20 / jobShare
+	}
 }
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -93,6 +93,7 @@
 		return errors.WithMessage(ErrNotAccepted, err.Error())
 	}
 	started := n.clock.Now()
+	job.Compact()
 	job.AcceptedAt = n.wallTime().UnixMilli()
 	job.AcceptedBy = n.settings.PeerAddress
 	value, err := aqjob.Encode(job)
@@ -241,13 +242,13 @@
 func (n *Node) registerHandlers() {
 	aqpeer.Handle(n.server, methodCommit, n.handleCommit)
 	aqpeer.Handle(n.server, methodPayload, n.handlePayload)
-	aqpeer.Handle(n.server, methodNotify, func(_ context.Context, in notifyCall) (struct{}, error) {
+	aqpeer.Handle(n.server, methodNotify, func(_ context.Context, in notifyCall) (notifyAnswer, error) {
 		l := n.leading()
 		if l == nil {
-			return struct{}{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
+			return notifyAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
 		}
 		l.handleNotify(in)
-		return struct{}{}, nil
+		return notifyAnswer{Backlog: l.tellBacklog()}, nil
 	})
 	aqpeer.Handle(n.server, methodState, func(_ context.Context, in stateCall) (stateAnswer, error) {
 		if l := n.leading(); l != nil {
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -100,6 +101,8 @@
 	unacknowledged map[string]bool
 	// backlog is what the leader's polls tell of waits.
 	backlog backlogEstimate
+	// room is an aqbacklog.Room.
+	room atomic.Int64
 	// notifiedJobs are stored jobs that other processes have reported and the watch
 	// has not delivered yet.
 	notifiedJobs map[aqjob.ID]notifiedJob
@@ -307,6 +310,7 @@
 			d.SetZones(l.zoneConditions())
 			orders = d.Tick()
 			l.estimateBacklog(d)
+			l.noteRoom(d)
 		})
 		l.agents.dispatch(orders)
 		if l.proofAge() > agingProof {
--- a/pkg/aqsite/notify.go
+++ b/pkg/aqsite/notify.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/site/aqbacklog"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -36,6 +37,12 @@
 	Cancelled bool             `msgpack:",omitempty"`
 }
 
+// notifyAnswer tells the process that accepts jobs of the work ahead of them: the leader polls only processes with
+// workers.
+type notifyAnswer struct {
+	Backlog aqbacklog.Estimate
+}
+
 type notifiedJob struct {
 	item aqstore.Item
 	at   time.Time
@@ -55,10 +62,12 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), leaderCallTimeout)
 		defer cancel()
-		var none struct{}
-		if err := n.peers.Call(ctx, address, methodNotify, call, &none); err != nil {
+		var answer notifyAnswer
+		if err := n.peers.Call(ctx, address, methodNotify, call, &answer); err != nil {
 			n.countLeaderLost()
+			return
 		}
+		n.backlog.set(answer.Backlog, n.clock.Elapsed())
 	}()
 }
 
@@ -81,6 +90,7 @@
 		},
 		at: l.node.clock.Now(),
 	}
+	l.noteRoom(l.decider)
 }
 
 // notifiedJobsLoop adds reported jobs that the watch has not delivered, after a
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -216,6 +216,7 @@
 		l.node.ignoreEntry(item.Key, err)
 		return
 	}
+	spec.Compact()
 	var progress *aqjob.Progress
 	storedItem := stored[id]
 	if storedItem.ModRevision > 0 {
--- a/pkg/aqsite/reject.go
+++ b/pkg/aqsite/reject.go
@@ -35,7 +35,7 @@
 }
 
 // Error implements error.
-func (*RejectedError) Error() string { return "site: rejected: the backlog is too long" }
+func (*RejectedError) Error() string { return "site: rejected: too much work is ahead" }
 
 // Is makes a RejectedError an ErrNotAccepted.
 func (*RejectedError) Is(target error) bool { return target == ErrNotAccepted }
@@ -76,13 +76,27 @@
 	l.backlog.set(d.Backlog(), now)
 }
 
-// tellBacklog returns the estimate for the agents. A leader that may not answer has none, and without a long wait
-// none is told.
+// noteRoom keeps for which jobs there is memory, with those that are stored and not known to the decider yet. The
+// lock must be held.
+func (l *leader) noteRoom(d *aqdecider.Decider) {
+	stored := 0
+	for _, notified := range l.notifiedJobs {
+		stored += len(notified.item.Value)
+	}
+	l.room.Store(int64(d.Room(stored)))
+}
+
+// tellBacklog returns the estimate for the agents. Without room for all jobs or a long wait none is told, and no waits
+// by a leader that may not answer.
 func (l *leader) tellBacklog() aqbacklog.Estimate {
-	if !l.mayAnswer() {
-		return aqbacklog.Estimate{}
+	var e aqbacklog.Estimate
+	if l.mayAnswer() {
+		e = l.backlog.at(l.node.clock.Elapsed())
+	}
+	if room := aqbacklog.Room(l.room.Load()); room != aqbacklog.RoomForAny {
+		e.Known, e.Room, e.Age = true, room, 0
+		return e
 	}
-	e := l.backlog.at(l.node.clock.Elapsed())
 	if !slices.ContainsFunc(e.Waits, func(w aqbacklog.Wait) bool { return w.Time >= minToldWait }) {
 		return aqbacklog.Estimate{}
 	}
@@ -109,9 +123,13 @@
 	case !marked:
 		return false, nil
 	}
-	n.metrics.Refused(aqmetric.RefusedBacklog)
+	reason := aqmetric.RefusedBacklog
+	if verdict.Full {
+		reason = aqmetric.RefusedJobsFull
+	}
+	n.metrics.Refused(reason)
 	n.log.Write(aqlog.JobRejected, slog.String("Job", string(job.ID)), slog.String("Queue", string(job.Queue.ID)),
-		slog.Duration("Wait", verdict.Wait), slog.Duration("ReturnAfter", verdict.ReturnAfter))
+		slog.String("Reason", string(reason)), slog.Duration("Wait", verdict.Wait), slog.Duration("ReturnAfter", verdict.ReturnAfter))
 	return true, &RejectedError{ReturnAfter: verdict.ReturnAfter}
 }
 
