--- a/pkg/aqprocess/crowdports_test.go
+++ b/pkg/aqprocess/crowdports_test.go
@@ -118,6 +118,15 @@
 	return calls(request, count)
 }
 
+// wholeBodyAt sends a body at once.
+func wholeBodyAt(path, body string) func(int, net.Conn) {
+	return func(_ int, conn net.Conn) {
+		if send(conn, requestLine("POST", path)+fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(body))+body) {
+			hold(conn)
+		}
+	}
+}
+
 // operatorQueries sends calls of the operators' API whose message is in the query.
 func operatorQueries(path, message string, count int) func(int, net.Conn) {
 	return calls(requestLine("GET", path+"?connect=v1&encoding=json&message="+message)+"\r\n", count)
@@ -223,6 +232,7 @@
 		act  func(int, net.Conn)
 	}{
 		{name: "CompressedBodies", act: operatorCalls(change, manyShares, 3)},
+		{name: "WholeBodies", act: wholeBodyAt(change, manyShares[:len(manyShares)*3/4]+`{}]}}`)},
 		{name: "CompressedBodiesOverTheLimit", act: operatorCalls(change, strings.Repeat(" ", 64<<20), 3)},
 		{name: "LongQueries", act: operatorQueries(get, strings.Repeat("%7B", 20_000), 3)},
 		{name: "UnfinishedBodies", act: unfinishedBodyAt(change, strings.Repeat(" ", 1<<20))},
