--- a/pkg/aqprocess/crowdjobs_test.go
+++ b/pkg/aqprocess/crowdjobs_test.go
@@ -51,6 +51,58 @@
 	}
 }
 
+// largeGraph returns a legal body of at most that many bytes, with the most steps, all texts of
+// which differ.
+func largeGraph(size int) string {
+	const steps = 64
+	text := (size/steps - 400) / 3
+	var b strings.Builder
+	b.WriteString(`{"spec":"x","steps":[`)
+	for n := range steps {
+		after := make([]string, n)
+		for i := range after {
+			after[i] = fmt.Sprint(i)
+		}
+		fmt.Fprintf(&b, `{"count":1,"cpu":100,"image":"%0*d","constraints":"%0*d","affinity":"%0*d","after":[%s]},`,
+			text, n, text, n, text, n, strings.Join(after, ","))
+	}
+	return strings.TrimSuffix(b.String(), ",") + "]}"
+}
+
+// accepted submits jobs one after the other, each until it is accepted or the member's attempts
+// are over.
+func accepted(body string, count int) func(int, net.Conn) {
+	const attempts = 40
+	return func(member int, conn net.Conn) {
+		address := conn.RemoteAddr().String()
+		_ = conn.Close()
+		for n := range count {
+			id := fmt.Sprintf("%08x%08x", member+1, n)
+			for range attempts {
+				if submitted(address, id, body) {
+					break
+				}
+				time.Sleep(25 * time.Millisecond)
+			}
+		}
+	}
+}
+
+func submitted(address, id, body string) bool {
+	conn, err := net.DialTimeout("tcp", address, memberPatience)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	if !send(conn, bodyHead("/work/"+id, len(body))+body) {
+		return false
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(memberPatience))
+	status := make([]byte, len("HTTP/1.1 200"))
+	_, err = io.ReadFull(conn, status)
+	return err == nil && string(status) == "HTTP/1.1 200"
+}
+
 // Crowds that submit legal jobs, at the process that leads the site and at another one, which
 // passes them on.
 func TestCrowdOfJobs(t *testing.T) {
@@ -62,6 +114,9 @@
 		{name: "DependentJobs", act: submissions(dependentJob(legalBodyBytes), 3)},
 		{name: "JobsOfManyTasks", act: submissions(manyTasks, 3)},
 		{name: "RecurringJobsThatAreLongDue", act: submissions(longDue, 3)},
+		{name: "AcceptedLargeJobs", act: accepted(largeJob(legalBodyBytes), 3)},
+		{name: "AcceptedLargeGraphs", act: accepted(largeGraph(legalBodyBytes), 3)},
+		{name: "AcceptedPayloads", act: accepted(fmt.Sprintf(`{"spec":"%s","steps":[{"count":1,"cpu":100}]}`, strings.Repeat("x", 4000)), 10)},
 	} {
 		for _, at := range []string{"Leader", "OtherProcess"} {
 			t.Run(test.name+"AtThe"+at, func(t *testing.T) {
