Logs tell when and how the leader learns of a cancellation

Event 942 names the job and the way (Watch, Notification, Proof, Read), 943 a notification that no leader confirmed, and 933 is also written for a cancellation that was stored before. No decision changes.

--- a/pkg/aqdecider/cancellations.go
+++ b/pkg/aqdecider/cancellations.go
@@ -14,9 +14,9 @@
 }
 
 // Cancel cancels a job. The cancellation may arrive before the job itself, which is then cancelled when it is
-// added: its submission may still be on its way to the store.
-func (d *Decider) Cancel(id aqjob.ID) {
-	if !d.cancelled[id] {
+// added: its submission may still be on its way to the store. It returns false if the cancellation was known.
+func (d *Decider) Cancel(id aqjob.ID) (added bool) {
+	if added = !d.cancelled[id]; added {
 		d.cancelled[id] = true
 		d.cancellations = append(d.cancellations, cancellation{
 			job: id,
@@ -26,6 +26,7 @@
 	if j := d.jobs[id]; j != nil && !j.state.Final() {
 		d.finish(j, aqjob.StateCancelled, "submitter cancelled")
 	}
+	return added
 }
 
 // expireCancellations schedules stored cancellations for deletion after the retention period. That of a job
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -164,14 +164,15 @@
 func (n *Node) storeCancel(ctx context.Context, id aqjob.ID) error {
 	_, err := n.create(ctx, cancelKey(id), []byte{})
 	var conflict *aqstore.ConflictError
-	if errors.As(err, &conflict) {
-		return nil
+	repeated := errors.As(err, &conflict)
+	if err != nil && !repeated {
+		return err
 	}
-	if err == nil {
+	if !repeated {
 		n.notifyLeader(notifyCall{Job: id, Cancelled: true})
-		n.log.Write(aqlog.CancelStored, slog.String("Job", string(id)))
 	}
-	return err
+	n.log.Write(aqlog.CancelStored, slog.String("Job", string(id)), slog.Bool("Repeated", repeated))
+	return nil
 }
 
 // State returns a job's state from the leader, and from the store when the
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -268,7 +268,7 @@
 				l.addJob(d, id, e.Item, nil)
 			}
 			if id, ok := jobIDFromKey(cancelPrefix, e.Key); ok {
-				d.Cancel(id)
+				l.cancel(d, id, byWatch)
 			}
 		}
 	})
--- a/pkg/aqsite/notify.go
+++ b/pkg/aqsite/notify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqpeer"
 	"acaciaquay/pkg/aqstore"
 )
@@ -57,6 +59,9 @@
 	}
 	address := n.leaderAddress()
 	if address == "" {
+		if call.Cancelled {
+			n.log.Write(aqlog.CancelUntold, slog.String("Job", string(call.Job)), slog.String("Leader", ""))
+		}
 		return
 	}
 	go func() {
@@ -65,6 +70,9 @@
 		var answer notifyAnswer
 		if err := n.peers.Call(ctx, address, methodNotify, call, &answer); err != nil {
 			n.countLeaderLost()
+			if call.Cancelled {
+				n.log.Write(aqlog.CancelUntold, slog.String("Job", string(call.Job)), slog.String("Leader", address), aqlog.Err(err))
+			}
 			return
 		}
 		n.backlog.set(answer.Backlog, n.clock.Elapsed())
@@ -76,7 +84,7 @@
 // under a later leader that this process does not know of yet.
 func (l *leader) handleNotify(call notifyCall) {
 	if call.Cancelled {
-		l.decide(func(d *aqdecider.Decider) { d.Cancel(call.Job) })
+		l.decide(func(d *aqdecider.Decider) { l.cancel(d, call.Job, byNotification) })
 		return
 	}
 	l.mu.Lock()
@@ -109,7 +117,7 @@
 			}
 			l.decide(func(d *aqdecider.Decider) {
 				for _, id := range cancelled {
-					d.Cancel(id)
+					l.cancel(d, id, byProof)
 				}
 				for _, id := range jobs {
 					l.addJob(d, id, overdue[id].item, nil)
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -205,7 +205,7 @@
 	}
 	for _, item := range items {
 		if id, ok := jobIDFromKey(cancelPrefix, item.Key); ok {
-			d.Cancel(id)
+			l.cancel(d, id, byRead)
 		}
 	}
 }
