--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -138,6 +138,7 @@
 
 		StoreValueMax:  s.StoreValueMax,
 		EvacuateWithin: s.EvacuateWithin,
+		CancelWithin:   s.CancelWithin,
 		Decider: aqdecider.Limits{
 			DrainMargin: drainMargin,
 			Retention:   s.Retention + retentionMargin,
--- a/pkg/aqsettings/site.go
+++ b/pkg/aqsettings/site.go
@@ -47,6 +47,9 @@
 	// EvacuateWithin is the time after an operator's evacuation of a zone from which nothing may be started
 	// there, zero if nobody evacuates zones.
 	EvacuateWithin time.Duration
+	// CancelWithin is the time after an acknowledged cancellation from which no task of the job may be started,
+	// zero if it is not limited.
+	CancelWithin time.Duration
 	// Retention is how long the state of an ended job can be queried.
 	Retention time.Duration
 	// LogLayers selects the log events that are written, in the form that aqlog.New
@@ -162,6 +165,9 @@
 	duration("Bounds", "EvacuateWithin", "0s", 0, 10*time.Minute,
 		"Time after an operator's evacuation of a zone from which nothing may be started there. Starts also stop while the store cannot be asked for nearly that long. Zero if nobody evacuates zones.",
 		func(s *Settings) *time.Duration { return &s.Site.EvacuateWithin }),
+	duration("Bounds", "CancelWithin", "5s", 0, 10*time.Minute,
+		"Time after an acknowledged cancellation from which no task of the job may be started. Starts also stop while cancellations may have been stored for nearly that long that the leader does not know of. Zero if it is not limited.",
+		func(s *Settings) *time.Duration { return &s.Site.CancelWithin }),
 	duration("Bounds", "Retention", "2m", time.Second, 30*24*time.Hour,
 		"How long the state of an ended job can be queried.",
 		func(s *Settings) *time.Duration { return &s.Site.Retention }),
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -41,7 +41,10 @@
 	// EvacuateWithin is the time after the evacuation of a zone from which nothing may be started there, zero if
 	// nobody evacuates zones.
 	EvacuateWithin time.Duration
-	Decider        aqdecider.Limits
+	// CancelWithin is the time after an acknowledged cancellation from which no task of the job may be started, zero
+	// if it is not limited.
+	CancelWithin time.Duration
+	Decider      aqdecider.Limits
 }
 
 // Options configure a node.
