The leader is told of each acknowledged cancellation until it confirms it

Cause: the leader was notified once, in the background, and only by the try whose write was answered; a write that took effect without an answer is a conflict the next time, and nobody was notified. The notification also went to nobody while a process knew no leader.

Wire version 12: replace all processes at once.

Evidence: TestLeaderIsToldOfACancellationWhoseWriteWasNotAnswered fails on the code before ("the leader knows the job as queued").

--- a/pkg/aqpeer/frame.go
+++ b/pkg/aqpeer/frame.go
@@ -21,7 +21,7 @@
 // WireVersion is the version of the frames. Increase it with every change after which a
 // process could misread a frame of the previous version. The receiver of a frame of
 // another version closes the connection.
-const WireVersion = 11
+const WireVersion = 12
 
 // Method is the name of a remote procedure.
 type Method string
--- a/pkg/aqsite/cancel_test.go
+++ b/pkg/aqsite/cancel_test.go
@@ -141,6 +141,36 @@
 	return events
 }
 
+// Guards against UNASKED: a cancellation whose write took effect and was not answered was acknowledged by the next try, and the
+// leader was not told of it.
+func TestLeaderIsToldOfACancellationWhoseWriteWasNotAnswered(t *testing.T) {
+	store := newFakeStore()
+	n, _ := testNode(t, store)
+	l := lead(t, n, store)
+	n.current = l
+	if err := n.Submit(context.Background(), testJob()); err != nil {
+		t.Fatal(err)
+	}
+	l.applyEvents(eventsAfter(t, store, l.leadKeyRevision))
+	answered := false
+	store.fault = func(txn aqstore.Txn) (error, bool) {
+		if answered || len(txn.Puts) != 1 || txn.Puts[0].Key != cancelKey(testJob().ID) {
+			return nil, false
+		}
+		answered = true
+		return aqstore.ErrUnknown, true
+	}
+	if err := n.Cancel(context.Background(), testJob().ID); err != nil {
+		t.Fatalf("cancel: %v", err)
+	}
+	var state aqjob.State
+	l.storeRound(context.Background())
+	l.decide(func(d *aqdecider.Decider) { state, _ = d.State(testJob().ID) })
+	if state != aqjob.StateCancelled {
+		t.Errorf("the leader knows the job as %q after the acknowledgement, want cancelled", state)
+	}
+}
+
 // The answer to a cancellation depends on the job alone, once the cancellation is stored.
 func TestCancellationIsAnsweredOnceItIsStored(t *testing.T) {
 	store := newFakeStore()
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -136,45 +136,6 @@
 	}
 }
 
-// Cancel stores the cancellation of a job. It returns ErrNoJob when there is no such job; a submission of it
-// that reaches the store later is cancelled then.
-func (n *Node) Cancel(ctx context.Context, id aqjob.ID) error {
-	for {
-		err := n.storeCancel(ctx, id)
-		if err == nil {
-			break
-		}
-		aqclock.Sleep(ctx, n.clock, submitPause)
-		if ctx.Err() != nil {
-			return errors.WithMessage(ErrOutcomeUnknown, err.Error())
-		}
-	}
-	if answer, err := n.queryState(ctx, id); err == nil && answer.Known {
-		return nil
-	}
-	item, err := n.store.Get(ctx, jobKey(id))
-	n.recordStoreResult(err)
-	if errors.Is(err, aqstore.ErrNotFound) || (err == nil && isRejected(item)) {
-		return ErrNoJob
-	}
-	// The cancellation is stored, whether there is such a job or not.
-	return nil
-}
-
-func (n *Node) storeCancel(ctx context.Context, id aqjob.ID) error {
-	_, err := n.create(ctx, cancelKey(id), []byte{})
-	var conflict *aqstore.ConflictError
-	repeated := errors.As(err, &conflict)
-	if err != nil && !repeated {
-		return err
-	}
-	if !repeated {
-		n.notifyLeader(notifyCall{Job: id, Cancelled: true})
-	}
-	n.log.Write(aqlog.CancelStored, slog.String("Job", string(id)), slog.Bool("Repeated", repeated))
-	return nil
-}
-
 // State returns a job's state from the leader, and from the store when the
 // leader does not answer.
 func (n *Node) State(ctx context.Context, id aqjob.ID) (aqjob.State, error) {
@@ -251,6 +212,13 @@
 		l.handleNotify(in)
 		return notifyAnswer{Backlog: l.tellBacklog()}, nil
 	})
+	aqpeer.Handle(n.server, methodCancelled, func(_ context.Context, in cancelledCall) (cancelledAnswer, error) {
+		l := n.leading()
+		if l == nil {
+			return cancelledAnswer{}, errNotLeading
+		}
+		return l.handleCancelled(in)
+	})
 	aqpeer.Handle(n.server, methodState, func(_ context.Context, in stateCall) (stateAnswer, error) {
 		if l := n.leading(); l != nil {
 			if state, known, current := l.state(in.Job); current {
--- a/pkg/aqsite/knownred_test.go
+++ b/pkg/aqsite/knownred_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"acaciaquay/pkg/aqdecider"
-	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
 )
 
@@ -34,32 +32,3 @@
 		t.Error("a task is started 5 s after the cancellation of its job was stored")
 	}
 }
-
-// Guards against UNASKED: a cancellation whose write took effect and was not answered was acknowledged by the next try, and the
-// leader was not told of it.
-func TestLeaderIsToldOfACancellationWhoseWriteWasNotAnswered(t *testing.T) {
-	store := newFakeStore()
-	n, _ := testNode(t, store)
-	l := lead(t, n, store)
-	if err := n.Submit(context.Background(), testJob()); err != nil {
-		t.Fatal(err)
-	}
-	l.applyEvents(eventsAfter(t, store, l.leadKeyRevision))
-	answered := false
-	store.fault = func(txn aqstore.Txn) (error, bool) {
-		if answered || len(txn.Puts) != 1 || txn.Puts[0].Key != cancelKey(testJob().ID) {
-			return nil, false
-		}
-		answered = true
-		return aqstore.ErrUnknown, true
-	}
-	if err := n.Cancel(context.Background(), testJob().ID); err != nil {
-		t.Fatalf("cancel: %v", err)
-	}
-	var state aqjob.State
-	l.storeRound(context.Background())
-	l.decide(func(d *aqdecider.Decider) { state, _ = d.State(testJob().ID) })
-	if state != aqjob.StateCancelled {
-		t.Errorf("the leader knows the job as %q after the acknowledgement, want cancelled", state)
-	}
-}
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -15,6 +15,7 @@
 	"acaciaquay/internal/base/aqthrottle"
 	"acaciaquay/internal/peer/aqinbound"
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqcancel"
 	"acaciaquay/internal/site/aqworker"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
@@ -89,6 +90,8 @@
 	pendingJobs pendingCounts
 	// backlog is the leader's last estimate of how long submissions would wait.
 	backlog backlogEstimate
+	// untold holds the cancellations that no leader has confirmed.
+	untold aqcancel.Outbox
 	// rejections gives the lease of the marks of rejected jobs.
 	rejections rejectionLease
 	// configRevision and leadRevision are the last known revisions of the configuration
@@ -147,6 +150,10 @@
 			Interval: ignoredLogInterval,
 			MaxKeys:  maxIgnoredEntries,
 		},
+		untold: aqcancel.Outbox{
+			Most: maxUntold,
+			Keep: untoldKept,
+		},
 		leadKeyChanged: make(chan struct{}, 1),
 		checkNow:       make(chan struct{}, 1),
 		server:         aqpeer.NewServer(o.PeerLimits, o.Clock, o.Log, o.Metrics),
@@ -192,6 +199,7 @@
 		{name: "registration", run: n.register},
 		{name: "configuration watch", run: n.watchConfig},
 		{name: "election", run: n.elect},
+		{name: "cancellations", run: n.untoldLoop},
 	} {
 		n.work.Add(1)
 		go func() {
--- a/pkg/aqsite/notify.go
+++ b/pkg/aqsite/notify.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -13,7 +12,6 @@
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
-	"acaciaquay/pkg/aqlog"
 	"acaciaquay/pkg/aqpeer"
 	"acaciaquay/pkg/aqstore"
 )
@@ -31,12 +29,11 @@
 	notifiedJobPeriod = 60 * time.Millisecond
 )
 
-// notifyCall reports that a job or a cancellation is stored.
+// notifyCall reports that a job is stored.
 type notifyCall struct {
-	Job       aqjob.ID
-	Value     []byte           `msgpack:",omitempty"`
-	Created   aqstore.Revision `msgpack:",omitempty"`
-	Cancelled bool             `msgpack:",omitempty"`
+	Job     aqjob.ID
+	Value   []byte           `msgpack:",omitempty"`
+	Created aqstore.Revision `msgpack:",omitempty"`
 }
 
 // notifyAnswer tells the process that accepts jobs of the work ahead of them: the leader polls only processes with
@@ -59,9 +56,6 @@
 	}
 	address := n.leaderAddress()
 	if address == "" {
-		if call.Cancelled {
-			n.log.Write(aqlog.CancelUntold, slog.String("Job", string(call.Job)), slog.String("Leader", ""))
-		}
 		return
 	}
 	go func() {
@@ -70,23 +64,15 @@
 		var answer notifyAnswer
 		if err := n.peers.Call(ctx, address, methodNotify, call, &answer); err != nil {
 			n.countLeaderLost()
-			if call.Cancelled {
-				n.log.Write(aqlog.CancelUntold, slog.String("Job", string(call.Job)), slog.String("Leader", address), aqlog.Err(err))
-			}
 			return
 		}
 		n.backlog.set(answer.Backlog, n.clock.Elapsed())
 	}()
 }
 
-// handleNotify applies the notification of another process. A cancellation takes
-// effect at once. A job waits for the watch or for a proof: it may have been stored
-// under a later leader that this process does not know of yet.
+// handleNotify applies the notification of another process. The job waits for the watch or for a proof: it may have
+// been stored under a later leader that this process does not know of yet.
 func (l *leader) handleNotify(call notifyCall) {
-	if call.Cancelled {
-		l.decide(func(d *aqdecider.Decider) { l.cancel(d, call.Job, byNotification) })
-		return
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.notifiedJobs[call.Job] = notifiedJob{
