Tasks are started only on recent knowledge of cancellations

Cause: the leader placed tasks however old its knowledge of stored cancellations was. Its watch may deliver nothing for 11.5 s on a connection that has gone silent, or for as long as the store serves its writes but not its watch; the watch probe noticed that after 0.4 s and only made it read the workers.

Now the leader knows up to when its knowledge is complete (aqcancel.Knowledge): the sending of the last watch probe that the watch has delivered, or of the last read. From half the limit on it reads the cancellations; from the limit on, Bounds.CancelWithin less one call to a worker, it starts nothing. A watch that has not delivered a probe for 1.5 s begins again on another connection. The revisions that the watch delivers count once they are applied, not before.

--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -115,7 +115,9 @@
 	cancellations []cancellation
 	// expiredCancels holds the jobs whose stored cancellations are to be deleted.
 	expiredCancels []aqjob.ID
-	model          *aqinterference.Model
+	// startsHeld is set while nothing may be started.
+	startsHeld bool
+	model      *aqinterference.Model
 	// durations is what the tasks of each queue have taken in this term.
 	durations aqurgency.Durations
 	// harmedShares caches the model's answers of one round of decisions.
@@ -282,10 +284,12 @@
 	d.queueDueOccurrences()
 	d.createDue()
 	d.reviewWorkers()
-	d.leaveZones()
-	d.plan()
-	d.tryResting()
-	d.startCopies()
+	if !d.startsHeld {
+		d.leaveZones()
+		d.plan()
+		d.tryResting()
+		d.startCopies()
+	}
 	d.noteWaits()
 	d.expireJobs()
 	orders := d.orders
@@ -294,6 +298,10 @@
 	return orders
 }
 
+// HoldStarts makes Tick decide no starts, and stop nothing to start it elsewhere or to make room, until it is called
+// with false.
+func (d *Decider) HoldStarts(held bool) { d.startsHeld = held }
+
 // reviewPeriod is how often a worker is reviewed without a new report.
 const reviewPeriod = 200 * time.Millisecond
 
@@ -309,7 +317,9 @@
 		d.stopDraining(w)
 		d.resendOrders(w)
 		d.paceFillers(w)
-		d.relocate(w)
+		if !d.startsHeld {
+			d.relocate(w)
+		}
 	}
 }
 
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -175,6 +175,8 @@
 		return "the job has ended"
 	case !g.ready:
 		return "earlier groups are not done"
+	case d.startsHeld:
+		return "the leader to learn of cancellations again"
 	case unreported && len(g.pending(d.now, true)) == 0:
 		return fmt.Sprintf("it may still run on %d workers that have not been heard of", len(d.unreported))
 	case len(g.pending(d.now, unreported)) == 0:
--- a/pkg/aqsite/knownred_test.go
+++ b/pkg/aqsite/cancellations_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package aqsite
 
 import (
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -271,6 +271,8 @@
 		evacuations:     newEvacuations(n.settings.EvacuateWithin),
 		unacknowledged:  map[string]bool{},
 		notifiedJobs:    map[aqjob.ID]notifiedJob{},
+		cancellations:   newCancellations(n.settings.CancelWithin),
+		restartWatch:    make(chan struct{}, 1),
 		resync:          make(chan struct{}, 1),
 		wakeTick:        make(chan struct{}, 1),
 		wakeStore:       make(chan struct{}, 1),
--- a/pkg/aqsite/evacuations_test.go
+++ b/pkg/aqsite/evacuations_test.go
@@ -85,6 +85,7 @@
 func (l *leader) starts() (count int) {
 	l.decide(func(d *aqdecider.Decider) {
 		d.SetZones(l.zoneConditions())
+		l.holdStarts(d)
 		for _, o := range d.Tick() {
 			if _, isStart := o.(aqdecider.Start); isStart {
 				count++
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -77,6 +77,10 @@
 	probe watchProbe
 	// evacuations is what the leader knows of evacuated zones.
 	evacuations evacuations
+	// cancellations is what the leader knows of stored cancellations.
+	cancellations cancellations
+	// restartWatch makes the watch of jobs and cancellations begin again on another connection.
+	restartWatch chan struct{}
 	// resync triggers a full read of the list of workers.
 	resync chan struct{}
 	// fleetRevision is the revision of the stored list of workers and agents;
@@ -208,6 +212,7 @@
 		{name: "worker watch", run: func(ctx context.Context) { l.watchWorkers(ctx, workersFrom) }},
 		{name: "member watch", run: l.watchMembers},
 		{name: "notified jobs", run: l.notifiedJobsLoop},
+		{name: "cancellations", run: l.cancellationsLoop},
 		{name: "resync", run: l.resyncLoop},
 		{name: "advice", run: l.adviceLoop},
 		{name: "decisions", run: l.tickLoop},
@@ -245,6 +250,7 @@
 		prefix:     inPrefix,
 		onSnapshot: l.applyJobSnapshot,
 		onEvents:   l.applyEvents,
+		restart:    l.restartWatch,
 	}, from)
 }
 
@@ -253,7 +259,6 @@
 		return
 	}
 	for _, e := range events {
-		l.probe.observe(e.ModRevision)
 		if e.Key == leadKey && e.ModRevision != l.leadKeyRevision {
 			l.lose(errors.Errorf("lead key changed at revision %d", e.ModRevision))
 			return
@@ -272,6 +277,10 @@
 			}
 		}
 	})
+	// Only now the decider knows what the watch has delivered.
+	for _, e := range events {
+		l.watchDelivered(e.ModRevision)
+	}
 }
 
 // applyJobSnapshot applies a full read of inPrefix after the store has compacted the
@@ -286,8 +295,8 @@
 		l.lose(errors.New("lead key is held by another process"))
 		return
 	}
-	l.probe.observe(revision)
 	l.decide(func(d *aqdecider.Decider) { l.addJobs(d, items, nil) })
+	l.watchDelivered(revision)
 }
 
 // tickLoop runs rounds of decisions and dispatches the resulting orders. It ends the term
@@ -308,6 +317,7 @@
 		l.decide(func(d *aqdecider.Decider) {
 			l.agents.expireLeases(d)
 			d.SetZones(l.zoneConditions())
+			l.holdStarts(d)
 			orders = d.Tick()
 			l.estimateBacklog(d)
 			l.noteRoom(d)
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"acaciaquay/internal/site/aqagent"
+	"acaciaquay/internal/site/aqcancel"
 	"acaciaquay/internal/site/aqquorum"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -29,7 +30,13 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	jobItems, jobsFrom, err := l.readAll(ctx, inPrefix)
+	var jobItems []aqstore.Item
+	var readAt time.Duration
+	err = l.persist(ctx, func() (err error) {
+		readAt = l.node.clock.Elapsed()
+		jobItems, jobsFrom, err = l.node.store.Range(ctx, inPrefix)
+		return err
+	})
 	if err != nil {
 		return 0, 0, err
 	}
@@ -40,6 +47,7 @@
 		}
 	}
 	l.decide(func(d *aqdecider.Decider) { l.addJobs(d, jobItems, stored) })
+	l.cancellations.update(func(k *aqcancel.Knowledge) { k.Read(readAt) })
 	l.mu.Lock()
 	l.recovered = true
 	l.mu.Unlock()
