A start that has become too old is not sent

Cause: nothing bounded the age of an order between its decision and its delivery but the agent's permit, which the leader's polls renew. A start that waited for a payload, for the worker's clock or for one of three orders in flight, that was tried again, or whose call was delayed, was sent seconds after it was decided; the order to stop it may be lost or late.

Now the leader's calls say until when their starts may be sent: the limit of the knowledge on which they were decided. The agent counts it from when it sent an answer that the leader had received, so that a delayed call, a paused leader and a paused agent count as well. A start that is too old is reported as expired, and the task is placed again.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -55,7 +55,9 @@
 	// which the agent sent it.
 	answers    uint64
 	answeredAt time.Duration
-	sessions   map[aqtype.WorkerID]*session
+	// answerTimes holds when the last answers were sent.
+	answerTimes answerTimes
+	sessions    map[aqtype.WorkerID]*session
 	// dropped holds the serials up to which the leader has dropped the assignments of a worker.
 	dropped  map[aqtype.WorkerID]Serial
 	payloads *aqpayload.Cache
@@ -218,8 +220,9 @@
 		a.assign(next)
 	}
 	a.setParams(call.Params)
+	until := a.startsUntil(call.Starts)
 	for _, wire := range call.Orders {
-		a.deliver(wire)
+		a.deliver(wire, until)
 	}
 	return nil
 }
@@ -255,6 +258,7 @@
 	}
 	a.answers++
 	a.answeredAt = a.clock.Elapsed()
+	a.answerTimes.add(a.answers, a.answeredAt)
 	answer := PollAnswer{
 		Number:   a.answers,
 		Instance: a.instance,
--- a/internal/site/aqagent/assignment.go
+++ b/internal/site/aqagent/assignment.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqlog"
@@ -48,7 +47,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		acked:    make(chan struct{}, 1),
-		received: map[aqdecider.RunID]time.Time{},
+		received: map[aqdecider.RunID]receivedStart{},
 		starting: map[aqdecider.RunID]startDelivery{},
 		// The agent before may not have had an answer to a call with the raised token.
 		unsettled: next.Params.Restarts > 0,
@@ -59,8 +58,9 @@
 
 // deliver passes an order to the session of the assignment that it was given in. Calls may be delayed
 // or carry several assignments of a worker: by a later one the run may be lost and its task placed
-// elsewhere. The leader repeats in each assignment what is still needed. The caller holds the lock.
-func (a *Agent) deliver(wire OrderWire) {
+// elsewhere. The leader repeats in each assignment what is still needed. A start is sent until the given time.
+// The caller holds the lock.
+func (a *Agent) deliver(wire OrderWire, until startsUntil) {
 	order := wire.Unwrap()
 	if order == nil {
 		return
@@ -68,7 +68,7 @@
 	current := Serial(0)
 	if s := a.sessions[order.Target()]; s != nil {
 		if s.serial == wire.Serial {
-			s.send(order)
+			s.send(order, until)
 			return
 		}
 		current = s.serial
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -15,8 +15,8 @@
 )
 
 // send queues an order for delivery in the background. Stops go first; a start waits for
-// the payload of its job.
-func (s *session) send(o aqdecider.Order) {
+// the payload of its job, and is not sent from the given time on.
+func (s *session) send(o aqdecider.Order, until startsUntil) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if start, isStart := o.(aqdecider.Start); isStart {
@@ -24,7 +24,10 @@
 			return
 		}
 		s.queue = append(s.queue, o)
-		s.received[start.Run] = s.agent.clock.Now()
+		s.received[start.Run] = receivedStart{
+			at:    s.agent.clock.Now(),
+			until: until,
+		}
 		if s.startNeedless(start.Run) || s.agent.payloads.Prepare(s.id, start.Run.Task.Job, start.PayloadSource, s.payloadReady) {
 			s.deliver()
 		}
@@ -153,8 +156,11 @@
 			continue
 		}
 		outcome = startOutcome(err, uncertain)
-		if errors.Is(err, errZoneClosed) {
+		switch {
+		case errors.Is(err, errZoneClosed):
 			s.logWithheldStart(to, order.Run)
+		case errors.Is(err, errStartExpired):
+			s.logExpiredStart(order.Run)
 		}
 		break
 	}
@@ -217,7 +223,7 @@
 // logDelayedStart logs an attempt to deliver a start that its worker gets late or again, with the
 // assignment that it is made in. The caller holds the lock.
 func (s *session) logDelayedStart(run aqdecider.RunID) {
-	waited := s.agent.clock.Now().Sub(s.received[run])
+	waited := s.agent.clock.Now().Sub(s.received[run].at)
 	if waited < startDelayLogged {
 		return
 	}
@@ -263,6 +269,10 @@
 		s.mu.Unlock()
 		return 0, errZoneClosed
 	}
+	if s.received[order.Run].until.passed(s.agent.clock.Elapsed()) {
+		s.mu.Unlock()
+		return 0, errStartExpired
+	}
 	end, token := s.nextLeaseEnd(), s.lockedToken()
 	// An order to an earlier incarnation may have been carried out there.
 	if s.starting[order.Run] == startWithdrawn || s.worker.Incarnation != to.Worker.Incarnation || s.unsettled {
@@ -297,6 +307,8 @@
 		return aqdecider.OutcomeUnknown
 	case errors.Is(err, errZoneClosed):
 		return aqdecider.OutcomeNotSent
+	case errors.Is(err, errStartExpired):
+		return aqdecider.OutcomeExpired
 	case errors.Is(err, aqworker.ErrNoRoom):
 		return aqdecider.OutcomeNoRoom
 	case errors.Is(err, aqworker.ErrNoTicket):
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -102,7 +102,7 @@
 	leaseEnd aqworker.Time
 	queue    []aqdecider.Order
 	// received holds when the queued starts, and those that are being delivered, reached the agent.
-	received map[aqdecider.RunID]time.Time
+	received map[aqdecider.RunID]receivedStart
 	// starting holds the starts that are being delivered.
 	starting         map[aqdecider.RunID]startDelivery
 	inFlight         int
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -48,7 +48,7 @@
 		acked:    make(chan struct{}, 1),
 		worker:   aqdecider.Worker{ID: "w1", Incarnation: 1},
 		params:   HeartbeatParams{Worker: "w1", Wait: time.Second},
-		received: map[aqdecider.RunID]time.Time{},
+		received: map[aqdecider.RunID]receivedStart{},
 		starting: map[aqdecider.RunID]startDelivery{},
 	}
 	a.sessions["w1"] = s
@@ -163,7 +163,7 @@
 			workers := &fakeWorkers{
 				start: func(aqworker.StartRequest) error {
 					starts++
-					s.send(aqdecider.Stop{Worker: "w1", Run: test.stopped})
+					s.send(aqdecider.Stop{Worker: "w1", Run: test.stopped}, startsUntil{})
 					return aqworker.ErrUnanswered
 				},
 				stop: func(aqworker.StopRequest) error { return aqworker.ErrUnanswered },
@@ -175,7 +175,7 @@
 			// Stops are not delivered.
 			s.inFlight = maxOrdersInFlight
 			awaitPayload(t, s, "j")
-			s.send(aqdecider.Start{Worker: "w1", Run: run})
+			s.send(aqdecider.Start{Worker: "w1", Run: run}, startsUntil{})
 			order, ok := s.nextOrder()
 			if !ok {
 				t.Fatal("no start to deliver")
@@ -378,8 +378,8 @@
 	s, _, _ := testSession(t, &fakeWorkers{})
 	run := aqdecider.RunID{Attempt: 3}
 	s.inFlight = maxOrdersInFlight
-	s.send(aqdecider.Start{Worker: "w1", Run: aqdecider.RunID{Attempt: 4}})
-	s.send(aqdecider.Stop{Worker: "w1", Run: run})
+	s.send(aqdecider.Start{Worker: "w1", Run: aqdecider.RunID{Attempt: 4}}, startsUntil{})
+	s.send(aqdecider.Stop{Worker: "w1", Run: run}, startsUntil{})
 	s.updateWorker(aqdecider.Worker{ID: "w1", Incarnation: 2})
 	if len(s.queue) != 1 || s.queue[0] != (aqdecider.Stop{Worker: "w1", Run: run}) {
 		t.Errorf("queued %v, want only the stop", s.queue)
--- a/internal/site/aqagent/wire.go
+++ b/internal/site/aqagent/wire.go
@@ -92,6 +92,17 @@
 	Drop   []Dropped
 	Params []HeartbeatParams
 	Orders []OrderWire
+	// Starts limits until when the starts in Orders may be sent, nil if that is not limited.
+	Starts *StartLimit `msgpack:",omitempty"`
+}
+
+// StartLimit is a time after which a start is too old to be sent. It counts from when the agent sent an answer to a poll, which the
+// leader had received, since the order itself may have been delayed.
+type StartLimit struct {
+	// Answer is the number of that answer, zero if the leader has received none.
+	Answer uint64
+	// Within is the time since then.
+	Within time.Duration
 }
 
 // PollCall asks an agent for its events. The agent holds the call for up to Wait until
--- a/pkg/aqdecider/types.go
+++ b/pkg/aqdecider/types.go
@@ -191,6 +191,8 @@
 	OutcomeNotSent
 	// OutcomeUnknown means that the run may have started or may start later.
 	OutcomeUnknown
+	// OutcomeExpired means that the order was not sent, since it had become too old.
+	OutcomeExpired
 )
 
 var outcomeNames = map[Outcome]string{
@@ -201,6 +203,7 @@
 	OutcomeInvalid:   "Invalid",
 	OutcomeNotSent:   "NotSent",
 	OutcomeUnknown:   "Unknown",
+	OutcomeExpired:   "Expired",
 }
 
 // String returns the name that logs use.
--- a/pkg/aqmetric/metric.go
+++ b/pkg/aqmetric/metric.go
@@ -92,6 +92,7 @@
 	RetryOrderOutdated  RetryReason = "OrderOutdated"
 	RetryZoneClosed     RetryReason = "ZoneClosed"
 	RetryGaveWay        RetryReason = "GaveWay"
+	RetryStartExpired   RetryReason = "StartExpired"
 )
 
 // RetryReasons lists every retry reason. BudgetSpent counts the retries that
@@ -100,7 +101,7 @@
 	RetryConnect, RetryConnectionLost, RetryEndpointBusy, RetryNotOwner, RetryPeerLost, RetryInDoubt,
 	RetryStoreDown, RetryStartRefused, RetryTaskFailed, RetryWorkerLost, RetryBudgetSpent,
 	RetryStartUnknown, RetryStopLost, RetryOrderLost, RetryCommitLost, RetryLeaderLost, RetryWatchReset, RetryAgentLost,
-	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated, RetryGaveWay, RetryZoneClosed,
+	RetryPayloadMissing, RetryReportBase, RetryRecovery, RetryOrderOutdated, RetryGaveWay, RetryZoneClosed, RetryStartExpired,
 }
 
 // RackWaitEnd says how a task's wait for a place on its rack ended.
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"time"
 
 	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/internal/site/aqagent"
@@ -40,8 +41,8 @@
 	return answer, err
 }
 
-// dispatch queues orders for the agents of their workers.
-func (p *agentPool) dispatch(orders []aqdecider.Order) {
+// dispatch queues orders for the agents of their workers, starts with a limit.
+func (p *agentPool) dispatch(orders []aqdecider.Order, limit startLimit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range orders {
@@ -50,11 +51,36 @@
 			continue
 		}
 		a.member.stale[o.Target()] = true
+		if _, isStart := o.(aqdecider.Start); isStart && limit.limited {
+			a.member.limitStarts(limit.until)
+		}
 		a.member.pending.Orders = append(a.member.pending.Orders, aqagent.WrapOrder(a.serial, o))
 		aqsignal.Send(a.member.wakeSend)
 	}
 }
 
+// limitStarts limits until which elapsed time the pending starts may be sent. The caller holds the lock.
+func (m *member) limitStarts(until time.Duration) {
+	if !m.starts.limited || until < m.starts.until {
+		m.starts.until = until
+	}
+	m.starts.limited = true
+}
+
+// takeStartLimit takes the limit of the pending starts, in the form in which the agent can tell their age. The caller
+// holds the lock.
+func (m *member) takeStartLimit() *aqagent.StartLimit {
+	if !m.starts.limited {
+		return nil
+	}
+	until := m.starts.until
+	m.starts = startLimit{}
+	return &aqagent.StartLimit{
+		Answer: m.answered,
+		Within: until - m.answeredAt,
+	}
+}
+
 // sendLoop sends a member's orders, one call at a time.
 func (p *agentPool) sendLoop(m *member) {
 	for {
@@ -125,6 +151,7 @@
 	defer p.mu.Unlock()
 	call := m.pending
 	m.pending = aqagent.OrdersCall{}
+	call.Starts = m.takeStartLimit()
 	m.sendsAllDrops = m.up
 	if m.up {
 		for _, id := range slices.Sorted(maps.Keys(m.undropped)) {
--- a/pkg/aqsite/agentpoll.go
+++ b/pkg/aqsite/agentpoll.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		m.lastAnswer = answer.Number
-		p.noteAnswer(m)
+		p.noteAnswer(m, answer.Number)
 		p.markUp(m)
 		p.leader.acknowledged(m.record)
 		if answer.Instance == m.record.Incarnation {
@@ -57,11 +57,12 @@
 }
 
 // noteAnswer notes that a member's agent has answered a poll.
-func (p *agentPool) noteAnswer(m *member) {
+func (p *agentPool) noteAnswer(m *member, number uint64) {
 	now := p.leader.node.clock.Elapsed()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m.answeredAt = now
+	m.answered = number
 }
 
 // ackedAnswer returns the number of the answer that the next poll of a member acknowledges. Without an
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -33,10 +33,14 @@
 	// unregistered is set if the process is not registered. It leaves once it has not answered for goneTimeout;
 	// before, the store may only have refused its renewals.
 	unregistered bool
-	// answeredAt is the elapsed time at which the agent last answered a poll, joinedAt before the first answer.
+	// answeredAt is the elapsed time at which the agent last answered a poll, joinedAt before the first answer. answered
+	// is the number of that answer, zero before the first.
 	answeredAt time.Duration
-	cancel     context.CancelFunc
-	ctx        context.Context
+	answered   uint64
+	// starts is the limit of the pending starts.
+	starts startLimit
+	cancel context.CancelFunc
+	ctx    context.Context
 	// lastAnswer is the number of the last answer to a poll. Only the poll loop uses
 	// it.
 	lastAnswer uint64
--- a/pkg/aqsite/agentpool_test.go
+++ b/pkg/aqsite/agentpool_test.go
@@ -25,7 +25,7 @@
 	l.agents.addWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
 	before := l.agents.assignments["w1"].serial
 	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
-	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}})
+	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}}, startLimit{})
 	m.pending = aqagent.OrdersCall{}
 	l.decide(func(d *aqdecider.Decider) {
 		d.UpdateWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
@@ -122,7 +122,7 @@
 	}{
 		{name: "shut down", after: goneTimeout, leaves: true},
 		{name: "failed for a moment", after: goneTimeout - time.Millisecond},
-		{name: "answers again", after: goneTimeout, meanwhile: func(l *leader, m *member) { l.agents.noteAnswer(m) }},
+		{name: "answers again", after: goneTimeout, meanwhile: func(l *leader, m *member) { l.agents.noteAnswer(m, 1) }},
 		{name: "registered again", after: goneTimeout, meanwhile: func(l *leader, m *member) {
 			l.agents.join(context.Background(), m.record, m.link)
 		}},
@@ -163,7 +163,7 @@
 	m := addMember(l, "a1", true)
 	l.agents.addWorker(aqdecider.Worker{ID: "w1", Incarnation: 1})
 	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
-	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}})
+	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}}, startLimit{})
 	clock.Suspend(proofLimit)
 	if call, ok := l.agents.takeOrders(m); ok {
 		t.Fatalf("orders after a pause: %+v", call)
--- a/pkg/aqsite/assignment_test.go
+++ b/pkg/aqsite/assignment_test.go
@@ -162,7 +162,7 @@
 	l, m, worker := r.leader, r.member, r.worker
 	task := aqjob.TaskID{Job: "j"}
 	lost := aqdecider.RunID{Task: task, Attempt: 1}
-	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: lost}})
+	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: lost}}, startLimit{})
 	l.decide(func(d *aqdecider.Decider) {
 		l.agents.workerUnresponsive(d, "w1", l.agents.assignments["w1"].serial, aqagent.Unresponsive{ExpiresIn: time.Second})
 	})
@@ -177,7 +177,7 @@
 	l.agents.sendOrders(m)
 	r.pollUntilRenewed(t)
 	next := aqdecider.RunID{Task: task, Attempt: 2}
-	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: next}})
+	l.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: next}}, startLimit{})
 	l.agents.sendOrders(m)
 	for len(worker.started()) == 0 {
 		runtime.Gosched()
--- a/pkg/aqsite/cancellations.go
+++ b/pkg/aqsite/cancellations.go
@@ -50,6 +50,23 @@
 	change(&c.knowledge)
 }
 
+// startLimit is the elapsed time until which starts may be sent. The zero value does not limit them.
+type startLimit struct {
+	limited bool
+	until   time.Duration
+}
+
+// startLimit returns the limit of starts that are decided now.
+func (c *cancellations) startLimit() startLimit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until, limited := c.knowledge.StartsUntil()
+	return startLimit{
+		limited: limited,
+		until:   until,
+	}
+}
+
 // cancel applies a stored cancellation.
 func (l *leader) cancel(d *aqdecider.Decider, id aqjob.ID, by cancelSource) {
 	if d.Cancel(id) {
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -313,16 +313,18 @@
 		case <-l.node.clock.After(maxTickInterval):
 		}
 		var orders []aqdecider.Order
+		var limit startLimit
 		started := l.node.clock.Now()
 		l.decide(func(d *aqdecider.Decider) {
 			l.agents.expireLeases(d)
 			d.SetZones(l.zoneConditions())
 			l.holdStarts(d)
+			limit = l.cancellations.startLimit()
 			orders = d.Tick()
 			l.estimateBacklog(d)
 			l.noteRoom(d)
 		})
-		l.agents.dispatch(orders)
+		l.agents.dispatch(orders, limit)
 		if l.proofAge() > agingProof {
 			l.agents.wakeIdle()
 		}
--- a/pkg/aqsite/unassigned_test.go
+++ b/pkg/aqsite/unassigned_test.go
@@ -62,7 +62,7 @@
 // dispatchTick dispatches the orders of one round of the decider and returns them.
 func dispatchTick(l *leader) (orders []aqdecider.Order) {
 	l.decide(func(d *aqdecider.Decider) { orders = d.Tick() })
-	l.agents.dispatch(orders)
+	l.agents.dispatch(orders, startLimit{})
 	return orders
 }
 
--- a/pkg/aqsite/workerrestarts_test.go
+++ b/pkg/aqsite/workerrestarts_test.go
@@ -248,7 +248,7 @@
 func (r *restartRig) delayStart(run aqdecider.RunID) {
 	r.t.Helper()
 	r.worker.locked(func() { r.worker.delaysStarts = true })
-	r.leader.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}})
+	r.leader.agents.dispatch([]aqdecider.Order{aqdecider.Start{Worker: "w1", Run: run}}, startLimit{})
 	r.until("an attempt to start", func() (sent bool) {
 		r.worker.locked(func() { sent = len(r.worker.delayed) > 0 })
 		return sent
@@ -312,7 +312,7 @@
 	r.until("a run", func() (running bool) {
 		var orders []aqdecider.Order
 		r.leader.decide(func(d *aqdecider.Decider) { orders = d.Tick() })
-		r.leader.agents.dispatch(orders)
+		r.leader.agents.dispatch(orders, startLimit{})
 		r.worker.locked(func() { running = len(r.worker.running) > 0 })
 		return running
 	})
