Soak: late starts of cancelled jobs, and connections that fall silent

Every soak checks that no task starts more than cancelWithin (3 s, the shortest of the deployments' bounds) after the cancellation of its job was acknowledged, but for workers to which orders are held up.

--- a/Makefile
+++ b/Makefile
@@ -27,13 +27,14 @@
 fuzz:
 	_scripts/fuzz
 
-# Replays the soak runs that have failed before, and four others, one of them with evacuations and one with copies of
-# tasks (about four minutes).
+# Replays the soak runs that have failed before, and five others, one of them with evacuations, one with copies of
+# tasks and one with many cancellations (about five minutes).
 soak: build
 	$(BIN)/aqsoak --program $(BIN)/acaciaquay --regressions
 	$(BIN)/aqsoak --program $(BIN)/acaciaquay --seed 1 --count 2
 	$(BIN)/aqsoak --program $(BIN)/acaciaquay --seed 3 --evacuations --harm 40s
 	$(BIN)/aqsoak --program $(BIN)/acaciaquay --seed 3 --speculative
+	$(BIN)/aqsoak --program $(BIN)/acaciaquay --seed 60003 --cancellations --harm 25s
 
 tools:
 	_scripts/install-tools
--- a/cmd/aqsoak/main.go
+++ b/cmd/aqsoak/main.go
@@ -23,6 +23,7 @@
 	dir := app.Flag("dir", "Directory for settings and logs.").Default(".run/soak").String()
 	regressionsOnly := app.Flag("regressions", "Run the seeds that have failed before instead of the others.").Bool()
 	delayAcrossRestarts := app.Flag("delay-across-restarts", "Also delay orders to workers on their way while these restart.").Bool()
+	cancellations := app.Flag("cancellations", "Cancel most jobs, and make the connections to the store fall silent.").Bool()
 	evacuations := app.Flag("evacuations", "Also evacuate zones.").Bool()
 	speculative := app.Flag("speculative", "Permit copies of the tasks of every other job.").Bool()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
@@ -40,6 +41,7 @@
 				Seed:                seed,
 				DelayAcrossRestarts: *delayAcrossRestarts,
 				Evacuations:         *evacuations,
+				Cancellations:       *cancellations,
 			})
 		}
 	}
@@ -54,6 +56,7 @@
 			Workers:             *workers,
 			DelayAcrossRestarts: run.DelayAcrossRestarts,
 			Evacuations:         run.Evacuations,
+			Cancellations:       run.Cancellations,
 			Speculative:         *speculative,
 			Out:                 out,
 		})
--- a/pkg/aqsoak/checker.go
+++ b/pkg/aqsoak/checker.go
@@ -85,8 +85,10 @@
 	copies     int
 	transit    transitCounts
 	zoneChecks zoneChecks
-	violations []string
-	startedAt  time.Time
+	// cancelChecks is used in every soak.
+	cancelChecks cancelChecks
+	violations   []string
+	startedAt    time.Time
 }
 
 // NewChecker returns a checker without recorded runs.
@@ -99,6 +101,7 @@
 		reservedMilliCPU: map[string]int64{},
 		capacities:       map[string]*capacity{},
 		zoneChecks:       newZoneChecks(),
+		cancelChecks:     cancelChecks{ackedAt: map[string]time.Time{}},
 		endCounts:        map[string]int{},
 		startedAt:        time.Now(),
 	}
@@ -122,6 +125,9 @@
 	if c.transit != (transitCounts{}) {
 		summary += ", " + c.transit.String()
 	}
+	if len(c.cancelChecks.ackedAt) > 0 {
+		summary += ", " + c.cancelChecks.String()
+	}
 	if c.zoneChecks.evacuations > 0 {
 		summary += ", " + c.zoneChecks.String()
 	}
@@ -227,6 +233,7 @@
 		}
 	}
 	c.checkZone(worker, run)
+	c.checkCancelled(j, worker, run)
 	first := !t.started
 	t.started = true
 	if len(t.runsOn) > 0 {
--- a/pkg/aqsoak/load.go
+++ b/pkg/aqsoak/load.go
@@ -126,6 +126,7 @@
 	for try := 0; ctx.Err() == nil; try++ {
 		switch s.submitter.Cancel(ctx, s.submitAddress(j, try), j.ID) {
 		case aqfake.OutcomeAccepted, aqfake.OutcomeGone:
+			s.checker.cancelAcked(j)
 			return
 		case aqfake.OutcomeRefused, aqfake.OutcomeUnknown:
 			sleep(ctx, retryDelay)
--- a/pkg/aqsoak/process.go
+++ b/pkg/aqsoak/process.go
@@ -70,7 +70,8 @@
 LeaseMax = 6s
 StopGrace = 100ms
 StopLimit = 6s
-`, p.name, number%2, addresses[0], addresses[1], addresses[2], addresses[3], link.Address())
+CancelWithin = %s
+`, p.name, number%2, addresses[0], addresses[1], addresses[2], addresses[3], link.Address(), cancelWithin)
 	if evacuations {
 		settings += fmt.Sprintf("EvacuateWithin = %s\n", evacuateWithin)
 	}
--- a/pkg/aqsoak/proxy.go
+++ b/pkg/aqsoak/proxy.go
@@ -42,6 +42,8 @@
 	// changed is closed when the state changes.
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	// silences counts the calls of Silence.
+	silences int
 }
 
 // NewProxy listens on a free loopback port and forwards connections to target.
@@ -88,6 +90,19 @@
 	}
 }
 
+// Silence drops all answers on the open connections from now on, and leaves them open.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silences++
+}
+
+func (p *Proxy) silenceCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silences
+}
+
 // Close stops listening and closes every connection.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -154,11 +169,15 @@
 // read during a stall once the stall ends, unless the connection has been closed.
 func (p *Proxy) copy(to io.Writer, from io.Reader, isAnswer bool) {
 	chunk := make([]byte, chunkBytes)
+	silences := p.silenceCount()
 	for {
 		n, err := from.Read(chunk)
 		if err != nil {
 			return
 		}
+		if isAnswer && p.silenceCount() > silences {
+			continue
+		}
 		for {
 			state, changed := p.currentState()
 			if state == LinkStalled || state == LinkAnswersStalled && isAnswer {
--- a/pkg/aqsoak/regressions.go
+++ b/pkg/aqsoak/regressions.go
@@ -7,7 +7,9 @@
 	DelayAcrossRestarts bool
 	// Evacuations is set for a seed that has failed with this option.
 	Evacuations bool
-	Cause       string
+	// Cancellations is set for a seed that has failed with this option.
+	Cancellations bool
+	Cause         string
 }
 
 // Regressions lists every seed that has ever failed.
@@ -21,4 +23,5 @@
 	{Seed: 7002, Cause: "a fake worker executed a start that was on its way when the worker crashed, and never ended the run"},
 	{Seed: 9200, Cause: "a reload signal before main ended the process, or one before the program had begun"},
 	{Seed: 41003, DelayAcrossRestarts: true, Cause: "the next incarnation of a worker accepted starts that were delayed on their way to the earlier one (issue 41, 66ac7a2)"},
+	{Seed: 60003, Cancellations: true, Cause: "a leader whose watch was silent and that was told of no cancellation started tasks of a cancelled job (issue 60, 8c26f98)"},
 }
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -47,6 +47,8 @@
 	Workers   int
 	// DelayAcrossRestarts adds the fault "orders delayed on their way across a restart".
 	DelayAcrossRestarts bool
+	// Cancellations cancels most jobs, and makes the connections to the store fall silent.
+	Cancellations bool
 	// Evacuations adds evacuations of zones.
 	Evacuations bool
 	// Speculative permits copies of the tasks of every other job.
@@ -138,6 +140,14 @@
 			s.evacuateZones(faultCtx, evacuationRandom)
 		}()
 	}
+	if o.Cancellations {
+		s.running.Add(1)
+		silenceRandom := rand.New(rand.NewSource(o.Seed + cancelSource))
+		go func() {
+			defer s.running.Done()
+			s.silenceStore(faultCtx, silenceRandom)
+		}()
+	}
 	s.injectFaults(faultCtx, random)
 	s.endFaults()
 	s.running.Wait()
@@ -241,8 +251,16 @@
 
 // submitAll submits jobs until faultCtx ends, each from its own submitter.
 func (s *soak) submitAll(faultCtx, settleCtx context.Context, random *rand.Rand) {
+	period := submitPeriod
+	if s.options.Cancellations {
+		period = manyCancelledPeriod
+	}
+	cancelRandom := rand.New(rand.NewSource(s.options.Seed + cancelSource + 1))
 	for number := 0; faultCtx.Err() == nil; number++ {
 		j := drawJob(random, number)
+		if s.options.Cancellations && cancelRandom.Float64() < manyCancelledShare {
+			j.toCancel = true
+		}
 		cancelAfter := randomDuration(random, maxCancelDelay)
 		if s.options.Speculative && number%2 == 0 {
 			j.speculate()
@@ -253,7 +271,7 @@
 			defer s.running.Done()
 			s.runSubmitter(settleCtx, j, cancelAfter)
 		}()
-		sleep(faultCtx, submitPeriod)
+		sleep(faultCtx, period)
 	}
 }
 
