--- a/internal/site/aqcancel/knowledge.go
+++ b/internal/site/aqcancel/knowledge.go
@@ -86,8 +86,9 @@
 // Age returns for how long cancellations may have been stored that are not known.
 func (k *Knowledge) Age(now time.Duration) time.Duration { return now - k.completeAt }
 
-// ReadDue reports whether the watch has been behind for so long that the cancellations should be read.
-func (k *Knowledge) ReadDue(now time.Duration) bool { return k.Limited() && k.Age(now) >= k.limit/2 }
+// ReadDueIn returns after what time the cancellations should be read unless the watch delivers a probe before, zero or less if
+// they should be read now.
+func (k *Knowledge) ReadDueIn(now time.Duration) time.Duration { return k.completeAt + k.limit/2 - now }
 
 // StartsUntil returns until when starts may be sent that are decided now. It returns false if that is not limited.
 func (k *Knowledge) StartsUntil() (until time.Duration, limited bool) {
--- a/internal/site/aqcancel/knowledge_test.go
+++ b/internal/site/aqcancel/knowledge_test.go
@@ -80,8 +80,8 @@
 func TestKnowledgeWithoutABoundIsInert(t *testing.T) {
 	k := New(Times{Call: time.Second})
 	k.ProbeStored(7, 0)
-	if _, limited := k.StartsUntil(); limited || !k.MayStart(time.Hour) || k.ReadDue(time.Hour) || len(k.probes) > 0 {
-		t.Errorf("limited: %v, may start: %v, read due: %v, %d probes", limited, k.MayStart(time.Hour), k.ReadDue(time.Hour), len(k.probes))
+	if _, limited := k.StartsUntil(); limited || !k.MayStart(time.Hour) || len(k.probes) > 0 {
+		t.Errorf("limited: %v, may start: %v, %d probes", limited, k.MayStart(time.Hour), len(k.probes))
 	}
 }
 
@@ -92,7 +92,7 @@
 		Call:  seconds(1),
 	})
 	k.Read(seconds(10))
-	if k.ReadDue(seconds(10.9)) || !k.ReadDue(seconds(11)) {
-		t.Error("the read is not due one second after the last one")
+	if due := k.ReadDueIn(seconds(10.25)); due != seconds(0.75) {
+		t.Errorf("the read is due in %s, want 750ms", due)
 	}
 }
--- a/pkg/aqsite/cancel.go
+++ b/pkg/aqsite/cancel.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/internal/base/aqsignal"
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
@@ -31,7 +32,7 @@
 }
 
 const (
-	// untoldPeriod is how often a process tells the leader again of the cancellations that it has not confirmed.
+	// untoldPeriod is the pause before a process tells the leader again of the cancellations that it has not confirmed.
 	untoldPeriod = 250 * time.Millisecond
 	// untoldKept and maxUntold limit these.
 	untoldKept = 30 * time.Second
@@ -79,21 +80,29 @@
 	if err != nil {
 		n.log.Write(aqlog.CancelUntold, slog.String("Job", string(id)), slog.String("Leader", n.leaderAddress()), aqlog.Err(err))
 		n.untold.Add(id, n.clock.Elapsed())
+		aqsignal.Send(n.wakeUntold)
 	}
 	return slices.Contains(answer.Known, id)
 }
 
 // untoldLoop tells the leader again of cancellations that it has not confirmed.
 func (n *Node) untoldLoop(ctx context.Context) {
-	for ctx.Err() == nil {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.wakeUntold:
+		}
 		aqclock.Sleep(ctx, n.clock, untoldPeriod)
 		jobs := n.untold.Jobs(n.clock.Elapsed())
 		if len(jobs) == 0 {
 			continue
 		}
-		if _, err := n.tellCancelled(ctx, jobs); err == nil {
-			n.untold.Confirm(jobs)
+		if _, err := n.tellCancelled(ctx, jobs); err != nil {
+			aqsignal.Send(n.wakeUntold)
+			continue
 		}
+		n.untold.Confirm(jobs)
 	}
 }
 
--- a/pkg/aqsite/cancellations.go
+++ b/pkg/aqsite/cancellations.go
@@ -15,7 +15,7 @@
 	"acaciaquay/pkg/aqstore"
 )
 
-// cancelReadPeriod is how often the leader looks whether it should read the cancellations.
+// cancelReadPeriod is the shortest pause before the leader looks again whether it should read the cancellations.
 const cancelReadPeriod = 100 * time.Millisecond
 
 // cancelSource is how a leader has learned of a cancellation, as it appears in the log.
@@ -67,6 +67,13 @@
 	}
 }
 
+// limited reports whether starts are limited at all.
+func (c *cancellations) limited() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.knowledge.Limited()
+}
+
 // cancel applies a stored cancellation.
 func (l *leader) cancel(d *aqdecider.Decider, id aqjob.ID, by cancelSource) {
 	if d.Cancel(id) {
@@ -104,11 +111,14 @@
 
 // cancellationsLoop reads the cancellations while the watch is behind.
 func (l *leader) cancellationsLoop(ctx context.Context) {
+	if !l.cancellations.limited() {
+		return
+	}
 	for ctx.Err() == nil {
-		aqclock.Sleep(ctx, l.node.clock, cancelReadPeriod)
-		due := false
-		l.cancellations.update(func(k *aqcancel.Knowledge) { due = k.ReadDue(l.node.clock.Elapsed()) })
-		if !due {
+		var wait time.Duration
+		l.cancellations.update(func(k *aqcancel.Knowledge) { wait = k.ReadDueIn(l.node.clock.Elapsed()) })
+		if wait > 0 {
+			aqclock.Sleep(ctx, l.node.clock, max(wait, cancelReadPeriod))
 			continue
 		}
 		err := l.readCancellations(ctx)
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -278,9 +278,11 @@
 		}
 	})
 	// Only now the decider knows what the watch has delivered.
+	var delivered aqstore.Revision
 	for _, e := range events {
-		l.watchDelivered(e.ModRevision)
+		delivered = max(delivered, e.ModRevision)
 	}
+	l.watchDelivered(delivered)
 }
 
 // applyJobSnapshot applies a full read of inPrefix after the store has compacted the
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -92,6 +92,8 @@
 	backlog backlogEstimate
 	// untold holds the cancellations that no leader has confirmed.
 	untold aqcancel.Outbox
+	// wakeUntold wakes the loop that tells the leader of them again.
+	wakeUntold chan struct{}
 	// rejections gives the lease of the marks of rejected jobs.
 	rejections rejectionLease
 	// configRevision and leadRevision are the last known revisions of the configuration
@@ -154,6 +156,7 @@
 			Most: maxUntold,
 			Keep: untoldKept,
 		},
+		wakeUntold:     make(chan struct{}, 1),
 		leadKeyChanged: make(chan struct{}, 1),
 		checkNow:       make(chan struct{}, 1),
 		server:         aqpeer.NewServer(o.PeerLimits, o.Clock, o.Log, o.Metrics),
