The time left to a group is found in one pass over the job's groups

Cause: occurrence.pathAfter followed every path through the dependent groups, 2^n of them, under the leader's lock. Class: an algorithm whose cost a legal input makes exponential. aqjob.Job.PathAfter, which copies use already, goes through the groups once; it takes the time of a step now, and pathAfter is gone. No other recursion over groups is left (updateOutlook, Path and PathAfter are passes).

--- a/pkg/aqdecider/copies.go
+++ b/pkg/aqdecider/copies.go
@@ -228,7 +228,7 @@
 		correction = max(1, min(maxCorrection, float64(usual)/float64(g.spec.Estimate)))
 	}
 	allowed := time.Duration(j.queue.Stretch*float64(j.spec.CriticalPath())*correction) + j.queue.Target
-	after := time.Duration(float64(j.spec.PathAfter(g.number)) * correction)
+	after := time.Duration(float64(j.spec.PathAfter(g.number, 0)) * correction)
 	end := d.now.Add(after)
 	return aqspeculation.Need{
 		Takes: usual + copyOverhead,
--- a/pkg/aqdecider/rackwait.go
+++ b/pkg/aqdecider/rackwait.go
@@ -150,18 +150,7 @@
 
 // timeLeft returns the time until a group must be done for its job to meet the objective.
 func (d *Decider) timeLeft(g *group) time.Duration {
-	return d.rank(g).Due().Sub(d.now) - stepTime - g.occurrence.pathAfter(g)
-}
-
-// pathAfter returns the longest chain of expected times of the groups that wait for one.
-func (o *occurrence) pathAfter(g *group) time.Duration {
-	var longest time.Duration
-	for _, next := range o.groups[g.number+1:] {
-		if slices.Contains(next.spec.After, g.number) {
-			longest = max(longest, stepTime+next.spec.Estimate+o.pathAfter(next))
-		}
-	}
-	return longest
+	return d.rank(g).Due().Sub(d.now) - stepTime - g.occurrence.job.spec.PathAfter(g.number, stepTime)
 }
 
 // claim returns the time until a rack has room for a number of the group's tasks, and what is
--- a/pkg/aqjob/job.go
+++ b/pkg/aqjob/job.go
@@ -188,8 +188,9 @@
 	return longest
 }
 
-// PathAfter returns the longest path by estimated run time through the groups that depend on one.
-func (j *Job) PathAfter(group int) time.Duration {
+// PathAfter returns the longest path by estimated run time through the groups that depend on one, with a time for the
+// step to each of them.
+func (j *Job) PathAfter(group int, step time.Duration) time.Duration {
 	ends := make([]time.Duration, len(j.Groups))
 	depends := make([]bool, len(j.Groups))
 	var longest time.Duration
@@ -197,7 +198,7 @@
 		for _, before := range g.After {
 			if before == group || depends[before] {
 				depends[i] = true
-				ends[i] = max(ends[i], ends[before]+g.Estimate)
+				ends[i] = max(ends[i], ends[before]+step+g.Estimate)
 			}
 		}
 		longest = max(longest, ends[i])
