--- a/cmd/acaciaquay/cmds/commands.go
+++ b/cmd/acaciaquay/cmds/commands.go
@@ -123,8 +123,9 @@
 
 	site := app.Command(siteCommand, "Run one process of a site on the platform. It serves submitters and leads the site while it is elected.")
 	siteFile := site.Flag("settings", "The process's settings file.").Envar("ACACIAQUAY_NODE_FILE").Required().String()
+	cancelWithin := site.Flag("cancel-within", "Time after an acknowledged cancellation from which no task of the job may be started, instead of the setting Bounds.CancelWithin.").Duration()
 	actions[site.FullCommand()] = func(ctx context.Context) error {
-		return aqprocess.RunSite(ctx, *siteFile, e.stdout)
+		return aqprocess.RunSite(ctx, *siteFile, *cancelWithin, e.stdout)
 	}
 
 	checkSite := app.Command("check-site", "Check the settings file of a site's process and print the first error.")
--- a/pkg/aqprocess/site.go
+++ b/pkg/aqprocess/site.go
@@ -44,8 +44,9 @@
 	flushTimeout = 200 * time.Millisecond
 )
 
-// RunSite runs one process of a site until ctx ends, and then shuts it down gracefully.
-func RunSite(ctx context.Context, file string, logs io.Writer) error {
+// RunSite runs one process of a site until ctx ends, and then shuts it down gracefully. cancelWithin replaces the setting
+// Bounds.CancelWithin unless it is zero.
+func RunSite(ctx context.Context, file string, cancelWithin time.Duration, logs io.Writer) error {
 	// SIGHUP must not terminate the process, not even while it starts.
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
@@ -54,6 +55,9 @@
 	if err != nil {
 		return err
 	}
+	if cancelWithin > 0 {
+		s.CancelWithin = cancelWithin
+	}
 	metrics := aqmetric.New()
 	asyncLog := aqlog.NewAsync(logs, metrics)
 	defer flush(asyncLog)
