Crashes under the tasks of a large job no longer hold up the progress of all jobs

Cause: each crash adds an entry to the history of every task that ran there, and the histories are part of the job's stored progress, which may leave out checkpoints only; the store refuses the value, the leader repeats the write, and the round of writes waits for it. Class: a part of a bounded record that nothing bounds.

Now progress is stored within the limit without histories as well: first those of tasks that nothing speaks against, then checkpoints, then the other histories, trials last.

--- a/pkg/aqjob/progress.go
+++ b/pkg/aqjob/progress.go
@@ -1,9 +1,6 @@
 package aqjob
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -61,33 +58,6 @@
 	return data, errors.Wrap(err, "job: encode")
 }
 
-// EncodeWithin encodes progress in at most limit bytes if that is possible without some of the checkpoints, and returns
-// how many it has left out. Their tasks start again from the beginning if nothing else knows their checkpoints.
-func (p *Progress) EncodeWithin(limit int) (data []byte, omitted int, err error) {
-	data, err = Encode(p)
-	if err != nil || len(data) <= limit {
-		return data, 0, err
-	}
-	excess := len(data) - limit
-	kept := *p
-	kept.Occurrences = maps.Clone(p.Occurrences)
-	for _, k := range slices.Backward(slices.Sorted(maps.Keys(p.Occurrences))) {
-		o := *p.Occurrences[k]
-		o.Checkpoints = maps.Clone(o.Checkpoints)
-		kept.Occurrences[k] = &o
-		for _, position := range slices.Backward(slices.Sorted(maps.Keys(o.Checkpoints))) {
-			if excess <= 0 {
-				break
-			}
-			excess -= len(o.Checkpoints[position])
-			delete(o.Checkpoints, position)
-			omitted++
-		}
-	}
-	data, err = Encode(&kept)
-	return data, omitted, err
-}
-
 // DecodeJob decodes and validates a stored job.
 func DecodeJob(data []byte) (*Job, error) {
 	var j Job
--- a/pkg/aqsite/commit.go
+++ b/pkg/aqsite/commit.go
@@ -131,8 +131,9 @@
 			l.lose(err)
 			return
 		}
-		if omitted > 0 && l.node.ignored.Allow(progressKey(r.Job), l.node.clock.Now()) {
-			l.node.log.Write(aqlog.ProgressTrimmed, slog.String("Job", string(r.Job)), slog.Int("Omitted", omitted),
+		if omitted.Any() && l.node.ignored.Allow(progressKey(r.Job), l.node.clock.Now()) {
+			l.node.log.Write(aqlog.ProgressTrimmed, slog.String("Job", string(r.Job)), slog.Int("Omitted", omitted.Checkpoints),
+				slog.Int("OmittedCrashes", omitted.Crashes),
 				slog.Int("Bytes", len(value)))
 		}
 		key := progressKey(r.Job)
--- a/pkg/aqsite/valuelimit_test.go
+++ b/pkg/aqsite/valuelimit_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
 	"acaciaquay/pkg/aqstore"
@@ -13,6 +14,33 @@
 // Guards against LOST (review/1): the checkpoints of one large job outgrew a value of the store, whose refusal the leader
 // met again and again. It stored no progress of any job any more.
 func TestLargeProgressHoldsUpNoOtherJob(t *testing.T) {
+	large := &aqjob.OccurrenceProgress{
+		Done:        []byte{1},
+		Checkpoints: map[int]string{},
+	}
+	for position := range 100 {
+		large.Checkpoints[position] = strings.Repeat("c", 50)
+	}
+	storeBesideASmallJob(t, large)
+}
+
+// Guards against LOST (review/12): the crashes of workers under the tasks of one large job did the same.
+func TestCrashesOfALargeJobHoldUpNoOtherJob(t *testing.T) {
+	large := &aqjob.OccurrenceProgress{
+		Done:    []byte{1},
+		Crashes: map[int]*aqcrash.History{},
+	}
+	for position := range 100 {
+		h := &aqcrash.History{}
+		h.Add(aqcrash.Crash{Instance: aqcrash.Instance{Worker: "w1", Incarnation: 1}})
+		large.Crashes[position] = h
+	}
+	storeBesideASmallJob(t, large)
+}
+
+// storeBesideASmallJob stores the progress of a large job and of another one in a store whose values are small.
+func storeBesideASmallJob(t *testing.T, large *aqjob.OccurrenceProgress) {
+	t.Helper()
 	const valueMax = 2000
 	store := newFakeStore()
 	n, _ := testNode(t, store)
@@ -31,13 +59,6 @@
 		}
 		return nil, false
 	}
-	large := &aqjob.OccurrenceProgress{
-		Done:        []byte{1},
-		Checkpoints: map[int]string{},
-	}
-	for position := range 100 {
-		large.Checkpoints[position] = strings.Repeat("c", 50)
-	}
 	l.storeRecords(ctx, []aqdecider.Record{
 		{
 			Job: "large",
