--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -100,6 +100,8 @@
 		}
 	case OutcomeNoTicket:
 		d.dropTicket(r.task.group, id)
+	case OutcomeExpired:
+		// Nothing speaks against the worker.
 	}
 	d.options.Metrics.Retried(aqmetric.RetryStartRefused)
 	d.options.Log.Write(aqlog.StartDeclined, taskAttr(runID.Task), workerAttr(id),
