Watches of busy prefixes end after a second without events

The leader's watch of jobs and cancellations began again 1.5 s after a probe that it had not delivered. That left its watch of the workers on the silent connection for up to 11.5 s, and ended the full reads of the workers that make up for it, since they depend on the other watch (by reading). Both prefixes are written to all the time, by the watch probe and by the workers' heartbeats: a call that has nothing to report for a second has stalled, and both watches now wait no longer. The other mechanism is gone.

--- a/pkg/aqsite/check.go
+++ b/pkg/aqsite/check.go
@@ -21,9 +21,6 @@
 	leaderCheckPeriod = 450 * time.Millisecond
 	// probeTimeout is how long the watch may take to deliver the leader's watch probe.
 	probeTimeout = 400 * time.Millisecond
-	// watchRestartTime is how long the watch may take before it begins again on another connection. It is longer
-	// than a call to a slow store.
-	watchRestartTime = 1500 * time.Millisecond
 )
 
 // checkLoop finds changes that the watches did not deliver.
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -272,7 +272,6 @@
 		unacknowledged:  map[string]bool{},
 		notifiedJobs:    map[aqjob.ID]notifiedJob{},
 		cancellations:   newCancellations(n.settings.CancelWithin),
-		restartWatch:    make(chan struct{}, 1),
 		resync:          make(chan struct{}, 1),
 		wakeTick:        make(chan struct{}, 1),
 		wakeStore:       make(chan struct{}, 1),
--- a/pkg/aqsite/fake_test.go
+++ b/pkg/aqsite/fake_test.go
@@ -29,6 +29,8 @@
 	commits int
 	// rangeFault, if set, may fail a full read.
 	rangeFault func(prefix string) error
+	// onWatch, if set, is called with each watch.
+	onWatch func(prefix string, wait time.Duration)
 	// revoked counts the leases that were ended.
 	revoked int
 }
@@ -66,8 +68,11 @@
 }
 
 func (s *fakeStore) Watch(
-	ctx context.Context, _ string, after aqstore.Revision, _ time.Duration,
+	ctx context.Context, prefix string, after aqstore.Revision, wait time.Duration,
 ) ([]aqstore.Event, aqstore.Revision, error) {
+	if s.onWatch != nil {
+		s.onWatch(prefix, wait)
+	}
 	<-ctx.Done()
 	return nil, after, ctx.Err()
 }
--- a/pkg/aqsite/fleet.go
+++ b/pkg/aqsite/fleet.go
@@ -90,6 +90,7 @@
 func (l *leader) watchWorkers(ctx context.Context, from aqstore.Revision) {
 	l.node.watchPrefix(ctx, prefixWatch{
 		prefix:     l.node.catalog.WorkerPrefix,
+		wait:       busyWatchWait,
 		onSnapshot: l.applyWorkerSnapshot,
 		onEvents: func(events []aqstore.Event) {
 			for _, e := range events {
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -39,6 +39,9 @@
 	retryPause = 200 * time.Millisecond
 	// watchWait is how long the store may hold one watch call without events.
 	watchWait = 10 * time.Second
+	// busyWatchWait is the same for a prefix below which something is written all the time: the watch probe, or the
+	// entries of workers.
+	busyWatchWait = time.Second
 	// proofLimit is how long a leader continues without proof of its leadership from the
 	// store, if a majority of the processes follows it.
 	proofLimit = 6 * time.Second
@@ -79,8 +82,6 @@
 	evacuations evacuations
 	// cancellations is what the leader knows of stored cancellations.
 	cancellations cancellations
-	// restartWatch makes the watch of jobs and cancellations begin again on another connection.
-	restartWatch chan struct{}
 	// resync triggers a full read of the list of workers.
 	resync chan struct{}
 	// fleetRevision is the revision of the stored list of workers and agents;
@@ -250,7 +251,7 @@
 		prefix:     inPrefix,
 		onSnapshot: l.applyJobSnapshot,
 		onEvents:   l.applyEvents,
-		restart:    l.restartWatch,
+		wait:       busyWatchWait,
 	}, from)
 }
 
--- a/pkg/aqsite/members.go
+++ b/pkg/aqsite/members.go
@@ -111,6 +111,7 @@
 func (l *leader) watchMembers(ctx context.Context) {
 	l.node.watchPrefix(ctx, prefixWatch{
 		prefix:     nodePrefix,
+		wait:       watchWait,
 		onSnapshot: func(items []aqstore.Item, _ aqstore.Revision) { l.applyMemberSnapshot(ctx, items) },
 		onEvents: func(events []aqstore.Event) {
 			for _, e := range events {
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -323,6 +323,7 @@
 func (n *Node) watchConfig(ctx context.Context) {
 	n.watchPrefix(ctx, prefixWatch{
 		prefix: n.catalog.ConfigKey,
+		wait:   watchWait,
 		onSnapshot: func(items []aqstore.Item, _ aqstore.Revision) {
 			for _, item := range items {
 				n.applyConfig(item)
--- a/pkg/aqsite/prefixwatch.go
+++ b/pkg/aqsite/prefixwatch.go
@@ -20,8 +20,9 @@
 	onSnapshot func(items []aqstore.Item, revision aqstore.Revision)
 	// onEvents handles changes in their order.
 	onEvents func(events []aqstore.Event)
-	// restart, if set, makes a call that waits begin again on another connection.
-	restart <-chan struct{}
+	// wait is how long the store may hold one call without events. A connection that has fallen silent is noticed only
+	// then.
+	wait time.Duration
 	// gather is the pause between two calls, in which changes gather for one answer.
 	gather time.Duration
 }
@@ -48,21 +49,7 @@
 // continue from.
 func (n *Node) watchPrefixOnce(ctx context.Context, w prefixWatch, from aqstore.Revision) (aqstore.Revision, error) {
 	if from > 0 {
-		watching, cancel := context.WithCancel(ctx)
-		defer cancel()
-		restarted := make(chan struct{})
-		go func() {
-			select {
-			case <-watching.Done():
-			case <-w.restart:
-				close(restarted)
-				cancel()
-			}
-		}()
-		events, next, err := n.store.Watch(watching, w.prefix, from, watchWait)
-		if err != nil && isClosed(restarted) {
-			return from, nil
-		}
+		events, next, err := n.store.Watch(ctx, w.prefix, from, w.wait)
 		if err == nil {
 			w.onEvents(events)
 			return next, nil
@@ -80,12 +67,3 @@
 	w.onSnapshot(items, revision)
 	return revision, nil
 }
-
-func isClosed(ch <-chan struct{}) bool {
-	select {
-	case <-ch:
-		return true
-	default:
-		return false
-	}
-}
--- a/pkg/aqsite/watchprobe.go
+++ b/pkg/aqsite/watchprobe.go
@@ -19,8 +19,6 @@
 	writtenAt time.Time
 	observed  aqstore.Revision
 	stalled   bool
-	// restartedAt is when restartDue last returned true.
-	restartedAt time.Time
 }
 
 // written records that the store has committed a probe.
@@ -58,18 +56,6 @@
 	return p.stalled
 }
 
-// restartDue reports whether the watch has delivered nothing for so long that it should begin again. It returns true once in
-// watchRestartTime.
-func (p *watchProbe) restartDue(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.observed >= p.expected || now.Sub(later(p.writtenAt, p.restartedAt)) < watchRestartTime {
-		return false
-	}
-	p.restartedAt = now
-	return true
-}
-
 // check triggers a full read of the list of workers while the watch is stalled.
 // Before recovery there is no watch to check.
 func (p *watchProbe) check(l *leader) {
@@ -83,7 +69,4 @@
 	if overdue {
 		aqsignal.Send(l.resync)
 	}
-	if p.restartDue(l.node.clock.Now()) {
-		aqsignal.Send(l.restartWatch)
-	}
 }
