--- a/internal/site/aqagent/startlimit_test.go
+++ b/internal/site/aqagent/startlimit_test.go
@@ -73,6 +73,30 @@
 	}
 }
 
+// An attempt that was not answered may have started the run, however old the order is since.
+func TestUnansweredStartThatExpiresMeanwhile(t *testing.T) {
+	var s *session
+	attempts := 0
+	s = listingSession(t, func() aqdecider.WorkerReport { return reportOf(1, nil, nil) }, func(aqworker.StartRequest) error {
+		attempts++
+		s.agent.clock.(interface{ Advance(time.Duration) }).Advance(PermitTime / 2)
+		return aqworker.ErrUnanswered
+	})
+	order := startOf(0)
+	awaitPayload(t, s, order.Run.Task.Job)
+	s.heartbeat()
+	s.inFlight = maxOrdersInFlight
+	s.send(order, startsUntil{
+		limited: true,
+		at:      s.agent.clock.Elapsed() + PermitTime/2,
+	})
+	s.deliverOrders()
+	checkStartResult(t, s, aqdecider.OutcomeUnknown)
+	if attempts != 1 {
+		t.Errorf("%d attempts, want one", attempts)
+	}
+}
+
 func within(d time.Duration) func(uint64) *StartLimit {
 	return func(answered uint64) *StartLimit {
 		return &StartLimit{
--- a/internal/site/aqcancel/knowledge.go
+++ b/internal/site/aqcancel/knowledge.go
@@ -95,8 +95,12 @@
 	return k.completeAt + k.limit, k.Limited()
 }
 
-// MayStart reports whether a start that is decided now may still be sent.
+// deliveryTime is what a start usually takes from its decision to its worker. With less time left nothing is decided: it
+// would only expire on its way.
+const deliveryTime = 250 * time.Millisecond
+
+// MayStart reports whether a start that is decided now can be sent in time.
 func (k *Knowledge) MayStart(now time.Duration) bool {
 	until, limited := k.StartsUntil()
-	return !limited || now < until
+	return !limited || now < until-deliveryTime
 }
--- a/pkg/aqsite/agentbalance.go
+++ b/pkg/aqsite/agentbalance.go
@@ -77,7 +77,7 @@
 		p.assign(a, p.pickMember(a.worker, nil))
 		moved = append(moved, id)
 	}
-	m.pending = aqagent.OrdersCall{}
+	m.takePending()
 	p.mu.Unlock()
 	p.reportReassigned(moved)
 }
--- a/pkg/aqsite/agentlink.go
+++ b/pkg/aqsite/agentlink.go
@@ -67,18 +67,19 @@
 	m.starts.limited = true
 }
 
-// takeStartLimit takes the limit of the pending starts, in the form in which the agent can tell their age. The caller
-// holds the lock.
-func (m *member) takeStartLimit() *aqagent.StartLimit {
-	if !m.starts.limited {
-		return nil
+// takePending takes the pending call, with the limit of its starts in the form in which the agent can tell their age. The
+// caller holds the lock.
+func (m *member) takePending() aqagent.OrdersCall {
+	call := m.pending
+	if m.starts.limited {
+		call.Starts = &aqagent.StartLimit{
+			Answer: m.answered,
+			Within: m.starts.until - m.answeredAt,
+		}
 	}
-	until := m.starts.until
+	m.pending = aqagent.OrdersCall{}
 	m.starts = startLimit{}
-	return &aqagent.StartLimit{
-		Answer: m.answered,
-		Within: until - m.answeredAt,
-	}
+	return call
 }
 
 // sendLoop sends a member's orders, one call at a time.
@@ -149,9 +150,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	call := m.pending
-	m.pending = aqagent.OrdersCall{}
-	call.Starts = m.takeStartLimit()
+	call := m.takePending()
 	m.sendsAllDrops = m.up
 	if m.up {
 		for _, id := range slices.Sorted(maps.Keys(m.undropped)) {
@@ -183,6 +182,8 @@
 	wasUp := m.up
 	m.up = false
 	m.dropsUnconfirmed = true
+	// The process may have restarted, and its answers may begin anew.
+	m.answered = 0
 	gone := p.isGone(m) && p.members[m.record.Name] == m
 	p.mu.Unlock()
 	p.leader.node.metrics.Retried(aqmetric.RetryAgentLost)
--- a/pkg/aqsite/cancel.go
+++ b/pkg/aqsite/cancel.go
@@ -39,10 +39,11 @@
 	maxUntold  = 4096
 )
 
-// errNotLeading means that a process is no leader that could confirm cancellations.
+// errNotLeading means that a process does not lead, or may not act as the leader.
 var errNotLeading = aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
 
-// handleCancelled applies cancellations that another process has stored.
+// handleCancelled applies cancellations that another process has stored. It confirms them only while this leader may order: else
+// the next one has to be told.
 func (l *leader) handleCancelled(call cancelledCall) (cancelledAnswer, error) {
 	current := l.mayAnswer()
 	var answer cancelledAnswer
@@ -56,7 +57,7 @@
 			}
 		}
 	})
-	if !applied {
+	if !applied || !l.mayOrder() {
 		return cancelledAnswer{}, errNotLeading
 	}
 	return answer, nil
--- a/pkg/aqsite/cancellations.go
+++ b/pkg/aqsite/cancellations.go
@@ -18,6 +18,10 @@
 // cancelReadPeriod is the shortest pause before the leader looks again whether it should read the cancellations.
 const cancelReadPeriod = 100 * time.Millisecond
 
+// cancelReadTimeout limits one read: it may meet a connection that has fallen silent, and the next one has to end before
+// starts are held.
+const cancelReadTimeout = 600 * time.Millisecond
+
 // cancelSource is how a leader has learned of a cancellation, as it appears in the log.
 type cancelSource string
 
@@ -121,9 +125,7 @@
 			aqclock.Sleep(ctx, l.node.clock, max(wait, cancelReadPeriod))
 			continue
 		}
-		err := l.readCancellations(ctx)
-		l.node.recordStoreResult(err)
-		if err != nil {
+		if err := l.readCancellations(ctx); err != nil {
 			aqclock.Sleep(ctx, l.node.clock, retryPause)
 		}
 	}
@@ -131,8 +133,14 @@
 
 // readCancellations reads all stored cancellations.
 func (l *leader) readCancellations(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, cancelReadTimeout)
+	defer cancel()
 	sentAt := l.node.clock.Elapsed()
-	items, _, err := l.node.store.Range(ctx, cancelPrefix)
+	items, _, err := l.node.store.Range(bounded, cancelPrefix)
+	if bounded.Err() == nil {
+		// A read that was given up early says nothing about the store.
+		l.node.recordStoreResult(err)
+	}
 	if err != nil {
 		return err
 	}
--- a/pkg/aqsite/forward.go
+++ b/pkg/aqsite/forward.go
@@ -97,7 +97,7 @@
 // handleCommit writes for another process.
 func (n *Node) handleCommit(ctx context.Context, in commitCall) (commitAnswer, error) {
 	if n.leading() == nil {
-		return commitAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
+		return commitAnswer{}, errNotLeading
 	}
 	revision, err := n.createDirect(ctx, in.Key, in.Value)
 	var conflict *aqstore.ConflictError
--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -207,7 +207,7 @@
 	aqpeer.Handle(n.server, methodNotify, func(_ context.Context, in notifyCall) (notifyAnswer, error) {
 		l := n.leading()
 		if l == nil {
-			return notifyAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
+			return notifyAnswer{}, errNotLeading
 		}
 		l.handleNotify(in)
 		return notifyAnswer{Backlog: l.tellBacklog()}, nil
@@ -225,7 +225,7 @@
 				return stateAnswer{State: state, Known: known}, nil
 			}
 		}
-		return stateAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
+		return stateAnswer{}, errNotLeading
 	})
 	aqpeer.Handle(n.server, methodPending, func(_ context.Context, in pendingCall) (pendingAnswer, error) {
 		if l := n.leading(); l != nil {
@@ -233,6 +233,6 @@
 				return pendingAnswer{Count: count}, nil
 			}
 		}
-		return pendingAnswer{}, aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
+		return pendingAnswer{}, errNotLeading
 	})
 }
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -315,19 +315,8 @@
 		case <-l.wakeTick:
 		case <-l.node.clock.After(maxTickInterval):
 		}
-		var orders []aqdecider.Order
-		var limit startLimit
 		started := l.node.clock.Now()
-		l.decide(func(d *aqdecider.Decider) {
-			l.agents.expireLeases(d)
-			d.SetZones(l.zoneConditions())
-			l.holdStarts(d)
-			limit = l.cancellations.startLimit()
-			orders = d.Tick()
-			l.estimateBacklog(d)
-			l.noteRoom(d)
-		})
-		l.agents.dispatch(orders, limit)
+		l.dispatchRound()
 		if l.proofAge() > agingProof {
 			l.agents.wakeIdle()
 		}
@@ -344,6 +333,23 @@
 	}
 }
 
+// dispatchRound decides one round and queues its orders.
+func (l *leader) dispatchRound() {
+	var orders []aqdecider.Order
+	var limit startLimit
+	l.decide(func(d *aqdecider.Decider) {
+		l.agents.expireLeases(d)
+		d.SetZones(l.zoneConditions())
+		l.holdStarts(d)
+		// What is learned after the decision says nothing about it.
+		limit = l.cancellations.startLimit()
+		orders = d.Tick()
+		l.estimateBacklog(d)
+		l.noteRoom(d)
+	})
+	l.agents.dispatch(orders, limit)
+}
+
 // tickGatherShare makes rounds of decisions rarer in the proportion in which agents gather
 // events: each round sends orders to most agents.
 const tickGatherShare = 2
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -213,7 +213,7 @@
 	}
 	for _, item := range items {
 		if id, ok := jobIDFromKey(cancelPrefix, item.Key); ok {
-			l.cancel(d, id, byRead)
+			d.Cancel(id)
 		}
 	}
 }
