A registration that takes effect late no longer ends the next one

A process stores its registration, gets no answer, and stores it again with a new lease. The first write takes effect after the second one: the entry has the first lease then, which nobody renews, and is gone four seconds later. The process renews its second lease for ever and never finds out: a later leader does not learn of it, and the present one drops it with the next failed call. Class: a write that took effect without an answer.

Now all tries use one lease, a new one only once the store says that it has ended. Not covered: a registration of the process's earlier life that takes effect later than the present one.

Evidence: TestDelayedRegistrationDoesNotEndTheNextOne fails on the code before (not registered after 60 renewals) and passes now.

--- a/pkg/aqsite/members.go
+++ b/pkg/aqsite/members.go
@@ -55,8 +55,10 @@
 
 // register keeps this process registered until ctx ends.
 func (n *Node) register(ctx context.Context) {
+	var lease aqstore.LeaseID
 	for ctx.Err() == nil {
-		lease, err := n.registerOnce(ctx)
+		var err error
+		lease, err = n.registerOnce(ctx, lease)
 		n.recordStoreResult(err)
 		if err != nil {
 			aqclock.Sleep(ctx, n.clock, retryPause)
@@ -66,21 +68,30 @@
 		if ctx.Err() != nil {
 			n.unregister(lease)
 		}
+		lease = 0
 	}
 }
 
-func (n *Node) registerOnce(ctx context.Context) (aqstore.LeaseID, error) {
+// registerOnce tries to store the registration with a lease, a new one if that is zero. It returns the lease of the next try:
+// the same one, since a try without an answer may take effect later, and the registration ends with the lease that was written
+// last.
+func (n *Node) registerOnce(ctx context.Context, lease aqstore.LeaseID) (aqstore.LeaseID, error) {
 	value, err := aqjob.Encode(n.ownRecord())
 	if err != nil {
-		return 0, err
+		return lease, err
 	}
-	lease, err := n.store.Grant(ctx, nodeTTL)
-	if err != nil {
-		return 0, err
+	if lease == 0 {
+		if lease, err = n.store.Grant(ctx, nodeTTL); err != nil {
+			return 0, err
+		}
 	}
 	_, err = n.store.Commit(ctx, aqstore.Txn{
 		Puts: []aqstore.Put{{Key: nodeKey(n.settings.Name), Value: value, Lease: lease}},
 	})
+	if errors.Is(err, aqstore.ErrNotFound) {
+		// The lease has ended, so that no earlier try takes effect any more.
+		return 0, err
+	}
 	return lease, err
 }
 
