Only a leader whose answers are current confirms a cancellation

A leader that had lost its proof, or had not read the jobs yet, confirmed the cancellations that it was told of, and the process that had stored them told nobody any more. The next leader then learned of them from its watch and the reads of cancellations only. Starts are bounded by these; the stops of what runs already were up to half of that bound later. Class: a confirmation by somebody who may not be the one to be told.

Such a leader still applies the cancellation, and the process tells it again until a current leader confirms it.

Evidence: TestOnlyACurrentLeaderConfirmsACancellation fails on the code before (0 cancellations are told again) and passes now.

--- a/pkg/aqsite/cancel.go
+++ b/pkg/aqsite/cancel.go
@@ -27,7 +27,7 @@
 
 // cancelledAnswer confirms that the leader knows of the cancellations.
 type cancelledAnswer struct {
-	// Known lists the jobs that the leader knows, if its answers are current.
+	// Known lists the jobs that the leader knows.
 	Known []aqjob.ID `msgpack:",omitempty"`
 }
 
@@ -42,7 +42,8 @@
 // errNotLeading means that a process is no leader that could confirm cancellations.
 var errNotLeading = aqpeer.Errorf(aqpeer.CodeNotOwner, "not the leader")
 
-// handleCancelled applies cancellations that another process has stored.
+// handleCancelled applies cancellations that another process has stored, and confirms them if this leader's answers are
+// current.
 func (l *leader) handleCancelled(call cancelledCall) (cancelledAnswer, error) {
 	current := l.mayAnswer()
 	var answer cancelledAnswer
@@ -51,12 +52,13 @@
 		applied = true
 		for _, id := range call.Jobs {
 			l.cancel(d, id, byNotification)
-			if _, known := d.State(id); known && current {
+			if _, known := d.State(id); known {
 				answer.Known = append(answer.Known, id)
 			}
 		}
 	})
-	if !applied {
+	// Otherwise there may be a later leader, which has to be told as well.
+	if !applied || !current {
 		return cancelledAnswer{}, errNotLeading
 	}
 	return answer, nil
--- a/pkg/aqsite/cancel_test.go
+++ b/pkg/aqsite/cancel_test.go
@@ -224,3 +224,30 @@
 		t.Fatal("the cancellation is kept after the retention period")
 	}
 }
+
+// Guards against UNASKED: a leader that may have been replaced confirmed a cancellation, and nobody told the next one.
+func TestOnlyACurrentLeaderConfirmsACancellation(t *testing.T) {
+	for _, current := range []bool{true, false} {
+		store := newFakeStore()
+		n, clock := testNode(t, store)
+		l := lead(t, n, store)
+		n.current = l
+		l.recovered = true
+		if !current {
+			clock.Advance(proofLimit)
+		}
+		if err := n.Cancel(context.Background(), testJob().ID); !errors.Is(err, ErrNoJob) {
+			t.Fatalf("cancel: %v, want ErrNoJob", err)
+		}
+		if untold := len(n.untold.Jobs(n.clock.Elapsed())); (untold == 0) != current {
+			t.Errorf("current leader %v: %d cancellations are told again", current, untold)
+		}
+		if l.decide(func(d *aqdecider.Decider) {
+			if d.Cancel(testJob().ID) {
+				t.Errorf("current leader %v: it does not know of the cancellation", current)
+			}
+		}); l.lost != nil {
+			t.Fatal(l.lost)
+		}
+	}
+}
