The leader is told of a job that an earlier try has stored

A job whose write took effect and was not answered is accepted by the next try, at this process or another one, which meets a conflict. The same holds for a job that would be rejected and turns out to be stored.

Now such a try notifies the leader as the first one would have done. A leader ignores jobs from before its term, which its recovery has read with their progress, and looks once only at one that it does not add. Not covered: a notification that is lost while the watch delivers nothing.

Evidence: TestLeaderIsToldOfAJobWhoseWriteWasNotAnswered fails on the code before and passes now.

--- a/pkg/aqsite/intake.go
+++ b/pkg/aqsite/intake.go
@@ -113,6 +113,9 @@
 		}
 		var conflict *aqstore.ConflictError
 		if err == nil || errors.As(err, &conflict) {
+			if conflict != nil {
+				n.notifyStored(job.ID, conflict)
+			}
 			n.metrics.Inc(aqmetric.JobsAccepted)
 			n.metrics.Observe(aqmetric.TimeAccept, n.clock.Now().Sub(started))
 			n.log.Write(aqlog.JobStored, slog.String("Job", string(job.ID)), slog.String("Queue", string(job.Queue.ID)),
--- a/pkg/aqsite/notify.go
+++ b/pkg/aqsite/notify.go
@@ -70,9 +70,30 @@
 	}()
 }
 
+// notifyStored notifies the leader of a job that an earlier try has stored, as a conflict shows: the write of that try may not
+// have been answered. One that has ended is known to the leader.
+func (n *Node) notifyStored(id aqjob.ID, conflict *aqstore.ConflictError) {
+	item, found := currentItem(conflict, jobKey(id))
+	if !found {
+		return
+	}
+	if stored, err := aqjob.DecodeJob(item.Value); err != nil || stored.Closed {
+		return
+	}
+	n.notifyLeader(notifyCall{
+		Job:     id,
+		Value:   item.Value,
+		Created: item.ModRevision,
+	})
+}
+
 // handleNotify applies the notification of another process. The job waits for the watch or for a proof: it may have
 // been stored under a later leader that this process does not know of yet.
 func (l *leader) handleNotify(call notifyCall) {
+	if call.Created < l.leadKeyRevision {
+		// Recovery has read it, together with its progress.
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.notifiedJobs[call.Job] = notifiedJob{
@@ -107,6 +128,8 @@
 				}
 				for _, id := range jobs {
 					l.addJob(d, id, overdue[id].item, nil)
+					// One that was not added is not looked at again.
+					delete(l.notifiedJobs, id)
 				}
 			})
 		}
--- a/pkg/aqsite/reject.go
+++ b/pkg/aqsite/reject.go
@@ -161,6 +161,7 @@
 		return false, false
 	}
 	if !isRejected(item) {
+		n.notifyStored(job.ID, conflict)
 		return false, true
 	}
 	_, err = n.commitOver(ctx, put, item.ModRevision)
