An order to pace is repeated, and overtakes no other one for the same run

An order to pace was sent once. Two orders for one run could also be delivered at the same time, of the three that a worker gets at once, and the earlier one take effect last. Class: an order whose effect nobody checks.

Now an order without an answer is tried once more unless a later one for the run waits, a later one replaces those that wait, and a run gets one at a time. Not covered: an order that is never answered, and one that the worker carries out seconds later; reports do not show the pace.

--- a/internal/site/aqagent/assignment.go
+++ b/internal/site/aqagent/assignment.go
@@ -49,6 +49,7 @@
 		acked:    make(chan struct{}, 1),
 		received: map[aqdecider.RunID]receivedStart{},
 		starting: map[aqdecider.RunID]startDelivery{},
+		pacing:   map[aqdecider.RunID]bool{},
 		// The agent before may not have had an answer to a call with the raised token.
 		unsettled: next.Params.Restarts > 0,
 	}
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -37,6 +37,7 @@
 		s.withdrawStart(stop.Run)
 		s.queue = append([]aqdecider.Order{o}, s.queue...)
 	} else {
+		s.withdrawPace(o)
 		s.queue = append(s.queue, o)
 	}
 	s.deliver()
@@ -95,10 +96,16 @@
 				continue
 			}
 		}
+		if pace, isPace := o.(aqdecider.Pace); isPace && s.pacing[pace.Run] {
+			continue
+		}
 		if s.ctx.Err() == nil {
 			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
-			if start, isStart := o.(aqdecider.Start); isStart {
-				s.starting[start.Run] = startDelivering
+			switch order := o.(type) {
+			case aqdecider.Start:
+				s.starting[order.Run] = startDelivering
+			case aqdecider.Pace:
+				s.pacing[order.Run] = true
 			}
 			return o, true
 		}
@@ -355,22 +362,3 @@
 		At:          at,
 	})
 }
-
-func (s *session) pace(order aqdecider.Pace) {
-	to, token := s.address(), s.token()
-	bounded, cancel := context.WithTimeout(s.ctx, OrderTimeout)
-	defer cancel()
-	err := s.unlessOvertaken(token, s.agent.workers.Pace(bounded, to, aqworker.PaceRequest{
-		Token:   token,
-		Run:     order.Run,
-		Percent: order.Percent,
-	}))
-	if errors.Is(err, aqworker.ErrFenced) {
-		s.agent.refused(s)
-		return
-	}
-	if err != nil && s.ctx.Err() == nil {
-		s.agent.log.Write(aqlog.OrderFailed, slog.String("Worker", string(s.id)), slog.Uint64("Serial", uint64(s.serial)),
-			slog.String("Order", "pace"), slog.String("Task", order.Run.Task.String()), aqlog.Err(err))
-	}
-}
--- a/internal/site/aqagent/session.go
+++ b/internal/site/aqagent/session.go
@@ -36,9 +36,10 @@
 	heartbeatRetry = 150 * time.Millisecond
 	// OrderTimeout limits one attempt to deliver an order.
 	OrderTimeout = 700 * time.Millisecond
-	// startTries and stopTries limit the attempts to deliver one order.
+	// startTries, stopTries and paceTries limit the attempts to deliver one order.
 	startTries = 3
 	stopTries  = 3
+	paceTries  = 2
 	// orderRetry is the pause between the attempts to deliver one order.
 	orderRetry = 50 * time.Millisecond
 	// workerClockWaits is how many pauses of orderRetry a start waits for the first
@@ -104,7 +105,9 @@
 	// received holds when the queued starts, and those that are being delivered, reached the agent.
 	received map[aqdecider.RunID]receivedStart
 	// starting holds the starts that are being delivered.
-	starting         map[aqdecider.RunID]startDelivery
+	starting map[aqdecider.RunID]startDelivery
+	// pacing holds the runs of orders to pace that are being delivered, one for each run at a time.
+	pacing           map[aqdecider.RunID]bool
 	inFlight         int
 	failedHeartbeats int
 	// silences is the number of Unresponsive events so far.
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -50,6 +50,7 @@
 		params:   HeartbeatParams{Worker: "w1", Wait: time.Second},
 		received: map[aqdecider.RunID]receivedStart{},
 		starting: map[aqdecider.RunID]startDelivery{},
+		pacing:   map[aqdecider.RunID]bool{},
 	}
 	a.sessions["w1"] = s
 	return s, a, clock.Fake
