Starts on a worker that drains are taken back when it gets another agent

An order to start that nobody has answered is repeated through the next agent of its worker, without another look at the worker, for up to startTimeout (10 s) after the decision. Class: an order that is delivered on knowledge from when it was decided.

Now the start is taken back like that of a worker that has shrunk: an order to stop goes out instead, and the task is placed elsewhere once the worker has answered it. Not covered: a start that has not been delivered when the entry is read, in the same assignment; it may wait for as long as knowledge of cancellations allows.

--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -81,7 +81,8 @@
 }
 
 // WorkerReassigned handles the assignment of a worker to another agent: logical time
-// restarts, and orders are sent again, since their outcome may be unknown.
+// restarts, and orders are sent again, since their outcome may be unknown. Starts on a worker that drains by now are taken
+// back instead.
 func (d *Decider) WorkerReassigned(id aqtype.WorkerID) {
 	w := d.workers[id]
 	if w == nil {
@@ -101,6 +102,12 @@
 		r.missedReports = 0
 		switch r.state {
 		case runStarting:
+			if w.info.Draining {
+				r.noteStartEnded(d.now)
+				stops++
+				d.stop(r, "worker is draining")
+				continue
+			}
 			r.startResent = true
 			r.startAnswered = false
 			r.startSentAt = d.now
