Entries from before a full read no longer return by a late watch

A full read of the workers finds that one is gone and forgets its key. Class: an older answer that overtakes a newer one.

Now a key that the latest full read did not list has no change from before it.

Evidence: TestEntryFromBeforeAFullReadDoesNotReturn fails on the code before and passes now.

--- a/pkg/aqsite/directory.go
+++ b/pkg/aqsite/directory.go
@@ -9,6 +9,8 @@
 	// entries holds the revision of the last accepted change of each key, including
 	// removals.
 	entries map[string]directoryEntry
+	// readAt is the highest revision at which a full read has started. A key without an entry did not exist then.
+	readAt aqstore.Revision
 }
 
 type directoryEntry struct {
@@ -21,6 +23,14 @@
 // accept reports whether an event is newer than the known entry of its key, and
 // records it if so.
 func (d *directory) accept(e aqstore.Event) bool {
+	if _, known := d.entries[e.Key]; !known && e.ModRevision <= d.readAt {
+		return false
+	}
+	return d.acceptListed(e)
+}
+
+// acceptListed is accept for the latest full read.
+func (d *directory) acceptListed(e aqstore.Event) bool {
 	if e.ModRevision <= d.entries[e.Key].modRevision {
 		return false
 	}
@@ -32,9 +42,14 @@
 // that are newer than the known entries, and the keys that are no longer listed.
 func (d *directory) applySnapshot(items []aqstore.Item, revision aqstore.Revision) (changed []aqstore.Item, removed []string) {
 	listed := make(map[string]bool, len(items))
+	accept := d.accept
+	if revision >= d.readAt {
+		d.readAt = revision
+		accept = d.acceptListed
+	}
 	for _, item := range items {
 		listed[item.Key] = true
-		if d.accept(aqstore.Event{Item: item}) {
+		if accept(aqstore.Event{Item: item}) {
 			changed = append(changed, item)
 		}
 	}
--- a/pkg/aqsite/directory_test.go
+++ b/pkg/aqsite/directory_test.go
@@ -66,3 +66,28 @@
 		t.Error("an older snapshot undid the drain of the worker")
 	}
 }
+
+// Guards against DRAIN: the watch, which was behind, delivered an entry from before a worker's removal, which a full read had
+// found already, and the worker was usable again for a moment.
+func TestEntryFromBeforeAFullReadDoesNotReturn(t *testing.T) {
+	d := newDirectory()
+	d.applySnapshot([]aqstore.Item{entry("w/1", 5, ""), entry("w/2", 6, "")}, 10)
+	if _, removed := d.applySnapshot([]aqstore.Item{entry("w/2", 6, "")}, 20); !reflect.DeepEqual(removed, []string{"w/1"}) {
+		t.Fatalf("removed %v", removed)
+	}
+	if d.accept(aqstore.Event{Item: entry("w/1", 12, "")}) {
+		t.Error("an entry from before the removal is accepted")
+	}
+	if changed, _ := d.applySnapshot([]aqstore.Item{entry("w/1", 12, ""), entry("w/2", 6, "")}, 15); len(changed) > 0 {
+		t.Errorf("an older snapshot brings back %v", changed)
+	}
+	for _, later := range []aqstore.Event{{Item: entry("w/1", 21, "")}, {Item: entry("w/3", 22, "")}} {
+		if !d.accept(later) {
+			t.Errorf("the later entry %s is not accepted", later.Key)
+		}
+	}
+	// What a snapshot lists counts, though the one before did not list it.
+	if changed, _ := d.applySnapshot([]aqstore.Item{entry("w/1", 21, ""), entry("w/3", 22, ""), entry("w/4", 4, "")}, 30); len(changed) != 1 {
+		t.Errorf("changed %v, want w/4", changed)
+	}
+}
