The leader keeps the newest queues of two that are applied at the same time

The watch of the configuration and a check may each apply a version, and so may the beginning of a term. Each gave the leader the queues that it had read before it got the leader's lock, so that the older ones could come last. The leader kept them until the next version: jobs waited for a service that their queue does not use any more, with older priorities and attempts. Class: an older answer that overtakes a newer one.

Now the queues are read under the lock.

--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -354,15 +354,20 @@
 	return len(l.decider.WorkerIDs())
 }
 
-func (l *leader) setQueues(config *Config) {
-	if config == nil {
-		return
-	}
-	queues := make([]aqjob.Queue, 0, len(config.Routes))
-	for _, r := range config.Routes {
-		queues = append(queues, r.Queue)
-	}
-	l.decide(func(d *aqdecider.Decider) { d.SetQueues(queues) })
+// setQueues applies the queues of the configuration. It reads that under the lock, so that of two calls at the same time none
+// applies an older one last.
+func (l *leader) setQueues() {
+	l.decide(func(d *aqdecider.Decider) {
+		config := l.node.routes.config()
+		if config == nil {
+			return
+		}
+		queues := make([]aqjob.Queue, 0, len(config.Routes))
+		for _, r := range config.Routes {
+			queues = append(queues, r.Queue)
+		}
+		d.SetQueues(queues)
+	})
 }
 
 // hasRecovered reports whether the stored jobs have been read.
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -355,7 +355,7 @@
 	n.log.Write(aqlog.SiteConfigApplied, slog.Int64("Version", config.Version), slog.Int64("Revision", int64(item.ModRevision)),
 		slog.Int("Routes", len(config.Routes)))
 	if l := n.leading(); l != nil {
-		l.setQueues(config)
+		l.setQueues()
 	}
 }
 
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return 0, err
 	}
-	l.setQueues(l.node.routes.config())
+	l.setQueues()
 	l.decide(func(d *aqdecider.Decider) {
 		// Nothing was started on a worker that is listed but not in the stored list.
 		d.InheritRestarts(fleet.Restarted, l.strayExtra())
