The newest of two configurations that are applied at the same time stays in force

The watch of the configuration and a check may each apply a version. Both compared it with the one in force, and the older one could be stored last. The process took itself to have the newest revision, so that neither the watch nor a check found the difference until the next version (CONFIG: refused with 404 though the route is there, or run by the old service). Class: an older answer that overtakes a newer one.

Now the version in force is replaced only if it is still the one that was compared.

--- a/pkg/aqsite/routes.go
+++ b/pkg/aqsite/routes.go
@@ -18,16 +18,19 @@
 // apply activates a configuration and returns true, unless one of the same or a higher
 // version is active.
 func (r *routes) apply(config *Config) bool {
-	before := r.current.Load()
-	if before != nil && before.config.Version >= config.Version {
-		return false
-	}
 	table := &routeTable{config: config, byHost: map[string][]Route{}}
 	for _, route := range config.Routes {
 		table.byHost[route.Host] = append(table.byHost[route.Host], route)
 	}
-	r.current.Store(table)
-	return true
+	for {
+		before := r.current.Load()
+		if before != nil && before.config.Version >= config.Version {
+			return false
+		}
+		if r.current.CompareAndSwap(before, table) {
+			return true
+		}
+	}
 }
 
 func (r *routes) config() *Config {
