Starts that wait are taken back from a worker that drains

A start may wait at an agent for a payload, a slot or the worker's first heartbeat. Nothing took it back when its worker was listed as draining: it was sent up to startTimeout (10 s) after the decision, or, where cancel_ms is set, until the knowledge of cancellations that it was decided on is too old (DRAIN). Class: an order that waits, on knowledge from when it was decided.

Now a start without an answer is taken back a second after the leader has learned of the drain. Short tasks whose start is answered run as before.

--- a/pkg/aqdecider/drainrepeat_test.go
+++ b/pkg/aqdecider/drainrepeat_test.go
@@ -55,3 +55,41 @@
 	}
 	return Stop{}, false
 }
+
+// Guards against DRAIN: a start that waited at an agent was sent seconds after its worker had been listed as draining.
+func TestWaitingStartIsTakenBackFromADrainingWorker(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		draining bool
+		answered bool
+		want     bool
+	}{
+		{name: "not draining"},
+		{name: "running", draining: true, answered: true},
+		{name: "not answered", draining: true, want: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := poolWorker("w1", "r1-1", 8000)
+			h := newHarness(t, w)
+			h.d.AddJob(testJob(1, tasks(1, 1000)), nil, 0, false)
+			orders := h.d.Tick()
+			if countStarts(orders) != 1 {
+				t.Fatalf("orders %+v, want a start", orders)
+			}
+			if start := orders[0].(Start); test.answered {
+				h.d.StartAnswered("w1", 1, start.Run, OutcomeAccepted, h.nextTime())
+			}
+			w.Draining, w.Remaining = test.draining, time.Minute
+			stopped := false
+			for range 8 {
+				h.d.UpdateWorker(w)
+				_, now := findStop(h.d.Tick())
+				stopped = stopped || now
+				h.advance(200 * time.Millisecond)
+			}
+			if stopped != test.want {
+				t.Errorf("stopped: %v, want %v", stopped, test.want)
+			}
+		})
+	}
+}
--- a/pkg/aqdecider/orders.go
+++ b/pkg/aqdecider/orders.go
@@ -152,15 +152,19 @@
 	}
 }
 
-// stopDraining stops the runs of a draining worker: perpetual tasks at once, all others
-// DrainMargin before the worker leaves.
+// drainStartTimeout is how long after the entry of a draining worker a start there may wait for its answer.
+const drainStartTimeout = time.Second
+
+// stopDraining stops the runs of a draining worker: perpetual tasks at once, starts without an answer after drainStartTimeout,
+// all others DrainMargin before the worker leaves.
 func (d *Decider) stopDraining(w *worker) {
 	if !w.info.Draining {
 		return
 	}
 	leaving := d.now.After(w.leavesAt.Add(-d.options.Limits.DrainMargin))
+	late := d.now.Sub(w.drainingAt) > drainStartTimeout
 	for _, r := range w.runs {
-		if r.state != runStopping && (leaving || r.task.group.spec.Perpetual) {
+		if r.state != runStopping && (leaving || r.task.group.spec.Perpetual || (late && r.state == runStarting)) {
 			d.stop(r, "worker is draining")
 		}
 	}
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -52,6 +52,8 @@
 	// leavesAt is the earliest time at which a draining worker leaves, zero if this incarnation
 	// has not been listed as draining.
 	leavesAt time.Time
+	// drainingAt is when the worker was first listed as draining, valid while it is.
+	drainingAt time.Time
 	// coldUntil is until when the worker is slow after its start.
 	coldUntil time.Time
 	// avoidUntil is the time before which nothing is started after a refusal.
@@ -128,6 +130,7 @@
 			w.leavesAt = leavesAt
 		}
 		if !wasDraining {
+			w.drainingAt = d.now
 			d.options.Log.Write(aqlog.WorkerDraining, workerAttr(info.ID), slog.Duration("Remaining", info.Remaining),
 				slog.Int("Runs", len(w.runs)))
 		}
