--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -34,7 +34,6 @@
 	}
 	w.invalidateLoad()
 	w.info.Incarnation = incarnation
-	w.restartedAt = d.now
 	d.fleetChanges++
 	w.processedEnds = 0
 	w.storedEnds = 0
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -204,9 +204,6 @@
 	if !w.present || !w.reachable || !d.isStored(w) || w.info.Draining || w.info.Service != j.queue.Service || !d.zoneOpen(w) {
 		return false
 	}
-	if !w.describesIncarnation(d.now) {
-		return false
-	}
 	if len(w.orphans) > 0 || d.now.Before(w.avoidUntil) || !w.health.usable(d.now) {
 		return false
 	}
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -20,9 +20,6 @@
 	reported Incarnation
 	// present is set while service discovery lists the worker.
 	present bool
-	// listed is the incarnation of the entry that info is from, restartedAt when a later one was learned of.
-	listed      Incarnation
-	restartedAt time.Time
 	// persisted is set when the stored list of workers includes this one.
 	persisted bool
 	// unsettled is set from a restart until the first report with Settled.
@@ -119,7 +116,6 @@
 		d.fleetChanges++
 	}
 	w.info = info
-	w.listed = info.Incarnation
 	w.invalidateLoad()
 	w.rack = rackOf(info.Labels)
 	w.present = true
@@ -167,14 +163,6 @@
 	d.newWorker(info).persisted = true
 }
 
-// entryTimeout is how long a restarted worker is not used before its entry is read.
-const entryTimeout = 4 * time.Second
-
-// describesIncarnation reports whether the worker's entry is of its present incarnation, or is not expected any more.
-func (w *worker) describesIncarnation(now time.Time) bool {
-	return w.listed == w.info.Incarnation || now.Sub(w.restartedAt) > entryTimeout
-}
-
 // DelistWorker handles a worker's removal from service discovery.
 func (d *Decider) DelistWorker(id aqtype.WorkerID) {
 	w := d.workers[id]
