--- a/pkg/aqsite/startlimit_test.go
+++ b/pkg/aqsite/startlimit_test.go
@@ -203,7 +203,9 @@
 		t.Fatalf("cancel: %v", err)
 	}
 	l := lead(t, n, store)
+	l.recovered = true
 	n.current = l
+	began := n.clock.Elapsed()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -215,6 +217,9 @@
 	}
 	cancel()
 	<-done
+	if took := n.clock.Elapsed() - began; took > untoldKept/2 {
+		t.Errorf("it took %s", took)
+	}
 	l.decide(func(d *aqdecider.Decider) {
 		if d.Cancel(testJob().ID) {
 			t.Error("the leader does not know of the cancellation")
