Revert "What a poll tells counts from its sending"

A process without workers is polled every 2 s, so by that count what its polls tell is always too old, and it would make checks and ask for counts of its own: calls to the store and the leader that grow with the fleet. Not measured.

--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -72,7 +72,7 @@
 	evacuations aqevacuation.Knowledge
 	wake        chan struct{}
 	// OnPoll is called with every accepted poll.
-	OnPoll func(PollCall, PollAge)
+	OnPoll func(PollCall)
 }
 
 // Options configure an agent.
@@ -242,12 +242,11 @@
 	if err := a.acceptName(call.Agent); err != nil {
 		return PollAnswer{}, err
 	}
-	age, err := a.acceptPoll(call)
-	if err != nil {
+	if err := a.acceptPoll(call); err != nil {
 		return PollAnswer{}, err
 	}
 	if a.OnPoll != nil {
-		a.OnPoll(call, age)
+		a.OnPoll(call)
 	}
 	if a.Permitted(call.Fence) {
 		a.gather(ctx, call)
@@ -297,35 +296,22 @@
 	}
 }
 
-// PollAge tells how old a poll may be.
-type PollAge struct {
-	// Known is unset if the poll may have been under way for any time.
-	Known bool
-	// Most is the time since the leader may have sent it.
-	Most time.Duration
-}
-
 // acceptPoll checks a poll's fencing token, renews the permit when the poll acknowledges
 // the last answer, and applies the parameters of heartbeats.
-func (a *Agent) acceptPoll(call PollCall) (PollAge, error) {
+func (a *Agent) acceptPoll(call PollCall) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err := a.acceptFence(call.Fence); err != nil {
-		return PollAge{}, err
+		return err
 	}
-	var age PollAge
 	if call.AckedAnswer == a.answers {
-		age = PollAge{
-			Known: true,
-			Most:  a.clock.Elapsed() - a.answeredAt,
-		}
 		a.permitAt = a.answeredAt
 		// The leader has sent the poll after it had received that answer.
 		a.evacuations = aqevacuation.FromReport(call.Evacuations, a.answeredAt)
 		a.earlierTold = a.earlierIn > 0
 	}
 	a.setParams(call.Params)
-	return age, nil
+	return nil
 }
 
 // emit queues an event for the leader, unless the session has ended.
--- a/pkg/aqsite/node.go
+++ b/pkg/aqsite/node.go
@@ -163,26 +163,19 @@
 		peers:          aqpeer.NewPool(aqpeer.ClientTimeouts{Dial: peerDialTimeout, Call: peerCallTimeout}),
 	}
 	n.agent = aqagent.New(n.agentOptions())
-	n.agent.OnPoll = n.polled
+	n.agent.OnPoll = func(call aqagent.PollCall) {
+		n.learnLeader(call.Leader, call.Fence)
+		if n.agent.Permitted(call.Fence) {
+			n.applyCheckReport(call.Checked)
+			n.pendingJobs.set(call.Pending, n.clock.Elapsed())
+			n.backlog.set(call.Backlog, n.clock.Elapsed())
+		}
+	}
 	n.agent.RegisterHandlers(n.server)
 	n.registerHandlers()
 	return n
 }
 
-// polled applies what a leader's poll tells. What it reports of the leader counts from when the poll may have been sent.
-func (n *Node) polled(call aqagent.PollCall, age aqagent.PollAge) {
-	n.learnLeader(call.Leader, call.Fence)
-	if !age.Known || !n.agent.Permitted(call.Fence) {
-		return
-	}
-	checked := call.Checked
-	checked.Age += age.Most
-	n.applyCheckReport(checked)
-	sent := n.clock.Elapsed() - age.Most
-	n.pendingJobs.set(call.Pending, sent)
-	n.backlog.set(call.Backlog, sent)
-}
-
 func (n *Node) agentOptions() aqagent.Options {
 	return aqagent.Options{
 		Workers:  n.workers,
