Each soak has a loopback address of its own

A soak now reserves an address derived from its process id in 127.64.0.0/10 and above, held by a listener, and its store, workers, proxies and processes listen on nothing else. Other users of FreeAddress are unchanged.

--- a/pkg/aqsoak/process.go
+++ b/pkg/aqsoak/process.go
@@ -37,14 +37,14 @@
 	unexpectedExits []string
 }
 
-func newProcess(program, dir string, number int, store string, evacuations bool) (*process, error) {
-	link, err := NewProxy(store)
+func newProcess(program, dir string, number int, loopback *aqstandin.Loopback, store string, evacuations bool) (*process, error) {
+	link, err := NewProxy(loopback, store)
 	if err != nil {
 		return nil, err
 	}
 	var addresses [4]string
 	for i := range addresses {
-		if addresses[i], err = aqstandin.FreeAddress(); err != nil {
+		if addresses[i], err = loopback.FreeAddress(); err != nil {
 			return nil, err
 		}
 	}
--- a/pkg/aqsoak/process_test.go
+++ b/pkg/aqsoak/process_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"acaciaquay/pkg/aqstandin"
 )
 
 // defaultHangup gives SIGHUP its default action in programs that the test starts, also
@@ -29,7 +31,12 @@
 	if err := os.WriteFile(program, []byte("#!/bin/sh\n"+script), 0o700); err != nil {
 		t.Fatal(err)
 	}
-	p, err := newProcess(program, dir, 1, "127.0.0.1:1", false)
+	loopback, err := aqstandin.ReserveLoopback()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = loopback.Close() })
+	p, err := newProcess(program, dir, 1, loopback, "127.0.0.1:1", false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/aqsoak/proxy.go
+++ b/pkg/aqsoak/proxy.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"acaciaquay/pkg/aqstandin"
 )
 
 // LinkState is what a proxy does with connections and their data.
@@ -46,9 +48,9 @@
 	silences int
 }
 
-// NewProxy listens on a free loopback port and forwards connections to target.
-func NewProxy(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// NewProxy listens on a port of the loopback address and forwards connections to target.
+func NewProxy(loopback *aqstandin.Loopback, target string) (*Proxy, error) {
+	listener, err := loopback.Listen()
 	if err != nil {
 		return nil, errors.Wrap(err, "soak: listen for proxy")
 	}
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/pkg/aqstandin"
 	"acaciaquay/platform/aqfake"
 )
 
@@ -81,6 +81,8 @@
 	submitter aqfake.Submitter
 	running   sync.WaitGroup
 	servers   []*http.Server
+	// loopback is the address of every server, proxy and process of this soak.
+	loopback *aqstandin.Loopback
 
 	configMu sync.Mutex
 	version  int64
@@ -89,9 +91,14 @@
 // Run runs one soak. It returns an error only if the soak itself fails; violations of
 // the guarantees are in the result.
 func Run(o Options) (Result, error) {
+	loopback, err := aqstandin.ReserveLoopback()
+	if err != nil {
+		return Result{}, err
+	}
 	done := make(chan struct{})
 	defer close(done)
 	s := &soak{
+		loopback:  loopback,
 		options:   o,
 		out:       o.Out,
 		started:   time.Now(),
@@ -161,9 +168,9 @@
 	return Result{Seed: o.Seed, Violations: s.checker.Violations(), Summary: s.checker.Summary()}, nil
 }
 
-// serve serves a handler on a free loopback port.
+// serve serves a handler on a port of the soak's loopback address.
 func (s *soak) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := s.loopback.Listen()
 	if err != nil {
 		return "", errors.Wrap(err, "soak: listen")
 	}
@@ -193,7 +200,7 @@
 		}
 	}
 	for n := range s.options.Processes {
-		p, err := newProcess(program, s.options.Dir, n, address, s.options.Evacuations)
+		p, err := newProcess(program, s.options.Dir, n, s.loopback, address, s.options.Evacuations)
 		if err != nil {
 			return err
 		}
@@ -211,7 +218,7 @@
 	if err != nil {
 		return err
 	}
-	link, err := NewProxy(address)
+	link, err := NewProxy(s.loopback, address)
 	if err != nil {
 		return err
 	}
@@ -319,4 +326,5 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
+	_ = s.loopback.Close()
 }
