Soaks of large jobs, and of many processes that are killed at once

--large-jobs gives the groups 10 to 40 tasks. The fault 'kill all' restarted the processes 500 ms apart, so that with 120 of them most were down for a minute; the restarts now take 4 s at most, and 500 ms each up to eight processes.

--- a/pkg/aqsoak/evacuation.go
+++ b/pkg/aqsoak/evacuation.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"syscall"
 	"time"
 
 	"acaciaquay/platform/aqfake"
@@ -104,12 +103,7 @@
 		}
 		sleep(ctx, killAfter)
 		if kills {
-			for _, p := range s.processes {
-				p.signal(syscall.SIGKILL, true)
-			}
-			for _, p := range s.processes {
-				s.killAndRestart(ctx, p)
-			}
+			s.killAll(ctx)
 		}
 		sleep(ctx, duration-killAfter)
 		for n := range count {
--- a/pkg/aqsoak/faults.go
+++ b/pkg/aqsoak/faults.go
@@ -22,6 +22,8 @@
 	meanFaultInterval = 700 * time.Millisecond
 	// restartDelay is the time between the kill of a process and its restart.
 	restartDelay = 500 * time.Millisecond
+	// restartSpan limits the time in which all processes are restarted one after another.
+	restartSpan = 4 * time.Second
 	// workerDrainTime is the time from marking a worker as draining to its crash.
 	workerDrainTime = 2 * time.Second
 	// maxDisturbance is the longest disturbance of a link or of a worker's orders.
@@ -50,6 +52,19 @@
 	}
 }
 
+// killAll kills all processes and restarts them one after another, within restartSpan.
+func (s *soak) killAll(ctx context.Context) {
+	for _, p := range s.processes {
+		p.signal(syscall.SIGKILL, true)
+	}
+	delay := min(restartDelay, restartSpan/time.Duration(len(s.processes)))
+	for _, p := range s.processes {
+		<-p.signal(syscall.SIGKILL, true)
+		sleep(ctx, delay)
+		s.startProcess(p)
+	}
+}
+
 func (s *soak) killAndRestart(ctx context.Context, p *process) {
 	<-p.signal(syscall.SIGKILL, true)
 	sleep(ctx, restartDelay)
@@ -64,12 +79,7 @@
 		if random.Intn(3) > 0 {
 			return
 		}
-		for _, p := range s.processes {
-			p.signal(syscall.SIGKILL, true)
-		}
-		for _, p := range s.processes {
-			s.killAndRestart(ctx, p)
-		}
+		s.killAll(ctx)
 	}},
 	{name: "stop", inject: func(_ context.Context, s *soak, random *rand.Rand) {
 		p := s.randomProcess(random)
--- a/pkg/aqsoak/load.go
+++ b/pkg/aqsoak/load.go
@@ -26,6 +26,8 @@
 	failingShare = 0.05
 	// perpetualShare is the fraction of the jobs that run until they are cancelled.
 	perpetualShare = 0.05
+	// largeSource keeps the random source of large jobs apart.
+	largeSource = 1 << 36
 	// maxCancelDelay is the maximum time from acceptance to cancellation.
 	maxCancelDelay = 3 * time.Second
 )
@@ -66,6 +68,21 @@
 	return j
 }
 
+// The tasks of a group of a large job.
+const (
+	minLargeGroup = 10
+	maxLargeGroup = 40
+)
+
+// enlarge draws larger groups for a job that ends.
+func (j *job) enlarge(random *rand.Rand) {
+	for n := range j.Groups {
+		if g := &j.Groups[n]; !g.Work.Perpetual {
+			g.Count = minLargeGroup + random.Intn(maxLargeGroup-minLargeGroup+1)
+		}
+	}
+}
+
 // siblings is the least number of tasks in a speculative group, so that one that lags can be told.
 const siblings = 4
 
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -49,6 +49,8 @@
 	DelayAcrossRestarts bool
 	// Cancellations cancels most jobs, and makes the connections to the store fall silent.
 	Cancellations bool
+	// LargeJobs gives the groups of jobs 10 to 40 tasks.
+	LargeJobs bool
 	// Evacuations adds evacuations of zones.
 	Evacuations bool
 	// Speculative permits copies of the tasks of every other job.
@@ -263,12 +265,16 @@
 		period = manyCancelledPeriod
 	}
 	cancelRandom := rand.New(rand.NewSource(s.options.Seed + cancelSource + 1))
+	largeRandom := rand.New(rand.NewSource(s.options.Seed + largeSource))
 	for number := 0; faultCtx.Err() == nil; number++ {
 		j := drawJob(random, number)
 		if s.options.Cancellations && cancelRandom.Float64() < manyCancelledShare {
 			j.toCancel = true
 		}
 		cancelAfter := randomDuration(random, maxCancelDelay)
+		if s.options.LargeJobs {
+			j.enlarge(largeRandom)
+		}
 		if s.options.Speculative && number%2 == 0 {
 			j.speculate()
 		}
