--- a/cmd/aqsoak/main.go
+++ b/cmd/aqsoak/main.go
@@ -24,6 +24,7 @@
 	regressionsOnly := app.Flag("regressions", "Run the seeds that have failed before instead of the others.").Bool()
 	delayAcrossRestarts := app.Flag("delay-across-restarts", "Also delay orders to workers on their way while these restart.").Bool()
 	cancellations := app.Flag("cancellations", "Cancel most jobs, and make the connections to the store fall silent.").Bool()
+	submitPeriod := app.Flag("submit-period", "Time between two submissions; 0 for the default.").Duration()
 	largeJobs := app.Flag("large-jobs", "Give the task groups of jobs 10 to 40 tasks.").Bool()
 	evacuations := app.Flag("evacuations", "Also evacuate zones.").Bool()
 	speculative := app.Flag("speculative", "Permit copies of the tasks of every other job.").Bool()
@@ -59,6 +60,7 @@
 			Evacuations:         run.Evacuations,
 			Cancellations:       run.Cancellations,
 			Speculative:         *speculative,
+			SubmitPeriod:        *submitPeriod,
 			LargeJobs:           *largeJobs,
 			Out:                 out,
 		})
--- a/pkg/aqsoak/load.go
+++ b/pkg/aqsoak/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"strconv"
 	"time"
 
 	"acaciaquay/platform/aqfake"
@@ -129,8 +130,15 @@
 // submitAddress returns the address to which the given try of a call for job j goes.
 // Each try goes to the next process.
 func (s *soak) submitAddress(j *job, try int) string {
-	first := int(j.ID[len(j.ID)-1])
-	return s.processes[(first+try)%len(s.processes)].submitAddress
+	return s.processes[(firstProcess(j.ID)+try)%len(s.processes)].submitAddress
+}
+
+// firstProcess returns a number that spreads jobs over any number of processes.
+func firstProcess(id string) int {
+	last := len(id) - 1
+	// An id that is no number spreads by its last character only.
+	before, _ := strconv.ParseInt(id[:last], 16, 64)
+	return int(before)<<4 + int(id[last])
 }
 
 // runSubmitter submits one job. It retries at another process after a failure, and
--- a/pkg/aqsoak/load_test.go
+++ b/pkg/aqsoak/load_test.go
@@ -1,6 +1,7 @@
 package aqsoak
 
 import (
+	"fmt"
 	"math/rand"
 	"reflect"
 	"testing"
@@ -25,3 +26,19 @@
 		}
 	}
 }
+
+// Guards against a soak of many processes whose jobs all go to sixteen of them.
+func TestJobsAreSpreadOverAllProcesses(t *testing.T) {
+	const jobs = 480
+	for _, processes := range []int{4, 12, 100, 120} {
+		counts := make([]int, processes)
+		for number := range jobs {
+			counts[firstProcess(fmt.Sprintf("%016x", number+1))%processes]++
+		}
+		for i, count := range counts {
+			if count < jobs/processes/4 || count > 4*jobs/processes {
+				t.Errorf("%d processes: process %d gets %d of %d jobs", processes, i, count, jobs)
+			}
+		}
+	}
+}
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -49,6 +49,8 @@
 	DelayAcrossRestarts bool
 	// Cancellations cancels most jobs, and makes the connections to the store fall silent.
 	Cancellations bool
+	// SubmitPeriod is the time between two submissions, zero for the default.
+	SubmitPeriod time.Duration
 	// LargeJobs gives the groups of jobs 10 to 40 tasks.
 	LargeJobs bool
 	// Evacuations adds evacuations of zones.
@@ -264,6 +266,9 @@
 	if s.options.Cancellations {
 		period = manyCancelledPeriod
 	}
+	if s.options.SubmitPeriod > 0 {
+		period = s.options.SubmitPeriod
+	}
 	cancelRandom := rand.New(rand.NewSource(s.options.Seed + cancelSource + 1))
 	largeRandom := rand.New(rand.NewSource(s.options.Seed + largeSource))
 	for number := 0; faultCtx.Err() == nil; number++ {
