--- a/pkg/aqstandin/loopback.go
+++ b/pkg/aqstandin/loopback.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 )
 
-// Loopback addresses are 127.64.0.0 plus a number below loopbackCount, at first the process id.
+// ReserveLoopback tries addresses in 127.64.0.0 to 127.191.255.255, beginning at the process id.
 const (
 	firstLoopback = 127<<24 | 64<<16
 	loopbackCount = 1 << 23
