--- a/pkg/aqsoak/load.go
+++ b/pkg/aqsoak/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"strconv"
 	"time"
 
 	"acaciaquay/platform/aqfake"
@@ -26,6 +27,8 @@
 	failingShare = 0.05
 	// perpetualShare is the fraction of the jobs that run until they are cancelled.
 	perpetualShare = 0.05
+	// largeSource keeps the random source of large jobs apart.
+	largeSource = 1 << 36
 	// maxCancelDelay is the maximum time from acceptance to cancellation.
 	maxCancelDelay = 3 * time.Second
 )
@@ -66,6 +69,21 @@
 	return j
 }
 
+// The tasks of a group of a large job.
+const (
+	minLargeGroup = 10
+	maxLargeGroup = 40
+)
+
+// enlarge draws larger groups for a job that ends.
+func (j *job) enlarge(random *rand.Rand) {
+	for n := range j.Groups {
+		if g := &j.Groups[n]; !g.Work.Perpetual {
+			g.Count = minLargeGroup + random.Intn(maxLargeGroup-minLargeGroup+1)
+		}
+	}
+}
+
 // siblings is the least number of tasks in a speculative group, so that one that lags can be told.
 const siblings = 4
 
@@ -112,8 +130,15 @@
 // submitAddress returns the address to which the given try of a call for job j goes.
 // Each try goes to the next process.
 func (s *soak) submitAddress(j *job, try int) string {
-	first := int(j.ID[len(j.ID)-1])
-	return s.processes[(first+try)%len(s.processes)].submitAddress
+	return s.processes[(firstProcess(j.ID)+try)%len(s.processes)].submitAddress
+}
+
+// firstProcess returns a number that spreads jobs over any number of processes.
+func firstProcess(id string) int {
+	last := len(id) - 1
+	// An id that is no number spreads by its last character only.
+	before, _ := strconv.ParseInt(id[:last], 16, 64)
+	return int(before)<<4 + int(id[last])
 }
 
 // runSubmitter submits one job. It retries at another process after a failure, and
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"acaciaquay/pkg/aqstandin"
 	"acaciaquay/platform/aqfake"
 )
 
@@ -49,6 +49,10 @@
 	DelayAcrossRestarts bool
 	// Cancellations cancels most jobs, and makes the connections to the store fall silent.
 	Cancellations bool
+	// SubmitPeriod is the time between two submissions, zero for the default.
+	SubmitPeriod time.Duration
+	// LargeJobs gives the groups of jobs 10 to 40 tasks.
+	LargeJobs bool
 	// Evacuations adds evacuations of zones.
 	Evacuations bool
 	// Speculative permits copies of the tasks of every other job.
@@ -81,6 +85,8 @@
 	submitter aqfake.Submitter
 	running   sync.WaitGroup
 	servers   []*http.Server
+	// loopback is the address of every server, proxy and process of this soak.
+	loopback *aqstandin.Loopback
 
 	configMu sync.Mutex
 	version  int64
@@ -89,9 +95,14 @@
 // Run runs one soak. It returns an error only if the soak itself fails; violations of
 // the guarantees are in the result.
 func Run(o Options) (Result, error) {
+	loopback, err := aqstandin.ReserveLoopback()
+	if err != nil {
+		return Result{}, err
+	}
 	done := make(chan struct{})
 	defer close(done)
 	s := &soak{
+		loopback:  loopback,
 		options:   o,
 		out:       o.Out,
 		started:   time.Now(),
@@ -161,9 +172,9 @@
 	return Result{Seed: o.Seed, Violations: s.checker.Violations(), Summary: s.checker.Summary()}, nil
 }
 
-// serve serves a handler on a free loopback port.
+// serve serves a handler on a port of the soak's loopback address.
 func (s *soak) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := s.loopback.Listen()
 	if err != nil {
 		return "", errors.Wrap(err, "soak: listen")
 	}
@@ -193,7 +204,7 @@
 		}
 	}
 	for n := range s.options.Processes {
-		p, err := newProcess(program, s.options.Dir, n, address, s.options.Evacuations)
+		p, err := newProcess(program, s.options.Dir, n, s.loopback, address, s.options.Evacuations)
 		if err != nil {
 			return err
 		}
@@ -211,7 +222,7 @@
 	if err != nil {
 		return err
 	}
-	link, err := NewProxy(address)
+	link, err := NewProxy(s.loopback, address)
 	if err != nil {
 		return err
 	}
@@ -255,13 +266,20 @@
 	if s.options.Cancellations {
 		period = manyCancelledPeriod
 	}
+	if s.options.SubmitPeriod > 0 {
+		period = s.options.SubmitPeriod
+	}
 	cancelRandom := rand.New(rand.NewSource(s.options.Seed + cancelSource + 1))
+	largeRandom := rand.New(rand.NewSource(s.options.Seed + largeSource))
 	for number := 0; faultCtx.Err() == nil; number++ {
 		j := drawJob(random, number)
 		if s.options.Cancellations && cancelRandom.Float64() < manyCancelledShare {
 			j.toCancel = true
 		}
 		cancelAfter := randomDuration(random, maxCancelDelay)
+		if s.options.LargeJobs {
+			j.enlarge(largeRandom)
+		}
 		if s.options.Speculative && number%2 == 0 {
 			j.speculate()
 		}
@@ -319,4 +337,5 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
+	_ = s.loopback.Close()
 }
