--- a/internal/site/aqagent/agent.go
+++ b/internal/site/aqagent/agent.go
@@ -220,7 +220,7 @@
 		a.assign(next)
 	}
 	a.setParams(call.Params)
-	until := a.startsUntil(call.Starts)
+	until := a.startDeadline(call.Starts)
 	for _, wire := range call.Orders {
 		a.deliver(wire, until)
 	}
--- a/internal/site/aqagent/assignment.go
+++ b/internal/site/aqagent/assignment.go
@@ -61,7 +61,7 @@
 // or carry several assignments of a worker: by a later one the run may be lost and its task placed
 // elsewhere. The leader repeats in each assignment what is still needed. A start is sent until the given time.
 // The caller holds the lock.
-func (a *Agent) deliver(wire OrderWire, until startsUntil) {
+func (a *Agent) deliver(wire OrderWire, until startDeadline) {
 	order := wire.Unwrap()
 	if order == nil {
 		return
--- a/internal/site/aqagent/assignment_test.go
+++ b/internal/site/aqagent/assignment_test.go
@@ -112,9 +112,9 @@
 	s, _, _ := testSession(t, &fakeWorkers{})
 	s.inFlight = maxOrdersInFlight
 	run := aqdecider.RunID{Task: aqjob.TaskID{Job: "j"}, Attempt: 1}
-	s.send(aqdecider.Start{Worker: "w1", Run: run}, startsUntil{})
-	s.send(aqdecider.Start{Worker: "w1", Run: run}, startsUntil{})
-	s.send(aqdecider.Stop{Worker: "w1", Run: run}, startsUntil{})
+	s.send(aqdecider.Start{Worker: "w1", Run: run}, startDeadline{})
+	s.send(aqdecider.Start{Worker: "w1", Run: run}, startDeadline{})
+	s.send(aqdecider.Stop{Worker: "w1", Run: run}, startDeadline{})
 	if len(s.queue) != 1 || s.queue[0] != (aqdecider.Stop{Worker: "w1", Run: run}) {
 		t.Errorf("queued %v, want only the stop", s.queue)
 	}
--- a/internal/site/aqagent/listedstarts_test.go
+++ b/internal/site/aqagent/listedstarts_test.go
@@ -164,7 +164,7 @@
 					}
 				}
 				if test.stopped {
-					s.send(aqdecider.Stop{Worker: "w1", Run: startOf(0).Run}, startsUntil{})
+					s.send(aqdecider.Stop{Worker: "w1", Run: startOf(0).Run}, startDeadline{})
 				}
 				if attempts <= len(test.answers) {
 					return test.answers[attempts-1]
@@ -174,7 +174,7 @@
 			awaitPayload(t, s, "j1")
 			// Stops are not delivered.
 			s.inFlight = maxOrdersInFlight
-			s.send(startOf(0), startsUntil{})
+			s.send(startOf(0), startDeadline{})
 			order, ok := s.nextOrder()
 			if !ok {
 				t.Fatal("no start to deliver")
@@ -198,21 +198,21 @@
 		play func(*session)
 	}{
 		{name: "report of the waiting start", play: func(s *session) {
-			s.send(startOf(0), startsUntil{})
+			s.send(startOf(0), startDeadline{})
 			s.heartbeat()
 		}},
 		{name: "report before the start", play: func(s *session) {
 			s.heartbeat()
-			s.send(startOf(0), startsUntil{})
+			s.send(startOf(0), startDeadline{})
 		}},
 		{name: "start without a permit", play: func(s *session) {
-			s.send(startOf(0), startsUntil{})
+			s.send(startOf(0), startDeadline{})
 			s.agent.clock.(interface{ Suspend(time.Duration) }).Suspend(PermitTime)
 			s.heartbeat()
 		}},
 		{name: "start without a renewed lease", play: func(s *session) {
 			s.params.Renew = false
-			s.send(startOf(0), startsUntil{})
+			s.send(startOf(0), startDeadline{})
 			s.heartbeat()
 		}},
 	} {
@@ -265,7 +265,7 @@
 	)
 	s.inFlight = maxOrdersInFlight
 	s.heartbeat()
-	s.send(startOf(0), startsUntil{})
+	s.send(startOf(0), startDeadline{})
 	order, ok := s.nextOrder()
 	if !ok {
 		t.Fatal("no start to deliver")
@@ -285,9 +285,9 @@
 		func(aqworker.StartRequest) error { return nil },
 	)
 	s.inFlight = maxOrdersInFlight
-	s.send(startOf(0), startsUntil{})
+	s.send(startOf(0), startDeadline{})
 	s.heartbeat()
-	s.send(aqdecider.Stop{Worker: "w1", Run: startOf(0).Run}, startsUntil{})
+	s.send(aqdecider.Stop{Worker: "w1", Run: startOf(0).Run}, startDeadline{})
 	if o, _ := s.nextOrder(); o != (aqdecider.Stop{Worker: "w1", Run: startOf(0).Run}) {
 		t.Fatalf("delivers %+v, want the stop", o)
 	}
--- a/internal/site/aqagent/orders.go
+++ b/internal/site/aqagent/orders.go
@@ -16,7 +16,7 @@
 
 // send queues an order for delivery in the background. Stops go first; a start waits for
 // the payload of its job, and is not sent from the given time on.
-func (s *session) send(o aqdecider.Order, until startsUntil) {
+func (s *session) send(o aqdecider.Order, until startDeadline) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if start, isStart := o.(aqdecider.Start); isStart {
--- a/internal/site/aqagent/pace_test.go
+++ b/internal/site/aqagent/pace_test.go
@@ -72,8 +72,8 @@
 		if len(paces) > 1 {
 			return nil
 		}
-		s.send(pace(50), startsUntil{})
-		s.send(pace(100), startsUntil{})
+		s.send(pace(50), startDeadline{})
+		s.send(pace(100), startDeadline{})
 		if o, ok := s.nextOrder(); ok {
 			t.Errorf("%+v is delivered beside an earlier order for the same run", o)
 		}
--- a/internal/site/aqagent/payloads_test.go
+++ b/internal/site/aqagent/payloads_test.go
@@ -39,9 +39,9 @@
 	s.workerClock = clockReading{at: clock.Now(), value: 1, known: true}
 	s.params.Renew = true
 	for index := range 4 {
-		s.send(startOf(index), startsUntil{})
+		s.send(startOf(index), startDeadline{})
 	}
-	s.send(aqdecider.Stop{Worker: "w1", Run: startOf(3).Run}, startsUntil{})
+	s.send(aqdecider.Stop{Worker: "w1", Run: startOf(3).Run}, startDeadline{})
 	if run := <-stopped; run != startOf(3).Run {
 		t.Fatalf("stopped %+v", run)
 	}
--- a/internal/site/aqagent/session_test.go
+++ b/internal/site/aqagent/session_test.go
@@ -164,7 +164,7 @@
 			workers := &fakeWorkers{
 				start: func(aqworker.StartRequest) error {
 					starts++
-					s.send(aqdecider.Stop{Worker: "w1", Run: test.stopped}, startsUntil{})
+					s.send(aqdecider.Stop{Worker: "w1", Run: test.stopped}, startDeadline{})
 					return aqworker.ErrUnanswered
 				},
 				stop: func(aqworker.StopRequest) error { return aqworker.ErrUnanswered },
@@ -176,7 +176,7 @@
 			// Stops are not delivered.
 			s.inFlight = maxOrdersInFlight
 			awaitPayload(t, s, "j")
-			s.send(aqdecider.Start{Worker: "w1", Run: run}, startsUntil{})
+			s.send(aqdecider.Start{Worker: "w1", Run: run}, startDeadline{})
 			order, ok := s.nextOrder()
 			if !ok {
 				t.Fatal("no start to deliver")
@@ -379,8 +379,8 @@
 	s, _, _ := testSession(t, &fakeWorkers{})
 	run := aqdecider.RunID{Attempt: 3}
 	s.inFlight = maxOrdersInFlight
-	s.send(aqdecider.Start{Worker: "w1", Run: aqdecider.RunID{Attempt: 4}}, startsUntil{})
-	s.send(aqdecider.Stop{Worker: "w1", Run: run}, startsUntil{})
+	s.send(aqdecider.Start{Worker: "w1", Run: aqdecider.RunID{Attempt: 4}}, startDeadline{})
+	s.send(aqdecider.Stop{Worker: "w1", Run: run}, startDeadline{})
 	s.updateWorker(aqdecider.Worker{ID: "w1", Incarnation: 2})
 	if len(s.queue) != 1 || s.queue[0] != (aqdecider.Stop{Worker: "w1", Run: run}) {
 		t.Errorf("queued %v, want only the stop", s.queue)
--- a/internal/site/aqagent/startlimit.go
+++ b/internal/site/aqagent/startlimit.go
@@ -35,31 +35,31 @@
 	return found.at, number > 0 && found.number == number
 }
 
-// startsUntil is the elapsed time until which a start may be sent. The zero value does not limit it.
-type startsUntil struct {
+// startDeadline is the elapsed time until which a start may be sent. The zero value does not limit it.
+type startDeadline struct {
 	limited bool
 	at      time.Duration
 }
 
 // passed reports whether a start may not be sent any more.
-func (u startsUntil) passed(now time.Duration) bool { return u.limited && now >= u.at }
+func (d startDeadline) passed(now time.Duration) bool { return d.limited && now >= d.at }
 
-// startsUntil returns until when the starts of a call may be sent. The caller holds the lock.
-func (a *Agent) startsUntil(limit *StartLimit) startsUntil {
+// startDeadline returns until when the starts of a call may be sent. The caller holds the lock.
+func (a *Agent) startDeadline(limit *StartLimit) startDeadline {
 	if limit == nil {
-		return startsUntil{}
+		return startDeadline{}
 	}
-	until := startsUntil{limited: true}
+	deadline := startDeadline{limited: true}
 	if sentAt, known := a.answerTimes.find(limit.Answer); known {
-		until.at = sentAt + limit.Within
+		deadline.at = sentAt + limit.Within
 	}
-	return until
+	return deadline
 }
 
 // receivedStart is a start that the agent has received and not delivered.
 type receivedStart struct {
 	at    time.Time
-	until startsUntil
+	until startDeadline
 }
 
 // errStartExpired means that a start is too old to be sent, and that no call was made.
--- a/internal/site/aqagent/startlimit_test.go
+++ b/internal/site/aqagent/startlimit_test.go
@@ -86,7 +86,7 @@
 	awaitPayload(t, s, order.Run.Task.Job)
 	s.heartbeat()
 	s.inFlight = maxOrdersInFlight
-	s.send(order, startsUntil{
+	s.send(order, startDeadline{
 		limited: true,
 		at:      s.agent.clock.Elapsed() + PermitTime/2,
 	})
--- a/internal/site/aqagent/token_test.go
+++ b/internal/site/aqagent/token_test.go
@@ -273,7 +273,7 @@
 		clock.Advance(heartbeatRetry)
 	}
 	<-done
-	s.send(aqdecider.Stop{Worker: "w1", Run: run}, startsUntil{})
+	s.send(aqdecider.Stop{Worker: "w1", Run: run}, startDeadline{})
 	fenced := 0
 	for _, e := range agent.events {
 		if e.Fenced != nil {
--- a/pkg/aqsoak/process.go
+++ b/pkg/aqsoak/process.go
@@ -38,7 +38,7 @@
 }
 
 func newProcess(program, dir string, number int, loopback *aqstandin.Loopback, store string, evacuations bool) (*process, error) {
-	link, err := NewProxy(loopback, store)
+	link, err := newProxyOn(loopback, store)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/aqsoak/proxy.go
+++ b/pkg/aqsoak/proxy.go
@@ -48,9 +48,18 @@
 	silences int
 }
 
-// NewProxy listens on a port of the loopback address and forwards connections to target.
-func NewProxy(loopback *aqstandin.Loopback, target string) (*Proxy, error) {
-	listener, err := loopback.Listen()
+// NewProxy listens on a free port of 127.0.0.1 and forwards connections to target.
+func NewProxy(target string) (*Proxy, error) {
+	return startProxy(func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }, target)
+}
+
+// newProxyOn listens on a port of a loopback address and forwards connections to target.
+func newProxyOn(loopback *aqstandin.Loopback, target string) (*Proxy, error) {
+	return startProxy(loopback.Listen, target)
+}
+
+func startProxy(listen func() (net.Listener, error), target string) (*Proxy, error) {
+	listener, err := listen()
 	if err != nil {
 		return nil, errors.Wrap(err, "soak: listen for proxy")
 	}
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -222,7 +222,7 @@
 	if err != nil {
 		return err
 	}
-	link, err := NewProxy(s.loopback, address)
+	link, err := newProxyOn(s.loopback, address)
 	if err != nil {
 		return err
 	}
