--- a/pkg/aqdecider/drainrepeat_test.go
+++ b/pkg/aqdecider/drainrepeat_test.go
@@ -1,6 +1,7 @@
 package aqdecider
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -24,7 +25,7 @@
 		if repeated := countStarts(orders) > 0; repeated == draining {
 			t.Errorf("draining %v: start repeated: %v", draining, repeated)
 		}
-		if _, stopped := findStop(orders); stopped != draining {
+		if stopped := hasStop(orders); stopped != draining {
 			t.Errorf("draining %v: order to stop: %v", draining, stopped)
 		}
 		// The task is not placed elsewhere before the worker has stopped it.
@@ -47,13 +48,11 @@
 	return count
 }
 
-func findStop(orders []Order) (Stop, bool) {
-	for _, o := range orders {
-		if stop, isStop := o.(Stop); isStop {
-			return stop, true
-		}
-	}
-	return Stop{}, false
+func hasStop(orders []Order) bool {
+	return slices.ContainsFunc(orders, func(o Order) bool {
+		_, isStop := o.(Stop)
+		return isStop
+	})
 }
 
 // Guards against DRAIN: a start that waited at an agent was sent seconds after its worker had been listed as draining.
@@ -83,8 +82,7 @@
 			stopped := false
 			for range 8 {
 				h.d.UpdateWorker(w)
-				_, now := findStop(h.d.Tick())
-				stopped = stopped || now
+				stopped = hasStop(h.d.Tick()) || stopped
 				h.advance(200 * time.Millisecond)
 			}
 			if stopped != test.want {
--- a/pkg/aqsite/cancellations_test.go
+++ b/pkg/aqsite/cancellations_test.go
@@ -12,10 +12,7 @@
 // cancelled job for as long as that lasted.
 func TestNothingIsStartedOnOutdatedKnowledgeOfCancellations(t *testing.T) {
 	store := newFakeStore()
-	n, clock := evacuatingNode(t, store)
-	n.settings.EvacuateWithin = 0
-	n.catalog.EvacuationKey = nil
-	n.settings.CancelWithin = 5 * time.Second
+	n, clock := limitedNode(t, store)
 	l := newTerm(t, n, store)
 	store.rangeFault = func(string) error { return aqstore.ErrUnknown }
 	write(t, store, aqstore.Txn{Puts: []aqstore.Put{{Key: cancelKey(testJob().ID), Value: []byte{}}}})
--- a/pkg/aqsite/evacuations_test.go
+++ b/pkg/aqsite/evacuations_test.go
@@ -42,6 +42,15 @@
 	return n, clock.Fake
 }
 
+// limitedNode returns the same node of a site that limits starts after cancellations instead.
+func limitedNode(t *testing.T, store *fakeStore) (*Node, *aqclock.Fake) {
+	t.Helper()
+	n, clock := evacuatingNode(t, store)
+	n.settings.EvacuateWithin, n.settings.CancelWithin = 0, 5*time.Second
+	n.catalog.EvacuationKey = nil
+	return n, clock
+}
+
 // retryClock is a fake clock on which the pauses after failed calls end at once and advance it. The waits of the loops
 // that recovery starts do not.
 type retryClock struct{ *aqclock.Fake }
--- a/pkg/aqsite/knownred_test.go
+++ b/pkg/aqsite/knownred_test.go
@@ -17,10 +17,7 @@
 // for as long as that lasts, though the worker has been listed as draining.
 func TestNothingIsStartedOnOutdatedKnowledgeOfDrains(t *testing.T) {
 	store := newFakeStore()
-	n, clock := evacuatingNode(t, store)
-	n.settings.EvacuateWithin = 0
-	n.catalog.EvacuationKey = nil
-	n.settings.CancelWithin = 5 * time.Second
+	n, clock := limitedNode(t, store)
 	decodeWorker := n.catalog.DecodeWorker
 	n.catalog.DecodeWorker = func(item aqstore.Item) (aqdecider.Worker, error) {
 		w, err := decodeWorker(item)
@@ -54,10 +51,7 @@
 // the store serves everything else.
 func TestJobIsFoundThoughItsNotificationIsLostAndTheWatchIsStalled(t *testing.T) {
 	store := newFakeStore()
-	n, clock := evacuatingNode(t, store)
-	n.settings.EvacuateWithin = 0
-	n.catalog.EvacuationKey = nil
-	n.settings.CancelWithin = 5 * time.Second
+	n, clock := limitedNode(t, store)
 	l := newTerm(t, n, store)
 	job := testJob()
 	job.ID = "00000000000000aa"
--- a/pkg/aqsite/startlimit_test.go
+++ b/pkg/aqsite/startlimit_test.go
@@ -180,9 +180,7 @@
 // A leader that begins its term knows the cancellations as of the read of the jobs.
 func TestRecoveryBeginsTheKnowledgeOfCancellations(t *testing.T) {
 	store := newFakeStore()
-	n, clock := evacuatingNode(t, store)
-	n.settings.EvacuateWithin, n.settings.CancelWithin = 0, 5*time.Second
-	n.catalog.EvacuationKey = nil
+	n, clock := limitedNode(t, store)
 	l := newTerm(t, n, store)
 	if limit, want := l.cancellations.startLimit(), clock.Elapsed()+5*time.Second-aqagent.OrderTimeout; limit.until != want {
 		t.Errorf("starts until %s, want %s", limit.until, want)
--- a/pkg/aqsoak/soak.go
+++ b/pkg/aqsoak/soak.go
@@ -136,28 +136,13 @@
 		s.submitCrashingJobs(faultCtx, settleCtx, others)
 	}()
 	if o.DelayAcrossRestarts {
-		s.running.Add(1)
-		transitRandom := rand.New(rand.NewSource(o.Seed + transitSource))
-		go func() {
-			defer s.running.Done()
-			s.delayAcrossRestarts(faultCtx, transitRandom)
-		}()
+		s.injectBeside(faultCtx, transitSource, s.delayAcrossRestarts)
 	}
 	if o.Evacuations {
-		s.running.Add(1)
-		evacuationRandom := rand.New(rand.NewSource(o.Seed + evacuationSource))
-		go func() {
-			defer s.running.Done()
-			s.evacuateZones(faultCtx, evacuationRandom)
-		}()
+		s.injectBeside(faultCtx, evacuationSource, s.evacuateZones)
 	}
 	if o.Cancellations {
-		s.running.Add(1)
-		silenceRandom := rand.New(rand.NewSource(o.Seed + cancelSource))
-		go func() {
-			defer s.running.Done()
-			s.silenceStore(faultCtx, silenceRandom)
-		}()
+		s.injectBeside(faultCtx, cancelSource, s.silenceStore)
 	}
 	s.injectFaults(faultCtx, random)
 	s.endFaults()
@@ -172,6 +157,16 @@
 	return Result{Seed: o.Seed, Violations: s.checker.Violations(), Summary: s.checker.Summary()}, nil
 }
 
+// injectBeside injects faults of one kind beside the others until ctx ends. They have a random source of their own.
+func (s *soak) injectBeside(ctx context.Context, source int64, inject func(context.Context, *rand.Rand)) {
+	random := rand.New(rand.NewSource(s.options.Seed + source))
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		inject(ctx, random)
+	}()
+}
+
 // serve serves a handler on a port of the soak's loopback address.
 func (s *soak) serve(handler http.Handler) (string, error) {
 	listener, err := s.loopback.Listen()
