A worker has no more than 64 starts under way

The class: a queue longer than its deadline allows.

Now nothing is started on a worker with 64 unanswered starts; a worker with fewer runs is not looked at for it.

Evidence: TestStartsUnderWayOnOneWorkerAreLimited (1000 starts without it).

--- a/pkg/aqdecider/expired_test.go
+++ b/pkg/aqdecider/expired_test.go
@@ -47,3 +47,23 @@
 		t.Errorf("orders %+v afterwards, want a start", orders)
 	}
 }
+
+// Guards against LOST: the starts of a job of thousands of small tasks waited behind each other at one worker's agent until they
+// expired, were decided again, and kept those of other jobs from their turn.
+func TestStartsUnderWayOnOneWorkerAreLimited(t *testing.T) {
+	h := newHarness(t, poolWorker("w1", "r1-1", 64000))
+	h.d.AddJob(testJob(1, tasks(1000, 10)), nil, 0, false)
+	first := h.d.Tick()
+	if countStarts(first) != maxStartsUnderWay {
+		t.Fatalf("%d starts, want %d", countStarts(first), maxStartsUnderWay)
+	}
+	if again := countStarts(h.d.Tick()); again > 0 {
+		t.Errorf("%d more starts before any is answered", again)
+	}
+	for _, o := range first[:10] {
+		h.d.StartAnswered("w1", 1, o.(Start).Run, OutcomeAccepted, h.nextTime())
+	}
+	if more := countStarts(h.d.Tick()); more != 10 {
+		t.Errorf("%d more starts after ten are answered", more)
+	}
+}
--- a/pkg/aqdecider/plan.go
+++ b/pkg/aqdecider/plan.go
@@ -204,7 +204,7 @@
 	if !w.present || !w.reachable || !d.isStored(w) || w.info.Draining || w.info.Service != j.queue.Service || !d.zoneOpen(w) {
 		return false
 	}
-	if len(w.orphans) > 0 || d.now.Before(w.avoidUntil) || !w.health.usable(d.now) {
+	if len(w.orphans) > 0 || d.now.Before(w.avoidUntil) || !w.health.usable(d.now) || w.startsFull() {
 		return false
 	}
 	if w.health.suspected() && !g.spec.Gang && tentative != (aqtype.Resources{}) {
@@ -216,6 +216,24 @@
 	return g.spec.AntiAffinity <= 0 || w.countTasks(g)+tentativeTasks(g, tentative) < g.spec.AntiAffinity
 }
 
+// maxStartsUnderWay limits the starts on one worker that have not been answered. They are delivered a few at a time, and
+// would expire behind longer queues.
+const maxStartsUnderWay = 64
+
+// startsFull reports whether a worker has as many starts under way as it may have.
+func (w *worker) startsFull() bool {
+	if len(w.runs) < maxStartsUnderWay {
+		return false
+	}
+	starting := 0
+	for _, r := range w.runs {
+		if r.state == runStarting {
+			starting++
+		}
+	}
+	return starting >= maxStartsUnderWay
+}
+
 // tentativeTasks returns how many of a group's tasks a tentative reservation is for.
 func tentativeTasks(g *group, tentative aqtype.Resources) int {
 	if size := g.spec.Reserved(); size.Memory > 0 {
--- a/pkg/aqdecider/view.go
+++ b/pkg/aqdecider/view.go
@@ -236,6 +236,8 @@
 		return "NoRoom"
 	case g.spec.Constraint != "" && !slices.Contains(w.info.Labels, g.spec.Constraint):
 		return "OtherLabel"
+	case w.startsFull():
+		return "StartsUnderWay"
 	case !d.feasible(g, w, none):
 		return "AntiAffinity"
 	case !d.eligible(g, w, none):
--- a/pkg/aqsoak/regressions.go
+++ b/pkg/aqsoak/regressions.go
@@ -24,4 +24,5 @@
 	{Seed: 9200, Cause: "a reload signal before main ended the process, or one before the program had begun"},
 	{Seed: 41003, DelayAcrossRestarts: true, Cause: "the next incarnation of a worker accepted starts that were delayed on their way to the earlier one (issue 41, 66ac7a2)"},
 	{Seed: 60003, Cancellations: true, Cause: "a leader whose watch was silent and that was told of no cancellation started tasks of a cancelled job (issue 60, 8c26f98)"},
+	{Seed: 60105, Cancellations: true, Cause: "the same; the leader acknowledged the cancellation itself (issue 60, 8c26f98)"},
 }
