--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -320,13 +320,13 @@
 		n.yielded, n.yieldedAt = true, n.clock.Elapsed()
 		n.mu.Unlock()
 	}
-	n.releaseLead(lease)
+	n.releaseLead(l, lease)
 }
 
 // releaseTimeout is the timeout of the last store call of a planned stop.
 const releaseTimeout = time.Second
 
-func (n *Node) releaseLead(lease aqstore.LeaseID) {
+func (n *Node) releaseLead(_ *leader, lease aqstore.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := n.store.Revoke(ctx, lease); err != nil {
