--- a/pkg/aqlog/events.go
+++ b/pkg/aqlog/events.go
@@ -82,6 +82,7 @@
 	LeaderSeen              = Event{Number: 905, Layer: LayerSite, Level: slog.LevelInfo, Message: "leader changed", Meaning: "This process sends status calls to the leader in Leader from now on."}
 	RecoveryDelayed         = Event{Number: 906, Layer: LayerSite, Level: slog.LevelWarn, Message: "recovery delayed", Meaning: "A new leader could not read or write the stored state and tries again. Meanwhile its agents renew the leases of the workers that it has taken over; nothing new is started."}
 	EarlierLeadersEnded     = Event{Number: 907, Layer: LayerSite, Level: slog.LevelInfo, Message: "earlier leaders have no majority", Meaning: "A majority of the processes follows this leader. Tasks that an earlier leader may have started on workers that have not reported are placed again after LeasesEndIn at the latest."}
+	EarlierLeasesInherited  = Event{Number: 908, Layer: LayerSite, Level: slog.LevelInfo, Message: "earlier leases inherited", Meaning: "The earlier leader has released the leadership and told of workers that did not report to it either, so that it has renewed no lease there. Tasks that may run on them are placed again after LeasesEndIn at the latest."}
 	StoreLost               = Event{Number: 910, Layer: LayerSite, Level: slog.LevelWarn, Message: "store unavailable", Meaning: "The store does not answer this process or refuses its calls. New jobs may be refused; running tasks continue."}
 	StoreRecovered          = Event{Number: 911, Layer: LayerSite, Level: slog.LevelInfo, Message: "store available again", Meaning: "The store answers this process again."}
 	WatchReset              = Event{Number: 912, Layer: LayerSite, Level: slog.LevelWarn, Message: "watch reset", Meaning: "The store no longer has the history that the watch needs. The state is read again in full."}
@@ -158,7 +159,7 @@
 	JobLoaded, JobEnded, RunPlaced, RunAdopted, RunOrphaned, RunEnded, RunStopping, RunPaced, StartDeclined, RunStalled, AdviceReceived, GroupWaits, RackWaitBegins, RackWaitEnds, RoomMade, StopRepeated, WorkerSuspected, OrdersRepeated, CopyStarted, CopyDecided, CopyAdopted, WorkerSlow,
 	WorkerListed, WorkerUnlisted, WorkerDraining, WorkerRestarted, WorkerUnresponsive, WorkerResponsive, WorkerLeaseExpired, RunLost, TrialReserved, TaskCrashesWorkers, CapacityChanged,
 	ZoneEvacuated, ZoneReopened, ZoneUnverified, ZoneEmpty,
-	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed, EarlierLeadersEnded,
+	LeadershipAcquired, LeadershipLost, LeadershipReleased, StateRecovered, LeadershipAttemptFailed, LeaderSeen, RecoveryDelayed, EarlierLeadersEnded, EarlierLeasesInherited,
 	StoreLost, StoreRecovered, WatchReset, EntryIgnored, CommitFailed, SiteConfigApplied, SettingsReloadRefused, SettingsReloaded,
 	OrderFailed, WorkerAssigned, StartDelayed, OrderOutdated, StartUnanswered, WorkerTokenRaised, WorkerLifeMet, ProgressTrimmed, LearnedRestored, LearnedIgnored, LearnedNotStored, AgentJoined, AgentLost, AgentRecovered, UnregisterFailed, AdviceFailed, WatchStalled, PayloadMissing, EvacuationsRead, StartWithheld, JobStored, JobRefused, JobRejected, JobInDoubt, CancelStored, CancelUntold, CancelLearned, StartsHeld, StartExpired, StateFromStore, CallFailed,
 }
--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -104,6 +104,7 @@
 	a.leaseExpiresAt = time.Time{}
 	a.tried = nil
 	a.renew = true
+	p.reported[id] = true
 	if !p.reportsReleased {
 		if a.held != nil && a.held.Incarnation == report.Incarnation {
 			report.Ended = append(a.held.Ended, report.Ended...)
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -111,6 +111,9 @@
 	// heldLost holds the workers whose held report was discarded with their assignment. Their
 	// leases may have been renewed since, which the decider does not know.
 	heldLost map[aqtype.WorkerID]bool
+	// reported holds the workers that have reported in this term, also after their removal. An agent may have renewed their
+	// leases since.
+	reported map[aqtype.WorkerID]bool
 	// left holds the members that are no longer registered, by name. Their processes may
 	// still run and register again.
 	left map[string]*member
@@ -129,6 +132,7 @@
 		members:     map[string]*member{},
 		left:        map[string]*member{},
 		heldLost:    map[aqtype.WorkerID]bool{},
+		reported:    map[aqtype.WorkerID]bool{},
 		restarts:    map[aqtype.WorkerID]workerRestarts{},
 		assignments: map[aqtype.WorkerID]*workerAssignment{},
 	}
--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -46,6 +46,8 @@
 // termRecord is the value of the term key.
 type termRecord struct {
 	Term int64
+	// Handover is an encoded handover of the leader of this term, empty unless that has released the leadership.
+	Handover []byte `msgpack:",omitempty"`
 }
 
 // elect follows the lead key and claims it when it is free.
@@ -224,6 +226,8 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	inherited := n.decodeHandover(term.Handover)
+	term.Handover = nil
 	lease, err := n.store.Grant(ctx, leadTTL)
 	if err != nil {
 		return nil, 0, err
@@ -256,7 +260,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	return n.newLeader(revision, lead, proofAt), lease, nil
+	l := n.newLeader(revision, lead, proofAt)
+	l.inherited = inherited
+	return l, lease, nil
 }
 
 func (n *Node) newLeader(revision aqstore.Revision, record aqagent.LeadRecord, proofAt time.Duration) *leader {
@@ -323,13 +329,22 @@
 	n.releaseLead(l, lease)
 }
 
-// releaseTimeout is the timeout of the last store call of a planned stop.
+// releaseTimeout is the timeout of each of the last store calls of a planned stop.
 const releaseTimeout = time.Second
 
-func (n *Node) releaseLead(_ *leader, lease aqstore.LeaseID) {
+// withinRelease makes one of these calls.
+func withinRelease(call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := n.store.Revoke(ctx, lease); err != nil {
+	return call(ctx)
+}
+
+// releaseLead releases the leadership of an ended term.
+func (n *Node) releaseLead(l *leader, lease aqstore.LeaseID) {
+	if err := withinRelease(l.handOver); err != nil {
+		n.log.Write(aqlog.LeadershipAttemptFailed, aqlog.Err(err))
+	}
+	if err := withinRelease(func(ctx context.Context) error { return n.store.Revoke(ctx, lease) }); err != nil {
 		n.log.Write(aqlog.LeadershipAttemptFailed, aqlog.Err(err))
 		return
 	}
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -93,6 +93,8 @@
 	firstLeader         bool
 	storedMemberChanges uint64
 	storedWorkerChanges uint64
+	// inherited is what the earlier leader has handed over.
+	inherited handover
 	// inheritedFleet is the stored list of workers of the earlier leader.
 	inheritedFleet []aqtype.WorkerID
 	// storedEntries is the value of entriesKey, storedEntryChanges the number of changes that it holds. Only
