--- a/pkg/aqsite/handover_test.go
+++ b/pkg/aqsite/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -213,3 +214,220 @@
 		})
 	}
 }
+
+// A handover that cannot be used, is late or is lost leaves the wait of a leader that is killed.
+func TestUnusableHandoverIsIgnored(t *testing.T) {
+	const inOffice = 3 * time.Second
+	anew := earlierLeases + aqagent.MaxLeaseSpan(5*time.Second)
+	told := func(k *terms, h any) {
+		value, err := aqjob.Encode(h)
+		if err != nil {
+			k.t.Fatal(err)
+		}
+		k.put(termKey, termRecord{Handover: value})
+	}
+	for _, test := range []struct {
+		name string
+		end  func(*terms)
+		want time.Duration
+	}{
+		{name: "not decodable", want: anew, end: func(k *terms) {
+			k.kill()
+			k.put(termKey, termRecord{Handover: []byte{0xff}})
+		}},
+		{name: "of another form", want: anew, end: func(k *terms) {
+			k.kill()
+			told(k, struct{ Unreported string }{Unreported: "gone"})
+		}},
+		{name: "negative", want: anew, end: func(k *terms) {
+			k.kill()
+			told(k, handover{Unreported: []unreportedWorker{{Worker: "gone", LeasesEndIn: -time.Second}}})
+		}},
+		{name: "longer than the wait", want: anew, end: func(k *terms) {
+			k.kill()
+			told(k, handover{Unreported: []unreportedWorker{{Worker: "gone", LeasesEndIn: time.Hour}}})
+		}},
+		{name: "of another worker", want: anew, end: func(k *terms) {
+			k.kill()
+			told(k, handover{Unreported: []unreportedWorker{{Worker: "other"}}})
+		}},
+		{name: "of an earlier version", want: anew, end: func(k *terms) {
+			k.kill()
+			k.put(termKey, struct{ Term int64 }{Term: 5})
+		}},
+		{name: "not written", want: anew, end: func(k *terms) {
+			k.store.fault = failTerm(false)
+			k.stop()
+			k.store.fault = nil
+		}},
+		{name: "answer lost", want: anew - inOffice, end: func(k *terms) {
+			k.store.fault = failTerm(true)
+			k.stop()
+			k.store.fault = nil
+		}},
+		{name: "written after the next claim", want: anew, end: func(k *terms) {
+			k.kill()
+			deposed := k.leader
+			k.claim()
+			k.kill()
+			var conflict *aqstore.ConflictError
+			if err := deposed.handOver(context.Background()); !errors.As(err, &conflict) {
+				k.t.Fatalf("a deposed leader hands over: %v", err)
+			}
+		}},
+		{name: "taken by a leader that has read nothing", want: anew, end: func(k *terms) {
+			k.stop()
+			k.claim()
+			k.kill()
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			k := newTerms(t)
+			k.begin()
+			k.clock.Advance(inOffice)
+			test.end(k)
+			k.begin()
+			k.wantStart(test.want)
+		})
+	}
+}
+
+// failTerm fails the writes of the term key.
+func failTerm(applied bool) func(aqstore.Txn) (error, bool) {
+	return func(txn aqstore.Txn) (error, bool) {
+		for _, p := range txn.Puts {
+			if p.Key == termKey {
+				return aqstore.ErrUnknown, applied
+			}
+		}
+		return nil, false
+	}
+}
+
+// A version that knows only the term reads a record with a handover.
+func TestEarlierVersionReadsTheTermOfAHandover(t *testing.T) {
+	value, err := aqjob.Encode(termRecord{
+		Term:     3,
+		Handover: []byte{1},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var earlier struct{ Term int64 }
+	if err := decode(value, &earlier); err != nil || earlier.Term != 3 {
+		t.Fatalf("term %d, %v", earlier.Term, err)
+	}
+}
+
+// A handover costs one write, and only while it has something to tell.
+func TestHandoverIsWrittenOnceIfAtAll(t *testing.T) {
+	k := newTerms(t)
+	stop := func() int {
+		k.kill()
+		before := k.store.commits
+		k.node.releaseLead(k.leader, k.lease)
+		return k.store.commits - before
+	}
+	k.begin()
+	if got := stop(); got != 1 {
+		t.Errorf("%d writes with an unreported worker, want 1", got)
+	}
+	k.begin()
+	k.report("gone", 1)
+	k.report("sound", 1)
+	if got := stop(); got != 0 {
+		t.Errorf("%d writes without unreported workers, want 0", got)
+	}
+}
+
+// No chain of leaders that stop, are killed or are cut off, and to some of which the worker reports, starts the task while a
+// lease on that worker may last.
+func TestLeadersInTurnNeverStartEarly(t *testing.T) {
+	span := aqagent.MaxLeaseSpan(5 * time.Second)
+	handedOn := 0
+	for seed := range int64(300) {
+		random := rand.New(rand.NewSource(seed))
+		k := newTerms(t)
+		// leasesEnd is the elapsed time until which a lease that agents renew may last. An earlier leader of all may have no
+		// proof since just before the first term.
+		leasesEnd := k.clock.Elapsed() + earlierLeases + span
+		for started := false; !started; {
+			before := k.clock.Elapsed()
+			k.begin()
+			if len(k.leader.inherited.Unreported) > 0 {
+				handedOn++
+			}
+			reports := random.Intn(4) == 0
+			lasts := time.Duration(random.Intn(6000)) * time.Millisecond
+			if random.Intn(10) == 0 {
+				lasts = 2 * (earlierLeases + span)
+			}
+			for passed := time.Duration(0); passed < lasts && !started && !reports; passed += 50 * time.Millisecond {
+				k.clock.Advance(50 * time.Millisecond)
+				k.leader.decide(func(d *aqdecider.Decider) {
+					d.WorkerReported("sound", aqdecider.WorkerReport{Incarnation: 1, Complete: true, Sent: 1})
+					for _, o := range d.Tick() {
+						_, isStart := o.(aqdecider.Start)
+						started = started || isStart
+					}
+				})
+			}
+			if now := k.clock.Elapsed(); started && now < leasesEnd {
+				t.Fatalf("seed %d: started %s before the leases end", seed, leasesEnd-now)
+			}
+			if reports {
+				k.clock.Advance(lasts)
+				k.report("gone", 1)
+			}
+			renewing := time.Duration(0)
+			switch random.Intn(3) {
+			case 0:
+				k.stop()
+				renewing = aqagent.PermitTime
+			case 1:
+				k.kill()
+				renewing = aqagent.PermitTime
+			case 2:
+				// It acts on while the next one leads.
+				k.kill()
+				renewing = earlierLeases
+			}
+			if reports {
+				leasesEnd = max(leasesEnd, k.clock.Elapsed()+renewing+span)
+			}
+			if k.clock.Elapsed() == before {
+				k.clock.Advance(time.Millisecond)
+			}
+		}
+	}
+	if handedOn == 0 {
+		t.Fatal("no leader has handed anything on")
+	}
+}
+
+// A worker that has reported to a leader which never read the jobs has had its lease renewed, though the decider knows of no
+// report.
+func TestHeldReportIsNotHandedOver(t *testing.T) {
+	k := newTerms(t)
+	k.begin()
+	k.clock.Advance(3 * time.Second)
+	k.stop()
+	k.claim()
+	ctx, cancel := context.WithCancel(context.Background())
+	k.cancel = cancel
+	k.store.rangeFault = func(prefix string) error {
+		if prefix != inPrefix {
+			return nil
+		}
+		k.report("gone", 1)
+		cancel()
+		return aqstore.ErrUnknown
+	}
+	if _, _, err := k.leader.recover(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("recovery ends with %v", err)
+	}
+	k.store.rangeFault = nil
+	k.stop()
+	k.begin()
+	k.wantStart(earlierLeases + aqagent.MaxLeaseSpan(5*time.Second))
+}
