--- a/pkg/aqdecider/handover.go
+++ b/pkg/aqdecider/handover.go
@@ -7,21 +7,27 @@
 )
 
 // UnreportedLeases returns the workers of earlier deciders that have not reported to this one, with how long their leases
-// last at most, stray ones included. Workers of which this decider has learned that they have restarted are left out.
+// last at most, stray ones included. Workers of which this decider has learned that they have restarted are left out. The
+// caller leaves out those that have reported to an agent.
 func (d *Decider) UnreportedLeases() map[aqtype.WorkerID]time.Duration {
-	leases := make(map[aqtype.WorkerID]time.Duration, len(d.unreported))
+	leases := make(map[aqtype.WorkerID]time.Duration, len(d.unreported)+len(d.unreportedEnded))
+	for id := range d.unreportedEnded {
+		leases[id] = 0
+	}
 	for id, until := range d.unreported {
-		if !d.restarted[id] {
-			leases[id] = max(0, until.Sub(d.now))
-		}
+		leases[id] = max(0, until.Sub(d.now))
+	}
+	for id := range d.restarted {
+		delete(leases, id)
 	}
 	return leases
 }
 
-// LimitWorkerWait brings the deadline of an unreported worker forward to when all its leases have certainly ended, stray ones
-// included.
+// LimitWorkerWait brings the deadline of an unreported worker forward to when its leases have certainly ended, as far as an
+// earlier decider has known. This one may know of a restart besides. The worker must not have reported to an agent.
 func (d *Decider) LimitWorkerWait(id aqtype.WorkerID, until time.Time) {
-	if before, unreported := d.unreported[id]; unreported && until.Before(before) {
-		d.unreported[id] = until
+	last := d.lastLeaseEnd(id, until)
+	if before, unreported := d.unreported[id]; unreported && last.Before(before) {
+		d.unreported[id] = last
 	}
 }
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -241,8 +241,11 @@
 	if w.silent || d.now.Sub(w.emptySince) < silenceTimeout {
 		return
 	}
-	if until, unreported := d.unreported[w.info.ID]; unreported && !d.now.After(until) {
-		return
+	if until, unreported := d.unreported[w.info.ID]; unreported {
+		if !d.now.After(until) {
+			return
+		}
+		d.unreportedEnded[w.info.ID] = true
 	}
 	d.clearUnreported(w.info.ID)
 	w.silent = true
--- a/pkg/aqsite/fleetentries.go
+++ b/pkg/aqsite/fleetentries.go
@@ -34,6 +34,8 @@
 	if err := l.persist(ctx, func() error { return l.restoreUnlisted(ctx) }); err != nil {
 		return
 	}
+	// Only now it is known which of the workers have restarted.
+	l.inheritLeases()
 	for ctx.Err() == nil {
 		aqclock.Sleep(ctx, l.node.clock, max(entriesInterval, time.Duration(l.workerCount())*entriesPerWorker))
 		if err := l.storeEntries(ctx); err != nil && ctx.Err() == nil {
--- a/pkg/aqsite/handover.go
+++ b/pkg/aqsite/handover.go
@@ -100,16 +100,20 @@
 
 // inheritLeases limits the wait for the workers that had not reported to the earlier leader either. Its term ended before this
 // one began.
-func (l *leader) inheritLeases(d *aqdecider.Decider) {
-	if len(l.inherited.Unreported) == 0 {
-		return
-	}
-	began := l.node.clock.Now().Add(l.beganAt - l.node.clock.Elapsed())
-	var last time.Duration
+func (l *leader) inheritLeases() {
+	leases := make(map[aqtype.WorkerID]time.Duration, len(l.inherited.Unreported))
 	for _, w := range l.inherited.Unreported {
-		d.LimitWorkerWait(w.Worker, began.Add(w.LeasesEndIn))
-		last = max(last, w.LeasesEndIn)
+		leases[w.Worker] = w.LeasesEndIn
+	}
+	l.decide(func(d *aqdecider.Decider) {
+		l.agents.dropReported(leases)
+		began := l.node.clock.Now().Add(l.beganAt - l.node.clock.Elapsed())
+		for id, endIn := range leases {
+			d.LimitWorkerWait(id, began.Add(endIn))
+		}
+	})
+	if len(leases) > 0 {
+		l.node.log.Write(aqlog.EarlierLeasesInherited, slog.Int("Workers", len(leases)),
+			slog.Duration("LeasesEndIn", slices.Max(slices.Collect(maps.Values(leases)))))
 	}
-	l.node.log.Write(aqlog.EarlierLeasesInherited, slog.Int("Workers", len(l.inherited.Unreported)),
-		slog.Duration("LeasesEndIn", last))
 }
--- a/pkg/aqsite/handover_test.go
+++ b/pkg/aqsite/handover_test.go
@@ -13,6 +13,7 @@
 	"acaciaquay/pkg/aqclock"
 	"acaciaquay/pkg/aqdecider"
 	"acaciaquay/pkg/aqjob"
+	"acaciaquay/pkg/aqpeer"
 	"acaciaquay/pkg/aqstore"
 	"acaciaquay/pkg/aqtype"
 )
@@ -94,6 +95,16 @@
 	if _, _, err := k.leader.recover(ctx); err != nil {
 		k.t.Fatal(err)
 	}
+	k.restore()
+}
+
+// restore does what the loop of the workers' entries begins with.
+func (k *terms) restore() {
+	k.t.Helper()
+	if err := k.leader.restoreUnlisted(context.Background()); err != nil {
+		k.t.Fatal(err)
+	}
+	k.leader.inheritLeases()
 }
 
 // kill ends the term of the present leader without any last act.
@@ -409,9 +420,6 @@
 // report.
 func TestHeldReportIsNotHandedOver(t *testing.T) {
 	k := newTerms(t)
-	k.begin()
-	k.clock.Advance(3 * time.Second)
-	k.stop()
 	k.claim()
 	ctx, cancel := context.WithCancel(context.Background())
 	k.cancel = cancel
@@ -420,6 +428,7 @@
 			return nil
 		}
 		k.report("gone", 1)
+		k.clock.Advance(3 * time.Second)
 		cancel()
 		return aqstore.ErrUnknown
 	}
@@ -431,3 +440,67 @@
 	k.begin()
 	k.wantStart(earlierLeases + aqagent.MaxLeaseSpan(5*time.Second))
 }
+
+// A leader hands on, too, that the leases have ended, though the stored list may still name the worker.
+func TestEndedLeasesAreHandedOver(t *testing.T) {
+	k := newTerms(t)
+	k.begin()
+	k.clock.Advance(earlierLeases + aqagent.MaxLeaseSpan(5*time.Second) + time.Millisecond)
+	k.leader.decide(func(d *aqdecider.Decider) { d.Tick() })
+	k.stop()
+	k.begin()
+	k.wantStart(0)
+}
+
+// A lease that this leader has renewed during its recovery outlasts what the earlier one has handed on.
+func TestHandoverDoesNotCoverALeaseOfThisTerm(t *testing.T) {
+	k := newTerms(t)
+	k.begin()
+	k.clock.Advance(8 * time.Second)
+	k.stop()
+	k.claim()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	k.cancel = cancel
+	k.store.rangeFault = func(prefix string) error {
+		if prefix == inPrefix {
+			k.report("gone", 1)
+			k.leader.agents.mu.Lock()
+			a := k.leader.agents.assignments["gone"]
+			k.leader.agents.assign(a, a.member)
+			k.leader.agents.mu.Unlock()
+		}
+		return nil
+	}
+	if _, _, err := k.leader.recover(ctx); err != nil {
+		t.Fatal(err)
+	}
+	k.restore()
+	k.wantStart(earlierLeases + aqagent.MaxLeaseSpan(5*time.Second))
+}
+
+// A restart that only this leader knows of may have left a longer lease than the earlier one has reckoned with.
+func TestHandoverOfAWorkerThatHasRestarted(t *testing.T) {
+	k := newTerms(t)
+	listWorkers(t, k.node, k.store, "gone")
+	entries, err := aqpeer.Pack(fleetEntries{Workers: []aqdecider.Worker{{ID: "gone", Incarnation: 0}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := k.store.Commit(context.Background(), aqstore.Txn{
+		Puts: []aqstore.Put{{Key: entriesKey, Value: entries}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	k.claim()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	k.cancel = cancel
+	if _, _, err := k.leader.recover(ctx); err != nil {
+		t.Fatal(err)
+	}
+	k.clock.Advance(3 * time.Second)
+	k.stop()
+	k.begin()
+	k.wantStart(earlierLeases + aqagent.MaxLeaseSpan(testLeaseMax) - 3*time.Second)
+}
--- a/pkg/aqsite/recover.go
+++ b/pkg/aqsite/recover.go
@@ -75,7 +75,6 @@
 		// Nothing was started on a worker that is listed but not in the stored list.
 		d.InheritRestarts(fleet.Restarted, l.strayExtra())
 		d.AwaitReports(fleet.Workers, l.earlierLeasesEnd())
-		l.inheritLeases(d)
 	})
 	l.agents.join(ctx, l.node.ownRecord(), l.node.agent)
 	l.joinAgents(ctx, fleet.Agents)
