--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -167,6 +167,10 @@
 	}
 	w.orphans = map[RunID]time.Time{}
 	d.WorkerReassigned(id)
+	if len(w.runs) == 0 && !d.mayHaveStrayLease(w) {
+		// The tasks start elsewhere now: the next leader must not wait for this worker.
+		w.emptySince = d.now.Add(-silenceTimeout)
+	}
 	d.dropIfGone(w)
 	return heldUntil
 }
--- a/pkg/aqdecider/takeover_test.go
+++ b/pkg/aqdecider/takeover_test.go
@@ -1,6 +1,7 @@
 package aqdecider
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -166,3 +167,50 @@
 		t.Fatal("not started though the list of workers is stored")
 	}
 }
+
+// The next leader does not wait for a worker whose runs this one has given up, however soon it follows.
+func TestWorkerWhoseLeaseHasExpiredLeavesTheStoredListAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		before   func(*harness)
+		busy     bool
+		remains  bool
+		returned bool
+	}{
+		{name: "idle"},
+		{name: "busy", busy: true},
+		{name: "restarted", busy: true, remains: true, before: func(h *harness) {
+			h.d.WorkerReplaced("w2")
+		}},
+		{name: "with an end that is not stored", remains: true, before: func(h *harness) {
+			h.report("w2", EndReport{Number: 1, Run: RunID{Task: aqjob.TaskID{Job: testJob(9).ID}, Attempt: 1}, Reason: EndDone})
+		}},
+		{name: "that returns", remains: true, returned: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, poolWorker("w1", "r1-1", 8000), poolWorker("w2", "r1-1", 16000))
+			stored := h.d.FleetIDs()
+			h.d.MarkPersisted(stored)
+			if test.busy {
+				h.d.AddJob(testJob(1, tasks(1, 16000)), nil, 0, false)
+				h.tick()
+				h.report("w2")
+			}
+			h.d.BatchStored(h.d.TakeBatch())
+			if test.before != nil {
+				test.before(h)
+			}
+			h.d.WorkerUnresponsive("w2")
+			h.d.LeaseExpired("w2")
+			h.tick()
+			stored = h.storeFleet(stored)
+			if test.returned {
+				h.report("w2")
+				stored = h.storeFleet(stored)
+			}
+			if got := slices.Contains(stored, "w2"); got != test.remains {
+				t.Fatalf("stored %v, want the worker there: %v", stored, test.remains)
+			}
+		})
+	}
+}
--- a/pkg/aqsite/handover.go
+++ b/pkg/aqsite/handover.go
@@ -17,26 +17,26 @@
 // handover is what a leader that ends its term as planned tells the next one. Its last write puts it into the term key and
 // deletes the lead key, and the next claim of the leadership takes it away, so that it never describes an earlier term.
 type handover struct {
-	// Unreported are workers of which no agent has renewed a lease in this term.
-	Unreported []unreportedWorker
+	// Leases are those of the workers of earlier leaders that have not reported in this term.
+	Leases []knownLease
 }
 
-// unreportedWorker is a worker of earlier leaders that has not reported in this term.
-type unreportedWorker struct {
+// knownLease tells when the lease of a worker ends. No agent has renewed it in this term.
+type knownLease struct {
 	Worker aqtype.WorkerID
-	// LeasesEndIn is how long the leases of earlier leaders lasted at most when this was written. It is not negative.
-	LeasesEndIn time.Duration
+	// EndsIn is how long the lease lasted at most when this was written. It is not negative.
+	EndsIn time.Duration
 }
 
 // handOver ends the term, after which no agent is told to renew a lease any more, and releases the leadership with a handover
 // if there is anything to tell. The loops of the term have ended.
 func (l *leader) handOver(ctx context.Context) error {
 	l.lose(context.Canceled)
-	unreported := l.unreportedWorkers()
-	if len(unreported) == 0 {
+	leases := l.knownLeases()
+	if len(leases) == 0 {
 		return nil
 	}
-	told, err := aqjob.Encode(handover{Unreported: unreported})
+	told, err := aqjob.Encode(handover{Leases: leases})
 	if err != nil {
 		return err
 	}
@@ -55,9 +55,9 @@
 	return err
 }
 
-// unreportedWorkers returns the workers of earlier leaders that have not reported to an agent in this term. The term has ended:
-// later reports are ignored.
-func (l *leader) unreportedWorkers() []unreportedWorker {
+// knownLeases returns the leases of the workers of earlier leaders that have not reported to an agent in this term. The term has
+// ended: later reports are ignored.
+func (l *leader) knownLeases() []knownLease {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decider.SetTime(l.node.clock.Now(), l.node.wallTime())
@@ -65,14 +65,14 @@
 	// It stands for other workers in each term.
 	delete(leases, unlistedWorkers)
 	l.agents.dropReported(leases)
-	unreported := make([]unreportedWorker, 0, len(leases))
+	known := make([]knownLease, 0, len(leases))
 	for _, id := range slices.Sorted(maps.Keys(leases)) {
-		unreported = append(unreported, unreportedWorker{
-			Worker:      id,
-			LeasesEndIn: leases[id],
+		known = append(known, knownLease{
+			Worker: id,
+			EndsIn: leases[id],
 		})
 	}
-	return unreported
+	return known
 }
 
 // dropReported removes the workers that have reported to an agent in this term.
@@ -94,22 +94,22 @@
 		n.ignoreEntry(termKey, err)
 		return handover{}
 	}
-	h.Unreported = slices.DeleteFunc(h.Unreported, func(w unreportedWorker) bool { return w.LeasesEndIn < 0 })
+	h.Leases = slices.DeleteFunc(h.Leases, func(k knownLease) bool { return k.EndsIn < 0 })
 	return h
 }
 
-// inheritLeases limits the wait for the workers that had not reported to the earlier leader either. Its term ended before this
-// one began.
+// inheritLeases limits the wait for the workers that have not reported to this leader either. The earlier term ended before
+// this one began.
 func (l *leader) inheritLeases() {
-	leases := make(map[aqtype.WorkerID]time.Duration, len(l.inherited.Unreported))
-	for _, w := range l.inherited.Unreported {
-		leases[w.Worker] = w.LeasesEndIn
+	leases := make(map[aqtype.WorkerID]time.Duration, len(l.inherited.Leases))
+	for _, k := range l.inherited.Leases {
+		leases[k.Worker] = k.EndsIn
 	}
 	l.decide(func(d *aqdecider.Decider) {
 		l.agents.dropReported(leases)
 		began := l.node.clock.Now().Add(l.beganAt - l.node.clock.Elapsed())
-		for id, endIn := range leases {
-			d.LimitWorkerWait(id, began.Add(endIn))
+		for id, endsIn := range leases {
+			d.LimitWorkerWait(id, began.Add(endsIn))
 		}
 	})
 	if len(leases) > 0 {
--- a/pkg/aqsite/handover_test.go
+++ b/pkg/aqsite/handover_test.go
@@ -248,19 +248,19 @@
 		}},
 		{name: "of another form", want: anew, end: func(k *terms) {
 			k.kill()
-			told(k, struct{ Unreported string }{Unreported: "gone"})
+			told(k, struct{ Leases string }{Leases: "gone"})
 		}},
 		{name: "negative", want: anew, end: func(k *terms) {
 			k.kill()
-			told(k, handover{Unreported: []unreportedWorker{{Worker: "gone", LeasesEndIn: -time.Second}}})
+			told(k, handover{Leases: []knownLease{{Worker: "gone", EndsIn: -time.Second}}})
 		}},
 		{name: "longer than the wait", want: anew, end: func(k *terms) {
 			k.kill()
-			told(k, handover{Unreported: []unreportedWorker{{Worker: "gone", LeasesEndIn: time.Hour}}})
+			told(k, handover{Leases: []knownLease{{Worker: "gone", EndsIn: time.Hour}}})
 		}},
 		{name: "of another worker", want: anew, end: func(k *terms) {
 			k.kill()
-			told(k, handover{Unreported: []unreportedWorker{{Worker: "other"}}})
+			told(k, handover{Leases: []knownLease{{Worker: "other"}}})
 		}},
 		{name: "of an earlier version", want: anew, end: func(k *terms) {
 			k.kill()
@@ -365,7 +365,7 @@
 		for started := false; !started; {
 			before := k.clock.Elapsed()
 			k.begin()
-			if len(k.leader.inherited.Unreported) > 0 {
+			if len(k.leader.inherited.Leases) > 0 {
 				handedOn++
 			}
 			reports := random.Intn(4) == 0
