--- a/pkg/aqdecider/handover.go
+++ b/pkg/aqdecider/handover.go
@@ -31,3 +31,14 @@
 		d.unreported[id] = last
 	}
 }
+
+// EndsWithLease reports whether all that may run on a worker that no agent reaches ends with the lease that agents have renewed
+// in this term: no call to an earlier incarnation, and no earlier decider, is known to make it last longer.
+func (d *Decider) EndsWithLease(id aqtype.WorkerID) bool {
+	w := d.workers[id]
+	if w == nil || w.reported == 0 || w.reachable || d.restarted[id] || d.inheritedRestarts[id] || d.mayHaveStrayLease(w) {
+		return false
+	}
+	_, unreported := d.unreported[id]
+	return !unreported && w.runsOfEarlierIncarnation() == 0
+}
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -78,6 +78,8 @@
 	// leaseExpiresAt is when the lease has certainly expired, set while no agent
 	// reaches the worker and zero otherwise.
 	leaseExpiresAt time.Time
+	// leaseExpired is set from when the lease has expired until the next report.
+	leaseExpired bool
 	// othersRenewedUntil is when the lease has certainly expired as far as earlier agents may have
 	// renewed it, which had not been told that the worker was taken from them. The present agent
 	// does not know of that.
--- a/pkg/aqsite/handover.go
+++ b/pkg/aqsite/handover.go
@@ -17,11 +17,12 @@
 // handover is what a leader that ends its term as planned tells the next one. Its last write puts it into the term key and
 // deletes the lead key, and the next claim of the leadership takes it away, so that it never describes an earlier term.
 type handover struct {
-	// Leases are those of the workers of earlier leaders that have not reported in this term.
+	// Leases are those of the workers of earlier leaders that have not reported in this term, and of those that no agent
+	// reaches any more.
 	Leases []knownLease
 }
 
-// knownLease tells when the lease of a worker ends. No agent has renewed it in this term.
+// knownLease tells when the lease of a worker ends. No agent renews it any more for this leader.
 type knownLease struct {
 	Worker aqtype.WorkerID
 	// EndsIn is how long the lease lasted at most when this was written. It is not negative.
@@ -55,8 +56,7 @@
 	return err
 }
 
-// knownLeases returns the leases of the workers of earlier leaders that have not reported to an agent in this term. The term has
-// ended: later reports are ignored.
+// knownLeases returns the leases that the handover tells. The term has ended: later reports are ignored.
 func (l *leader) knownLeases() []knownLease {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -65,6 +65,11 @@
 	// It stands for other workers in each term.
 	delete(leases, unlistedWorkers)
 	l.agents.dropReported(leases)
+	for id, endsIn := range l.agents.unreachableLeases() {
+		if l.decider.EndsWithLease(id) {
+			leases[id] = endsIn
+		}
+	}
 	known := make([]knownLease, 0, len(leases))
 	for _, id := range slices.Sorted(maps.Keys(leases)) {
 		known = append(known, knownLease{
@@ -84,6 +89,27 @@
 	}
 }
 
+// unreachableLeases returns how long the leases of workers last at most that have reported in this term and that no agent
+// reaches any more. It leaves out those that an agent may still renew since it does not know that it has lost the worker.
+func (p *agentPool) unreachableLeases() map[aqtype.WorkerID]time.Duration {
+	now := p.leader.node.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	leases := map[aqtype.WorkerID]time.Duration{}
+	for id, a := range p.assignments {
+		// An agent that has found the worker unresponsive does not renew before the leader knows of a later answer.
+		foundSilent := len(a.tried) > 0 && !a.othersRenewedUntil.After(now)
+		switch {
+		case a.renew || !p.reported[id]:
+		case a.leaseExpired:
+			leases[id] = 0
+		case foundSilent && !a.leaseExpiresAt.IsZero():
+			leases[id] = max(0, a.leaseExpiresAt.Sub(now))
+		}
+	}
+	return leases
+}
+
 // decodeHandover decodes what the earlier leader has told, nothing if it cannot be decoded.
 func (n *Node) decodeHandover(told []byte) handover {
 	if len(told) == 0 {
--- a/pkg/aqsite/handover_test.go
+++ b/pkg/aqsite/handover_test.go
@@ -504,3 +504,72 @@
 	k.begin()
 	k.wantStart(earlierLeases + aqagent.MaxLeaseSpan(testLeaseMax) - 3*time.Second)
 }
+
+// A leader hands on when the lease of a worker ends that it has lost itself, but not if another agent may renew it still.
+func TestLeaseOfALostWorkerIsHandedOver(t *testing.T) {
+	const endsIn = 2 * time.Second
+	anew := earlierLeases + aqagent.MaxLeaseSpan(5*time.Second)
+	unresponsive := func(k *terms) {
+		p := k.leader.agents
+		p.mu.Lock()
+		a := p.assignments["gone"]
+		m, serial := a.member, a.serial
+		p.mu.Unlock()
+		p.applyEvents(m, []aqagent.EventWire{{
+			Worker:       "gone",
+			Serial:       serial,
+			Unresponsive: &aqagent.Unresponsive{ExpiresIn: endsIn},
+		}})
+	}
+	expire := func(k *terms) {
+		k.clock.Advance(endsIn + time.Millisecond)
+		k.leader.decide(func(d *aqdecider.Decider) { k.leader.agents.expireLeases(d) })
+	}
+	for _, test := range []struct {
+		name  string
+		after func(*terms)
+		want  time.Duration
+	}{
+		{name: "reachable", after: func(*terms) {}, want: anew},
+		{name: "unresponsive", after: unresponsive, want: endsIn},
+		{name: "expired", want: 0, after: func(k *terms) {
+			unresponsive(k)
+			expire(k)
+		}},
+		{name: "unresponsive again after the expiry", want: 0, after: func(k *terms) {
+			unresponsive(k)
+			expire(k)
+			unresponsive(k)
+		}},
+		{name: "back", want: anew, after: func(k *terms) {
+			unresponsive(k)
+			k.report("gone", 1)
+		}},
+		{name: "back after the expiry", want: anew, after: func(k *terms) {
+			unresponsive(k)
+			expire(k)
+			k.report("gone", 1)
+		}},
+		{name: "taken from an agent that does not know", want: anew, after: func(k *terms) {
+			k.leader.agents.reassignWorkersOf(k.leader.agents.members["n1"])
+			unresponsive(k)
+		}},
+		{name: "restarted", want: anew + aqagent.MaxLeaseSpan(testLeaseMax) - aqagent.MaxLeaseSpan(5*time.Second), after: func(k *terms) {
+			k.report("gone", 2)
+			if err := k.leader.storeFleet(context.Background()); err != nil {
+				k.t.Fatal(err)
+			}
+			unresponsive(k)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			k := newTerms(t)
+			k.begin()
+			k.report("gone", 1)
+			test.after(k)
+			k.stop()
+			k.begin()
+			k.wantStart(test.want)
+		})
+	}
+}
