--- a/pkg/aqsite/handover_test.go
+++ b/pkg/aqsite/handover_test.go
@@ -123,10 +123,21 @@
 // report makes the agent of a worker report it to the present leader.
 func (k *terms) report(id aqtype.WorkerID, incarnation aqdecider.Incarnation) {
 	k.t.Helper()
-	l := k.leader
 	w := aqdecider.Worker{ID: id, Incarnation: incarnation}
-	l.decide(func(d *aqdecider.Decider) { d.UpdateWorker(w) })
-	l.agents.addWorker(w)
+	k.leader.decide(func(d *aqdecider.Decider) { d.UpdateWorker(w) })
+	k.leader.agents.addWorker(w)
+	k.reportDifference(id, aqreport.Difference{
+		Incarnation: incarnation,
+		Sent:        1,
+		Complete:    true,
+		Whole:       true,
+	})
+}
+
+// reportDifference makes the agent of a worker send a report.
+func (k *terms) reportDifference(id aqtype.WorkerID, difference aqreport.Difference) {
+	k.t.Helper()
+	l := k.leader
 	l.agents.mu.Lock()
 	a := l.agents.assignments[id]
 	m, serial := a.member, a.serial
@@ -137,12 +148,7 @@
 	l.agents.applyEvents(m, []aqagent.EventWire{{
 		Worker: id,
 		Serial: serial,
-		Report: &aqagent.ReportReceived{Difference: aqreport.Difference{
-			Incarnation: incarnation,
-			Sent:        1,
-			Complete:    true,
-			Whole:       true,
-		}},
+		Report: &aqagent.ReportReceived{Difference: difference},
 	}})
 }
 
@@ -550,6 +556,19 @@
 			expire(k)
 			k.report("gone", 1)
 		}},
+		{name: "back after the expiry, then unresponsive", want: endsIn, after: func(k *terms) {
+			unresponsive(k)
+			expire(k)
+			k.report("gone", 1)
+			unresponsive(k)
+		}},
+		{name: "a report without its base", want: anew, after: func(k *terms) {
+			k.reportDifference("gone", aqreport.Difference{
+				Incarnation: 1,
+				Sent:        9,
+				Changed:     []aqreport.ChangedRun{{Slot: 9}},
+			})
+		}},
 		{name: "taken from an agent that does not know", want: anew, after: func(k *terms) {
 			k.leader.agents.reassignWorkersOf(k.leader.agents.members["n1"])
 			unresponsive(k)
