--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -81,9 +81,10 @@
 	// and have not reported to this one, with the time at which their leases have
 	// certainly expired.
 	unreported map[aqtype.WorkerID]time.Time
-	// unreportedEnded holds the workers that have left unreported since their leases have ended.
-	unreportedEnded map[aqtype.WorkerID]bool
-	orders          []Order
+	// gone holds the workers that have not reported since their leases ended, whoever renewed them. The stored list may still
+	// include them.
+	gone   map[aqtype.WorkerID]bool
+	orders []Order
 	// ordered counts the orders in orders by worker.
 	ordered map[aqtype.WorkerID]int
 	dirty   map[aqjob.ID]*job
@@ -175,28 +176,28 @@
 // New returns a decider without jobs and workers.
 func New(o Options) *Decider {
 	return &Decider{
-		options:         o,
-		queues:          map[aqjob.QueueID]aqjob.Queue{},
-		jobs:            map[aqjob.ID]*job{},
-		workers:         map[aqtype.WorkerID]*worker{},
-		recurring:       map[aqjob.ID]*job{},
-		expansion:       aqexpansion.New(aqexpansion.Tasks(o.Limits.Tasks)),
-		unstartedJobs:   map[aqjob.QueueID]int{},
-		waiting:         map[*group]bool{},
-		unreported:      map[aqtype.WorkerID]time.Time{},
-		ordered:         map[aqtype.WorkerID]int{},
-		dirty:           map[aqjob.ID]*job{},
-		unstoredEnds:    map[aqtype.WorkerID]bool{},
-		unpersisted:     map[aqtype.WorkerID]bool{},
-		cancelled:       map[aqjob.ID]bool{},
-		restarted:       map[aqtype.WorkerID]bool{},
-		unreportedEnded: map[aqtype.WorkerID]bool{},
-		exposed:         map[aqtype.WorkerID]exposure{},
-		earlier:         map[aqjob.TaskID]aqcrash.Crash{},
-		earlierIdle:     map[aqcrash.Instance]bool{},
-		earlierTrials:   map[aqcrash.Instance][]*task{},
-		model:           aqinterference.New(),
-		harmedShares:    map[aqinterference.Image]float64{},
+		options:       o,
+		queues:        map[aqjob.QueueID]aqjob.Queue{},
+		jobs:          map[aqjob.ID]*job{},
+		workers:       map[aqtype.WorkerID]*worker{},
+		recurring:     map[aqjob.ID]*job{},
+		expansion:     aqexpansion.New(aqexpansion.Tasks(o.Limits.Tasks)),
+		unstartedJobs: map[aqjob.QueueID]int{},
+		waiting:       map[*group]bool{},
+		unreported:    map[aqtype.WorkerID]time.Time{},
+		ordered:       map[aqtype.WorkerID]int{},
+		dirty:         map[aqjob.ID]*job{},
+		unstoredEnds:  map[aqtype.WorkerID]bool{},
+		unpersisted:   map[aqtype.WorkerID]bool{},
+		cancelled:     map[aqjob.ID]bool{},
+		restarted:     map[aqtype.WorkerID]bool{},
+		gone:          map[aqtype.WorkerID]bool{},
+		exposed:       map[aqtype.WorkerID]exposure{},
+		earlier:       map[aqjob.TaskID]aqcrash.Crash{},
+		earlierIdle:   map[aqcrash.Instance]bool{},
+		earlierTrials: map[aqcrash.Instance][]*task{},
+		model:         aqinterference.New(),
+		harmedShares:  map[aqinterference.Image]float64{},
 
 		unstoredRestarts:  map[aqtype.WorkerID]bool{},
 		inheritedRestarts: map[aqtype.WorkerID]bool{},
@@ -272,7 +273,7 @@
 func (d *Decider) hasUnreported() bool {
 	for id, until := range d.unreported {
 		if d.now.After(until) {
-			d.unreportedEnded[id] = true
+			d.gone[id] = true
 			d.clearUnreported(id)
 		}
 	}
--- a/pkg/aqdecider/handover.go
+++ b/pkg/aqdecider/handover.go
@@ -6,12 +6,12 @@
 	"acaciaquay/pkg/aqtype"
 )
 
-// UnreportedLeases returns the workers of earlier deciders that have not reported to this one, with how long their leases
-// last at most, stray ones included. Workers of which this decider has learned that they have restarted are left out. The
-// caller leaves out those that have reported to an agent.
-func (d *Decider) UnreportedLeases() map[aqtype.WorkerID]time.Duration {
-	leases := make(map[aqtype.WorkerID]time.Duration, len(d.unreported)+len(d.unreportedEnded))
-	for id := range d.unreportedEnded {
+// EarlierLeases returns the workers of earlier deciders that have not reported to this one, and those that have not reported
+// since their leases ended, with how long the leases last at most, stray ones included. Workers of which this decider has
+// learned that they have restarted are left out. The caller leaves out those that have reported to an agent.
+func (d *Decider) EarlierLeases() map[aqtype.WorkerID]time.Duration {
+	leases := make(map[aqtype.WorkerID]time.Duration, len(d.unreported)+len(d.gone))
+	for id := range d.gone {
 		leases[id] = 0
 	}
 	for id, until := range d.unreported {
--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -170,6 +170,9 @@
 	if len(w.runs) == 0 && !d.mayHaveStrayLease(w) {
 		// The tasks start elsewhere now: the next leader must not wait for this worker.
 		w.emptySince = d.now.Add(-silenceTimeout)
+		if _, unreported := d.unreported[id]; !unreported {
+			d.gone[id] = true
+		}
 	}
 	d.dropIfGone(w)
 	return heldUntil
--- a/pkg/aqdecider/reports.go
+++ b/pkg/aqdecider/reports.go
@@ -19,6 +19,7 @@
 	if report.Incarnation != w.info.Incarnation {
 		d.workerRestarted(w, report.Incarnation)
 	}
+	delete(d.gone, id)
 	d.settleInherited(w)
 	// Each later agent settles the incarnation anew, which has refused stray calls since the first did.
 	if report.Settled && w.unsettled {
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -245,7 +245,7 @@
 		if !d.now.After(until) {
 			return
 		}
-		d.unreportedEnded[w.info.ID] = true
+		d.gone[w.info.ID] = true
 	}
 	d.clearUnreported(w.info.ID)
 	w.silent = true
--- a/pkg/aqsite/agentevents.go
+++ b/pkg/aqsite/agentevents.go
@@ -102,7 +102,6 @@
 	a.reported = report.Incarnation
 	a.worker.Incarnation = report.Incarnation
 	a.leaseExpiresAt = time.Time{}
-	a.leaseExpired = false
 	a.tried = nil
 	a.renew = true
 	p.reported[id] = true
@@ -216,7 +215,7 @@
 	for id, a := range p.assignments {
 		if !a.leaseExpiresAt.IsZero() && now.After(a.leaseExpiresAt) {
 			a.leaseExpiresAt = time.Time{}
-			a.leaseExpired = true
+			delete(p.reported, id)
 			// The new assignment number invalidates orders still queued at the agent,
 			// so that they cannot reach the worker later.
 			p.assign(a, a.member)
--- a/pkg/aqsite/agentpool.go
+++ b/pkg/aqsite/agentpool.go
@@ -78,8 +78,6 @@
 	// leaseExpiresAt is when the lease has certainly expired, set while no agent
 	// reaches the worker and zero otherwise.
 	leaseExpiresAt time.Time
-	// leaseExpired is set from when the lease has expired until the next report.
-	leaseExpired bool
 	// othersRenewedUntil is when the lease has certainly expired as far as earlier agents may have
 	// renewed it, which had not been told that the worker was taken from them. The present agent
 	// does not know of that.
@@ -113,8 +111,8 @@
 	// heldLost holds the workers whose held report was discarded with their assignment. Their
 	// leases may have been renewed since, which the decider does not know.
 	heldLost map[aqtype.WorkerID]bool
-	// reported holds the workers that have reported in this term, also after their removal. An agent may have renewed their
-	// leases since.
+	// reported holds the workers that have reported in this term, since their leases last expired, also after their removal.
+	// An agent may have renewed their leases since.
 	reported map[aqtype.WorkerID]bool
 	// left holds the members that are no longer registered, by name. Their processes may
 	// still run and register again.
--- a/pkg/aqsite/handover.go
+++ b/pkg/aqsite/handover.go
@@ -17,8 +17,8 @@
 // handover is what a leader that ends its term as planned tells the next one. Its last write puts it into the term key and
 // deletes the lead key, and the next claim of the leadership takes it away, so that it never describes an earlier term.
 type handover struct {
-	// Leases are those of the workers of earlier leaders that have not reported in this term, and of those that no agent
-	// reaches any more.
+	// Leases are those of the workers of earlier leaders that have not reported in this term, of those whose lease has
+	// expired, and of others that no agent reaches any more.
 	Leases []knownLease
 }
 
@@ -61,7 +61,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decider.SetTime(l.node.clock.Now(), l.node.wallTime())
-	leases := l.decider.UnreportedLeases()
+	leases := l.decider.EarlierLeases()
 	// It stands for other workers in each term.
 	delete(leases, unlistedWorkers)
 	l.agents.dropReported(leases)
@@ -80,7 +80,7 @@
 	return known
 }
 
-// dropReported removes the workers that have reported to an agent in this term.
+// dropReported removes the workers that have reported to an agent in this term, since their leases last expired.
 func (p *agentPool) dropReported(leases map[aqtype.WorkerID]time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -99,11 +99,7 @@
 	for id, a := range p.assignments {
 		// An agent that has found the worker unresponsive does not renew before the leader knows of a later answer.
 		foundSilent := len(a.tried) > 0 && !a.othersRenewedUntil.After(now)
-		switch {
-		case a.renew || !p.reported[id]:
-		case a.leaseExpired:
-			leases[id] = 0
-		case foundSilent && !a.leaseExpiresAt.IsZero():
+		if foundSilent && p.reported[id] && !a.renew && !a.leaseExpiresAt.IsZero() {
 			leases[id] = max(0, a.leaseExpiresAt.Sub(now))
 		}
 	}
--- a/pkg/aqsite/handover_test.go
+++ b/pkg/aqsite/handover_test.go
@@ -547,6 +547,42 @@
 			expire(k)
 			unresponsive(k)
 		}},
+		{name: "expired and not listed", want: 0, after: func(k *terms) {
+			k.reportDifference("gone", aqreport.Difference{
+				Incarnation: 1,
+				Sent:        2,
+				Complete:    true,
+				New: []aqreport.NewRun{{
+					Slot: 1,
+					Run:  aqdecider.RunID{Task: aqjob.TaskID{Job: testJob().ID}, Attempt: 1},
+				}},
+			})
+			k.leader.decide(func(d *aqdecider.Decider) { d.DelistWorker("gone") })
+			unresponsive(k)
+			expire(k)
+			k.leader.removeUnknownWorkers()
+			if k.leader.agents.assignments["gone"] != nil {
+				k.t.Fatal("the worker is still known")
+			}
+		}},
+		{name: "expired, not listed, and back", want: anew, after: func(k *terms) {
+			unresponsive(k)
+			expire(k)
+			k.leader.decide(func(d *aqdecider.Decider) { d.DelistWorker("gone") })
+			k.report("gone", 1)
+		}},
+		{name: "back in a report that the decider ignores", want: anew, after: func(k *terms) {
+			k.leader.decide(func(d *aqdecider.Decider) { d.DelistWorker("gone") })
+			unresponsive(k)
+			expire(k)
+			k.reportDifference("gone", aqreport.Difference{
+				Incarnation: 1,
+				Sent:        1,
+				Complete:    true,
+				Whole:       true,
+			})
+			k.leader.removeUnknownWorkers()
+		}},
 		{name: "back", want: anew, after: func(k *terms) {
 			unresponsive(k)
 			k.report("gone", 1)
