--- a/pkg/aqsite/elect.go
+++ b/pkg/aqsite/elect.go
@@ -329,22 +329,25 @@
 	n.releaseLead(l, lease)
 }
 
-// releaseTimeout is the timeout of each of the last store calls of a planned stop.
-const releaseTimeout = time.Second
+// Timeouts of the last store calls of a planned stop.
+const (
+	handOverTimeout = 500 * time.Millisecond
+	releaseTimeout  = time.Second
+)
 
-// withinRelease makes one of these calls.
-func withinRelease(call func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+// within makes a call with a timeout.
+func within(timeout time.Duration, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return call(ctx)
 }
 
 // releaseLead releases the leadership of an ended term.
 func (n *Node) releaseLead(l *leader, lease aqstore.LeaseID) {
-	if err := withinRelease(l.handOver); err != nil {
+	if err := within(handOverTimeout, l.handOver); err != nil {
 		n.log.Write(aqlog.LeadershipAttemptFailed, aqlog.Err(err))
 	}
-	if err := withinRelease(func(ctx context.Context) error { return n.store.Revoke(ctx, lease) }); err != nil {
+	if err := within(releaseTimeout, func(ctx context.Context) error { return n.store.Revoke(ctx, lease) }); err != nil {
 		n.log.Write(aqlog.LeadershipAttemptFailed, aqlog.Err(err))
 		return
 	}
