--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -82,8 +82,9 @@
 	// certainly expired.
 	unreported map[aqtype.WorkerID]time.Time
 	// gone holds the workers that have not reported since their leases ended, whoever renewed them. The stored list may still
-	// include them.
-	gone   map[aqtype.WorkerID]bool
+	// include them. It holds none of restarted.
+	gone map[aqtype.WorkerID]bool
+
 	orders []Order
 	// ordered counts the orders in orders by worker.
 	ordered map[aqtype.WorkerID]int
@@ -273,7 +274,7 @@
 func (d *Decider) hasUnreported() bool {
 	for id, until := range d.unreported {
 		if d.now.After(until) {
-			d.gone[id] = true
+			d.noteGone(id)
 			d.clearUnreported(id)
 		}
 	}
--- a/pkg/aqdecider/handover.go
+++ b/pkg/aqdecider/handover.go
@@ -23,6 +23,13 @@
 	return leases
 }
 
+// noteGone notes that the leases of a worker have ended, unless a stray one may last.
+func (d *Decider) noteGone(id aqtype.WorkerID) {
+	if !d.restarted[id] {
+		d.gone[id] = true
+	}
+}
+
 // LimitWorkerWait brings the deadline of an unreported worker forward to when its leases have certainly ended, as far as an
 // earlier decider has known. This one may know of a restart besides. The worker must not have reported to an agent.
 func (d *Decider) LimitWorkerWait(id aqtype.WorkerID, until time.Time) {
--- a/pkg/aqdecider/lostruns.go
+++ b/pkg/aqdecider/lostruns.go
@@ -170,8 +170,8 @@
 	if len(w.runs) == 0 && !d.mayHaveStrayLease(w) {
 		// The tasks start elsewhere now: the next leader must not wait for this worker.
 		w.emptySince = d.now.Add(-silenceTimeout)
-		if _, unreported := d.unreported[id]; !unreported {
-			d.gone[id] = true
+		if _, unreported := d.unreported[id]; !unreported && w.reported > 0 {
+			d.noteGone(id)
 		}
 	}
 	d.dropIfGone(w)
--- a/pkg/aqdecider/strayleases.go
+++ b/pkg/aqdecider/strayleases.go
@@ -24,6 +24,7 @@
 // knows how long its runs may last.
 func (d *Decider) nameRestart(w *worker) {
 	d.restarted[w.info.ID] = true
+	delete(d.gone, w.info.ID)
 	d.unstoredRestarts[w.info.ID] = true
 	d.fleetChanges++
 }
--- a/pkg/aqdecider/workers.go
+++ b/pkg/aqdecider/workers.go
@@ -245,7 +245,7 @@
 		if !d.now.After(until) {
 			return
 		}
-		d.gone[w.info.ID] = true
+		d.noteGone(w.info.ID)
 	}
 	d.clearUnreported(w.info.ID)
 	w.silent = true
