--- a/pkg/aqdecider/backlog.go
+++ b/pkg/aqdecider/backlog.go
@@ -95,3 +95,8 @@
 	slices.SortFunc(capacities, func(a, b aqbacklog.Capacity) int { return cmp.Compare(a.Service, b.Service) })
 	return capacities
 }
+
+// Room tells for which jobs there is memory besides those that take more bytes elsewhere.
+func (d *Decider) Room(more int) aqbacklog.Room {
+	return aqbacklog.RoomIn(d.jobBytes+more, d.options.Limits.JobBytes)
+}
--- a/pkg/aqdecider/cancellations.go
+++ b/pkg/aqdecider/cancellations.go
@@ -42,3 +42,7 @@
 		d.cancellations = d.cancellations[1:]
 	}
 }
+
+// HoldStarts makes Tick decide no starts, and stop nothing to start it elsewhere or to make room, until it is called
+// with false.
+func (d *Decider) HoldStarts(held bool) { d.startsHeld = held }
--- a/pkg/aqdecider/decider.go
+++ b/pkg/aqdecider/decider.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"acaciaquay/internal/site/aqbacklog"
 	"acaciaquay/internal/site/aqcrash"
 	"acaciaquay/internal/site/aqevacuation"
 	"acaciaquay/internal/site/aqexpansion"
@@ -298,10 +297,6 @@
 	return orders
 }
 
-// HoldStarts makes Tick decide no starts, and stop nothing to start it elsewhere or to make room, until it is called
-// with false.
-func (d *Decider) HoldStarts(held bool) { d.startsHeld = held }
-
 // reviewPeriod is how often a worker is reviewed without a new report.
 const reviewPeriod = 200 * time.Millisecond
 
@@ -358,11 +353,6 @@
 	}
 }
 
-// Room tells for which jobs there is memory besides those that take more bytes elsewhere.
-func (d *Decider) Room(more int) aqbacklog.Room {
-	return aqbacklog.RoomIn(d.jobBytes+more, d.options.Limits.JobBytes)
-}
-
 // State returns the state that submitters see. A final state is visible only once
 // it is stored.
 func (d *Decider) State(id aqjob.ID) (aqjob.State, bool) {
--- a/pkg/aqsite/leader.go
+++ b/pkg/aqsite/leader.go
@@ -386,16 +386,3 @@
 // mayAnswer reports whether this leader has recovered the jobs and still leads, so
 // that its answers are current.
 func (l *leader) mayAnswer() bool { return l.hasRecovered() && l.mayOrder() }
-
-// state answers a status call. known is false when there is no such job, current is
-// false when this leader cannot answer.
-func (l *leader) state(id aqjob.ID) (state aqjob.State, known, current bool) {
-	if !l.mayAnswer() {
-		return "", false, false
-	}
-	l.decide(func(d *aqdecider.Decider) {
-		state, known = d.State(id)
-		current = true
-	})
-	return state, known, current
-}
--- a/pkg/aqsite/leaderpending.go
+++ b/pkg/aqsite/leaderpending.go
@@ -43,3 +43,16 @@
 	})
 	return count, current
 }
+
+// state answers a status call. known is false when there is no such job, current is
+// false when this leader cannot answer.
+func (l *leader) state(id aqjob.ID) (state aqjob.State, known, current bool) {
+	if !l.mayAnswer() {
+		return "", false, false
+	}
+	l.decide(func(d *aqdecider.Decider) {
+		state, known = d.State(id)
+		current = true
+	})
+	return state, known, current
+}
